Lay out the modules, the checks and the contracts of the core

Cause: the project needs a frame that several parts can grow in at once. Change: Maven modules with pinned versions, formatter and linter, the model of configuration objects and tickets, typed ports, instance events and actions, and one-method interfaces between the decisions. Conclusion: parts may now be built against fixed interfaces.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/grant/ColdStartGate.java
@@ -0,0 +1,18 @@
+package org.wasabilug.internal.grant;
+
+import org.wasabilug.model.Endpoint;
+
+/** Tells how much work this instance may hold at an endpoint with regard to cold start. */
+public interface ColdStartGate {
+    /** Allowance of an endpoint that cold start does not limit. */
+    int UNLIMITED = Integer.MAX_VALUE;
+
+    /**
+     * Most calls that this instance may have in flight at the endpoint at this moment.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return {@link #UNLIMITED} for a warm endpoint; what the grants held allow for a cold one
+     */
+    int allowance(Endpoint endpoint, long nowNanos);
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/grant/package-info.java
@@ -0,0 +1,2 @@
+/** Cold-start grants. */
+package org.wasabilug.internal.grant;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/instance/package-info.java
@@ -0,0 +1,2 @@
+/** The decision core of a whole entry instance. */
+package org.wasabilug.internal.instance;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once ledger. */
+package org.wasabilug.internal.ledger;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on requests and calls. */
+package org.wasabilug.internal.limit;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of the serving system; not part of the public front. */
+package org.wasabilug.internal;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Quarantine of requests that crash endpoints. */
+package org.wasabilug.internal.quarantine;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retries and hedges. */
+package org.wasabilug.internal.retry;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of an endpoint for each attempt. */
+package org.wasabilug.internal.routing;
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/port/ObjectOutcome.java
@@ -0,0 +1,20 @@
+package org.wasabilug.port;
+
+/** Answer of the object store. */
+public sealed interface ObjectOutcome {
+    /**
+     * The object was read.
+     *
+     * @param text its content
+     */
+    record Found(String text) implements ObjectOutcome {}
+
+    /** No such object exists. */
+    record Missing() implements ObjectOutcome {}
+
+    /** The object was written. */
+    record Written() implements ObjectOutcome {}
+
+    /** The service can't be reached; a write may have taken effect. */
+    record Unavailable() implements ObjectOutcome {}
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/port/VersionedObject.java
@@ -0,0 +1,15 @@
+package org.wasabilug.port;
+
+import java.util.Optional;
+import org.wasabilug.model.ConfigurationObject;
+import org.wasabilug.model.ObjectKey;
+
+/**
+ * State of a configuration object with the ticket that wrote it.
+ *
+ * @param key identity of the object
+ * @param ticketNumber number of the ticket
+ * @param state whole state; empty where the ticket removed the object
+ */
+public record VersionedObject(
+        ObjectKey key, long ticketNumber, Optional<ConfigurationObject> state) {}
--- /dev/null
+++ b/demo/src/main/java/org/wasabilug/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.wasabilug.demo;
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Access to endpoints: calls, load reports, cache events and orders. */
+package org.wasabilug.endpoint;
