Execute pipelines stage by stage behind one event handler

Cause: nothing ran a request yet. Change: RequestExecutor with stages, attempts, result assembly, claims, retries, refusals with truthful run states and the planned stop. StageCall carries the text to resume from, since an engine on another endpoint cannot know it. Conclusion: the shell and the policies can be joined to it.

--- a/core/src/main/java/org/wasabilug/error/ErrorCode.java
+++ b/core/src/main/java/org/wasabilug/error/ErrorCode.java
@@ -26,6 +26,8 @@
     BODY_TOO_LARGE,
     /** The idempotency key was used before with another body. */
     IDEMPOTENCY_CONFLICT,
+    /** A stage that may not be repeated needs an idempotency key. */
+    IDEMPOTENCY_KEY_REQUIRED,
     /** The same request is running at this moment. */
     ALREADY_RUNNING,
     /** The workspace is over its limits. */
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -0,0 +1,185 @@
+package org.wasabilug.internal.execution;
+
+import java.util.Optional;
+import java.util.Set;
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.internal.deadline.WaitingCall;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.internal.quarantine.Suspicion;
+import org.wasabilug.internal.routing.RoutingAnswer;
+import org.wasabilug.internal.routing.RoutingQuery;
+import org.wasabilug.model.PoolName;
+
+/** Sends waiting calls to endpoints that have room. */
+final class CallDispatcher {
+    private static final long SUSPECT_DELAY_NANOS = 50_000_000L;
+    private static final int MOST_URGENT = 0;
+    private static final int LEAST_URGENT = 9;
+    private static final long NANOS_PER_PRIORITY_STEP = 400_000_000L;
+
+    private final ExecutionParts mParts;
+    private final RequestTable mTable;
+    private final RequestEnding mEnding;
+
+    CallDispatcher(ExecutionParts parts, RequestTable table, RequestEnding ending) {
+        mParts = parts;
+        mTable = table;
+        mEnding = ending;
+    }
+
+    /** Refuses calls that can't make their deadline, then starts as many as there is room for. */
+    void dispatchWaiting(Turn turn) {
+        for (WaitingCall late : mParts.waiting().removeExpired(turn.nowNanos())) {
+            mTable.find(late.request()).ifPresent(run -> refuseLate(run, late, turn));
+        }
+        for (PoolName pool : mParts.waiting().pools()) {
+            dispatchPool(pool, turn);
+        }
+    }
+
+    private void refuseLate(RequestRun run, WaitingCall late, Turn turn) {
+        boolean hasEndpoint =
+                !(route(run, run.stage(late.stage()), turn) instanceof RoutingAnswer.NoEndpoint);
+        ErrorCode code = hasEndpoint ? ErrorCode.OVERLOADED : ErrorCode.NO_ENDPOINT;
+        mEnding.refuse(run, code, "no room for stage " + late.stage() + " in time", turn);
+    }
+
+    private void dispatchPool(PoolName pool, Turn turn) {
+        Optional<WaitingCall> next = mParts.waiting().peek(pool, turn.nowNanos());
+        while (next.isPresent() && tryStart(next.get(), turn)) {
+            next = mParts.waiting().peek(pool, turn.nowNanos());
+        }
+    }
+
+    /** Starts a call or takes it off the queue; false where the pool has no room. */
+    private boolean tryStart(WaitingCall call, Turn turn) {
+        Optional<RequestRun> found = mTable.find(call.request());
+        if (found.isEmpty() || found.get().stage(call.stage()) == null) {
+            mParts.waiting().remove(call.request(), call.stage());
+            return true;
+        }
+        RequestRun run = found.get();
+        StageRun stage = run.stage(call.stage());
+        Suspicion suspicion = mParts.crashes().judge(run.fingerprint(), turn.nowNanos());
+        if (suspicion == Suspicion.QUARANTINED) {
+            mEnding.refuse(run, ErrorCode.QUARANTINED, "content crashed endpoints", turn);
+            return true;
+        }
+        return startWhereRoom(run, stage, suspicion, turn);
+    }
+
+    private boolean startWhereRoom(RequestRun run, StageRun stage, Suspicion suspicion, Turn turn) {
+        RoutingQuery query = queryOf(run, stage, suspicion, turn);
+        if (routeWithoutAvoiding(query, turn) instanceof RoutingAnswer.Chosen chosen) {
+            mParts.waiting().remove(run.id(), stage.stage().name());
+            dispatch(run, stage, query, chosen, turn);
+            return true;
+        }
+        if (suspicion == Suspicion.SUSPECT) {
+            backOff(run, stage, turn);
+            return true;
+        }
+        return false;
+    }
+
+    /** A suspect that waits for its own turn must not hold up the calls behind it. */
+    private void backOff(RequestRun run, StageRun stage, Turn turn) {
+        mParts.waiting().remove(run.id(), stage.stage().name());
+        stage.moveTo(StageStatus.BACKING_OFF);
+        mTable.timers()
+                .schedule(
+                        turn.nowNanos() + SUSPECT_DELAY_NANOS,
+                        new TimerPurpose.Retry(run.id(), stage.stage().name()));
+    }
+
+    private RoutingAnswer route(RequestRun run, StageRun stage, Turn turn) {
+        return routeWithoutAvoiding(queryOf(run, stage, Suspicion.CLEAN, turn), turn);
+    }
+
+    /** Falls back to endpoints that failed before where no other can take the call. */
+    private RoutingAnswer routeWithoutAvoiding(RoutingQuery query, Turn turn) {
+        RoutingAnswer answer = mParts.router().route(query, turn.nowNanos());
+        if (answer instanceof RoutingAnswer.Chosen || query.avoid().isEmpty()) {
+            return answer;
+        }
+        RoutingQuery relaxed =
+                new RoutingQuery(
+                        query.pool(),
+                        query.workspace(),
+                        query.prefixHashes(),
+                        Set.of(),
+                        query.remainingNanos(),
+                        query.suspect());
+        return mParts.router().route(relaxed, turn.nowNanos());
+    }
+
+    private RoutingQuery queryOf(RequestRun run, StageRun stage, Suspicion suspicion, Turn turn) {
+        return new RoutingQuery(
+                stage.pool().name(),
+                run.request().workspace(),
+                ContentHashes.prefixes(run.request().body()),
+                stage.failedAt(),
+                stageBudgetNanos(run, stage, turn),
+                suspicion == Suspicion.SUSPECT);
+    }
+
+    private long stageBudgetNanos(RequestRun run, StageRun stage, Turn turn) {
+        return mParts.planner()
+                .stageBudgetNanos(
+                        run.request().pipeline(),
+                        stage.stage().name(),
+                        run.remainingNanos(turn.nowNanos()));
+    }
+
+    private void dispatch(
+            RequestRun run,
+            StageRun stage,
+            RoutingQuery query,
+            RoutingAnswer.Chosen chosen,
+            Turn turn) {
+        if (!stage.mayHaveRun()) {
+            mParts.retries().firstAttempt(stage.pool().name(), turn.nowNanos());
+        }
+        var endpoint = chosen.endpoint();
+        AttemptId attempt = stage.beginAttempt(run.id(), endpoint.name(), turn.nowNanos());
+        mParts.router().dispatched(attempt, endpoint.name(), query, turn.nowNanos());
+        mParts.crashes().dispatched(attempt, run.fingerprint(), endpoint.name(), turn.nowNanos());
+        long timeout = timeoutNanos(run, stage, query, turn);
+        if (stage.isRepeatable()) {
+            mTable.timers()
+                    .schedule(turn.nowNanos() + timeout, new TimerPurpose.AttemptTimeout(attempt));
+        }
+        turn.log(
+                "route",
+                run,
+                stage.stage().name().value(),
+                chosen.candidates(),
+                endpoint.name().value(),
+                chosen.reason());
+        turn.emit(
+                new InstanceAction.Dispatch(
+                        StageCall.builder()
+                                .attempt(attempt)
+                                .endpoint(endpoint)
+                                .pool(stage.pool())
+                                .input(StageInput.compose(run, stage))
+                                .resumeText(stage.result().text())
+                                .timeoutNanos(timeout)
+                                .priority(priority(run, turn))
+                                .repeatable(stage.isRepeatable())
+                                .build()));
+    }
+
+    private static long timeoutNanos(
+            RequestRun run, StageRun stage, RoutingQuery query, Turn turn) {
+        return stage.isRepeatable() ? query.remainingNanos() : run.remainingNanos(turn.nowNanos());
+    }
+
+    /** Less time left is more urgent. */
+    private static int priority(RequestRun run, Turn turn) {
+        long steps = run.remainingNanos(turn.nowNanos()) / NANOS_PER_PRIORITY_STEP;
+        return (int) Math.clamp(steps, MOST_URGENT, LEAST_URGENT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestEnding.java
@@ -0,0 +1,113 @@
+package org.wasabilug.internal.execution;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.error.Reporter;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.routing.AttemptEnd;
+import org.wasabilug.model.Refusal;
+
+/** Ends requests: whole answers, refusals and callers that left. */
+final class RequestEnding {
+    private static final Duration SOON = Duration.ofMillis(250);
+    private static final Duration LATER = Duration.ofSeconds(2);
+
+    private final ExecutionParts mParts;
+    private final RequestTable mTable;
+
+    RequestEnding(ExecutionParts parts, RequestTable table) {
+        mParts = parts;
+        mTable = table;
+    }
+
+    void complete(RequestRun run, Turn turn) {
+        if (!run.isAnswered()) {
+            turn.emit(new InstanceAction.CompleteRequest(run.id()));
+            run.markAnswered();
+            mParts.admission().release(run.request().workspace(), turn.nowNanos());
+        }
+        mTable.remove(run);
+    }
+
+    void refuse(RequestRun run, ErrorCode code, String reason, Turn turn) {
+        if (run.isAnswered()) {
+            return;
+        }
+        Refusal refusal = refusalOf(run, code);
+        turn.log("refuse", run, "", 0, "", code + ": " + reason + "; " + refusal.runState());
+        turn.emit(new InstanceAction.RefuseRequest(run.id(), refusal));
+        abandon(run, turn);
+    }
+
+    /** Ends a request that was never admitted. */
+    void refuseAtArrival(RequestRun run, ErrorCode code, String reason, Turn turn) {
+        Refusal refusal = refusalOf(run, code);
+        turn.log("refuse", run, "", 0, "", code + ": " + reason + "; " + refusal.runState());
+        turn.emit(new InstanceAction.RefuseRequest(run.id(), refusal));
+    }
+
+    private static Refusal refusalOf(RequestRun run, ErrorCode code) {
+        return Reporter.refusal(code, RunStateJudge.judge(run), retryAfter(code));
+    }
+
+    private static Optional<Duration> retryAfter(ErrorCode code) {
+        return switch (code) {
+            case OVERLOADED, WORKSPACE_LIMIT, STOPPING, STAGE_FAILED -> Optional.of(SOON);
+            case NO_ENDPOINT,
+                    PLATFORM_UNAVAILABLE,
+                    OUTCOME_UNKNOWN,
+                    ALREADY_RUNNING,
+                    DEADLINE_EXCEEDED ->
+                    Optional.of(LATER);
+            default -> Optional.empty();
+        };
+    }
+
+    /** Stops all work of a request whose caller needs it no longer. */
+    void abandon(RequestRun run, Turn turn) {
+        run.markAnswered();
+        mParts.admission().release(run.request().workspace(), turn.nowNanos());
+        for (StageRun stage : run.stages()) {
+            abandonStage(run, stage, turn);
+        }
+        removeIfIdle(run);
+    }
+
+    private void abandonStage(RequestRun run, StageRun stage, Turn turn) {
+        mParts.waiting().remove(run.id(), stage.stage().name());
+        if (stage.isClaimed() && !stage.mayHaveRun()) {
+            stage.setClaimed(false);
+            turn.actions()
+                    .addAll(
+                            mParts.ledger()
+                                    .release(run.id(), stage.stage().name(), turn.nowNanos())
+                                    .actions());
+        }
+        // A stage that may not be repeated runs on, so that its result gets recorded.
+        if (stage.isRepeatable()) {
+            cancelAttempts(stage, turn);
+        }
+    }
+
+    /** Cancels every attempt of a stage at its endpoint. */
+    void cancelAttempts(StageRun stage, Turn turn) {
+        for (LiveAttempt attempt : stage.liveAttempts()) {
+            cancelAttempt(stage, attempt, AttemptEnd.CANCELLED, turn);
+        }
+    }
+
+    void cancelAttempt(StageRun stage, LiveAttempt attempt, AttemptEnd end, Turn turn) {
+        stage.endAttempt(attempt.id());
+        turn.emit(new InstanceAction.CancelAttempt(attempt.id()));
+        mParts.router().ended(attempt.id(), end, turn.nowNanos());
+        turn.actions().addAll(mParts.crashes().ended(attempt.id(), false, turn.nowNanos()));
+    }
+
+    /** Forgets an answered request once nothing of it runs. */
+    void removeIfIdle(RequestRun run) {
+        if (run.isAnswered() && !run.hasLiveAttempts()) {
+            mTable.remove(run);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageRun.java
@@ -0,0 +1,141 @@
+package org.wasabilug.internal.execution;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.Pool;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.Stage;
+
+/** State of one stage of a running request. */
+final class StageRun {
+    private static final int NONE = 0;
+
+    private final Stage mStage;
+    private final Pool mPool;
+    private final ResultAssembler mResult = new ResultAssembler();
+    private final Map<Integer, LiveAttempt> mLive = new HashMap<>();
+    private final Set<EndpointName> mFailedAt = new HashSet<>();
+    private StageStatus mStatus = StageStatus.BLOCKED;
+    private int mLastAttempt = NONE;
+    private int mChosenAttempt = NONE;
+    private int mFailedAttempts;
+    private int mPossiblyReceived;
+    private long mFirstDispatchNanos;
+    private boolean mClaimed;
+
+    StageRun(Stage stage, Pool pool) {
+        mStage = stage;
+        mPool = pool;
+    }
+
+    Stage stage() {
+        return mStage;
+    }
+
+    Pool pool() {
+        return mPool;
+    }
+
+    /** A stage is repeatable only where both the pipeline and the pool say so. */
+    boolean isRepeatable() {
+        return mStage.repeatable() && mPool.repeatable();
+    }
+
+    ResultAssembler result() {
+        return mResult;
+    }
+
+    StageStatus status() {
+        return mStatus;
+    }
+
+    void moveTo(StageStatus status) {
+        mStatus = status;
+    }
+
+    boolean isDone() {
+        return mStatus == StageStatus.DONE;
+    }
+
+    boolean isClaimed() {
+        return mClaimed;
+    }
+
+    void setClaimed(boolean claimed) {
+        mClaimed = claimed;
+    }
+
+    int failedAttempts() {
+        return mFailedAttempts;
+    }
+
+    Set<EndpointName> failedAt() {
+        return mFailedAt;
+    }
+
+    long firstDispatchNanos() {
+        return mFirstDispatchNanos;
+    }
+
+    /** True unless it is certain that no endpoint has received any attempt. */
+    boolean mayHaveRun() {
+        return mPossiblyReceived > 0;
+    }
+
+    /** Notes that an ended attempt has certainly not reached its endpoint. */
+    void noteNotReceived() {
+        mPossiblyReceived--;
+    }
+
+    AttemptId beginAttempt(RequestId request, EndpointName endpoint, long nowNanos) {
+        if (mLastAttempt == NONE) {
+            mFirstDispatchNanos = nowNanos;
+        }
+        mLastAttempt++;
+        mPossiblyReceived++;
+        AttemptId id = new AttemptId(request, mStage.name(), mLastAttempt);
+        mLive.put(mLastAttempt, new LiveAttempt(id, endpoint, nowNanos));
+        mStatus = StageStatus.RUNNING;
+        return id;
+    }
+
+    boolean isLive(AttemptId attempt) {
+        return mLive.containsKey(attempt.number());
+    }
+
+    List<LiveAttempt> liveAttempts() {
+        return List.copyOf(mLive.values());
+    }
+
+    /** Makes the attempt the only one whose parts count, unless another one already is. */
+    boolean choose(AttemptId attempt) {
+        if (mChosenAttempt == NONE) {
+            mChosenAttempt = attempt.number();
+        }
+        return mChosenAttempt == attempt.number();
+    }
+
+    boolean hasChosenAttempt() {
+        return mChosenAttempt != NONE;
+    }
+
+    Optional<LiveAttempt> endAttempt(AttemptId attempt) {
+        LiveAttempt ended = mLive.remove(attempt.number());
+        if (mChosenAttempt == attempt.number()) {
+            mChosenAttempt = NONE;
+            mResult.startNextAttempt();
+        }
+        return Optional.ofNullable(ended);
+    }
+
+    void noteFailure(EndpointName endpoint) {
+        mFailedAttempts++;
+        mFailedAt.add(endpoint);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/execution/package-info.java
@@ -0,0 +1,2 @@
+/** Execution of pipelines: stages, attempts, answers and refusals of each request. */
+package org.wasabilug.internal.execution;
