Test the execution of pipelines against lost, late and repeated results

Cause: the executor had no test that causes the failures it exists for. Change: twenty tests over plain fakes; test names may hold the article 'a'. Conclusion: whole answers, at most one run and truthful refusals hold at this level.

--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -15,6 +15,7 @@
 /** Sends waiting calls to endpoints that have room. */
 final class CallDispatcher {
     private static final long SUSPECT_DELAY_NANOS = 50_000_000L;
+    private static final long ONCE_GRACE_NANOS = 30_000_000_000L;
     private static final int MOST_URGENT = 0;
     private static final int LEAST_URGENT = 9;
     private static final long NANOS_PER_PRIORITY_STEP = 400_000_000L;
@@ -172,9 +173,12 @@
                                 .build()));
     }
 
+    /** A stage that may not be repeated may outlive its caller, so that its result is recorded. */
     private static long timeoutNanos(
             RequestRun run, StageRun stage, RoutingQuery query, Turn turn) {
-        return stage.isRepeatable() ? query.remainingNanos() : run.remainingNanos(turn.nowNanos());
+        return stage.isRepeatable()
+                ? query.remainingNanos()
+                : run.remainingNanos(turn.nowNanos()) + ONCE_GRACE_NANOS;
     }
 
     /** Less time left is more urgent. */
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -0,0 +1,254 @@
+package org.wasabilug.internal.execution;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wasabilug.internal.execution.ExecutorFixture.once;
+import static org.wasabilug.internal.execution.ExecutorFixture.repeatable;
+import static org.wasabilug.internal.execution.ExecutorFixture.request;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.internal.event.FailureKind;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.internal.ledger.ClaimOutcome;
+import org.wasabilug.internal.quarantine.Suspicion;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.RunState;
+
+class RequestExecutorTest {
+    private static final Optional<String> NO_KEY = Optional.empty();
+    private static final Optional<String> KEY = Optional.of("transfer-9");
+
+    private final ExecutorFixture mFixture = new ExecutorFixture();
+
+    @Test
+    void answersWithEveryStageInOrder() {
+        mFixture.submit(
+                request("r", NO_KEY, repeatable("encode"), repeatable("generate", "encode")));
+
+        mFixture.finish(mFixture.lastCall(), "vector ");
+        mFixture.finish(mFixture.lastCall(), "text");
+
+        assertThat(mFixture.answer()).isEqualTo("vector text");
+        assertThat(mFixture.isComplete()).isTrue();
+    }
+
+    @Test
+    void runsStagesAfterTheSameStageSideBySide() {
+        mFixture.submit(
+                request(
+                        "r",
+                        NO_KEY,
+                        repeatable("encode"),
+                        repeatable("dense", "encode"),
+                        repeatable("sparse", "encode")));
+
+        mFixture.finish(mFixture.lastCall(), "vector");
+
+        assertThat(mFixture.calls()).hasSize(3);
+    }
+
+    @Test
+    void ignoresRepeatedAndReorderedParts() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall call = mFixture.lastCall();
+
+        mFixture.chunk(call, 3, "def");
+        mFixture.chunk(call, 0, "abc");
+        mFixture.chunk(call, 0, "abc");
+        mFixture.chunk(call, 3, "def");
+        mFixture.end(call, 6);
+        mFixture.chunk(call, 6, "ghi");
+
+        assertThat(mFixture.answer()).isEqualTo("abcdef");
+        assertThat(mFixture.isComplete()).isTrue();
+    }
+
+    @Test
+    void waitsForAMissingPartAfterTheEndWasAnnounced() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall call = mFixture.lastCall();
+        mFixture.end(call, 6);
+        mFixture.chunk(call, 3, "def");
+        boolean completeWithGap = mFixture.isComplete();
+
+        mFixture.chunk(call, 0, "abc");
+
+        assertThat(completeWithGap).isFalse();
+        assertThat(mFixture.answer()).isEqualTo("abcdef");
+    }
+
+    @Test
+    void resumesABrokenStreamAtItsOffsetElsewhere() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall first = mFixture.lastCall();
+        mFixture.chunk(first, 0, "abc");
+        mFixture.fail(first, FailureKind.CONNECTION_LOST);
+        mFixture.passMilliseconds(1);
+        StageCall second = mFixture.lastCall();
+
+        mFixture.chunk(first, 3, "XYZ");
+        mFixture.chunk(second, 3, "def");
+        mFixture.end(second, 6);
+
+        assertThat(second.resumeText()).isEqualTo("abc");
+        assertThat(mFixture.answer()).isEqualTo("abcdef");
+    }
+
+    @Test
+    void neverSendsAnOnceStageAgainAfterItMayHaveRun() {
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        mFixture.fail(mFixture.lastCall(), FailureKind.CONNECTION_LOST);
+        mFixture.passMilliseconds(5_000);
+
+        assertThat(mFixture.calls()).hasSize(1);
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void sendsAnOnceStageElsewhereWhenTheConnectionWasRefused() {
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        mFixture.fail(mFixture.lastCall(), FailureKind.CONNECTION_REFUSED);
+        mFixture.passMilliseconds(1);
+        mFixture.finish(mFixture.lastCall(), "moved");
+
+        assertThat(mFixture.calls()).hasSize(2);
+        assertThat(mFixture.mLedger.mRecorded).containsExactly("moved");
+    }
+
+    @Test
+    void answersARepeatedOnceRequestWithTheRecordedResult() {
+        mFixture.mLedger.mOutcome = new ClaimOutcome.Recorded("moved");
+
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        assertThat(mFixture.calls()).isEmpty();
+        assertThat(mFixture.answer()).isEqualTo("moved");
+        assertThat(mFixture.isComplete()).isTrue();
+    }
+
+    @Test
+    void dispatchesNothingOnAClaimThatIsNotSettled() {
+        mFixture.mLedger.mOutcome = new ClaimOutcome.Unsettled();
+
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        assertThat(mFixture.calls()).isEmpty();
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void recordsTheResultOfAnOnceStageWhoseCallerLeft() {
+        mFixture.submit(request("r", KEY, once("transfer")));
+        StageCall call = mFixture.lastCall();
+
+        mFixture.send(new InstanceEvent.CallerLeft(new RequestId("r")));
+        mFixture.finish(call, "moved");
+
+        assertThat(mFixture.cancelled()).isEmpty();
+        assertThat(mFixture.mLedger.mRecorded).containsExactly("moved");
+    }
+
+    @Test
+    void refusesAnOnceStageWithoutIdempotencyKey() {
+        mFixture.submit(request("r", NO_KEY, once("transfer")));
+
+        assertThat(mFixture.refusal().orElseThrow().code())
+                .isEqualTo(ErrorCode.IDEMPOTENCY_KEY_REQUIRED);
+    }
+
+    @Test
+    void cancelsTheAttemptsOfACallerThatLeft() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall call = mFixture.lastCall();
+
+        mFixture.send(new InstanceEvent.CallerLeft(new RequestId("r")));
+
+        assertThat(mFixture.cancelled()).containsExactly(call.attempt());
+    }
+
+    @Test
+    void saysNotRunWhereNoEndpointHadRoom() {
+        mFixture.mRouter.mHasRoom = false;
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        mFixture.passMilliseconds(4_000);
+
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.NOT_RUN);
+    }
+
+    @Test
+    void doesNotSayNotRunUnderAnIdempotencyKey() {
+        mFixture.mRouter.mHasRoom = false;
+        mFixture.submit(request("r", KEY, repeatable("generate")));
+
+        mFixture.passMilliseconds(4_000);
+
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void saysNotRunAfterRefusedConnectionsOnly() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        for (int attempt = 0; attempt < 3; attempt++) {
+            mFixture.fail(mFixture.lastCall(), FailureKind.CONNECTION_REFUSED);
+            mFixture.passMilliseconds(1);
+        }
+
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.NOT_RUN);
+    }
+
+    @Test
+    void doesNotSayNotRunOfAnAttemptWithoutAnyAnswer() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        mFixture.passMilliseconds(4_000);
+
+        assertThat(mFixture.refusal().orElseThrow().runState()).isEqualTo(RunState.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void refusesQuarantinedContentBeforeItRuns() {
+        mFixture.mSuspicion = Suspicion.QUARANTINED;
+
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        assertThat(mFixture.calls()).isEmpty();
+        assertThat(mFixture.refusal().orElseThrow().code()).isEqualTo(ErrorCode.QUARANTINED);
+    }
+
+    @Test
+    void releasesTheClaimOfAStageThatFoundNoRoom() {
+        mFixture.mRouter.mHasRoom = false;
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        mFixture.passMilliseconds(4_000);
+
+        assertThat(mFixture.mLedger.mReleased).isEqualTo(1);
+    }
+
+    @Test
+    void finishesAPlannedStopOnlyAfterTheLastRequest() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall call = mFixture.lastCall();
+        mFixture.send(new InstanceEvent.StopRequested());
+        boolean finishedEarly = mFixture.isStopFinished();
+
+        mFixture.finish(call, "text");
+
+        assertThat(finishedEarly).isFalse();
+        assertThat(mFixture.isStopFinished()).isTrue();
+    }
+
+    @Test
+    void refusesNewRequestsOnceAStopHasBegun() {
+        mFixture.send(new InstanceEvent.StopRequested());
+
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        assertThat(mFixture.refusal().orElseThrow().code()).isEqualTo(ErrorCode.STOPPING);
+    }
+}
