--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual time. */
+package org.wasabilug.scenarios.internal.clock;
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/FakePlatform.java
@@ -0,0 +1,235 @@
+package org.wasabilug.scenarios.internal.fake;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.port.CommitOutcome;
+import org.wasabilug.port.ListOutcome;
+import org.wasabilug.port.ListedInstance;
+import org.wasabilug.port.ObjectOutcome;
+import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+
+/** The platform's services in virtual time, with faults. */
+public final class FakePlatform {
+    private static final long ANSWER_NANOS = 2 * VirtualClock.MILLISECOND_NANOS;
+    private static final long TIMEOUT_NANOS = VirtualClock.SECOND_NANOS;
+
+    private final VirtualClock mClock;
+    private final FakeTable mTable = new FakeTable();
+    private final Map<String, String> mObjects = new HashMap<>();
+    private final PlatformFaults mFaults = new PlatformFaults();
+    private final long mListLagNanos;
+    private List<ListedInstance> mListed = List.of();
+    private long mReads;
+    private long mWrites;
+
+    /**
+     * Creates a platform without faults.
+     *
+     * @param clock virtual time
+     * @param listLagNanos how late the instance list shows a change, in nanoseconds
+     */
+    public FakePlatform(VirtualClock clock, long listLagNanos) {
+        mClock = clock;
+        mListLagNanos = listLagNanos;
+    }
+
+    /**
+     * Faults to switch.
+     *
+     * @return the faults
+     */
+    public PlatformFaults faults() {
+        return mFaults;
+    }
+
+    /**
+     * The rows, for assertions.
+     *
+     * @return the table
+     */
+    public FakeTable table() {
+        return mTable;
+    }
+
+    /**
+     * Transactions that were asked for.
+     *
+     * @return the count
+     */
+    public long writes() {
+        return mWrites;
+    }
+
+    /**
+     * Reads that were asked for, of rows, objects and the list.
+     *
+     * @return the count
+     */
+    public long reads() {
+        return mReads;
+    }
+
+    /**
+     * Changes the instance list, which shows the change after its lag.
+     *
+     * @param listed every live and leaving instance
+     */
+    public void publish(List<ListedInstance> listed) {
+        List<ListedInstance> copy = new ArrayList<>(listed);
+        mClock.after(mListLagNanos, () -> mListed = copy);
+    }
+
+    /**
+     * Commits a transaction.
+     *
+     * @param from who asks
+     * @param action the transaction
+     * @param answer receives the answer
+     */
+    public void commit(
+            InstanceName from, InstanceAction.CommitTable action, Consumer<InstanceEvent> answer) {
+        mWrites++;
+        if (!mFaults.isReachable(from)) {
+            answerAfter(
+                    TIMEOUT_NANOS,
+                    new InstanceEvent.CommitAnswered(
+                            action.operation(), new CommitOutcome.Unknown()),
+                    answer);
+            return;
+        }
+        if (mFaults.delayNanos() >= TIMEOUT_NANOS) {
+            applyAfterTimeout(action, answer);
+            return;
+        }
+        mClock.after(mFaults.delayNanos() + ANSWER_NANOS / 2, () -> apply(action, answer));
+    }
+
+    private void applyAfterTimeout(
+            InstanceAction.CommitTable action, Consumer<InstanceEvent> answer) {
+        mClock.after(mFaults.delayNanos(), () -> mTable.commit(action.transaction()));
+        answerAfter(
+                TIMEOUT_NANOS,
+                new InstanceEvent.CommitAnswered(action.operation(), new CommitOutcome.Unknown()),
+                answer);
+    }
+
+    private void apply(InstanceAction.CommitTable action, Consumer<InstanceEvent> answer) {
+        CommitOutcome outcome = mTable.commit(action.transaction());
+        boolean lost = mFaults.losesThisAnswer();
+        answerAfter(
+                lost ? TIMEOUT_NANOS : ANSWER_NANOS / 2,
+                new InstanceEvent.CommitAnswered(
+                        action.operation(), lost ? new CommitOutcome.Unknown() : outcome),
+                answer);
+    }
+
+    private void answerAfter(long delayNanos, InstanceEvent event, Consumer<InstanceEvent> answer) {
+        mClock.after(delayNanos, () -> answer.accept(event));
+    }
+
+    /**
+     * Reads rows.
+     *
+     * @param from who asks
+     * @param action the read
+     * @param answer receives the answer
+     */
+    public void read(
+            InstanceName from, InstanceAction.ReadTable action, Consumer<InstanceEvent> answer) {
+        mReads++;
+        if (!mFaults.isReachable(from)) {
+            answerAfter(
+                    TIMEOUT_NANOS,
+                    new InstanceEvent.ReadAnswered(
+                            action.operation(), new ReadOutcome.Unavailable()),
+                    answer);
+            return;
+        }
+        mClock.after(
+                mFaults.delayNanos() + ANSWER_NANOS,
+                () ->
+                        answer.accept(
+                                new InstanceEvent.ReadAnswered(
+                                        action.operation(),
+                                        new ReadOutcome.Rows(mTable.read(action.read())))));
+    }
+
+    /**
+     * Reads an object.
+     *
+     * @param from who asks
+     * @param action the read
+     * @param answer receives the answer
+     */
+    public void readObject(
+            InstanceName from, InstanceAction.ReadObject action, Consumer<InstanceEvent> answer) {
+        mReads++;
+        String text = mObjects.get(action.name());
+        ObjectOutcome found =
+                text == null ? new ObjectOutcome.Missing() : new ObjectOutcome.Found(text);
+        answerObject(from, new InstanceEvent.ObjectAnswered(action.operation(), found), answer);
+    }
+
+    /**
+     * Writes an object.
+     *
+     * @param from who asks
+     * @param action the write
+     * @param answer receives the answer
+     */
+    public void writeObject(
+            InstanceName from, InstanceAction.WriteObject action, Consumer<InstanceEvent> answer) {
+        mWrites++;
+        if (mFaults.isReachable(from)) {
+            mObjects.put(action.name(), action.text());
+        }
+        answerObject(
+                from,
+                new InstanceEvent.ObjectAnswered(action.operation(), new ObjectOutcome.Written()),
+                answer);
+    }
+
+    private void answerObject(
+            InstanceName from,
+            InstanceEvent.ObjectAnswered answered,
+            Consumer<InstanceEvent> answer) {
+        boolean reachable = mFaults.isReachable(from);
+        InstanceEvent event =
+                reachable
+                        ? answered
+                        : new InstanceEvent.ObjectAnswered(
+                                answered.operation(), new ObjectOutcome.Unavailable());
+        answerAfter(reachable ? mFaults.delayNanos() + ANSWER_NANOS : TIMEOUT_NANOS, event, answer);
+    }
+
+    /**
+     * Reads the instance list.
+     *
+     * @param from who asks
+     * @param action the read
+     * @param answer receives the answer
+     */
+    public void list(
+            InstanceName from,
+            InstanceAction.ReadInstanceList action,
+            Consumer<InstanceEvent> answer) {
+        mReads++;
+        boolean reachable = mFaults.isReachable(from);
+        mClock.after(
+                reachable ? mFaults.delayNanos() + ANSWER_NANOS : TIMEOUT_NANOS,
+                () ->
+                        answer.accept(
+                                new InstanceEvent.ListAnswered(
+                                        action.operation(),
+                                        reachable
+                                                ? new ListOutcome.Listed(mListed)
+                                                : new ListOutcome.Unavailable())));
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/PlatformFaults.java
@@ -0,0 +1,70 @@
+package org.wasabilug.scenarios.internal.fake;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.wasabilug.model.InstanceName;
+
+/** Faults of the fake platform that a scenario switches while it runs. */
+public final class PlatformFaults {
+    private boolean mDown;
+    private long mDelayNanos;
+    private int mAnswersToLose;
+    private final Set<InstanceName> mCutOff = new HashSet<>();
+
+    /**
+     * Switches an outage.
+     *
+     * @param down true where nothing gets through
+     */
+    public void setDown(boolean down) {
+        mDown = down;
+    }
+
+    /**
+     * Slows the platform.
+     *
+     * @param delayNanos extra time of each answer, in nanoseconds
+     */
+    public void setDelayNanos(long delayNanos) {
+        mDelayNanos = delayNanos;
+    }
+
+    /**
+     * Loses answers after their writes took effect.
+     *
+     * @param count how many of the next answers
+     */
+    public void loseNextAnswers(int count) {
+        mAnswersToLose = count;
+    }
+
+    /**
+     * Cuts an instance off from the platform.
+     *
+     * @param instance the instance
+     * @param cutOff false to join it again
+     */
+    public void setCutOff(InstanceName instance, boolean cutOff) {
+        if (cutOff) {
+            mCutOff.add(instance);
+        } else {
+            mCutOff.remove(instance);
+        }
+    }
+
+    boolean isReachable(InstanceName instance) {
+        return !mDown && !mCutOff.contains(instance);
+    }
+
+    long delayNanos() {
+        return mDelayNanos;
+    }
+
+    boolean losesThisAnswer() {
+        if (mAnswersToLose == 0) {
+            return false;
+        }
+        mAnswersToLose--;
+        return true;
+    }
+}
--- a/scenarios/src/main/java/org/wasabilug/scenarios/package-info.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Scenarios in virtual time: small fakes at the interfaces of the decision core. */
 package org.wasabilug.scenarios;
