--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/limit/SmoothedRate.java
@@ -0,0 +1,26 @@
+package org.wasabilug.internal.limit;
+
+/** Events a second, smoothed exponentially. */
+final class SmoothedRate {
+    private static final double TIME_CONSTANT_NANOS = 1e9;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private double mWeight;
+    private long mUpdatedNanos;
+
+    void count(long nowNanos) {
+        fade(nowNanos);
+        mWeight += 1;
+    }
+
+    double perSecond(long nowNanos) {
+        fade(nowNanos);
+        return mWeight / (TIME_CONSTANT_NANOS / NANOS_PER_SECOND);
+    }
+
+    private void fade(long nowNanos) {
+        double elapsed = Math.max(0, nowNanos - mUpdatedNanos);
+        mWeight *= Math.exp(-elapsed / TIME_CONSTANT_NANOS);
+        mUpdatedNanos = Math.max(mUpdatedNanos, nowNanos);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/AdaptiveLimit.java
@@ -0,0 +1,39 @@
+package org.wasabilug.internal.routing;
+
+/**
+ * Calls that an endpoint bears from all instances together: additive increase while calls succeed
+ * near the limit, multiplicative decrease when it is overloaded or too slow.
+ */
+final class AdaptiveLimit {
+    private static final double DECREASE = 0.8;
+    private static final long DECREASE_INTERVAL_NANOS = 200_000_000L;
+
+    private double mLimit;
+    private int mMaximum;
+    private long mDecreasedNanos = Long.MIN_VALUE / 2;
+
+    AdaptiveLimit(int maximum) {
+        mMaximum = maximum;
+        mLimit = maximum;
+    }
+
+    void maximum(int maximum) {
+        mLimit = mLimit >= mMaximum ? maximum : Math.min(mLimit, maximum);
+        mMaximum = maximum;
+    }
+
+    void succeeded() {
+        mLimit = Math.min(mMaximum, mLimit + 1 / mLimit);
+    }
+
+    void overloaded(long nowNanos) {
+        if (nowNanos - mDecreasedNanos >= DECREASE_INTERVAL_NANOS) {
+            mLimit = Math.max(1, mLimit * DECREASE);
+            mDecreasedNanos = nowNanos;
+        }
+    }
+
+    double limit() {
+        return mLimit;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/EndpointTracker.java
@@ -0,0 +1,135 @@
+package org.wasabilug.internal.routing;
+
+import org.wasabilug.internal.grant.ColdStartGate;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.port.LoadReport;
+
+/** Everything that this instance knows of one endpoint it routes to. */
+final class EndpointTracker {
+    private final LoadEstimate mLoad;
+    private final ServiceTime mServiceTime = new ServiceTime();
+    private final AdaptiveLimit mLimit;
+    private final EndpointHealth mHealth;
+    private final ReturnRamp mRamp;
+    private Endpoint mEndpoint;
+    private int mSuspects;
+    private boolean mCold;
+    private boolean mReported;
+    private boolean mUsable;
+    private boolean mUsedBefore;
+    private long mGeneration;
+
+    EndpointTracker(Endpoint endpoint, RoutingSettings settings) {
+        mEndpoint = endpoint;
+        mLoad = new LoadEstimate(settings.reportExpiry().toNanos());
+        mLimit = new AdaptiveLimit(endpoint.concurrencyLimit());
+        mHealth =
+                new EndpointHealth(
+                        settings.ejectionTime().toNanos(),
+                        settings.maximumEjectionTime().toNanos());
+        mRamp = new ReturnRamp(settings.rampTime().toNanos());
+    }
+
+    Endpoint endpoint() {
+        return mEndpoint;
+    }
+
+    /** Takes over a configured state; an endpoint that may be used again comes back by a ramp. */
+    void configure(Endpoint endpoint, boolean usable, long nowNanos) {
+        mEndpoint = endpoint;
+        mLimit.maximum(endpoint.concurrencyLimit());
+        if (usable && !mUsable && mUsedBefore) {
+            mRamp.start(nowNanos);
+        }
+        mUsable = usable;
+        mUsedBefore = mUsedBefore || usable;
+    }
+
+    boolean isUsable() {
+        return mUsable;
+    }
+
+    /** Returns true where the report shows another life of the process than the one before. */
+    boolean report(LoadReport report, long nowNanos) {
+        boolean restarted = mReported && report.generation() != mGeneration;
+        if (restarted) {
+            mServiceTime.forget();
+        }
+        if (mCold && !report.cold()) {
+            mRamp.start(nowNanos);
+        }
+        mCold = report.cold();
+        mGeneration = report.generation();
+        mReported = true;
+        mLoad.report(report, nowNanos);
+        return restarted;
+    }
+
+    void dispatched(boolean suspect, long nowNanos) {
+        mLoad.changeOwn(1, nowNanos);
+        mSuspects += suspect ? 1 : 0;
+    }
+
+    void released(boolean suspect, long nowNanos) {
+        mLoad.changeOwn(-1, nowNanos);
+        mSuspects -= suspect ? 1 : 0;
+    }
+
+    /** Tells whether one more attempt may go there now. */
+    boolean hasRoom(boolean suspect, int instances, ColdStartGate gate, long nowNanos) {
+        int own = mLoad.own();
+        if (suspect && mSuspects > 0) {
+            return false;
+        }
+        return switch (mHealth.state(nowNanos)) {
+            case EJECTED -> false;
+            case ON_TRIAL -> own == 0 && gate.allowance(mEndpoint, nowNanos) > 0;
+            case USABLE ->
+                    own < gate.allowance(mEndpoint, nowNanos) && isBelowLimit(instances, nowNanos);
+        };
+    }
+
+    private boolean isBelowLimit(int instances, long nowNanos) {
+        double limit = Math.max(1, mLimit.limit() * mRamp.share(nowNanos));
+        if (mLoad.isFresh(nowNanos)) {
+            return mLoad.total(nowNanos) + 1 <= limit;
+        }
+        // Without a report the others' load is unknown, so only the equal part is safe.
+        return mLoad.own() < Math.max(1, Math.ceil(limit / instances));
+    }
+
+    /** Predicted time until one more call would be complete, in nanoseconds. */
+    double predictedNanos(double poolNanos, long nowNanos) {
+        double load = mLoad.total(nowNanos) / (mLimit.limit() * mRamp.share(nowNanos));
+        return mServiceTime.nanos(poolNanos, nowNanos) * (1 + load);
+    }
+
+    /** Part of the limit in use, by own knowledge. */
+    double utilization(long nowNanos) {
+        return mLoad.total(nowNanos) / mLimit.limit();
+    }
+
+    ServiceTime serviceTime() {
+        return mServiceTime;
+    }
+
+    LoadEstimate load() {
+        return mLoad;
+    }
+
+    AdaptiveLimit limit() {
+        return mLimit;
+    }
+
+    EndpointHealth health() {
+        return mHealth;
+    }
+
+    ReturnRamp ramp() {
+        return mRamp;
+    }
+
+    boolean isCold() {
+        return mCold;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/LoadHistory.java
@@ -0,0 +1,38 @@
+package org.wasabilug.internal.routing;
+
+/** Own calls in flight at an endpoint, now and at recent moments, in fixed memory. */
+final class LoadHistory {
+    private static final int CAPACITY = 32;
+
+    private final long[] mTimes = new long[CAPACITY];
+    private final int[] mCounts = new int[CAPACITY];
+    private int mNext;
+    private int mSize;
+    private int mNow;
+
+    void change(int difference, long nowNanos) {
+        mNow += difference;
+        mTimes[mNext] = nowNanos;
+        mCounts[mNext] = mNow;
+        mNext = (mNext + 1) % CAPACITY;
+        mSize = Math.min(CAPACITY, mSize + 1);
+    }
+
+    int now() {
+        return mNow;
+    }
+
+    /** Count at a moment; the oldest one known where that is longer ago. */
+    int at(long nanos) {
+        int found = mNow;
+        for (int back = 1; back <= mSize; back++) {
+            int index = (mNext - back + CAPACITY) % CAPACITY;
+            found = mCounts[index];
+            if (mTimes[index] <= nanos) {
+                return found;
+            }
+        }
+        // Before the first change nothing ran; beyond the kept ones the oldest is the best guess.
+        return mSize < CAPACITY ? 0 : found;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/ReturnRamp.java
@@ -0,0 +1,31 @@
+package org.wasabilug.internal.routing;
+
+/** Share of its full load that an endpoint gets while it comes back, growing with time. */
+final class ReturnRamp {
+    private static final double FIRST_SHARE = 0.1;
+
+    private final long mRampNanos;
+    private boolean mRunning;
+    private long mStartedNanos;
+
+    ReturnRamp(long rampNanos) {
+        mRampNanos = rampNanos;
+    }
+
+    void start(long nowNanos) {
+        mRunning = true;
+        mStartedNanos = nowNanos;
+    }
+
+    double share(long nowNanos) {
+        if (!mRunning) {
+            return 1;
+        }
+        double passed = (double) Math.max(0, nowNanos - mStartedNanos) / mRampNanos;
+        if (passed >= 1) {
+            mRunning = false;
+            return 1;
+        }
+        return FIRST_SHARE + (1 - FIRST_SHARE) * passed;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
@@ -0,0 +1,76 @@
+package org.wasabilug.internal.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.wasabilug.internal.event.AttemptId;
+
+/** Attempts in flight, and what their ends tell of the endpoints. */
+final class RunningAttempts {
+    private static final double TIMEOUT_WEIGHT = 0.5;
+
+    private final Map<AttemptId, RunningAttempt> mRunning = new HashMap<>();
+
+    void dispatched(
+            AttemptId attempt,
+            EndpointTracker tracker,
+            PoolRoutes pool,
+            boolean suspect,
+            long nowNanos) {
+        RunningAttempt running = new RunningAttempt(tracker, pool, suspect, nowNanos);
+        if (mRunning.putIfAbsent(attempt, running) == null) {
+            tracker.dispatched(suspect, nowNanos);
+        }
+    }
+
+    void firstChunk(AttemptId attempt, long nowNanos) {
+        RunningAttempt running = mRunning.get(attempt);
+        if (running != null) {
+            running.firstChunk(nowNanos);
+        }
+    }
+
+    void ended(AttemptId attempt, AttemptEnd end, long nowNanos) {
+        RunningAttempt running = mRunning.remove(attempt);
+        if (running == null) {
+            return;
+        }
+        running.tracker().released(running.isSuspect(), nowNanos);
+        switch (end) {
+            case SUCCEEDED -> succeeded(running, nowNanos);
+            case OVERLOADED -> running.tracker().limit().overloaded(nowNanos);
+            case TIMED_OUT -> timedOut(running, nowNanos);
+            case FAILED -> failed(running, 1, nowNanos);
+            case CANCELLED, REJECTED -> {
+                // Neither tells anything of the endpoint.
+            }
+            default -> throw new IllegalStateException(end.name());
+        }
+    }
+
+    private static void succeeded(RunningAttempt running, long nowNanos) {
+        EndpointTracker tracker = running.tracker();
+        double nanos = running.unloadedNanos(nowNanos);
+        tracker.serviceTime().observe(nanos, nowNanos);
+        running.pool().succeeded(nanos, running.firstChunkShare(nowNanos));
+        tracker.limit().succeeded();
+        if (tracker.health().succeeded()) {
+            tracker.ramp().start(nowNanos);
+        }
+    }
+
+    private static void timedOut(RunningAttempt running, long nowNanos) {
+        EndpointTracker tracker = running.tracker();
+        double nanos = running.unloadedNanos(nowNanos);
+        // The call would have taken longer still, so this only ever raises the learned time.
+        if (nanos > tracker.serviceTime().nanos(running.pool().serviceNanos(), nowNanos)) {
+            tracker.serviceTime().observe(nanos, nowNanos);
+        }
+        tracker.limit().overloaded(nowNanos);
+        failed(running, TIMEOUT_WEIGHT, nowNanos);
+    }
+
+    private static void failed(RunningAttempt running, double weight, long nowNanos) {
+        running.tracker().health().failed(weight, nowNanos);
+        running.pool().ejectWhereDeserved(running.tracker(), nowNanos);
+    }
+}
