Number attempts across a whole instance

Cause: a request sent again under the same id began at attempt 1 again, so that a late result of the earlier run could be taken for one of the later run. Change: one counter for the instance; the test ignoresALateResultOfAnEarlierRunOfTheSameRequest failed before (answer 'old') and passes now. Fakes for whole process lives in virtual time are added beside it. Conclusion: results are bound to one attempt for good.

--- a/core/src/main/java/org/wasabilug/internal/event/AttemptId.java
+++ b/core/src/main/java/org/wasabilug/internal/event/AttemptId.java
@@ -8,9 +8,10 @@
  *
  * @param request the request
  * @param stage the stage
- * @param number number of the attempt, from 1, unique within request and stage at one instance
+ * @param number number of the attempt, unique at one instance, so that a late result of an earlier
+ *     run of the same request is never taken for one of a later run
  */
-public record AttemptId(RequestId request, StageName stage, int number) {
+public record AttemptId(RequestId request, StageName stage, long number) {
     @Override
     public String toString() {
         return request + "/" + stage + "/" + number;
--- a/core/src/main/java/org/wasabilug/internal/event/InstanceAction.java
+++ b/core/src/main/java/org/wasabilug/internal/event/InstanceAction.java
@@ -1,6 +1,7 @@
 package org.wasabilug.internal.event;
 
 import java.net.URI;
+import org.wasabilug.model.Endpoint;
 import org.wasabilug.model.EndpointName;
 import org.wasabilug.model.InstanceName;
 import org.wasabilug.model.Refusal;
@@ -125,6 +126,13 @@
      */
     record AnswerTicket(long submission, TicketAnswer answer) implements InstanceAction {}
 
+    /**
+     * Asks an endpoint for its load and cache events.
+     *
+     * @param endpoint the endpoint
+     */
+    record PollEndpoint(Endpoint endpoint) implements InstanceAction {}
+
     /**
      * Asks for a {@link InstanceEvent.TimePassed} event.
      *
--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -144,7 +144,8 @@
             mParts.retries().firstAttempt(stage.pool().name(), turn.nowNanos());
         }
         var endpoint = chosen.endpoint();
-        AttemptId attempt = stage.beginAttempt(run.id(), endpoint.name(), turn.nowNanos());
+        AttemptId attempt = mTable.nextAttempt(run, stage);
+        stage.beginAttempt(attempt, endpoint.name(), turn.nowNanos());
         mParts.router().dispatched(attempt, endpoint.name(), query, turn.nowNanos());
         mParts.crashes().dispatched(attempt, run.fingerprint(), endpoint.name(), turn.nowNanos());
         long timeout = timeoutNanos(run, stage, query, turn);
--- a/core/src/main/java/org/wasabilug/internal/execution/RequestTable.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestTable.java
@@ -11,6 +11,7 @@
 final class RequestTable {
     private final Map<RequestId, RequestRun> mRuns = new LinkedHashMap<>();
     private final TimerQueue mTimers = new TimerQueue();
+    private long mLastAttempt;
 
     Optional<RequestRun> find(RequestId id) {
         return Optional.ofNullable(mRuns.get(id));
@@ -27,6 +28,11 @@
         return find(id).flatMap(run -> Optional.ofNullable(run.stage(stage)));
     }
 
+    AttemptId nextAttempt(RequestRun run, StageRun stage) {
+        mLastAttempt++;
+        return new AttemptId(run.id(), stage.stage().name(), mLastAttempt);
+    }
+
     void add(RequestRun run) {
         mRuns.put(run.id(), run);
     }
--- a/core/src/main/java/org/wasabilug/internal/execution/StageRun.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageRun.java
@@ -9,21 +9,20 @@
 import org.wasabilug.internal.event.AttemptId;
 import org.wasabilug.model.EndpointName;
 import org.wasabilug.model.Pool;
-import org.wasabilug.model.RequestId;
 import org.wasabilug.model.Stage;
 
 /** State of one stage of a running request. */
 final class StageRun {
-    private static final int NONE = 0;
+    private static final long NONE = 0;
 
     private final Stage mStage;
     private final Pool mPool;
     private final ResultAssembler mResult = new ResultAssembler();
-    private final Map<Integer, LiveAttempt> mLive = new HashMap<>();
+    private final Map<Long, LiveAttempt> mLive = new HashMap<>();
     private final Set<EndpointName> mFailedAt = new HashSet<>();
     private StageStatus mStatus = StageStatus.BLOCKED;
-    private int mLastAttempt = NONE;
-    private int mChosenAttempt = NONE;
+    private boolean mAttempted;
+    private long mChosenAttempt = NONE;
     private int mFailedAttempts;
     private int mPossiblyReceived;
     private long mFirstDispatchNanos;
@@ -93,16 +92,14 @@
         mPossiblyReceived--;
     }
 
-    AttemptId beginAttempt(RequestId request, EndpointName endpoint, long nowNanos) {
-        if (mLastAttempt == NONE) {
+    void beginAttempt(AttemptId id, EndpointName endpoint, long nowNanos) {
+        if (!mAttempted) {
+            mAttempted = true;
             mFirstDispatchNanos = nowNanos;
         }
-        mLastAttempt++;
         mPossiblyReceived++;
-        AttemptId id = new AttemptId(request, mStage.name(), mLastAttempt);
-        mLive.put(mLastAttempt, new LiveAttempt(id, endpoint, nowNanos));
+        mLive.put(id.number(), new LiveAttempt(id, endpoint, nowNanos));
         mStatus = StageStatus.RUNNING;
-        return id;
     }
 
     boolean isLive(AttemptId attempt) {
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -96,6 +96,19 @@
         assertThat(mFixture.answer()).isEqualTo("abcdef");
     }
 
+    @Test
+    void ignoresALateResultOfAnEarlierRunOfTheSameRequest() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall earlier = mFixture.lastCall();
+        mFixture.send(new InstanceEvent.CallerLeft(new RequestId("r")));
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        mFixture.finish(earlier, "old");
+        mFixture.finish(mFixture.lastCall(), "new");
+
+        assertThat(mFixture.answer()).isEqualTo("new");
+    }
+
     @Test
     void neverSendsAnOnceStageAgainAfterItMayHaveRun() {
         mFixture.submit(request("r", KEY, once("transfer")));
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/InstanceLife.java
@@ -0,0 +1,250 @@
+package org.wasabilug.scenarios.internal.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.error.Reporter;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.TicketAnswer;
+import org.wasabilug.internal.instance.DecisionCore;
+import org.wasabilug.internal.instance.InstanceStatus;
+import org.wasabilug.model.CallerRequest;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.ObjectKey;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.RunState;
+import org.wasabilug.port.VersionedObject;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** One process life of an instance: a decision core whose actions are performed on the fakes. */
+public final class InstanceLife {
+    private final InstanceName mName;
+    private final FailureDomainName mFailureDomain;
+    private final long mIncarnation;
+    private final long mClockOffsetNanos;
+    private final Surroundings mSurroundings;
+    private final DecisionCore mCore;
+    private final ActionPerformer mPerformer;
+    private final Map<RequestId, Submission> mSubmissions = new HashMap<>();
+    private final Map<ObjectKey, Long> mApplied = new HashMap<>();
+    private final Deque<InstanceEvent> mHeld = new ArrayDeque<>();
+    private Configuration mSeen = Configuration.empty();
+    private BiConsumer<Long, TicketAnswer> mTicketAnswers = (number, answer) -> {};
+    private boolean mAlive = true;
+    private boolean mPaused;
+    private boolean mStopped;
+
+    InstanceLife(
+            LifeIdentity identity,
+            Surroundings surroundings,
+            DecisionCore core,
+            Function<InstanceName, InstanceLife> peers) {
+        mName = identity.name();
+        mFailureDomain = identity.failureDomain();
+        mIncarnation = identity.incarnation();
+        mClockOffsetNanos = identity.clockOffsetNanos();
+        mSurroundings = surroundings;
+        mCore = core;
+        mPerformer = new ActionPerformer(this, surroundings, peers);
+    }
+
+    /**
+     * Identity of a process life.
+     *
+     * @param name name of the instance
+     * @param failureDomain failure domain that holds it
+     * @param incarnation number of the process life
+     * @param clockOffsetNanos what its monotonic clock shows at the start of the run
+     */
+    record LifeIdentity(
+            InstanceName name,
+            FailureDomainName failureDomain,
+            long incarnation,
+            long clockOffsetNanos) {}
+
+    /**
+     * Name of the instance.
+     *
+     * @return the name
+     */
+    public InstanceName name() {
+        return mName;
+    }
+
+    /**
+     * Failure domain of the instance.
+     *
+     * @return its name
+     */
+    public FailureDomainName failureDomain() {
+        return mFailureDomain;
+    }
+
+    /**
+     * Whether the process runs.
+     *
+     * @return false once it was killed or has stopped
+     */
+    public boolean isAlive() {
+        return mAlive;
+    }
+
+    /**
+     * State for assertions.
+     *
+     * @return status as an operator sees it
+     */
+    public InstanceStatus status() {
+        return mCore.status(nowNanos());
+    }
+
+    /**
+     * Configuration in force.
+     *
+     * @return the immutable view
+     */
+    public Configuration configuration() {
+        return mCore.configuration();
+    }
+
+    long nowNanos() {
+        return mSurroundings.clock().nowNanos() + mClockOffsetNanos;
+    }
+
+    /** Asks the core again at a moment of its own clock. */
+    void wakeAt(long ownNanos) {
+        mSurroundings
+                .clock()
+                .at(ownNanos - mClockOffsetNanos, () -> deliver(new InstanceEvent.TimePassed()));
+    }
+
+    void start() {
+        deliver(new InstanceEvent.TimePassed());
+    }
+
+    void onTicketAnswer(BiConsumer<Long, TicketAnswer> listener) {
+        mTicketAnswers = listener;
+    }
+
+    void ticketAnswered(long submission, TicketAnswer answer) {
+        mTicketAnswers.accept(submission, answer);
+    }
+
+    /** Hands an event to the core; a paused process gets it when it goes on. */
+    void deliver(InstanceEvent event) {
+        if (!mAlive) {
+            return;
+        }
+        if (mPaused) {
+            mHeld.add(event);
+            return;
+        }
+        for (InstanceAction action : mCore.handle(event, nowNanos())) {
+            mPerformer.perform(action);
+        }
+        noteConfiguration();
+    }
+
+    private void noteConfiguration() {
+        Configuration now = mCore.configuration();
+        if (now == mSeen) {
+            return;
+        }
+        mSeen = now;
+        for (VersionedObject object : now.objects()) {
+            Long before = mApplied.put(object.key(), object.ticketNumber());
+            if (before == null || before != object.ticketNumber()) {
+                mSurroundings
+                        .history()
+                        .add(
+                                new HistoryEvent.Applied(
+                                        mName, mIncarnation, object.key(), object.ticketNumber()));
+            }
+        }
+    }
+
+    void submit(long number, CallerRequest request) {
+        Submission submission = new Submission(number, request);
+        if (mSubmissions.containsKey(request.id())) {
+            mSurroundings.history().add(alreadyRunning(submission));
+            return;
+        }
+        mSubmissions.put(request.id(), submission);
+        deliver(new InstanceEvent.RequestSubmitted(request));
+    }
+
+    private static HistoryEvent.Refused alreadyRunning(Submission submission) {
+        return new HistoryEvent.Refused(
+                submission.number(),
+                submission.request().id(),
+                Reporter.refusal(
+                        ErrorCode.ALREADY_RUNNING, RunState.OUTCOME_UNKNOWN, Optional.empty()));
+    }
+
+    Submission submission(RequestId request) {
+        return mSubmissions.get(request);
+    }
+
+    Submission endSubmission(RequestId request) {
+        return mSubmissions.remove(request);
+    }
+
+    void callerLeaves(RequestId request) {
+        if (mSubmissions.remove(request) != null) {
+            deliver(new InstanceEvent.CallerLeft(request));
+        }
+    }
+
+    void pause() {
+        mPaused = true;
+    }
+
+    void resume() {
+        mPaused = false;
+        List<InstanceEvent> held = new ArrayList<>(mHeld);
+        mHeld.clear();
+        held.forEach(this::deliver);
+    }
+
+    void kill() {
+        mAlive = false;
+        cutSubmissions();
+        mSurroundings.endpoints().values().forEach(endpoint -> endpoint.dropCallsOf(mName));
+    }
+
+    private int cutSubmissions() {
+        List<Submission> cut = new ArrayList<>(mSubmissions.values());
+        mSubmissions.clear();
+        for (Submission submission : cut) {
+            mSurroundings
+                    .history()
+                    .add(new HistoryEvent.CutOff(submission.number(), submission.request().id()));
+        }
+        return cut.size();
+    }
+
+    void beginStop() {
+        mSurroundings.history().add(new HistoryEvent.StopBegan(mName));
+        deliver(new InstanceEvent.StopRequested());
+    }
+
+    /** The core says that the process may end. */
+    void finishStop() {
+        if (!mStopped) {
+            mStopped = true;
+            int cut = cutSubmissions();
+            mSurroundings.history().add(new HistoryEvent.StopEnded(mName, cut));
+            mAlive = false;
+        }
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Surroundings.java
@@ -0,0 +1,25 @@
+package org.wasabilug.scenarios.internal.fleet;
+
+import java.util.Map;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.fake.FakeEndpoint;
+import org.wasabilug.scenarios.internal.fake.FakeNetwork;
+import org.wasabilug.scenarios.internal.fake.FakePlatform;
+import org.wasabilug.scenarios.internal.history.History;
+
+/**
+ * What surrounds the instances of a fleet.
+ *
+ * @param clock virtual time
+ * @param history receives what happens
+ * @param platform the platform's services
+ * @param network links between failure domains
+ * @param endpoints every endpoint by name
+ */
+public record Surroundings(
+        VirtualClock clock,
+        History history,
+        FakePlatform platform,
+        FakeNetwork network,
+        Map<EndpointName, FakeEndpoint> endpoints) {}
