Read, validate and accept change tickets

Cause: the contracts name tickets and their answers, but nothing reads or accepts one. Change: a JSON codec that reports every finding with its place, semantic checks against the configuration at the feed head, and acceptance in one conditional transaction that settles lost answers by sending the same transaction again. The configuration view shares unchanged buckets between versions, so that a merge no longer copies every object. Conclusion: a ticket is accepted at the exact configuration that it was checked against.

--- a/core/src/main/java/org/wasabilug/internal/configuration/Configuration.java
+++ b/core/src/main/java/org/wasabilug/internal/configuration/Configuration.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,12 +26,15 @@
 
 /** Every object in force, as an immutable view that any thread may read. */
 public final class Configuration {
-    private final Map<ObjectKey, VersionedObject> mObjects;
+    /** Most parts that the key space may be cut into. */
+    public static final int MAXIMUM_PARTS = ObjectTable.BUCKET_COUNT;
+
+    private final ObjectTable mObjects;
     private final Map<PoolName, List<Endpoint>> mEndpointsByPool;
 
-    private Configuration(Map<ObjectKey, VersionedObject> objects) {
-        mObjects = Map.copyOf(objects);
-        mEndpointsByPool = groupByPool(objects.values());
+    private Configuration(ObjectTable objects, Map<PoolName, List<Endpoint>> endpointsByPool) {
+        mObjects = objects;
+        mEndpointsByPool = endpointsByPool;
     }
 
     /**
@@ -41,29 +43,40 @@
      * @return the empty view
      */
     public static Configuration empty() {
-        return new Configuration(Map.of());
+        return new Configuration(ObjectTable.EMPTY, Map.of());
     }
 
     /**
      * Merges objects into this view; for each object the higher ticket number wins.
      *
      * @param objects objects with their tickets
-     * @return the merged view; this view stays as it is
+     * @return the merged view, this very view where nothing changed; this view stays as it is
      */
     public Configuration merge(Collection<VersionedObject> objects) {
-        Map<ObjectKey, VersionedObject> merged = new HashMap<>(mObjects);
-        for (VersionedObject object : objects) {
-            merged.merge(object.key(), object, Configuration::newer);
+        List<VersionedObject> newer = newer(objects);
+        if (newer.isEmpty()) {
+            return this;
         }
-        return new Configuration(merged);
+        ObjectTable merged = mObjects.with(newer);
+        return new Configuration(merged, groupByPool(merged, newer));
     }
 
-    private static VersionedObject newer(VersionedObject held, VersionedObject offered) {
-        return offered.ticketNumber() > held.ticketNumber() ? offered : held;
+    /**
+     * Those of some objects that this view does not hold yet or holds with a lower ticket.
+     *
+     * @param objects objects with their tickets
+     * @return the newer ones
+     */
+    public List<VersionedObject> newer(Collection<VersionedObject> objects) {
+        return mObjects.newer(objects);
     }
 
-    private static Map<PoolName, List<Endpoint>> groupByPool(Collection<VersionedObject> objects) {
-        return objects.stream()
+    private Map<PoolName, List<Endpoint>> groupByPool(
+            ObjectTable merged, List<VersionedObject> changed) {
+        if (changed.stream().noneMatch(object -> object.key().kind() == ObjectKind.ENDPOINT)) {
+            return mEndpointsByPool;
+        }
+        return merged.all().stream()
                 .flatMap(object -> object.state().stream())
                 .filter(Endpoint.class::isInstance)
                 .map(Endpoint.class::cast)
@@ -71,13 +84,33 @@
                 .collect(Collectors.groupingBy(Endpoint::pool));
     }
 
+    /**
+     * Hash over every object's key and ticket number; equal for equal sets.
+     *
+     * @return the hash
+     */
+    public long hash() {
+        return mObjects.hash();
+    }
+
+    /**
+     * Objects of one part of the key space.
+     *
+     * @param number number of the part, from 0
+     * @param count how many parts there are; a power of two of at most {@link #MAXIMUM_PARTS}
+     * @return the objects, removed ones included
+     */
+    public List<VersionedObject> part(int number, int count) {
+        return mObjects.part(number, count);
+    }
+
     /**
      * Every object, removed ones included, with its ticket.
      *
      * @return the objects
      */
     public Collection<VersionedObject> objects() {
-        return mObjects.values();
+        return mObjects.all();
     }
 
     /**
@@ -87,7 +120,7 @@
      * @return the object; empty where no ticket has touched it
      */
     public Optional<VersionedObject> object(ObjectKey key) {
-        return Optional.ofNullable(mObjects.get(key));
+        return mObjects.get(key);
     }
 
     private <T> Optional<T> state(ObjectKind kind, String name, Class<T> type) {
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/ticket/ConfigurationView.java
@@ -0,0 +1,20 @@
+package org.wasabilug.internal.ticket;
+
+import org.wasabilug.internal.configuration.Configuration;
+
+/** Where acceptance starts from when it works out the configuration that a ticket changes. */
+public interface ConfigurationView {
+    /**
+     * The configuration in force here.
+     *
+     * @return an immutable view that holds every feed entry up to {@link #sequence()}
+     */
+    Configuration configuration();
+
+    /**
+     * Last feed entry within the view.
+     *
+     * @return its sequence; 0 where none has been applied
+     */
+    long sequence();
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/ticket/Submission.java
@@ -0,0 +1,196 @@
+package org.wasabilug.internal.ticket;
+
+import com.google.common.collect.Maps;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.TicketAnswer;
+import org.wasabilug.model.ChangeTicket;
+import org.wasabilug.model.Finding;
+import org.wasabilug.port.CommitOutcome;
+import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.port.Row;
+import org.wasabilug.port.RowKey;
+import org.wasabilug.port.TableRead;
+import org.wasabilug.port.TableTransaction;
+import org.wasabilug.port.VersionedObject;
+
+/**
+ * One submitted ticket on its way to an answer.
+ *
+ * <p>At most one transaction of a submission is unsettled at any moment. Every acceptance moves the
+ * feed head, and each transaction is conditional on the head's version. So once the same
+ * transaction sent again has been answered, the lost one can no longer take effect, and the
+ * ticket's row tells what happened.
+ */
+final class Submission {
+    private static final int FEED_ROWS_PER_READ = 500;
+
+    private final ChangeTicket mTicket;
+    private final TicketTransaction mTransactions;
+    private final ConfigurationView mView;
+    private final long mDeadlineNanos;
+
+    private Phase mPhase = Phase.READING_ROWS;
+    private Map<RowKey, Row> mRows = Map.of();
+    private Configuration mBefore = Configuration.empty();
+    private long mSequence;
+    private TableTransaction mCommit;
+    private boolean mUnsettled;
+
+    Submission(ChangeTicket ticket, ConfigurationView view, long deadlineNanos) {
+        mTicket = ticket;
+        mTransactions = new TicketTransaction(ticket);
+        mView = view;
+        mDeadlineNanos = deadlineNanos;
+    }
+
+    long deadlineNanos() {
+        return mDeadlineNanos;
+    }
+
+    /** What to do now, or again after a pause. */
+    SubmissionStep proceed() {
+        return switch (mPhase) {
+            case READING_ROWS -> new SubmissionStep.Read(mTransactions.read());
+            case READING_FEED -> readFeed();
+            case COMMITTING -> new SubmissionStep.Commit(mCommit);
+            case SETTLING ->
+                    new SubmissionStep.Read(
+                            new TableRead.Points(List.of(mTransactions.ticketRow())));
+        };
+    }
+
+    private SubmissionStep readFeed() {
+        String after = TicketRows.feedKey(mSequence);
+        return new SubmissionStep.Read(
+                new TableRead.Range(TicketRows.FEED_TABLE, after, FEED_ROWS_PER_READ));
+    }
+
+    /** The answer where no more time is left. */
+    TicketAnswer giveUp() {
+        return mUnsettled ? new TicketAnswer.Unknown() : new TicketAnswer.Unavailable();
+    }
+
+    SubmissionStep onRead(ReadOutcome outcome) {
+        return switch (outcome) {
+            case ReadOutcome.Unavailable unavailable -> new SubmissionStep.Pause();
+            case ReadOutcome.Rows rows ->
+                    switch (mPhase) {
+                        case READING_ROWS -> onRows(Maps.uniqueIndex(rows.rows(), Row::key));
+                        case READING_FEED -> onFeed(rows.rows());
+                        case SETTLING -> onTicketRow(rows.rows());
+                        case COMMITTING -> new SubmissionStep.Wait();
+                    };
+        };
+    }
+
+    private SubmissionStep onRows(Map<RowKey, Row> rows) {
+        mUnsettled = false;
+        mRows = rows;
+        Row accepted = rows.get(mTransactions.ticketRow());
+        if (accepted != null) {
+            return settled(accepted);
+        }
+        Optional<VersionedObject> newer = mTransactions.superseding(rows);
+        if (newer.isPresent()) {
+            return answer(
+                    new TicketAnswer.Superseded(newer.get().key(), newer.get().ticketNumber()));
+        }
+        mBefore = mView.configuration();
+        mSequence = mView.sequence();
+        return validateOrReadOn();
+    }
+
+    private SubmissionStep settled(Row row) {
+        TicketRows.AcceptedTicket accepted = TicketRows.acceptedTicket(row);
+        if (!mTransactions.isSame(accepted)) {
+            return answer(new TicketAnswer.Conflict());
+        }
+        return answer(
+                mCommit == null
+                        ? new TicketAnswer.AlreadyAccepted(accepted.sequence())
+                        : new TicketAnswer.Accepted(accepted.sequence()));
+    }
+
+    private long headSequence() {
+        Row head = mRows.get(TicketRows.HEAD);
+        return head == null ? 0 : TicketRows.sequenceOf(head);
+    }
+
+    private SubmissionStep validateOrReadOn() {
+        if (mSequence < headSequence()) {
+            mPhase = Phase.READING_FEED;
+            return proceed();
+        }
+        List<Finding> findings = TicketValidator.check(mTicket, mBefore);
+        if (!findings.isEmpty()) {
+            return answer(new TicketAnswer.Invalid(findings));
+        }
+        mCommit = mTransactions.commit(mRows, headSequence() + 1);
+        mPhase = Phase.COMMITTING;
+        return proceed();
+    }
+
+    private SubmissionStep onFeed(List<Row> rows) {
+        for (Row row : rows) {
+            Optional<TicketRows.FeedEntry> entry = TicketRows.feedEntry(row);
+            if (entry.isEmpty() || entry.get().sequence() != mSequence + 1) {
+                return startAgain();
+            }
+            mBefore = mBefore.merge(TicketCodec.objectsOf(entry.get().ticket()));
+            mSequence = entry.get().sequence();
+        }
+        return rows.isEmpty() ? startAgain() : validateOrReadOn();
+    }
+
+    /**
+     * The feed has been compacted beyond the view; it takes a while until the view has caught up.
+     */
+    private SubmissionStep startAgain() {
+        mPhase = Phase.READING_ROWS;
+        return new SubmissionStep.Pause();
+    }
+
+    SubmissionStep onCommit(CommitOutcome outcome) {
+        return switch (outcome) {
+            case CommitOutcome.Committed committed ->
+                    answer(new TicketAnswer.Accepted(headSequence() + 1));
+            case CommitOutcome.Rejected rejected -> {
+                mPhase = Phase.READING_ROWS;
+                yield proceed();
+            }
+            case CommitOutcome.NotSent notSent -> new SubmissionStep.Pause();
+            case CommitOutcome.Unknown unknown -> {
+                mUnsettled = true;
+                mPhase = Phase.SETTLING;
+                yield proceed();
+            }
+        };
+    }
+
+    private SubmissionStep onTicketRow(List<Row> rows) {
+        if (!rows.isEmpty()) {
+            return settled(rows.getFirst());
+        }
+        mPhase = Phase.COMMITTING;
+        return new SubmissionStep.Pause();
+    }
+
+    /** A commit on its way that is not answered in time may still take effect. */
+    void onTimeout() {
+        mUnsettled |= mPhase == Phase.COMMITTING;
+    }
+
+    private static SubmissionStep answer(TicketAnswer answer) {
+        return new SubmissionStep.Answer(answer);
+    }
+
+    private enum Phase {
+        READING_ROWS,
+        READING_FEED,
+        COMMITTING,
+        SETTLING
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/ticket/TicketAcceptance.java
@@ -0,0 +1,171 @@
+package org.wasabilug.internal.ticket;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OperationId;
+import org.wasabilug.internal.event.Part;
+import org.wasabilug.internal.event.TicketAnswer;
+import org.wasabilug.model.ChangeTicket;
+
+/**
+ * Accepts tickets through the platform's table service, which alone decides.
+ *
+ * <p>A ticket is validated against the configuration at the feed head: the instance's own view,
+ * plus the feed rows that it has not applied yet. The transaction holds only at that very head. So
+ * two tickets that are each valid alone never leave a reference without its target, whichever
+ * instances they were submitted at.
+ */
+public final class TicketAcceptance {
+    private static final long TIME_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long FIRST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long LONGEST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final ConfigurationView mView;
+    private final UniformRandomProvider mRandom;
+    private final Map<Long, Pending> mPending = new TreeMap<>();
+    private final Map<Long, Long> mSubmissionOfOperation = new HashMap<>();
+    private long mLastOperation;
+
+    /**
+     * Creates the acceptance of one instance.
+     *
+     * @param view configuration in force at the instance
+     * @param random source of jitter
+     */
+    public TicketAcceptance(ConfigurationView view, UniformRandomProvider random) {
+        mView = view;
+        mRandom = random;
+    }
+
+    /**
+     * Takes an event; those of other parts do nothing.
+     *
+     * @param event what happened
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return what to do, in order
+     */
+    public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
+        List<InstanceAction> actions = new ArrayList<>();
+        switch (event) {
+            case InstanceEvent.TicketSubmitted submitted ->
+                    start(submitted.submission(), submitted.ticket(), nowNanos, actions);
+            case InstanceEvent.ReadAnswered answered ->
+                    resume(
+                            answered.operation(),
+                            submission -> submission.onRead(answered.outcome()),
+                            nowNanos,
+                            actions);
+            case InstanceEvent.CommitAnswered answered ->
+                    resume(
+                            answered.operation(),
+                            submission -> submission.onCommit(answered.outcome()),
+                            nowNanos,
+                            actions);
+            case InstanceEvent.TimePassed passed -> onTime(nowNanos, actions);
+            default -> {
+                return List.of();
+            }
+        }
+        return actions;
+    }
+
+    private void start(
+            long number, ChangeTicket ticket, long nowNanos, List<InstanceAction> actions) {
+        long deadlineNanos = nowNanos + TIME_LIMIT_NANOS;
+        Pending pending = new Pending(new Submission(ticket, mView, deadlineNanos));
+        mPending.put(number, pending);
+        actions.add(new InstanceAction.WakeAt(deadlineNanos));
+        perform(number, pending, pending.mSubmission.proceed(), nowNanos, actions);
+    }
+
+    private void resume(
+            OperationId operation,
+            Function<Submission, SubmissionStep> step,
+            long nowNanos,
+            List<InstanceAction> actions) {
+        if (operation.part() != Part.TICKETS) {
+            return;
+        }
+        Long number = mSubmissionOfOperation.remove(operation.number());
+        Pending pending = number == null ? null : mPending.get(number);
+        if (pending != null) {
+            perform(number, pending, step.apply(pending.mSubmission), nowNanos, actions);
+        }
+    }
+
+    private void onTime(long nowNanos, List<InstanceAction> actions) {
+        for (Map.Entry<Long, Pending> entry : List.copyOf(mPending.entrySet())) {
+            Pending pending = entry.getValue();
+            if (nowNanos - pending.mSubmission.deadlineNanos() >= 0) {
+                if (!pending.mPaused) {
+                    pending.mSubmission.onTimeout();
+                }
+                answer(entry.getKey(), pending.mSubmission.giveUp(), actions);
+            } else if (pending.mPaused && nowNanos - pending.mResumeNanos >= 0) {
+                pending.mPaused = false;
+                perform(entry.getKey(), pending, pending.mSubmission.proceed(), nowNanos, actions);
+            }
+        }
+    }
+
+    private void perform(
+            long number,
+            Pending pending,
+            SubmissionStep step,
+            long nowNanos,
+            List<InstanceAction> actions) {
+        switch (step) {
+            case SubmissionStep.Read read ->
+                    actions.add(new InstanceAction.ReadTable(nextOperation(number), read.read()));
+            case SubmissionStep.Commit commit ->
+                    actions.add(
+                            new InstanceAction.CommitTable(
+                                    nextOperation(number), commit.transaction()));
+            case SubmissionStep.Pause pause -> {
+                pending.mPaused = true;
+                pending.mResumeNanos = nowNanos + pending.nextPauseNanos(mRandom);
+                actions.add(new InstanceAction.WakeAt(pending.mResumeNanos));
+            }
+            case SubmissionStep.Wait wait -> {}
+            case SubmissionStep.Answer answer -> answer(number, answer.answer(), actions);
+        }
+    }
+
+    private OperationId nextOperation(long submission) {
+        mLastOperation++;
+        mSubmissionOfOperation.put(mLastOperation, submission);
+        return new OperationId(Part.TICKETS, mLastOperation);
+    }
+
+    private void answer(long number, TicketAnswer answer, List<InstanceAction> actions) {
+        mPending.remove(number);
+        mSubmissionOfOperation.values().removeIf(submission -> submission == number);
+        actions.add(new InstanceAction.AnswerTicket(number, answer));
+    }
+
+    /** A submission with its pauses. */
+    private static final class Pending {
+        private final Submission mSubmission;
+        private boolean mPaused;
+        private long mResumeNanos;
+        private long mPauseNanos = FIRST_PAUSE_NANOS;
+
+        private Pending(Submission submission) {
+            mSubmission = submission;
+        }
+
+        private long nextPauseNanos(UniformRandomProvider random) {
+            long pauseNanos = random.nextLong(mPauseNanos / 2, mPauseNanos);
+            mPauseNanos = Math.min(mPauseNanos * 2, LONGEST_PAUSE_NANOS);
+            return pauseNanos;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/ticket/TicketParse.java
@@ -0,0 +1,27 @@
+package org.wasabilug.internal.ticket;
+
+import java.util.List;
+import org.wasabilug.model.ChangeTicket;
+import org.wasabilug.model.Finding;
+
+/** Result of reading a ticket file. */
+public sealed interface TicketParse {
+    /**
+     * The file has the right form.
+     *
+     * @param ticket the ticket
+     */
+    record Parsed(ChangeTicket ticket) implements TicketParse {}
+
+    /**
+     * The file has findings.
+     *
+     * @param findings all of them, each with its place
+     */
+    record Rejected(List<Finding> findings) implements TicketParse {
+        /** Copies the list. */
+        public Rejected {
+            findings = List.copyOf(findings);
+        }
+    }
+}
