Follow the configuration feed and exchange it between instances

Cause: accepted tickets reach no instance yet. Membership keeps a bounded set of peers, tells them news at once and compares everything where hashes differ. Conclusion: both share one state in which the higher ticket wins.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/feed/FeedFollower.java
@@ -0,0 +1,157 @@
+package org.wasabilug.internal.feed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wasabilug.internal.configuration.ConfigurationState;
+import org.wasabilug.internal.ticket.TicketCodec;
+import org.wasabilug.internal.ticket.TicketRows;
+import org.wasabilug.port.ObjectOutcome;
+import org.wasabilug.port.Row;
+import org.wasabilug.port.TableRead;
+import org.wasabilug.port.VersionedObject;
+
+/**
+ * Knows which read brings the configuration forward, and applies what it returns.
+ *
+ * <p>It starts from the snapshot. Where the snapshot is missing, damaged or older than the oldest
+ * feed row that is left, it reads the table of objects whole, from a head that it read before.
+ * Either way each merge keeps the higher ticket, so a reading of old rows changes nothing.
+ */
+final class FeedFollower {
+    static final String SNAPSHOT_NAME = "configuration/snapshot";
+    static final int FEED_ROWS_PER_READ = 200;
+    static final int OBJECT_ROWS_PER_READ = 500;
+    private static final int SNAPSHOT_TRIALS = 2;
+
+    private final ConfigurationState mState;
+    private Phase mPhase = Phase.SNAPSHOT;
+    private long mSequence;
+    private long mSnapshotSequence;
+    private long mScanSequence;
+    private String mScanAfter = "";
+    private int mSnapshotFailures;
+    private boolean mGapSeen;
+
+    FeedFollower(ConfigurationState state) {
+        mState = state;
+    }
+
+    long sequence() {
+        return mSequence;
+    }
+
+    long snapshotSequence() {
+        return mSnapshotSequence;
+    }
+
+    boolean wantsSnapshot() {
+        return mPhase == Phase.SNAPSHOT;
+    }
+
+    boolean isFollowing() {
+        return mPhase == Phase.FEED;
+    }
+
+    TableRead nextRead() {
+        return switch (mPhase) {
+            case SNAPSHOT, HEAD -> new TableRead.Points(List.of(TicketRows.HEAD));
+            case OBJECTS ->
+                    new TableRead.Range(TicketRows.OBJECT_TABLE, mScanAfter, OBJECT_ROWS_PER_READ);
+            case FEED ->
+                    new TableRead.Range(
+                            TicketRows.FEED_TABLE,
+                            TicketRows.feedKey(mSequence),
+                            FEED_ROWS_PER_READ);
+        };
+    }
+
+    /** Takes the snapshot's answer; false where the store did not answer. */
+    boolean onSnapshot(ObjectOutcome outcome) {
+        if (outcome instanceof ObjectOutcome.Unavailable) {
+            mSnapshotFailures++;
+            if (mSnapshotFailures >= SNAPSHOT_TRIALS) {
+                mPhase = Phase.HEAD;
+            }
+            return false;
+        }
+        Optional<SnapshotCodec.Snapshot> snapshot =
+                outcome instanceof ObjectOutcome.Found found
+                        ? SnapshotCodec.read(found.text())
+                        : Optional.empty();
+        snapshot.ifPresentOrElse(this::applySnapshot, () -> mPhase = Phase.HEAD);
+        return true;
+    }
+
+    private void applySnapshot(SnapshotCodec.Snapshot snapshot) {
+        mSnapshotSequence = snapshot.sequence();
+        mState.merge(snapshot.objects());
+        boolean closesGap = !mGapSeen || snapshot.sequence() > mSequence;
+        mSequence = Math.max(mSequence, snapshot.sequence());
+        mPhase = closesGap ? Phase.FEED : Phase.HEAD;
+    }
+
+    /** Takes rows of the last read; true where there is more to read at once. */
+    boolean onRows(List<Row> rows) {
+        return switch (mPhase) {
+            case SNAPSHOT -> true;
+            case HEAD -> onHead(rows);
+            case OBJECTS -> onObjects(rows);
+            case FEED -> onFeed(rows);
+        };
+    }
+
+    private boolean onHead(List<Row> rows) {
+        mScanSequence = rows.isEmpty() ? 0 : TicketRows.sequenceOf(rows.getFirst());
+        mScanAfter = "";
+        mPhase = Phase.OBJECTS;
+        return true;
+    }
+
+    private boolean onObjects(List<Row> rows) {
+        List<VersionedObject> objects =
+                rows.stream()
+                        .flatMap(row -> TicketCodec.readVersioned(row.value()).stream())
+                        .toList();
+        mState.merge(objects);
+        if (rows.size() < OBJECT_ROWS_PER_READ) {
+            mSequence = Math.max(mSequence, mScanSequence);
+            mPhase = Phase.FEED;
+            mGapSeen = false;
+        } else {
+            mScanAfter = rows.getLast().key().key();
+        }
+        return true;
+    }
+
+    private boolean onFeed(List<Row> rows) {
+        List<VersionedObject> objects = new ArrayList<>();
+        for (Row row : rows) {
+            Optional<TicketRows.FeedEntry> entry = TicketRows.feedEntry(row);
+            if (entry.isEmpty() || entry.get().sequence() != mSequence + 1) {
+                mState.merge(objects);
+                onGap();
+                return true;
+            }
+            objects.addAll(TicketCodec.objectsOf(entry.get().ticket()));
+            mSequence = entry.get().sequence();
+        }
+        mState.merge(objects);
+        mGapSeen &= rows.isEmpty();
+        return rows.size() == FEED_ROWS_PER_READ;
+    }
+
+    /** A second gap in a row means that the snapshot does not help. */
+    private void onGap() {
+        mPhase = mGapSeen ? Phase.HEAD : Phase.SNAPSHOT;
+        mGapSeen = true;
+        mSnapshotFailures = 0;
+    }
+
+    private enum Phase {
+        SNAPSHOT,
+        HEAD,
+        OBJECTS,
+        FEED
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/feed/SnapshotWriter.java
@@ -0,0 +1,194 @@
+package org.wasabilug.internal.feed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OperationId;
+import org.wasabilug.internal.ticket.TicketRows;
+import org.wasabilug.port.CommitOutcome;
+import org.wasabilug.port.ObjectOutcome;
+import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.port.Row;
+import org.wasabilug.port.RowCondition;
+import org.wasabilug.port.RowKey;
+import org.wasabilug.port.RowWrite;
+import org.wasabilug.port.TableRead;
+import org.wasabilug.port.TableTransaction;
+
+/**
+ * Writes a snapshot once the feed has grown enough since the last one, then removes old feed rows.
+ *
+ * <p>Each instance waits for a time of its own and then looks whether another one has done it. Two
+ * that write at once do no harm: both snapshots are right, and readers make up for the older one.
+ */
+final class SnapshotWriter {
+    static final int ENTRIES_PER_SNAPSHOT = 500;
+    static final int KEPT_ENTRIES = 2_000;
+    private static final int ROWS_PER_COMPACTION = 100;
+    private static final long LONGEST_DELAY_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final RowKey SNAPSHOT_ROW = new RowKey("feed-head", "snapshot");
+
+    private final UniformRandomProvider mRandom;
+    private final OperationNumbers mOperations;
+    private Phase mPhase = Phase.IDLE;
+    private long mOperation;
+    private long mDueNanos;
+    private long mDoneSequence;
+    private long mWrittenSequence;
+    private Optional<Row> mSnapshotRow = Optional.empty();
+
+    SnapshotWriter(UniformRandomProvider random, OperationNumbers operations) {
+        mRandom = random;
+        mOperations = operations;
+    }
+
+    void snapshotSeen(long sequence) {
+        mDoneSequence = Math.max(mDoneSequence, sequence);
+    }
+
+    /** Looks whether it is time; the configuration must hold the feed up to the sequence. */
+    List<InstanceAction> onTime(long sequence, long nowNanos) {
+        boolean late = nowNanos - mDueNanos >= 0;
+        return switch (mPhase) {
+            case IDLE -> {
+                if (sequence - mDoneSequence >= ENTRIES_PER_SNAPSHOT) {
+                    mPhase = Phase.WAITING;
+                    mDueNanos = nowNanos + mRandom.nextLong(LONGEST_DELAY_NANOS);
+                }
+                yield List.of();
+            }
+            case WAITING -> late ? check(nowNanos) : List.of();
+            case CHECKING, WRITING, RECORDING, LISTING, REMOVING -> {
+                if (late) {
+                    mPhase = Phase.IDLE;
+                }
+                yield List.of();
+            }
+        };
+    }
+
+    private List<InstanceAction> check(long nowNanos) {
+        OperationId operation = begin(Phase.CHECKING, nowNanos);
+        return List.of(
+                new InstanceAction.ReadTable(
+                        operation, new TableRead.Points(List.of(SNAPSHOT_ROW))));
+    }
+
+    private OperationId begin(Phase phase, long nowNanos) {
+        mPhase = phase;
+        mDueNanos = nowNanos + ANSWER_LIMIT_NANOS;
+        OperationId operation = mOperations.next();
+        mOperation = operation.number();
+        return operation;
+    }
+
+    /** Takes an answer; nothing happens on those of other operations. */
+    List<InstanceAction> handle(
+            InstanceEvent event, Configuration configuration, long sequence, long nowNanos) {
+        return switch (event) {
+            case InstanceEvent.ReadAnswered answered when isMine(answered.operation()) ->
+                    onRead(answered.outcome(), configuration, sequence, nowNanos);
+            case InstanceEvent.CommitAnswered answered when isMine(answered.operation()) ->
+                    onCommit(answered.outcome(), nowNanos);
+            case InstanceEvent.ObjectAnswered answered when isMine(answered.operation()) ->
+                    onWritten(answered.outcome(), nowNanos);
+            default -> List.of();
+        };
+    }
+
+    private boolean isMine(OperationId operation) {
+        return operation.number() == mOperation;
+    }
+
+    private List<InstanceAction> onRead(
+            ReadOutcome outcome, Configuration configuration, long sequence, long nowNanos) {
+        if (!(outcome instanceof ReadOutcome.Rows rows)) {
+            return stop();
+        }
+        return mPhase == Phase.CHECKING
+                ? onChecked(rows.rows(), configuration, sequence, nowNanos)
+                : remove(rows.rows(), nowNanos);
+    }
+
+    private List<InstanceAction> onChecked(
+            List<Row> rows, Configuration configuration, long sequence, long nowNanos) {
+        mSnapshotRow = rows.stream().findFirst();
+        mSnapshotRow.ifPresent(row -> snapshotSeen(TicketRows.sequenceOf(row)));
+        if (sequence - mDoneSequence < ENTRIES_PER_SNAPSHOT) {
+            return stop();
+        }
+        mWrittenSequence = sequence;
+        OperationId operation = begin(Phase.WRITING, nowNanos);
+        return List.of(
+                new InstanceAction.WriteObject(
+                        operation,
+                        FeedFollower.SNAPSHOT_NAME,
+                        SnapshotCodec.write(configuration, sequence)));
+    }
+
+    private List<InstanceAction> onWritten(ObjectOutcome outcome, long nowNanos) {
+        if (!(outcome instanceof ObjectOutcome.Written)) {
+            return stop();
+        }
+        RowCondition condition =
+                mSnapshotRow
+                        .<RowCondition>map(
+                                row -> new RowCondition.VersionIs(SNAPSHOT_ROW, row.version()))
+                        .orElse(new RowCondition.Absent(SNAPSHOT_ROW));
+        RowWrite write = new RowWrite.Put(SNAPSHOT_ROW, TicketRows.sequenceValue(mWrittenSequence));
+        return List.of(
+                new InstanceAction.CommitTable(
+                        begin(Phase.RECORDING, nowNanos),
+                        new TableTransaction(List.of(condition), List.of(write))));
+    }
+
+    private List<InstanceAction> onCommit(CommitOutcome outcome, long nowNanos) {
+        if (!(outcome instanceof CommitOutcome.Committed)) {
+            return stop();
+        }
+        snapshotSeen(mWrittenSequence);
+        OperationId operation = begin(Phase.LISTING, nowNanos);
+        return List.of(
+                new InstanceAction.ReadTable(
+                        operation,
+                        new TableRead.Range(TicketRows.FEED_TABLE, "", ROWS_PER_COMPACTION)));
+    }
+
+    private List<InstanceAction> remove(List<Row> rows, long nowNanos) {
+        String lastRemoved = TicketRows.feedKey(Math.max(0, mWrittenSequence - KEPT_ENTRIES));
+        List<RowWrite> removals = new ArrayList<>();
+        rows.stream()
+                .map(Row::key)
+                .filter(key -> key.key().compareTo(lastRemoved) <= 0)
+                .forEach(key -> removals.add(new RowWrite.Delete(key)));
+        if (removals.isEmpty()) {
+            return stop();
+        }
+        return List.of(
+                new InstanceAction.CommitTable(
+                        begin(Phase.REMOVING, nowNanos),
+                        new TableTransaction(List.of(), removals)));
+    }
+
+    private List<InstanceAction> stop() {
+        mPhase = Phase.IDLE;
+        mOperation = 0;
+        return List.of();
+    }
+
+    private enum Phase {
+        IDLE,
+        WAITING,
+        CHECKING,
+        WRITING,
+        RECORDING,
+        LISTING,
+        REMOVING
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
@@ -0,0 +1,81 @@
+package org.wasabilug.internal.membership;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.OperationId;
+import org.wasabilug.internal.event.Part;
+
+/** Reads the platform's list again and again, more seldom the more instances share it. */
+final class InstanceListReader {
+    private static final long SHORTEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long LONGEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long INTERVAL_PER_INSTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
+    private static final int JITTER_PARTS = 5;
+
+    private final UniformRandomProvider mRandom;
+    private boolean mWaiting;
+    private boolean mAvailable;
+    private long mOperation;
+    private long mNextNanos;
+    private long mFailurePauseNanos = SHORTEST_INTERVAL_NANOS;
+    private boolean mStarted;
+
+    InstanceListReader(UniformRandomProvider random) {
+        mRandom = random;
+    }
+
+    /** The read that is due now, if one is. */
+    Optional<InstanceAction> onTime(long nowNanos) {
+        if (mStarted && nowNanos - mNextNanos < 0) {
+            return Optional.empty();
+        }
+        if (mWaiting) {
+            mAvailable = false;
+        }
+        mStarted = true;
+        mWaiting = true;
+        mOperation++;
+        mNextNanos = nowNanos + ANSWER_LIMIT_NANOS;
+        return Optional.of(
+                new InstanceAction.ReadInstanceList(new OperationId(Part.MEMBERSHIP, mOperation)));
+    }
+
+    /** Takes an answer; false where it is not the one that is waited for. */
+    boolean answered(OperationId operation, boolean available, int instances, long nowNanos) {
+        if (!mWaiting || operation.part() != Part.MEMBERSHIP || operation.number() != mOperation) {
+            return false;
+        }
+        mWaiting = false;
+        mAvailable = available;
+        mNextNanos = nowNanos + (available ? intervalNanos(instances) : failurePauseNanos());
+        return true;
+    }
+
+    private long intervalNanos(int instances) {
+        mFailurePauseNanos = SHORTEST_INTERVAL_NANOS;
+        long intervalNanos =
+                Math.clamp(
+                        instances * INTERVAL_PER_INSTANCE_NANOS,
+                        SHORTEST_INTERVAL_NANOS,
+                        LONGEST_INTERVAL_NANOS);
+        return intervalNanos - mRandom.nextLong(intervalNanos / JITTER_PARTS);
+    }
+
+    private long failurePauseNanos() {
+        long pauseNanos = mRandom.nextLong(mFailurePauseNanos / 2, mFailurePauseNanos);
+        mFailurePauseNanos = Math.min(mFailurePauseNanos * 2, LONGEST_INTERVAL_NANOS);
+        return pauseNanos;
+    }
+
+    /** When the next read is due. */
+    long nextNanos() {
+        return mNextNanos;
+    }
+
+    boolean isAvailable() {
+        return mAvailable;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/membership/Membership.java
@@ -0,0 +1,411 @@
+package org.wasabilug.internal.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.configuration.ConfigurationState;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.instance.InstanceStatus;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.port.ListOutcome;
+import org.wasabilug.port.PeerMessage;
+import org.wasabilug.port.VersionedObject;
+
+/**
+ * Knows the other instances, tells them that this one is alive, and passes accepted configuration
+ * on.
+ *
+ * <p>What changes here is told at once to a bounded set of peers, who ask for what they lack and
+ * tell theirs in turn. Heartbeats carry a hash over the configuration; peers whose hashes differ
+ * are told the latest changes again, and after a while everything is compared bucket by bucket.
+ */
+public final class Membership {
+    private static final long HEARTBEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long EMPTY_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long DIFFERENCE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final int REMINDERS_PER_HEARTBEAT = 4;
+    private static final int REPLIES_PER_HEARTBEAT = 32;
+    private static final int SEEDED_PEERS = 3;
+
+    private final FailureDomainName mFailureDomain;
+    private final long mIncarnation;
+    private final ConfigurationState mState;
+    private final LongSupplier mFeedSequence;
+    private final UniformRandomProvider mRandom;
+    private final PeerTable mPeers;
+    private final SeedAddresses mSeeds;
+    private final InstanceListReader mListReader;
+    private final ObjectExchange mExchange;
+    private final BucketSync mSync;
+    private final RecentNews mRecentNews = new RecentNews();
+
+    private boolean mStarted;
+    private boolean mStopping;
+    private long mStartNanos;
+    private long mNextHeartbeatNanos;
+    private int mReminders;
+    private int mReplies;
+
+    private Membership(Builder builder) {
+        mFailureDomain = builder.mFailureDomain;
+        mIncarnation = builder.mIncarnation;
+        mState = builder.mState;
+        mFeedSequence = builder.mFeedSequence;
+        mRandom = builder.mRandom;
+        mPeers = new PeerTable(builder.mName, mFailureDomain);
+        mSeeds = new SeedAddresses(builder.mSeeds);
+        mListReader = new InstanceListReader(mRandom);
+        mExchange = new ObjectExchange(mState);
+        mSync = new BucketSync(mState, mExchange);
+    }
+
+    /**
+     * Starts building.
+     *
+     * @return a builder without values
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Takes an event. Any event may follow a change of the configuration elsewhere in the instance;
+     * peers are then told of it.
+     *
+     * @param event what happened
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return what to do, in order
+     */
+    public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
+        List<InstanceAction> actions = new ArrayList<>();
+        switch (event) {
+            case InstanceEvent.TimePassed passed -> onTime(nowNanos, actions);
+            case InstanceEvent.PeerSpoke spoke -> onMessage(spoke, nowNanos, actions);
+            case InstanceEvent.ListAnswered answered -> onList(answered, nowNanos, actions);
+            case InstanceEvent.StopRequested requested -> onStop(actions);
+            default -> {}
+        }
+        tellNews(event, actions);
+        return actions;
+    }
+
+    private void onTime(long nowNanos, List<InstanceAction> actions) {
+        if (!mStarted) {
+            mStarted = true;
+            mStartNanos = nowNanos;
+            mNextHeartbeatNanos = nowNanos + mRandom.nextLong(HEARTBEAT_NANOS);
+            actions.add(new InstanceAction.WakeAt(mNextHeartbeatNanos));
+        }
+        mListReader
+                .onTime(nowNanos)
+                .ifPresent(
+                        read -> {
+                            actions.add(read);
+                            actions.add(new InstanceAction.WakeAt(mListReader.nextNanos()));
+                        });
+        mSync.onTime(nowNanos);
+        if (nowNanos - mNextHeartbeatNanos >= 0) {
+            beat(nowNanos, actions);
+        }
+    }
+
+    private void beat(long nowNanos, List<InstanceAction> actions) {
+        mNextHeartbeatNanos = nowNanos + HEARTBEAT_NANOS;
+        actions.add(new InstanceAction.WakeAt(mNextHeartbeatNanos));
+        mReminders = 0;
+        mReplies = 0;
+        mPeers.choose(nowNanos);
+        PeerMessage heartbeat = heartbeat();
+        mPeers.chosen().forEach(peer -> send(peer, heartbeat, actions));
+        probeSuspect(heartbeat, nowNanos, actions);
+        if (!mListReader.isAvailable() && mPeers.live(nowNanos).size() < SEEDED_PEERS) {
+            mSeeds.next()
+                    .forEach(
+                            address ->
+                                    actions.add(
+                                            new InstanceAction.SendToPeer(
+                                                    SeedAddresses.nameOf(address),
+                                                    address,
+                                                    heartbeat)));
+        }
+    }
+
+    /** A partition heals unseen where nobody ever tries the silent peers again. */
+    private void probeSuspect(PeerMessage heartbeat, long nowNanos, List<InstanceAction> actions) {
+        List<Peer> suspects =
+                mPeers.suspects(nowNanos).stream().filter(peer -> !peer.isChosen()).toList();
+        if (!suspects.isEmpty()) {
+            send(suspects.get(mRandom.nextInt(suspects.size())), heartbeat, actions);
+        }
+    }
+
+    private PeerMessage heartbeat() {
+        return new PeerMessage.Heartbeat(
+                mIncarnation,
+                mFailureDomain,
+                mFeedSequence.getAsLong(),
+                mState.configuration().hash(),
+                mStopping);
+    }
+
+    private void onStop(List<InstanceAction> actions) {
+        mStopping = true;
+        PeerMessage heartbeat = heartbeat();
+        mPeers.chosen().forEach(peer -> send(peer, heartbeat, actions));
+    }
+
+    private static void send(Peer peer, PeerMessage message, List<InstanceAction> actions) {
+        actions.add(new InstanceAction.SendToPeer(peer.name(), peer.address(), message));
+    }
+
+    private void onList(
+            InstanceEvent.ListAnswered answered, long nowNanos, List<InstanceAction> actions) {
+        boolean available = answered.outcome() instanceof ListOutcome.Listed;
+        int count = mPeers.countEstimate(nowNanos);
+        if (mListReader.answered(answered.operation(), available, count, nowNanos)) {
+            actions.add(new InstanceAction.WakeAt(mListReader.nextNanos()));
+        }
+        if (answered.outcome() instanceof ListOutcome.Listed listed) {
+            mPeers.listed(listed.instances(), nowNanos);
+        }
+    }
+
+    private void onMessage(
+            InstanceEvent.PeerSpoke spoke, long nowNanos, List<InstanceAction> actions) {
+        InstanceName sender = spoke.sender();
+        switch (spoke.message()) {
+            case PeerMessage.Heartbeat heartbeat ->
+                    onHeartbeat(sender, heartbeat, nowNanos, actions);
+            case PeerMessage.Digest digest ->
+                    reply(sender, mExchange.onDigest(digest, nowNanos), actions);
+            case PeerMessage.ObjectsWanted wanted ->
+                    reply(sender, mExchange.onWanted(wanted), actions);
+            case PeerMessage.Objects objects -> {
+                mExchange.onObjects(objects);
+                reply(sender, mSync.answered(sender, nowNanos).stream().toList(), actions);
+            }
+            case PeerMessage.Crashes crashes -> {}
+            case PeerMessage.Usage usage -> {}
+        }
+    }
+
+    private void reply(
+            InstanceName peer, List<PeerMessage> messages, List<InstanceAction> actions) {
+        String address = mPeers.find(peer).map(Peer::address).orElse("");
+        messages.forEach(
+                message -> actions.add(new InstanceAction.SendToPeer(peer, address, message)));
+    }
+
+    private void onHeartbeat(
+            InstanceName sender,
+            PeerMessage.Heartbeat heartbeat,
+            long nowNanos,
+            List<InstanceAction> actions) {
+        mPeers.heard(sender, heartbeat, nowNanos)
+                .ifPresent(
+                        peer -> {
+                            replyToStranger(peer, actions);
+                            compare(peer, heartbeat.configurationHash(), nowNanos, actions);
+                        });
+    }
+
+    /**
+     * A peer that chose this instance learns so that it is alive, even where the choice is not
+     * mutual.
+     */
+    private void replyToStranger(Peer peer, List<InstanceAction> actions) {
+        if (!peer.isChosen() && mReplies < REPLIES_PER_HEARTBEAT) {
+            mReplies++;
+            send(peer, heartbeat(), actions);
+        }
+    }
+
+    private void compare(Peer peer, long hash, long nowNanos, List<InstanceAction> actions) {
+        boolean equal = hash == mState.configuration().hash();
+        peer.compared(equal, nowNanos);
+        if (equal) {
+            return;
+        }
+        boolean empty = mState.configuration().objects().isEmpty();
+        long startedNanos = mStarted ? nowNanos - mStartNanos : 0;
+        boolean due =
+                peer.hasDifferedFor(DIFFERENCE_WAIT_NANOS, nowNanos)
+                        || empty && startedNanos >= EMPTY_WAIT_NANOS;
+        if (due && mSync.mayStart(nowNanos)) {
+            send(peer, mSync.start(peer.name(), nowNanos), actions);
+        } else if (!mRecentNews.isEmpty() && mReminders < REMINDERS_PER_HEARTBEAT) {
+            mReminders++;
+            send(peer, mRecentNews.digest(), actions);
+        }
+    }
+
+    private void tellNews(InstanceEvent event, List<InstanceAction> actions) {
+        List<VersionedObject> news = mState.takeNews();
+        if (news.isEmpty()) {
+            return;
+        }
+        mRecentNews.add(news);
+        List<PeerMessage> digests = ObjectExchange.newsDigests(news);
+        for (Peer peer : mPeers.chosen()) {
+            boolean source =
+                    event instanceof InstanceEvent.PeerSpoke spoke
+                            && spoke.sender().equals(peer.name());
+            if (!source) {
+                digests.forEach(digest -> send(peer, digest, actions));
+            }
+        }
+    }
+
+    /**
+     * Peers that were heard from lately and are not stopping.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return their names, in order
+     */
+    public List<InstanceName> livePeers(long nowNanos) {
+        return mPeers.live(nowNanos).stream().map(Peer::name).toList();
+    }
+
+    /**
+     * Sends a message to the peers that this instance talks to.
+     *
+     * @param message the message
+     * @return one action for each of them
+     */
+    public List<InstanceAction> sendToChosen(PeerMessage message) {
+        List<InstanceAction> actions = new ArrayList<>();
+        mPeers.chosen().forEach(peer -> send(peer, message, actions));
+        return actions;
+    }
+
+    /**
+     * How many entry instances there are, this one included.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the estimate, 1 or more
+     */
+    public int instanceCountEstimate(long nowNanos) {
+        return mPeers.countEstimate(nowNanos);
+    }
+
+    /**
+     * State of every known peer.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the states, by name
+     */
+    public List<InstanceStatus.PeerStatus> peerStatuses(long nowNanos) {
+        return mPeers.all().stream()
+                .map(
+                        peer ->
+                                new InstanceStatus.PeerStatus(
+                                        peer.name(),
+                                        peer.failureDomain(),
+                                        peer.isLive(nowNanos),
+                                        peer.feedSequence()))
+                .toList();
+    }
+
+    /** Builds a {@link Membership}. */
+    public static final class Builder {
+        private InstanceName mName;
+        private FailureDomainName mFailureDomain;
+        private long mIncarnation = 1;
+        private List<String> mSeeds = List.of();
+        private ConfigurationState mState;
+        private LongSupplier mFeedSequence = () -> 0;
+        private UniformRandomProvider mRandom;
+
+        private Builder() {}
+
+        /**
+         * Sets the name of this instance.
+         *
+         * @param value the name
+         * @return this builder
+         */
+        public Builder name(InstanceName value) {
+            mName = value;
+            return this;
+        }
+
+        /**
+         * Sets the failure domain that holds this instance.
+         *
+         * @param value its name
+         * @return this builder
+         */
+        public Builder failureDomain(FailureDomainName value) {
+            mFailureDomain = value;
+            return this;
+        }
+
+        /**
+         * Sets the number of this process's life.
+         *
+         * @param value grows with each restart of the instance
+         * @return this builder
+         */
+        public Builder incarnation(long value) {
+            mIncarnation = value;
+            return this;
+        }
+
+        /**
+         * Sets addresses that are tried while the platform's list is not there.
+         *
+         * @param value IP numbers with ports
+         * @return this builder
+         */
+        public Builder seeds(List<String> value) {
+            mSeeds = value;
+            return this;
+        }
+
+        /**
+         * Sets the configuration in force at this instance.
+         *
+         * @param value shared with the feed
+         * @return this builder
+         */
+        public Builder state(ConfigurationState value) {
+            mState = value;
+            return this;
+        }
+
+        /**
+         * Sets the source of the last applied feed entry.
+         *
+         * @param value returns the sequence
+         * @return this builder
+         */
+        public Builder feedSequence(LongSupplier value) {
+            mFeedSequence = value;
+            return this;
+        }
+
+        /**
+         * Sets the source of jitter.
+         *
+         * @param value seeded source
+         * @return this builder
+         */
+        public Builder random(UniformRandomProvider value) {
+            mRandom = value;
+            return this;
+        }
+
+        /**
+         * Builds the membership.
+         *
+         * @return a membership that knows no peer yet
+         */
+        public Membership build() {
+            return new Membership(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/membership/ObjectExchange.java
@@ -0,0 +1,151 @@
+package org.wasabilug.internal.membership;
+
+import com.google.common.collect.Lists;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.configuration.ConfigurationState;
+import org.wasabilug.model.ObjectKey;
+import org.wasabilug.port.PeerMessage;
+import org.wasabilug.port.VersionedObject;
+
+/**
+ * Compares configurations with a peer and passes whole objects on. Copies only: nothing here
+ * accepts a change, and a merge never puts older state over newer.
+ *
+ * <p>A digest with no buckets lists some objects only. A digest of a bucket lists all that its
+ * sender holds there, and is always answered with objects, if only with none.
+ */
+final class ObjectExchange {
+    /** Bucket count of a digest that does not cover a whole bucket. */
+    static final int PARTIAL = 0;
+
+    private static final int OBJECTS_PER_MESSAGE = 64;
+    private static final int KEYS_PER_MESSAGE = 256;
+    private static final int MAXIMUM_ASKED = 4_096;
+    private static final long ASK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final ConfigurationState mState;
+    private final Map<ObjectKey, Long> mAskedNanos = new HashMap<>();
+
+    ObjectExchange(ConfigurationState state) {
+        mState = state;
+    }
+
+    static Map<ObjectKey, Long> ticketNumbers(List<VersionedObject> objects) {
+        return objects.stream()
+                .collect(
+                        Collectors.toMap(
+                                VersionedObject::key, VersionedObject::ticketNumber, Math::max));
+    }
+
+    PeerMessage bucketDigest(int bucket, int count) {
+        return new PeerMessage.Digest(
+                bucket, count, ticketNumbers(mState.configuration().part(bucket, count)));
+    }
+
+    /** Digests of some changed objects. */
+    static List<PeerMessage> newsDigests(List<VersionedObject> news) {
+        return Lists.partition(news, KEYS_PER_MESSAGE).stream()
+                .map(part -> RecentNews.partialDigest(ticketNumbers(part)))
+                .toList();
+    }
+
+    /** Answers a digest of a peer. */
+    List<PeerMessage> onDigest(PeerMessage.Digest digest, long nowNanos) {
+        List<PeerMessage> answers = new ArrayList<>();
+        if (digest.bucketCount() == PARTIAL) {
+            List<VersionedObject> newer = newerOfListed(digest);
+            if (!newer.isEmpty()) {
+                answers.addAll(objects(newer));
+            }
+        } else if (isValid(digest)) {
+            answers.addAll(objects(newerOfBucket(digest)));
+        }
+        answers.addAll(wanted(digest, nowNanos));
+        return answers;
+    }
+
+    private static boolean isValid(PeerMessage.Digest digest) {
+        int count = digest.bucketCount();
+        return count > 0
+                && count <= Configuration.MAXIMUM_PARTS
+                && Integer.bitCount(count) == 1
+                && digest.bucket() >= 0
+                && digest.bucket() < count;
+    }
+
+    private List<VersionedObject> newerOfListed(PeerMessage.Digest digest) {
+        return digest.ticketNumbers().keySet().stream()
+                .sorted()
+                .flatMap(key -> mState.configuration().object(key).stream())
+                .filter(held -> held.ticketNumber() > digest.ticketNumbers().get(held.key()))
+                .toList();
+    }
+
+    private List<VersionedObject> newerOfBucket(PeerMessage.Digest digest) {
+        return mState.configuration().part(digest.bucket(), digest.bucketCount()).stream()
+                .filter(
+                        held ->
+                                held.ticketNumber()
+                                        > digest.ticketNumbers().getOrDefault(held.key(), 0L))
+                .toList();
+    }
+
+    private List<PeerMessage> wanted(PeerMessage.Digest digest, long nowNanos) {
+        List<ObjectKey> wanted =
+                digest.ticketNumbers().entrySet().stream()
+                        .filter(entry -> entry.getValue() > heldTicket(entry.getKey()))
+                        .map(Map.Entry::getKey)
+                        .filter(key -> mayAsk(key, nowNanos))
+                        .sorted()
+                        .toList();
+        return Lists.partition(wanted, KEYS_PER_MESSAGE).stream()
+                .<PeerMessage>map(PeerMessage.ObjectsWanted::new)
+                .toList();
+    }
+
+    private long heldTicket(ObjectKey key) {
+        return mState.configuration().object(key).map(VersionedObject::ticketNumber).orElse(0L);
+    }
+
+    private boolean mayAsk(ObjectKey key, long nowNanos) {
+        Long askedNanos = mAskedNanos.get(key);
+        if (askedNanos != null && nowNanos - askedNanos < ASK_AGAIN_NANOS) {
+            return false;
+        }
+        if (mAskedNanos.size() >= MAXIMUM_ASKED) {
+            mAskedNanos.clear();
+        }
+        mAskedNanos.put(key, nowNanos);
+        return true;
+    }
+
+    /** Answers a peer that asks for objects. */
+    List<PeerMessage> onWanted(PeerMessage.ObjectsWanted wanted) {
+        List<VersionedObject> found =
+                wanted.keys().stream()
+                        .limit(KEYS_PER_MESSAGE)
+                        .flatMap(key -> mState.configuration().object(key).stream())
+                        .toList();
+        return found.isEmpty() ? List.of() : objects(found);
+    }
+
+    /** Takes objects of a peer. */
+    void onObjects(PeerMessage.Objects objects) {
+        mState.merge(objects.objects());
+        objects.objects().forEach(object -> mAskedNanos.remove(object.key()));
+    }
+
+    private static List<PeerMessage> objects(List<VersionedObject> objects) {
+        return objects.isEmpty()
+                ? List.of(new PeerMessage.Objects(List.of()))
+                : Lists.partition(objects, OBJECTS_PER_MESSAGE).stream()
+                        .<PeerMessage>map(PeerMessage.Objects::new)
+                        .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/membership/PeerTable.java
@@ -0,0 +1,132 @@
+package org.wasabilug.internal.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.NameRules;
+import org.wasabilug.port.ListedInstance;
+import org.wasabilug.port.ListedRole;
+import org.wasabilug.port.PeerMessage;
+
+/**
+ * Peers that an instance knows, and the bounded set of them that it talks to.
+ *
+ * <p>The set holds the highest ranked of the own failure domain and a few beyond. Both ends of a
+ * pair work out the same rank, so the choice is mostly mutual and load is even.
+ */
+final class PeerTable {
+    static final int CHOSEN_WITHIN = 8;
+    static final int CHOSEN_BEYOND = 4;
+
+    private final InstanceName mSelf;
+    private final FailureDomainName mFailureDomain;
+    private final Map<InstanceName, Peer> mPeers = new TreeMap<>();
+    private List<Peer> mChosen = List.of();
+    private int mListedCount;
+
+    PeerTable(InstanceName self, FailureDomainName failureDomain) {
+        mSelf = self;
+        mFailureDomain = failureDomain;
+    }
+
+    private long rankOf(InstanceName other) {
+        boolean first = mSelf.compareTo(other) < 0;
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putString((first ? mSelf : other).value(), StandardCharsets.UTF_8)
+                .putChar(' ')
+                .putString((first ? other : mSelf).value(), StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+
+    void listed(List<ListedInstance> instances, long nowNanos) {
+        Set<InstanceName> names = new HashSet<>();
+        mListedCount = 0;
+        for (ListedInstance instance : instances) {
+            if (instance.role() == ListedRole.ENTRY && NameRules.isValid(instance.name())) {
+                InstanceName name = new InstanceName(instance.name());
+                mListedCount += instance.leaving() ? 0 : 1;
+                if (!name.equals(mSelf) && names.add(name)) {
+                    peer(name, instance.failureDomain())
+                            .listed(instance.failureDomain(), instance.address());
+                }
+            }
+        }
+        mPeers.values().stream()
+                .filter(peer -> !names.contains(peer.name()))
+                .forEach(Peer::notListed);
+        choose(nowNanos);
+    }
+
+    private Peer peer(InstanceName name, FailureDomainName failureDomain) {
+        return mPeers.computeIfAbsent(
+                name, absent -> new Peer(name, rankOf(name), failureDomain, ""));
+    }
+
+    /** Takes a heartbeat; empty where it comes from an earlier life of the peer. */
+    Optional<Peer> heard(InstanceName sender, PeerMessage.Heartbeat heartbeat, long nowNanos) {
+        boolean known = mPeers.containsKey(sender);
+        Peer peer = peer(sender, heartbeat.failureDomain());
+        boolean current = peer.heard(heartbeat, nowNanos);
+        if (!known) {
+            choose(nowNanos);
+        }
+        return current ? Optional.of(peer) : Optional.empty();
+    }
+
+    /** Works out again whom to talk to. */
+    void choose(long nowNanos) {
+        mPeers.values().removeIf(peer -> peer.isForgotten(nowNanos));
+        List<Peer> chosen = new ArrayList<>();
+        best(true, CHOSEN_WITHIN, nowNanos).forEach(chosen::add);
+        best(false, CHOSEN_BEYOND, nowNanos).forEach(chosen::add);
+        mPeers.values().forEach(peer -> peer.chosen(chosen.contains(peer), nowNanos));
+        mChosen = List.copyOf(chosen);
+    }
+
+    private Stream<Peer> best(boolean within, int limit, long nowNanos) {
+        return mPeers.values().stream()
+                .filter(peer -> peer.failureDomain().equals(mFailureDomain) == within)
+                .sorted(
+                        Comparator.comparing((Peer peer) -> peer.isSuspect(nowNanos))
+                                .thenComparing(Peer::rank))
+                .limit(limit);
+    }
+
+    List<Peer> chosen() {
+        return mChosen;
+    }
+
+    List<Peer> suspects(long nowNanos) {
+        return mPeers.values().stream().filter(peer -> peer.isSuspect(nowNanos)).toList();
+    }
+
+    Optional<Peer> find(InstanceName name) {
+        return Optional.ofNullable(mPeers.get(name));
+    }
+
+    List<Peer> all() {
+        return List.copyOf(mPeers.values());
+    }
+
+    List<Peer> live(long nowNanos) {
+        return mPeers.values().stream()
+                .filter(peer -> peer.isLive(nowNanos) && !peer.isStopping())
+                .toList();
+    }
+
+    int countEstimate(long nowNanos) {
+        return Math.max(mListedCount, 1 + live(nowNanos).size());
+    }
+}
