--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/instance/PlannedStop.java
@@ -0,0 +1,32 @@
+package org.wasabilug.internal.instance;
+
+/** Holds a planned stop back until the session lease is given back, for a bounded time. */
+final class PlannedStop {
+    private static final long RELEASE_PATIENCE_NANOS = 2_000_000_000L;
+
+    private boolean mReleasing;
+    private boolean mFinished;
+    private long mPatienceEndsNanos;
+
+    boolean isReleasing() {
+        return mReleasing;
+    }
+
+    void beginRelease(long nowNanos) {
+        mReleasing = true;
+        mPatienceEndsNanos = nowNanos + RELEASE_PATIENCE_NANOS;
+    }
+
+    /** True once, when the process may end. */
+    boolean finishes(boolean released, long nowNanos) {
+        if (!mReleasing || mFinished) {
+            return false;
+        }
+        mFinished = released || nowNanos - mPatienceEndsNanos >= 0;
+        return mFinished;
+    }
+
+    long nextWakeNanos() {
+        return mReleasing && !mFinished ? mPatienceEndsNanos : Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/instance/RunningAttempts.java
@@ -0,0 +1,44 @@
+package org.wasabilug.internal.instance;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.model.EndpointName;
+
+/** Knows where each running attempt was sent. */
+final class RunningAttempts {
+    private final Map<AttemptId, EndpointName> mEndpoints = new HashMap<>();
+
+    void noteActions(List<InstanceAction> actions) {
+        for (InstanceAction action : actions) {
+            if (action instanceof InstanceAction.Dispatch dispatch) {
+                mEndpoints.put(dispatch.call().attempt(), dispatch.call().endpoint());
+            } else if (action instanceof InstanceAction.CancelAttempt cancel) {
+                mEndpoints.remove(cancel.attempt());
+            }
+        }
+    }
+
+    /** The endpoint whose connection failed, where the event says that one did. */
+    Optional<EndpointName> lostEndpoint(InstanceEvent event) {
+        if (event instanceof InstanceEvent.StageFailed failed) {
+            Optional<EndpointName> endpoint = endOf(failed.attempt());
+            return switch (failed.kind()) {
+                case CONNECTION_LOST, CONNECTION_REFUSED -> endpoint;
+                case OVERLOADED, TIMED_OUT, REJECTED, FAILED -> Optional.empty();
+            };
+        }
+        if (event instanceof InstanceEvent.StageFinished finished) {
+            endOf(finished.attempt());
+        }
+        return Optional.empty();
+    }
+
+    private Optional<EndpointName> endOf(AttemptId attempt) {
+        return Optional.ofNullable(mEndpoints.remove(attempt));
+    }
+}
