Add the session lease

Cause: instances need a right that ends by itself when they pause or die. Change: one row an instance, renewed under its version; the holder counts its term from before the sending, and a session that lapsed never continues. An observer tells from reads which sessions of others have ended. Conclusion: grants and orders can refer to an epoch.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/lease/SessionLease.java
@@ -0,0 +1,343 @@
+package org.wasabilug.internal.lease;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OperationId;
+import org.wasabilug.internal.event.Part;
+import org.wasabilug.internal.table.RowJson;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.port.CommitOutcome;
+import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.port.Row;
+import org.wasabilug.port.RowCondition;
+import org.wasabilug.port.RowKey;
+import org.wasabilug.port.RowWrite;
+import org.wasabilug.port.TableRead;
+import org.wasabilug.port.TableTransaction;
+
+/**
+ * Holds one row of the table service in the name of an instance.
+ *
+ * <p>The holder counts its term from the moment before it sent the renewal that committed. A
+ * session ends for good once its term has run out, even where a renewal lands afterwards; the next
+ * session has a higher epoch. A process that finds the row of another waits a whole term and a
+ * margin on its own clock after it last saw the row change.
+ */
+public final class SessionLease implements HeldLease {
+    private static final double JITTER_SHARE = 0.1;
+    private static final int RETRIES_PER_RENEWAL = 6;
+    private static final int LOOKS_PER_RENEWAL = 3;
+
+    private final InstanceName mInstance;
+    private final RowKey mKey;
+    private final String mIncarnation;
+    private final UniformRandomProvider mRandom;
+    private final LeaseSettings mSettings;
+    private final LeaseObserver mObserver;
+    private long mOperationCount;
+    private Optional<Sent> mOutstanding = Optional.empty();
+    private Optional<Row> mRow = Optional.empty();
+    private boolean mRowWasRead;
+    private boolean mDoubtful;
+    private long mDoubtSinceNanos;
+    private long mNextStepNanos = Long.MIN_VALUE;
+    private boolean mReleasing;
+    private boolean mReleased;
+    private long mEpoch;
+    private boolean mHeld;
+    private long mExpiryNanos;
+
+    /** A request to the table service that waits for its answer; a read carries no value. */
+    private record Sent(OperationId operation, long sentNanos, Optional<LeaseRow> value) {}
+
+    SessionLease(SessionLeaseBuilder builder) {
+        mInstance = builder.mInstance;
+        mKey = LeaseRow.keyOf(builder.mInstance);
+        mIncarnation = builder.mIncarnation;
+        mRandom = builder.mRandom;
+        mSettings = builder.mSettings;
+        mObserver = new LeaseObserver(builder.mSettings);
+    }
+
+    /**
+     * Starts building.
+     *
+     * @return a builder with default times
+     */
+    public static SessionLeaseBuilder builder() {
+        return new SessionLeaseBuilder();
+    }
+
+    @Override
+    public long epoch() {
+        return mEpoch;
+    }
+
+    @Override
+    public String incarnation() {
+        return mIncarnation;
+    }
+
+    @Override
+    public InstanceName instance() {
+        return mInstance;
+    }
+
+    @Override
+    public boolean isHeld(long nowNanos) {
+        return mHeld && nowNanos < mExpiryNanos;
+    }
+
+    /**
+     * Time until the lease lapses unless it is renewed.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return nanoseconds; 0 where it is not held
+     */
+    public long remainingNanos(long nowNanos) {
+        return isHeld(nowNanos) ? mExpiryNanos - nowNanos : 0;
+    }
+
+    /**
+     * When {@link #tick} wants to be called next.
+     *
+     * @return monotonic time, in nanoseconds
+     */
+    public long nextWakeNanos() {
+        return mOutstanding
+                .map(sent -> sent.sentNanos() + mSettings.answerTimeout().toNanos())
+                .orElse(mReleased ? Long.MAX_VALUE : mNextStepNanos);
+    }
+
+    /**
+     * Tells whether the lease was given back and the table service has confirmed it.
+     *
+     * @return true once nothing is left to do
+     */
+    public boolean isReleased() {
+        return mReleased;
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return requests to the table service
+     */
+    public List<InstanceAction> tick(long nowNanos) {
+        endLapsedSession(nowNanos);
+        if (mOutstanding.isPresent() && nowNanos >= nextWakeNanos()) {
+            giveUpWaiting(nowNanos);
+        }
+        if (mOutstanding.isPresent() || mReleased || nowNanos < mNextStepNanos) {
+            return List.of();
+        }
+        return step(nowNanos);
+    }
+
+    /**
+     * Gives the lease back; to be called once every call in flight has ended. It does not hold from
+     * now on.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return requests to the table service
+     */
+    public List<InstanceAction> release(long nowNanos) {
+        mReleasing = true;
+        mHeld = false;
+        mNextStepNanos = nowNanos;
+        return tick(nowNanos);
+    }
+
+    /**
+     * Takes an answer of the table service; other events change nothing.
+     *
+     * @param event what happened
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return requests to the table service
+     */
+    public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
+        endLapsedSession(nowNanos);
+        switch (event) {
+            case InstanceEvent.CommitAnswered answer when isAwaited(answer.operation()) ->
+                    takeCommit(answer.outcome(), nowNanos);
+            case InstanceEvent.ReadAnswered answer when isAwaited(answer.operation()) ->
+                    takeRead(answer.outcome(), nowNanos);
+            default -> {
+                return List.of();
+            }
+        }
+        return tick(nowNanos);
+    }
+
+    private boolean isAwaited(OperationId operation) {
+        return mOutstanding.filter(sent -> sent.operation().equals(operation)).isPresent();
+    }
+
+    private void endLapsedSession(long nowNanos) {
+        mHeld = isHeld(nowNanos);
+    }
+
+    private void giveUpWaiting(long nowNanos) {
+        Sent sent = mOutstanding.orElseThrow();
+        mOutstanding = Optional.empty();
+        if (sent.value().isPresent()) {
+            doubt(sent);
+        }
+        mNextStepNanos = nowNanos;
+    }
+
+    private List<InstanceAction> step(long nowNanos) {
+        if (mHeld) {
+            return commit(row(mEpoch, false), nowNanos);
+        }
+        if (mReleasing) {
+            return stepRelease(nowNanos);
+        }
+        if (mRowWasRead && mayTake()) {
+            long highest = Math.max(mEpoch, mRow.map(row -> LeaseRow.of(row).epoch()).orElse(0L));
+            return commit(row(highest + 1, false), nowNanos);
+        }
+        return read(nowNanos);
+    }
+
+    private List<InstanceAction> stepRelease(long nowNanos) {
+        boolean ownsRow =
+                mRow.map(row -> isMine(row) && !LeaseRow.of(row).released()).orElse(false);
+        if (ownsRow || mDoubtful) {
+            long highest = Math.max(mEpoch, mRow.map(row -> LeaseRow.of(row).epoch()).orElse(0L));
+            return commit(row(highest + 1, true), nowNanos);
+        }
+        mReleased = true;
+        return List.of();
+    }
+
+    private boolean mayTake() {
+        if (mRow.isEmpty()) {
+            return true;
+        }
+        LeaseRow value = LeaseRow.of(mRow.get());
+        return isMine(mRow.get())
+                || value.released()
+                || mObserver.endedSince(mInstance, value.epoch()).isPresent();
+    }
+
+    private boolean isMine(Row row) {
+        return LeaseRow.of(row).incarnation().equals(mIncarnation);
+    }
+
+    private LeaseRow row(long epoch, boolean released) {
+        return new LeaseRow(epoch, mIncarnation, mSettings.term().toMillis(), released);
+    }
+
+    private List<InstanceAction> read(long nowNanos) {
+        OperationId operation = begin(Optional.empty(), nowNanos);
+        return List.of(
+                new InstanceAction.ReadTable(operation, new TableRead.Points(List.of(mKey))));
+    }
+
+    private List<InstanceAction> commit(LeaseRow value, long nowNanos) {
+        OperationId operation = begin(Optional.of(value), nowNanos);
+        RowCondition condition =
+                mRow.<RowCondition>map(row -> new RowCondition.VersionIs(mKey, row.version()))
+                        .orElseGet(() -> new RowCondition.Absent(mKey));
+        RowWrite write = new RowWrite.Put(mKey, RowJson.write(value));
+        return List.of(
+                new InstanceAction.CommitTable(
+                        operation, new TableTransaction(List.of(condition), List.of(write))));
+    }
+
+    private OperationId begin(Optional<LeaseRow> value, long nowNanos) {
+        OperationId operation = new OperationId(Part.LEASE, ++mOperationCount);
+        mOutstanding = Optional.of(new Sent(operation, nowNanos, value));
+        return operation;
+    }
+
+    private void takeCommit(CommitOutcome outcome, long nowNanos) {
+        Sent sent = mOutstanding.orElseThrow();
+        mOutstanding = Optional.empty();
+        switch (outcome) {
+            case CommitOutcome.Committed ignored -> {
+                long version = mRow.map(Row::version).orElse(0L) + 1;
+                Row row = new Row(mKey, RowJson.write(sent.value().orElseThrow()), version);
+                settle(row, sent.sentNanos(), nowNanos);
+            }
+            case CommitOutcome.Rejected rejected -> takeRejected(rejected, nowNanos);
+            case CommitOutcome.NotSent ignored -> mNextStepNanos = nowNanos + retryNanos();
+            case CommitOutcome.Unknown ignored -> {
+                doubt(sent);
+                mNextStepNanos = nowNanos + retryNanos();
+            }
+        }
+    }
+
+    private void doubt(Sent sent) {
+        if (!mDoubtful) {
+            mDoubtSinceNanos = sent.sentNanos();
+        }
+        mDoubtful = true;
+    }
+
+    /** Every doubtful write named an older version than the row now has; none can land later. */
+    private void takeRejected(CommitOutcome.Rejected rejected, long nowNanos) {
+        boolean wasDoubtful = mDoubtful;
+        mDoubtful = false;
+        mRow = rejected.current().stream().filter(row -> row.key().equals(mKey)).findFirst();
+        mNextStepNanos = nowNanos;
+        if (mRow.isPresent() && isMine(mRow.get()) && wasDoubtful) {
+            settle(mRow.get(), mDoubtSinceNanos, nowNanos);
+            mNextStepNanos = nowNanos;
+        } else {
+            mHeld = false;
+            mRowWasRead = mRow.map(this::isMine).orElse(true);
+        }
+    }
+
+    private void settle(Row row, long sentNanos, long nowNanos) {
+        LeaseRow value = LeaseRow.of(row);
+        mRow = Optional.of(row);
+        mDoubtful = false;
+        mNextStepNanos = nowNanos;
+        long expiry = sentNanos + mSettings.term().toNanos() - mSettings.safetyMargin().toNanos();
+        boolean continuesSession = mHeld && value.epoch() == mEpoch;
+        boolean opensSession = value.epoch() > mEpoch && !mReleasing && !value.released();
+        mEpoch = Math.max(mEpoch, value.epoch());
+        if ((continuesSession || opensSession) && nowNanos < expiry) {
+            mExpiryNanos = continuesSession ? Math.max(expiry, mExpiryNanos) : expiry;
+            mHeld = true;
+            mNextStepNanos = nowNanos + jittered(mSettings.renewal().toNanos());
+        }
+    }
+
+    private void takeRead(ReadOutcome outcome, long nowNanos) {
+        Sent sent = mOutstanding.orElseThrow();
+        mOutstanding = Optional.empty();
+        if (!(outcome instanceof ReadOutcome.Rows rows)) {
+            mNextStepNanos = nowNanos + retryNanos();
+            return;
+        }
+        Optional<Row> row = rows.rows().stream().filter(each -> each.key().equals(mKey)).findAny();
+        if (mRow.isPresent() && row.map(Row::version).orElse(0L) < mRow.get().version()) {
+            mNextStepNanos = nowNanos + retryNanos();
+            return;
+        }
+        mRow = row;
+        mRowWasRead = true;
+        mObserver.observe(mInstance, row, sent.sentNanos(), nowNanos);
+        mNextStepNanos =
+                mayTake()
+                        ? nowNanos
+                        : nowNanos + jittered(mSettings.renewal().toNanos() / LOOKS_PER_RENEWAL);
+    }
+
+    private long retryNanos() {
+        return jittered(mSettings.renewal().toNanos() / RETRIES_PER_RENEWAL);
+    }
+
+    private long jittered(long nanos) {
+        return (long) (nanos * (1 - JITTER_SHARE + 2 * JITTER_SHARE * mRandom.nextDouble()));
+    }
+}
