--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/grant/GrantSettings.java
@@ -0,0 +1,34 @@
+package org.wasabilug.internal.grant;
+
+import java.time.Duration;
+
+/**
+ * Times of cold-start grants.
+ *
+ * @param look time between two reads of slots that are wanted
+ * @param idle an unused slot is given back after this
+ * @param turn a used slot is given back after this where no slot is free
+ * @param extraDelay least time before one instance takes a further slot of an endpoint
+ * @param longestCall no call at an endpoint in cold start lasts longer
+ * @param proofValidity how long a report proves that an endpoint is warm
+ * @param rampStep time in which the allowance of a newly warm endpoint doubles
+ */
+public record GrantSettings(
+        Duration look,
+        Duration idle,
+        Duration turn,
+        Duration extraDelay,
+        Duration longestCall,
+        Duration proofValidity,
+        Duration rampStep) {
+    /** Slots looked at twice a second, calls of up to 10 s. */
+    public static final GrantSettings DEFAULT =
+            new GrantSettings(
+                    Duration.ofMillis(500),
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(20),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(10),
+                    Duration.ofSeconds(60),
+                    Duration.ofSeconds(1));
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/grant/Warmth.java
@@ -0,0 +1,111 @@
+package org.wasabilug.internal.grant;
+
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.port.LoadReport;
+
+/**
+ * Whether an endpoint is proven warm. It is cold until a report of its present life says otherwise,
+ * and cold again from the first evidence of a restart on; a report that may be older than the
+ * evidence proves nothing.
+ */
+final class Warmth {
+    /** A report may have been on its way for this long beyond its stated age. */
+    private static final long TRANSIT_NANOS = 500_000_000L;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final int MAXIMUM_DOUBLINGS = 10;
+
+    private final GrantSettings mSettings;
+    private long mGeneration;
+    private boolean mGenerationKnown;
+    private boolean mWarm;
+    private boolean mSeenCold;
+    private long mProvenNanos = NEVER;
+    private long mWarmSinceNanos = NEVER;
+    private long mSampleNanos = NEVER;
+    private long mEvidenceNanos = NEVER;
+
+    /** Calls sent while the endpoint passed for warm may run until then. */
+    private long mQuietUntilNanos = NEVER;
+
+    Warmth(GrantSettings settings) {
+        mSettings = settings;
+    }
+
+    long generation() {
+        return mGeneration;
+    }
+
+    boolean isWarm(long nowNanos) {
+        return mWarm && nowNanos - mProvenNanos <= mSettings.proofValidity().toNanos();
+    }
+
+    /**
+     * True while calls of other instances may be left over from before the endpoint turned cold.
+     */
+    boolean isQuiet(long nowNanos) {
+        return nowNanos < mQuietUntilNanos;
+    }
+
+    /** Notes that the endpoint may have restarted. */
+    void evidence(long nowNanos) {
+        mEvidenceNanos = nowNanos;
+        turnCold(nowNanos);
+    }
+
+    private void turnCold(long nowNanos) {
+        if (mWarm) {
+            mQuietUntilNanos = nowNanos + mSettings.longestCall().toNanos();
+        }
+        mWarm = false;
+        mSeenCold = true;
+    }
+
+    /** Takes a report; {@code ownCalls} are the calls of this instance in flight there. */
+    void reported(LoadReport report, int ownCalls, long nowNanos) {
+        long sampleNanos = nowNanos - report.ageMilliseconds() * 1_000_000;
+        if (sampleNanos < mSampleNanos) {
+            return;
+        }
+        mSampleNanos = sampleNanos;
+        boolean otherLife = mGenerationKnown && report.generation() != mGeneration;
+        boolean fresh = otherLife || sampleNanos - TRANSIT_NANOS > mEvidenceNanos;
+        mGeneration = report.generation();
+        mGenerationKnown = true;
+        if (otherLife) {
+            turnCold(nowNanos);
+            // Calls of the earlier life ended with it.
+            mQuietUntilNanos = NEVER;
+        }
+        if (report.cold()) {
+            turnCold(nowNanos);
+            endQuiet(report, fresh, ownCalls);
+        } else if (fresh) {
+            proveWarm(nowNanos);
+        }
+    }
+
+    private void endQuiet(LoadReport report, boolean fresh, int ownCalls) {
+        if (fresh && report.inFlight() + report.queued() <= ownCalls) {
+            mQuietUntilNanos = NEVER;
+        }
+    }
+
+    private void proveWarm(long nowNanos) {
+        if (!mWarm) {
+            mWarmSinceNanos = mSeenCold ? nowNanos : NEVER;
+        }
+        mWarm = true;
+        mProvenNanos = nowNanos;
+    }
+
+    /** Most calls of one instance at a warm endpoint, which doubles in steps after a cold start. */
+    int warmAllowance(Endpoint endpoint, long nowNanos) {
+        long doublings = (nowNanos - mWarmSinceNanos) / mSettings.rampStep().toNanos();
+        if (doublings >= MAXIMUM_DOUBLINGS) {
+            return ColdStartGate.UNLIMITED;
+        }
+        int allowance = Math.max(1, endpoint.coldLimit()) << doublings;
+        return allowance >= endpoint.concurrencyLimit() ? ColdStartGate.UNLIMITED : allowance;
+    }
+}
