Add the quarantine of contents that crash endpoints

Cause: a request that crashed two endpoints must not reach a third. Change: crashes with everything that ran there, a judge that looks for the only common content, dismissal by reports of the same life and for mass events. Conclusion: the judgement is kept until evidence changes.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/Crash.java
@@ -0,0 +1,34 @@
+package org.wasabilug.internal.quarantine;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.wasabilug.model.EndpointName;
+
+/** One crash of an endpoint with the contents that ran there, as far as they are known. */
+final class Crash {
+    final EndpointName mEndpoint;
+    final long mGeneration;
+    final long mTimeNanos;
+    final Set<Long> mFingerprints = new TreeSet<>();
+
+    /** How often this crash is still to be told to peers. */
+    int mSharesLeft;
+
+    Crash(EndpointName endpoint, long generation, long timeNanos, int shares) {
+        mEndpoint = endpoint;
+        mGeneration = generation;
+        mTimeNanos = timeNanos;
+        mSharesLeft = shares;
+    }
+
+    boolean isOf(EndpointName endpoint, long generation) {
+        return mGeneration == generation && mEndpoint.equals(endpoint);
+    }
+
+    /** True where this content is the only one that ran at both crashes. */
+    boolean sharesOnly(long fingerprint, Crash other) {
+        return mFingerprints.contains(fingerprint)
+                && other.mFingerprints.contains(fingerprint)
+                && mFingerprints.stream().filter(other.mFingerprints::contains).count() == 1;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
@@ -0,0 +1,274 @@
+package org.wasabilug.internal.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.internal.event.Decision;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.port.CrashEvidence;
+import org.wasabilug.port.LoadReport;
+
+/**
+ * Quarantine of contents that crash endpoints.
+ *
+ * <p>A lost connection is taken for a crash until a later report shows the endpoint in the same
+ * life. Every content that ran there is a suspect; {@link CrashJudge} tells the culprit.
+ */
+public final class CrashQuarantine implements CrashWatch {
+    private static final int OWN_SHARES = 5;
+    private static final int HEARD_SHARES = 2;
+    private static final int MAXIMUM_SHARED = 64;
+
+    /** A report may have been on its way for this long beyond its stated age. */
+    private static final long TRANSIT_NANOS = 500_000_000L;
+
+    private final QuarantineSettings mSettings;
+    private final CrashJudge mJudge;
+    private final Map<AttemptId, Running> mRunning = new HashMap<>();
+    private final Map<EndpointName, Life> mLives = new HashMap<>();
+    private final List<Crash> mCrashes = new ArrayList<>();
+    private Optional<CrashJudge.Judgement> mJudgement = Optional.empty();
+    private Configuration mConfiguration = Configuration.empty();
+
+    private record Running(long fingerprint, EndpointName endpoint, long sinceNanos) {}
+
+    private record Life(long generation, long sampleNanos) {}
+
+    /**
+     * Creates a quarantine without evidence.
+     *
+     * @param settings times and bounds
+     */
+    public CrashQuarantine(QuarantineSettings settings) {
+        mSettings = settings;
+        mJudge =
+                new CrashJudge(
+                        settings,
+                        name -> mConfiguration.endpoint(name).map(Endpoint::failureDomain));
+    }
+
+    @Override
+    public Suspicion judge(long fingerprint, long nowNanos) {
+        if (mCrashes.isEmpty()) {
+            return Suspicion.CLEAN;
+        }
+        CrashJudge.Judgement judgement = judgement(nowNanos);
+        if (judgement.quarantined().contains(fingerprint)) {
+            return Suspicion.QUARANTINED;
+        }
+        return judgement.suspects().contains(fingerprint) ? Suspicion.SUSPECT : Suspicion.CLEAN;
+    }
+
+    private CrashJudge.Judgement judgement(long nowNanos) {
+        if (dropExpired(nowNanos) || mJudgement.isEmpty()) {
+            mJudgement = Optional.of(mJudge.judge(mCrashes));
+        }
+        return mJudgement.get();
+    }
+
+    private boolean dropExpired(long nowNanos) {
+        long oldest = nowNanos - mSettings.expiry().toNanos();
+        return mCrashes.removeIf(crash -> crash.mTimeNanos < oldest);
+    }
+
+    /**
+     * Tells whether a suspect may be sent to an endpoint: only where no other suspect of this
+     * instance runs, so that the next crash tells them apart.
+     *
+     * @param fingerprint hash of the content
+     * @param endpoint the endpoint
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return true also for contents that are no suspects
+     */
+    public boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos) {
+        if (judge(fingerprint, nowNanos) == Suspicion.CLEAN) {
+            return true;
+        }
+        return mRunning.values().stream()
+                .filter(running -> running.endpoint().equals(endpoint))
+                .noneMatch(running -> judge(running.fingerprint(), nowNanos) != Suspicion.CLEAN);
+    }
+
+    @Override
+    public void dispatched(
+            AttemptId attempt, long fingerprint, EndpointName endpoint, long nowNanos) {
+        mRunning.put(attempt, new Running(fingerprint, endpoint, nowNanos));
+    }
+
+    @Override
+    public List<InstanceAction> ended(AttemptId attempt, boolean crashed, long nowNanos) {
+        Running ended = mRunning.remove(attempt);
+        if (ended == null || !crashed) {
+            return List.of();
+        }
+        long generation =
+                Optional.ofNullable(mLives.get(ended.endpoint())).map(Life::generation).orElse(0L);
+        Optional<Crash> known = crashOf(ended.endpoint(), generation, nowNanos);
+        Crash crash =
+                known.filter(each -> ended.sinceNanos() <= each.mTimeNanos)
+                        .orElseGet(() -> add(ended.endpoint(), generation, nowNanos, OWN_SHARES));
+        crash.mFingerprints.add(ended.fingerprint());
+        crash.mSharesLeft = OWN_SHARES;
+        mRunning.values().stream()
+                .filter(running -> running.endpoint().equals(ended.endpoint()))
+                .filter(running -> running.sinceNanos() <= crash.mTimeNanos)
+                .forEach(running -> crash.mFingerprints.add(running.fingerprint()));
+        mJudgement = Optional.empty();
+        return List.of(new InstanceAction.LogDecision(decision(attempt, ended, nowNanos)));
+    }
+
+    private Decision decision(AttemptId attempt, Running ended, long nowNanos) {
+        return new Decision(
+                "quarantine",
+                attempt.request().value(),
+                "",
+                attempt.stage().value(),
+                0,
+                ended.endpoint().value(),
+                "connection lost; content is " + judge(ended.fingerprint(), nowNanos),
+                -1);
+    }
+
+    private Optional<Crash> crashOf(EndpointName endpoint, long generation, long timeNanos) {
+        long window = mSettings.sameCrashWindow().toNanos();
+        return mCrashes.stream()
+                .filter(crash -> crash.isOf(endpoint, generation))
+                .filter(crash -> Math.abs(crash.mTimeNanos - timeNanos) <= window)
+                .max(Comparator.comparingLong(crash -> crash.mTimeNanos));
+    }
+
+    private Crash add(EndpointName endpoint, long generation, long timeNanos, int shares) {
+        if (mCrashes.size() >= mSettings.maximumCrashes()) {
+            mCrashes.remove(
+                    mCrashes.stream()
+                            .min(Comparator.comparingLong(crash -> crash.mTimeNanos))
+                            .orElseThrow());
+        }
+        Crash crash = new Crash(endpoint, generation, timeNanos, shares);
+        mCrashes.add(crash);
+        return crash;
+    }
+
+    /**
+     * Takes a load report; it tells whether a lost connection was a crash.
+     *
+     * @param endpoint whose
+     * @param report the report
+     * @param nowNanos monotonic time, in nanoseconds
+     */
+    public void reported(EndpointName endpoint, LoadReport report, long nowNanos) {
+        long sampleNanos = nowNanos - report.ageMilliseconds() * 1_000_000;
+        Life life = mLives.get(endpoint);
+        if (life != null && sampleNanos < life.sampleNanos()) {
+            return;
+        }
+        mLives.put(endpoint, new Life(report.generation(), sampleNanos));
+        boolean dismissed =
+                mCrashes.removeIf(
+                        crash ->
+                                crash.isOf(endpoint, report.generation())
+                                        && sampleNanos - TRANSIT_NANOS > crash.mTimeNanos);
+        if (dismissed) {
+            mJudgement = Optional.empty();
+        }
+    }
+
+    /**
+     * Takes evidence of a peer.
+     *
+     * @param crashes the evidence
+     * @param nowNanos monotonic time, in nanoseconds
+     */
+    public void heard(List<CrashEvidence> crashes, long nowNanos) {
+        for (CrashEvidence evidence : crashes) {
+            long timeNanos = nowNanos - evidence.ageMilliseconds() * 1_000_000;
+            if (isExpired(timeNanos, nowNanos) || isDisproved(evidence, timeNanos)) {
+                continue;
+            }
+            Crash crash =
+                    crashOf(evidence.endpoint(), evidence.generation(), timeNanos)
+                            .orElseGet(
+                                    () ->
+                                            add(
+                                                    evidence.endpoint(),
+                                                    evidence.generation(),
+                                                    timeNanos,
+                                                    HEARD_SHARES));
+            if (crash.mFingerprints.add(evidence.fingerprint())) {
+                mJudgement = Optional.empty();
+            }
+        }
+    }
+
+    private boolean isExpired(long timeNanos, long nowNanos) {
+        return timeNanos < nowNanos - mSettings.expiry().toNanos();
+    }
+
+    private boolean isDisproved(CrashEvidence evidence, long timeNanos) {
+        Life life = mLives.get(evidence.endpoint());
+        return life != null
+                && life.generation() == evidence.generation()
+                && life.sampleNanos() - TRANSIT_NANOS > timeNanos;
+    }
+
+    /**
+     * Evidence to tell peers now; each crash is told a few times, since messages get lost.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the evidence; empty where there is nothing to tell
+     */
+    public List<CrashEvidence> toShare(long nowNanos) {
+        List<CrashEvidence> evidence = new ArrayList<>();
+        for (Crash crash : mCrashes) {
+            if (crash.mSharesLeft > 0 && evidence.size() < MAXIMUM_SHARED) {
+                crash.mSharesLeft--;
+                addEvidence(crash, nowNanos, evidence);
+            }
+        }
+        return evidence;
+    }
+
+    /**
+     * All evidence, for a peer that has just started.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the evidence
+     */
+    public List<CrashEvidence> all(long nowNanos) {
+        List<CrashEvidence> evidence = new ArrayList<>();
+        mCrashes.forEach(crash -> addEvidence(crash, nowNanos, evidence));
+        return evidence;
+    }
+
+    private void addEvidence(Crash crash, long nowNanos, List<CrashEvidence> evidence) {
+        boolean alone = crash.mFingerprints.size() == 1;
+        long ageMilliseconds = (nowNanos - crash.mTimeNanos) / 1_000_000;
+        for (long fingerprint : crash.mFingerprints) {
+            evidence.add(
+                    new CrashEvidence(
+                            fingerprint,
+                            crash.mEndpoint,
+                            crash.mGeneration,
+                            alone,
+                            ageMilliseconds));
+        }
+    }
+
+    /**
+     * Takes a new configuration, which tells the failure domain of each endpoint.
+     *
+     * @param configuration configuration in force
+     */
+    public void configurationChanged(Configuration configuration) {
+        mConfiguration = configuration;
+        mLives.keySet().removeIf(name -> configuration.endpoint(name).isEmpty());
+        mJudgement = Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/QuarantineSettings.java
@@ -0,0 +1,24 @@
+package org.wasabilug.internal.quarantine;
+
+import java.time.Duration;
+
+/**
+ * Times and bounds of the quarantine.
+ *
+ * @param expiry evidence counts for this long
+ * @param sameCrashWindow losses of one endpoint within this time are one crash
+ * @param massWindow crashes in one failure domain within this time may have one other cause
+ * @param massEndpoints so many endpoints must crash for that
+ * @param maximumCrashes most crashes in memory; the oldest go first
+ */
+public record QuarantineSettings(
+        Duration expiry,
+        Duration sameCrashWindow,
+        Duration massWindow,
+        int massEndpoints,
+        int maximumCrashes) {
+    /** Evidence counts for an hour. */
+    public static final QuarantineSettings DEFAULT =
+            new QuarantineSettings(
+                    Duration.ofHours(1), Duration.ofSeconds(5), Duration.ofSeconds(3), 3, 256);
+}
