Add orders to engines under a fenced right

Cause: engines must reach the state of their tickets, whoever orders them. Change: one right for each pool with a growing fencing number, read-back of all engines, bounded changes and loads. Conclusion: an engine that took an old order is found and put right.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/order/EngineOrders.java
@@ -0,0 +1,229 @@
+package org.wasabilug.internal.order;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.Decision;
+import org.wasabilug.internal.event.EngineOrder;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OrderOutcome;
+import org.wasabilug.internal.lease.HeldLease;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.EngineTarget;
+import org.wasabilug.model.PoolName;
+import org.wasabilug.port.VersionedObject;
+
+/**
+ * Brings model engines to the desired state of their tickets.
+ *
+ * <p>Only the holder of a pool's right gives orders, each with the right's fencing number. Engines
+ * are read back all the time, so that one that carried out an old order of an earlier holder is
+ * found and put right, whether it checks fencing numbers or not.
+ */
+public final class EngineOrders {
+    private static final long MINUTE_NANOS = 60_000_000_000L;
+
+    private final HeldLease mLease;
+    private final OrderSettings mSettings;
+    private final OrderRights mRights;
+    private final Map<EndpointName, EngineView> mEngines = new HashMap<>();
+    private final ArrayDeque<Long> mLoads = new ArrayDeque<>();
+    private Map<PoolName, List<Engine>> mPools = Map.of();
+
+    private record Engine(Endpoint endpoint, EngineTarget target) {}
+
+    /**
+     * Creates the part without any right.
+     *
+     * @param lease session lease of this process
+     * @param random seeded source of jitter
+     * @param settings times and bounds
+     */
+    public EngineOrders(HeldLease lease, UniformRandomProvider random, OrderSettings settings) {
+        mLease = lease;
+        mSettings = settings;
+        mRights = new OrderRights(lease, random, settings);
+    }
+
+    /**
+     * Takes a new configuration.
+     *
+     * @param configuration configuration in force
+     */
+    public void configurationChanged(Configuration configuration) {
+        mPools =
+                configuration.objects().stream()
+                        .map(VersionedObject::state)
+                        .flatMap(Optional::stream)
+                        .filter(EngineTarget.class::isInstance)
+                        .map(EngineTarget.class::cast)
+                        .flatMap(target -> engine(target, configuration).stream())
+                        .sorted(
+                                (left, right) ->
+                                        left.endpoint().name().compareTo(right.endpoint().name()))
+                        .collect(
+                                Collectors.groupingBy(
+                                        engine -> engine.endpoint().pool(),
+                                        TreeMap::new,
+                                        Collectors.toList()));
+        mRights.setPools(mPools.keySet());
+        mEngines.keySet().removeIf(name -> configuration.engineTarget(name).isEmpty());
+    }
+
+    private Optional<Engine> engine(EngineTarget target, Configuration configuration) {
+        return configuration
+                .endpoint(target.endpoint())
+                .filter(endpoint -> !endpoint.leaving())
+                .map(endpoint -> new Engine(endpoint, target));
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return requests to the table service and to engines, and log lines
+     */
+    public List<InstanceAction> tick(long nowNanos) {
+        List<InstanceAction> actions = new ArrayList<>(mRights.tick(nowNanos));
+        mPools.forEach(
+                (pool, engines) ->
+                        mRights.fencingNumber(pool, nowNanos)
+                                .ifPresent(number -> tend(engines, number, nowNanos, actions)));
+        return actions;
+    }
+
+    private void tend(
+            List<Engine> engines, long number, long nowNanos, List<InstanceAction> actions) {
+        for (Engine engine : engines) {
+            EngineView view = viewOf(engine);
+            if (nowNanos - view.mReadNanos >= mSettings.readBack().toNanos()) {
+                view.mReadNanos = nowNanos;
+                Endpoint endpoint = engine.endpoint();
+                actions.add(
+                        new InstanceAction.ReadEngineState(endpoint.name(), endpoint.address()));
+            }
+        }
+        long changing = engines.stream().filter(engine -> viewOf(engine).mayBeChanging()).count();
+        long allowed = Math.max(1, engines.size() / mSettings.changingDivisor());
+        for (Engine engine : engines) {
+            EngineView view = viewOf(engine);
+            boolean again =
+                    view.mChanging && nowNanos - view.mOrderedNanos >= mSettings.resend().toNanos();
+            boolean start = !view.mChanging && changing < allowed;
+            if (view.differsFrom(engine.target())
+                    && (again || start)
+                    && mayLoad(engine, nowNanos)) {
+                changing += start ? 1 : 0;
+                order(engine, number, nowNanos, actions);
+            }
+        }
+    }
+
+    private EngineView viewOf(Engine engine) {
+        return mEngines.computeIfAbsent(engine.endpoint().name(), name -> new EngineView());
+    }
+
+    private boolean mayLoad(Engine engine, long nowNanos) {
+        if (!viewOf(engine).needsLoad(engine.target())) {
+            return true;
+        }
+        while (!mLoads.isEmpty() && nowNanos - mLoads.getFirst() >= MINUTE_NANOS) {
+            mLoads.removeFirst();
+        }
+        if (mLoads.size() >= mSettings.loadsPerMinute()) {
+            return false;
+        }
+        mLoads.addLast(nowNanos);
+        return true;
+    }
+
+    private void order(Engine engine, long number, long nowNanos, List<InstanceAction> actions) {
+        EngineView view = viewOf(engine);
+        view.mChanging = true;
+        view.mOrderedNanos = nowNanos;
+        EngineOrder order = new EngineOrder(engine.target(), engine.endpoint().address(), number);
+        actions.add(new InstanceAction.SendOrder(order));
+        actions.add(
+                new InstanceAction.LogDecision(
+                        new Decision(
+                                "order",
+                                "",
+                                "",
+                                "",
+                                mPools.get(engine.endpoint().pool()).size(),
+                                engine.endpoint().name().value(),
+                                "state differs from its ticket; fencing number " + number,
+                                -1)));
+    }
+
+    /**
+     * Takes an answer of the table service or an engine; other events change nothing.
+     *
+     * @param event what happened
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return requests to the table service
+     */
+    public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
+        if (event instanceof InstanceEvent.OrderAnswered answer) {
+            takeEngineAnswer(answer.endpoint(), answer.outcome());
+            return List.of();
+        }
+        return mRights.handle(event, nowNanos);
+    }
+
+    private void takeEngineAnswer(EndpointName endpoint, OrderOutcome outcome) {
+        Optional<Engine> known =
+                mPools.values().stream()
+                        .flatMap(List::stream)
+                        .filter(engine -> engine.endpoint().name().equals(endpoint))
+                        .findFirst();
+        if (known.isEmpty()) {
+            return;
+        }
+        Engine engine = known.get();
+        EngineView view = viewOf(engine);
+        switch (outcome) {
+            case OrderOutcome.State state -> {
+                view.mState = Optional.of(state);
+                view.mChanging &= !EngineView.isAt(engine.target(), state);
+                mRights.seen(engine.endpoint().pool(), state.fencingNumber());
+            }
+            case OrderOutcome.StaleFencing stale ->
+                    mRights.seen(engine.endpoint().pool(), stale.newerNumber());
+            case OrderOutcome.Unreachable ignored -> view.mState = Optional.empty();
+        }
+    }
+
+    /**
+     * Fencing number under which this instance orders the engines of a pool.
+     *
+     * @param pool the pool
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the number; empty where another instance holds the right, or nobody
+     */
+    public Optional<Long> fencingNumber(PoolName pool, long nowNanos) {
+        return mRights.fencingNumber(pool, nowNanos);
+    }
+
+    /**
+     * When {@link #tick} wants to be called next.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return monotonic time, in nanoseconds
+     */
+    public long nextWakeNanos(long nowNanos) {
+        boolean ordering = mLease.isHeld(nowNanos) && !mPools.isEmpty();
+        return ordering
+                ? Math.min(mRights.nextWakeNanos(), nowNanos + MINUTE_NANOS / 60)
+                : nowNanos + MINUTE_NANOS / 60;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/order/package-info.java
@@ -0,0 +1,2 @@
+/** Orders that bring model engines to their desired state. */
+package org.wasabilug.internal.order;
