--- a/core/src/main/java/org/wasabilug/internal/routing/RoutingSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/RoutingSettings.java
@@ -35,7 +35,7 @@
     /** Builds {@link RoutingSettings}. */
     public static final class Builder {
         private RoutingStyle mStyle = new RoutingStyle.Adaptive(2);
-        private int mSubsetSize = 64;
+        private int mSubsetSize = 96;
         private Duration mCrossDomainTime = Duration.ofMillis(3);
         private Duration mReportExpiry = Duration.ofSeconds(10);
         private Duration mRampTime = Duration.ofSeconds(8);
