Add the HTTP client of endpoints

Cause: attempts, polls and orders had no way to an endpoint. Conclusion: each failure kind follows from what the connection did.

--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/AnswerReader.java
@@ -0,0 +1,115 @@
+package org.wasabilug.endpoint.internal.call;
+
+import java.util.Optional;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Framing;
+import org.apache.pekko.stream.javadsl.FramingTruncation;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.wasabilug.endpoint.wire.EndpointJson;
+import org.wasabilug.endpoint.wire.EndpointPaths;
+import org.wasabilug.endpoint.wire.StreamEvent;
+import org.wasabilug.endpoint.wire.StreamEventJson;
+import org.wasabilug.endpoint.wire.WholeAnswer;
+import org.wasabilug.internal.event.FailureKind;
+import org.wasabilug.model.CallProtocol;
+import org.wasabilug.port.LoadReport;
+
+/** Turns the HTTP answer of an endpoint into events of its result. */
+final class AnswerReader {
+    private static final ByteString LINE_END = ByteString.fromString("\n");
+    private static final ByteString DATA_FIELD = ByteString.fromString("data:");
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    private final CallProtocol mProtocol;
+    private final int mResumeOffset;
+    private final CallLimits mLimits;
+
+    AnswerReader(CallProtocol protocol, int resumeOffset, CallLimits limits) {
+        mProtocol = protocol;
+        mResumeOffset = resumeOffset;
+        mLimits = limits;
+    }
+
+    static Optional<LoadReport> loadReport(HttpResponse response) {
+        return response.getHeader(EndpointPaths.LOAD_HEADER)
+                .flatMap(header -> EndpointJson.read(header.value(), LoadReport.class));
+    }
+
+    Source<StreamEvent, NotUsed> read(HttpResponse response) {
+        int status = response.status().intValue();
+        if (status != OK) {
+            return Source.failed(refusal(response, status));
+        }
+        Source<ByteString, ?> bytes = response.entity().withoutSizeLimit().getDataBytes();
+        return switch (mProtocol) {
+            case STREAMED ->
+                    bytes.via(events()).mapMaterializedValue(value -> NotUsed.getInstance());
+            case WHOLE -> readWhole(response).mapMaterializedValue(value -> NotUsed.getInstance());
+        };
+    }
+
+    private Flow<ByteString, StreamEvent, NotUsed> events() {
+        return Flow.of(ByteString.class)
+                .via(
+                        Framing.delimiter(
+                                LINE_END, mLimits.maximumEventBytes(), FramingTruncation.ALLOW))
+                .filter(line -> line.take(DATA_FIELD.length()).equals(DATA_FIELD))
+                .map(AnswerReader::event);
+    }
+
+    private static StreamEvent event(ByteString line) {
+        return StreamEventJson.read(line.drop(DATA_FIELD.length()).toArray())
+                .orElseThrow(
+                        () ->
+                                new CallRefusedException(
+                                        FailureKind.CONNECTION_LOST,
+                                        "the stream carried an event that is not JSON"));
+    }
+
+    private Source<StreamEvent, ?> readWhole(HttpResponse response) {
+        return response.entity()
+                .withSizeLimit(mLimits.maximumBodyBytes())
+                .getDataBytes()
+                .fold(ByteString.emptyByteString(), ByteString::concat)
+                .mapConcat(body -> wholeEvents(body.utf8String()));
+    }
+
+    private Iterable<StreamEvent> wholeEvents(String body) {
+        String text =
+                EndpointJson.read(body, WholeAnswer.class)
+                        .map(WholeAnswer::text)
+                        .orElseThrow(
+                                () ->
+                                        new CallRefusedException(
+                                                FailureKind.FAILED, "the answer is not JSON"));
+        int start = Math.min(mResumeOffset, text.length());
+        return java.util.List.of(
+                new StreamEvent.Chunk(start, text.substring(start)),
+                new StreamEvent.Done(text.length()));
+    }
+
+    private static CallRefusedException refusal(HttpResponse response, int status) {
+        return new CallRefusedException(failureKind(response, status), "status " + status);
+    }
+
+    private static FailureKind failureKind(HttpResponse response, int status) {
+        boolean noRoom = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+        if (noRoom && response.getHeader(EndpointPaths.NOT_RUN_HEADER).isPresent()) {
+            return FailureKind.OVERLOADED;
+        }
+        boolean wrongCall =
+                status >= BAD_REQUEST
+                        && status < SERVER_ERROR
+                        && status != REQUEST_TIMEOUT
+                        && !noRoom;
+        return wrongCall ? FailureKind.REJECTED : FailureKind.FAILED;
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/CallLimits.java
@@ -0,0 +1,12 @@
+package org.wasabilug.endpoint.internal.call;
+
+import java.time.Duration;
+
+/**
+ * Bounds of what is read from an endpoint.
+ *
+ * @param maximumEventBytes largest event of a stream, in bytes
+ * @param maximumBodyBytes largest whole answer, in bytes
+ * @param controlTimeout longest time of a poll, an order or a read of state
+ */
+public record CallLimits(int maximumEventBytes, int maximumBodyBytes, Duration controlTimeout) {}
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/CallRefusedException.java
@@ -0,0 +1,19 @@
+package org.wasabilug.endpoint.internal.call;
+
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.error.WasabilugException;
+import org.wasabilug.internal.event.FailureKind;
+
+/** An endpoint's answer ended an attempt without a result. */
+final class CallRefusedException extends WasabilugException {
+    private final transient FailureKind mKind;
+
+    CallRefusedException(FailureKind kind, String message) {
+        super(ErrorCode.STAGE_FAILED, message);
+        mKind = kind;
+    }
+
+    FailureKind kind() {
+        return mKind;
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/EnginePort.java
@@ -0,0 +1,89 @@
+package org.wasabilug.endpoint.internal.call;
+
+import java.net.URI;
+import java.util.function.Consumer;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.wasabilug.endpoint.wire.EndpointJson;
+import org.wasabilug.endpoint.wire.EndpointPaths;
+import org.wasabilug.endpoint.wire.StateOrder;
+import org.wasabilug.internal.event.EngineOrder;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OrderOutcome;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.EngineTarget;
+
+/** Orders engines to take a state, and reads theirs. */
+public final class EnginePort {
+    private final ControlExchange mExchange;
+
+    /**
+     * Creates the port.
+     *
+     * @param connections makes connections
+     * @param limits bounds of what is read
+     */
+    public EnginePort(Connections connections, CallLimits limits) {
+        mExchange = new ControlExchange(connections, limits);
+    }
+
+    /**
+     * Sends an order.
+     *
+     * @param order the order
+     * @param events receives the answer
+     */
+    public void order(EngineOrder order, Consumer<InstanceEvent> events) {
+        EngineTarget target = order.target();
+        StateOrder body =
+                new StateOrder(
+                        target.model(),
+                        target.version(),
+                        target.adapters(),
+                        target.role(),
+                        order.fencingNumber());
+        HttpRequest request =
+                HttpRequest.POST(EndpointPaths.STATE)
+                        .withEntity(ContentTypes.APPLICATION_JSON, EndpointJson.write(body));
+        ask(target.endpoint(), order.address(), request, events);
+    }
+
+    /**
+     * Reads an engine's state.
+     *
+     * @param endpoint the engine
+     * @param address its base address
+     * @param events receives the answer
+     */
+    public void readState(EndpointName endpoint, URI address, Consumer<InstanceEvent> events) {
+        ask(endpoint, address, HttpRequest.GET(EndpointPaths.STATE), events);
+    }
+
+    private void ask(
+            EndpointName endpoint,
+            URI address,
+            HttpRequest request,
+            Consumer<InstanceEvent> events) {
+        mExchange
+                .send(address, request)
+                .thenApply(EnginePort::outcome)
+                .exceptionally(failure -> new OrderOutcome.Unreachable())
+                .thenAccept(
+                        outcome ->
+                                events.accept(new InstanceEvent.OrderAnswered(endpoint, outcome)));
+    }
+
+    private static OrderOutcome outcome(ControlExchange.ControlAnswer answer) {
+        return switch (answer.status()) {
+            case ControlExchange.OK ->
+                    EndpointJson.read(answer.body(), OrderOutcome.State.class)
+                            .<OrderOutcome>map(state -> state)
+                            .orElseGet(OrderOutcome.Unreachable::new);
+            case ControlExchange.CONFLICT ->
+                    EndpointJson.read(answer.body(), OrderOutcome.StaleFencing.class)
+                            .<OrderOutcome>map(stale -> stale)
+                            .orElseGet(OrderOutcome.Unreachable::new);
+            default -> new OrderOutcome.Unreachable();
+        };
+    }
+}
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/package-info.java
@@ -0,0 +1,2 @@
+/** One running call: its connection, its answer and its end. */
+package org.wasabilug.endpoint.internal.call;
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/wire/StageCallBody.java
@@ -0,0 +1,21 @@
+package org.wasabilug.endpoint.wire;
+
+/**
+ * Body of a request that runs a stage.
+ *
+ * @param request id of the request
+ * @param stage name of the stage
+ * @param attempt number of the attempt
+ * @param input input of the stage
+ * @param offset characters of the result that the caller has already
+ * @param priority 0 for the most urgent, larger for less
+ * @param timeoutMilliseconds time left for the attempt
+ */
+public record StageCallBody(
+        String request,
+        String stage,
+        int attempt,
+        String input,
+        int offset,
+        int priority,
+        long timeoutMilliseconds) {}
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/wire/package-info.java
@@ -0,0 +1,2 @@
+/** JSON that travels between an instance and endpoints. */
+package org.wasabilug.endpoint.wire;
