Add stand-ins for the platform and for endpoints

Cause: tests and the demo need a platform and endpoints with faults. Change: table service, object store, instance list and endpoints over HTTP in memory, with faults that are switched while running, and counts that the endpoints keep themselves.

--- /dev/null
+++ b/standin/src/main/java/org/wasabilug/standin/StandInSystem.java
@@ -0,0 +1,31 @@
+package org.wasabilug.standin;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.ActorSystem;
+
+/** Actor systems that are fit to run many stand-ins. */
+public final class StandInSystem {
+    private static final String SETTINGS =
+            """
+            pekko.daemonic = on
+            pekko.loglevel = OFF
+            pekko.stdout-loglevel = OFF
+            pekko.log-dead-letters = off
+            pekko.scheduler.tick-duration = 1ms
+            pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
+            """;
+
+    private StandInSystem() {}
+
+    /**
+     * Starts an actor system whose timers are exact to a millisecond.
+     *
+     * @param name name of the actor system
+     * @return the actor system; the caller ends it
+     */
+    public static ActorSystem start(String name) {
+        Config settings = ConfigFactory.parseString(SETTINGS).withFallback(ConfigFactory.load());
+        return ActorSystem.create(name, settings);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/ReportHistory.java
@@ -0,0 +1,43 @@
+package org.wasabilug.standin.internal.endpoint;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.wasabilug.port.LoadReport;
+
+/** Load reports of the recent past. Its owner guards it. */
+final class ReportHistory {
+    private static final int MAXIMUM_REPORTS = 4096;
+
+    private final Deque<Entry> mEntries = new ArrayDeque<>();
+
+    void add(long nowNanos, LoadReport report) {
+        if (!mEntries.isEmpty() && mEntries.getLast().report().equals(report)) {
+            return;
+        }
+        mEntries.addLast(new Entry(nowNanos, report));
+        if (mEntries.size() > MAXIMUM_REPORTS) {
+            mEntries.removeFirst();
+        }
+    }
+
+    /** Shows the last report that was true at a time, or the oldest that is kept. */
+    LoadReport at(long atNanos, long nowNanos) {
+        Entry shown = mEntries.getFirst();
+        for (Entry entry : mEntries) {
+            if (entry.sinceNanos() - atNanos > 0) {
+                break;
+            }
+            shown = entry;
+        }
+        LoadReport report = shown.report();
+        return new LoadReport(
+                report.generation(),
+                report.cold(),
+                report.inFlight(),
+                report.queued(),
+                TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - atNanos)));
+    }
+
+    private record Entry(long sinceNanos, LoadReport report) {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/wasabilug/standin/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers on loopback and their answers. */
+package org.wasabilug.standin.internal.http;
--- /dev/null
+++ b/standin/src/main/java/org/wasabilug/standin/internal/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Table service, object store and instance list in memory. */
+package org.wasabilug.standin.internal.platform;
--- a/standin/src/main/java/org/wasabilug/standin/package-info.java
+++ b/standin/src/main/java/org/wasabilug/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Stand-ins for the platform and for endpoints, with faults that are switched while running. */
 package org.wasabilug.standin;
--- /dev/null
+++ b/standin/src/test/java/org/wasabilug/standin/TestCalls.java
@@ -0,0 +1,68 @@
+package org.wasabilug.standin;
+
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.model.CallProtocol;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.StageName;
+
+/** Calls of one stage, with values that a test seldom changes. */
+final class TestCalls {
+    static final String STAGE = "generate";
+    static final String INPUT = "Summarise the leak checks of site 12.";
+    static final long GENEROUS_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+    private TestCalls() {}
+
+    static AttemptId attempt(String request) {
+        return new AttemptId(new RequestId(request), new StageName(STAGE), 1);
+    }
+
+    static StageCall streamed(URI address, String request) {
+        return call(address, request, CallProtocol.STREAMED, 0, GENEROUS_NANOS);
+    }
+
+    static StageCall whole(URI address, String request) {
+        return call(address, request, CallProtocol.WHOLE, 0, GENEROUS_NANOS);
+    }
+
+    static StageCall resumed(URI address, String request, int offset) {
+        return call(address, request, CallProtocol.STREAMED, offset, GENEROUS_NANOS);
+    }
+
+    static StageCall impatient(URI address, String request, long timeoutNanos) {
+        return call(address, request, CallProtocol.STREAMED, 0, timeoutNanos);
+    }
+
+    static StageCall withInput(StageCall call, String input) {
+        return new StageCall(
+                call.attempt(),
+                call.endpoint(),
+                call.address(),
+                call.requestPath(),
+                call.protocol(),
+                input,
+                call.resumeOffset(),
+                call.timeoutNanos(),
+                call.priority(),
+                call.repeatable());
+    }
+
+    private static StageCall call(
+            URI address, String request, CallProtocol protocol, int offset, long timeoutNanos) {
+        return new StageCall(
+                attempt(request),
+                new EndpointName("rennes-1"),
+                address,
+                "/v1/completions",
+                protocol,
+                INPUT,
+                offset,
+                timeoutNanos,
+                0,
+                true);
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/org/wasabilug/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins together with the clients that talk to them. */
+package org.wasabilug.standin;
