Serve callers and operators over HTTP from an entry instance

Cause: the decisions of the core had no process round them. Change: EntryInstance runs a DecisionCore in one actor, performs its actions and serves the callers' and operators' interfaces, with whole and streamed answers, problem+json refusals, tickets, status, explanations and health.

--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/EntryAddresses.java
@@ -0,0 +1,11 @@
+package org.wasabilug.entry;
+
+import java.net.URI;
+
+/**
+ * Where a started instance listens.
+ *
+ * @param callers base address of the callers' interface
+ * @param operators base address of the operators' interface
+ */
+public record EntryAddresses(URI callers, URI operators) {}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
@@ -0,0 +1,150 @@
+package org.wasabilug.entry;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.pekko.http.javadsl.ConnectionContext;
+import org.wasabilug.entry.internal.actor.InstanceMessage;
+import org.wasabilug.entry.internal.actor.InstanceParts;
+import org.wasabilug.entry.internal.actor.InstanceShell;
+import org.wasabilug.entry.internal.actor.LifecycleLog;
+import org.wasabilug.entry.internal.caller.CallerHandler;
+import org.wasabilug.entry.internal.caller.Submitter;
+import org.wasabilug.entry.internal.http.BodyReader;
+import org.wasabilug.entry.internal.http.HttpListener;
+import org.wasabilug.entry.internal.operators.OperatorHandler;
+import org.wasabilug.entry.internal.security.Authenticator;
+import org.wasabilug.internal.event.InstanceEvent;
+
+/**
+ * An entry instance: serves callers and operators over HTTP and performs what the core decides. It
+ * closes neither the platform client nor the endpoint client.
+ */
+public final class EntryInstance implements AutoCloseable {
+    private final EntryInstanceBuilder mParts;
+    private final InstanceShell mShell;
+    private final AtomicReference<CompletionStage<Void>> mStop = new AtomicReference<>();
+    private HttpListener mCallers;
+    private HttpListener mOperators;
+
+    EntryInstance(EntryInstanceBuilder parts) {
+        mParts = parts;
+        mShell =
+                new InstanceShell(
+                        new InstanceParts(
+                                parts.mCore,
+                                parts.mPlatform,
+                                parts.mEndpoints,
+                                parts.mPeers,
+                                parts.mLimits),
+                        parts.mPollPeriod);
+    }
+
+    /**
+     * Starts building.
+     *
+     * @return a builder
+     */
+    public static EntryInstanceBuilder builder() {
+        return new EntryInstanceBuilder();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return where the instance listens
+     */
+    public EntryAddresses start() {
+        Authenticator authenticator =
+                new Authenticator(mShell.published()::configuration, mParts.mBootstrapKey);
+        BodyReader bodies = new BodyReader(mShell.system(), mParts.mLimits.maximumBodyBytes());
+        mOperators = listenToOperators(authenticator, bodies);
+        mCallers = listenToCallers(authenticator, bodies);
+        EntryAddresses addresses = addresses();
+        LifecycleLog.started(addresses.callers().toString(), addresses.operators().toString());
+        return addresses;
+    }
+
+    private HttpListener listenToCallers(Authenticator authenticator, BodyReader bodies) {
+        CallerHandler handler =
+                new CallerHandler(
+                        authenticator,
+                        mShell.published(),
+                        bodies,
+                        new Submitter(mShell.system(), mParts.mLimits, mShell::tell),
+                        mShell::tell);
+        return HttpListener.start(
+                        mShell.system(),
+                        mParts.mCallersAddress,
+                        mParts.mEncryption.map(ConnectionContext::httpsServer),
+                        handler)
+                .toCompletableFuture()
+                .join();
+    }
+
+    private HttpListener listenToOperators(Authenticator authenticator, BodyReader bodies) {
+        OperatorHandler handler =
+                new OperatorHandler(
+                        mShell.system(),
+                        authenticator,
+                        mShell.published(),
+                        bodies,
+                        new OperatorHandler.TicketFormats(
+                                mParts.mTicketReader, mParts.mTicketChecker, mParts.mStateWriter),
+                        mParts.mMetrics,
+                        mShell::tell);
+        return HttpListener.start(
+                        mShell.system(),
+                        mParts.mOperatorsAddress,
+                        java.util.Optional.empty(),
+                        handler)
+                .toCompletableFuture()
+                .join();
+    }
+
+    private EntryAddresses addresses() {
+        String scheme = mParts.mEncryption.isPresent() ? "https" : "http";
+        return new EntryAddresses(
+                uri(scheme, mCallers.address()), uri("http", mOperators.address()));
+    }
+
+    private static URI uri(String scheme, InetSocketAddress address) {
+        return URI.create(
+                scheme + "://" + address.getAddress().getHostAddress() + ":" + address.getPort());
+    }
+
+    /**
+     * Hands an event from outside, such as a message of another instance, to the instance.
+     *
+     * @param event the event
+     */
+    public void deliver(InstanceEvent event) {
+        mShell.tell(new InstanceMessage.EventArrived(event));
+    }
+
+    /**
+     * Begins a planned stop. The instance reports not ready, refuses new requests after a period,
+     * answers every request in flight and closes its listeners last.
+     *
+     * @return completes once the instance serves nothing any more
+     */
+    public CompletionStage<Void> stop() {
+        CompletableFuture<Void> stop = new CompletableFuture<>();
+        if (mStop.compareAndSet(null, stop)) {
+            mShell.stop(mParts.mNotReadyPeriod)
+                    .thenCompose(finished -> mCallers.stop(mParts.mLimits.maximumDeadline()))
+                    .thenCompose(closed -> mOperators.stop(mParts.mLimits.maximumDeadline()))
+                    .thenRun(LifecycleLog::stopped)
+                    .thenRun(() -> stop.complete(null));
+        }
+        return mStop.get();
+    }
+
+    /** Ends the instance at once. Requests in flight are cut; see {@link #stop()}. */
+    @Override
+    public void close() {
+        mShell.close();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceDuties.java
@@ -0,0 +1,65 @@
+package org.wasabilug.entry.internal.actor;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.wasabilug.internal.event.Decision;
+import org.wasabilug.internal.event.TicketAnswer;
+
+/** Duties of an instance towards operators and itself: tickets, decisions, wake-ups, stop. */
+final class InstanceDuties {
+    private final WakeUps mWakeUps;
+    private final DecisionHistory mDecisions;
+    private final Map<Long, CompletableFuture<TicketAnswer>> mSubmissions = new HashMap<>();
+    private long mLastSubmission;
+    private Optional<CompletableFuture<Void>> mStop = Optional.empty();
+
+    InstanceDuties(WakeUps wakeUps, int rememberedDecisions) {
+        mWakeUps = wakeUps;
+        mDecisions = new DecisionHistory(rememberedDecisions);
+    }
+
+    long submit(CompletableFuture<TicketAnswer> answer) {
+        mLastSubmission++;
+        mSubmissions.put(mLastSubmission, answer);
+        return mLastSubmission;
+    }
+
+    void answerTicket(long submission, TicketAnswer answer) {
+        Optional.ofNullable(mSubmissions.remove(submission))
+                .ifPresent(waiting -> waiting.complete(answer));
+    }
+
+    void wakeAt(long atNanos) {
+        mWakeUps.want(atNanos, System.nanoTime());
+    }
+
+    void logDecision(Decision decision) {
+        mDecisions.add(decision);
+        DecisionLog.write(decision);
+    }
+
+    List<Decision> decisionsOf(String request) {
+        return mDecisions.of(request);
+    }
+
+    /**
+     * Remembers whom to tell about the end of a stop.
+     *
+     * @return false where a stop was under way before
+     */
+    boolean beginStop(CompletableFuture<Void> finished) {
+        if (mStop.isPresent()) {
+            mStop.get().thenAccept(finished::complete);
+            return false;
+        }
+        mStop = Optional.of(finished);
+        return true;
+    }
+
+    void finishStop() {
+        mStop.ifPresent(finished -> finished.complete(null));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceParts.java
@@ -0,0 +1,23 @@
+package org.wasabilug.entry.internal.actor;
+
+import org.wasabilug.endpoint.EndpointClient;
+import org.wasabilug.entry.EntryLimits;
+import org.wasabilug.entry.PeerLink;
+import org.wasabilug.internal.instance.DecisionCore;
+import org.wasabilug.platform.PlatformClient;
+
+/**
+ * What an instance is made of.
+ *
+ * @param core the decisions
+ * @param platform the platform's services
+ * @param endpoints calls to endpoints
+ * @param peers sends messages to other instances
+ * @param limits bounds
+ */
+public record InstanceParts(
+        DecisionCore core,
+        PlatformClient platform,
+        EndpointClient endpoints,
+        PeerLink peers,
+        EntryLimits limits) {}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/PublishedState.java
@@ -0,0 +1,52 @@
+package org.wasabilug.entry.internal.actor;
+
+import org.wasabilug.internal.configuration.Configuration;
+
+/** What the instance's actor publishes to other threads. */
+public final class PublishedState {
+    private volatile Configuration mConfiguration = Configuration.empty();
+    private volatile boolean mReady;
+    private volatile boolean mStopping;
+
+    /**
+     * The configuration in force.
+     *
+     * @return an immutable view
+     */
+    public Configuration configuration() {
+        return mConfiguration;
+    }
+
+    /**
+     * Tells whether the instance takes new requests.
+     *
+     * @return false before its first configuration and once a stop has begun
+     */
+    public boolean isReady() {
+        return mReady && !mStopping;
+    }
+
+    /**
+     * Tells whether a planned stop has begun.
+     *
+     * @return true from its beginning on
+     */
+    public boolean isStopping() {
+        return mStopping;
+    }
+
+    /** Marks the instance as not ready, for good. */
+    public void beginStop() {
+        mStopping = true;
+    }
+
+    void publish(Configuration configuration) {
+        if (mConfiguration != configuration) {
+            mConfiguration = configuration;
+        }
+    }
+
+    void publishReady(boolean ready) {
+        mReady = ready;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/RequestHistory.java
@@ -0,0 +1,33 @@
+package org.wasabilug.entry.internal.actor;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.wasabilug.model.RequestId;
+
+/** The latest requests with an idempotency key; the oldest make room for new ones. */
+final class RequestHistory {
+    private final int mCapacity;
+    private final Map<RequestId, RequestRecord> mRecords = new LinkedHashMap<>();
+
+    RequestHistory(int capacity) {
+        mCapacity = capacity;
+    }
+
+    Optional<RequestRecord> find(RequestId request) {
+        return Optional.ofNullable(mRecords.get(request));
+    }
+
+    void start(RequestId request, String fingerprint) {
+        mRecords.remove(request);
+        mRecords.put(request, RequestRecord.running(fingerprint));
+        while (mRecords.size() > mCapacity) {
+            mRecords.remove(mRecords.keySet().iterator().next());
+        }
+    }
+
+    void change(RequestId request, UnaryOperator<RequestRecord> change) {
+        mRecords.computeIfPresent(request, (id, earlier) -> change.apply(earlier));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/package-info.java
@@ -0,0 +1,2 @@
+/** The actor that owns the decisions, and what it performs. */
+package org.wasabilug.entry.internal.actor;
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/caller/CallTarget.java
@@ -0,0 +1,107 @@
+package org.wasabilug.entry.internal.caller;
+
+import java.util.List;
+import java.util.Optional;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.model.NameRules;
+import org.wasabilug.model.Pipeline;
+import org.wasabilug.model.PipelineName;
+import org.wasabilug.model.Pool;
+import org.wasabilug.model.PoolName;
+import org.wasabilug.model.Stage;
+import org.wasabilug.model.StageName;
+import org.wasabilug.model.Workspace;
+
+/** What a caller wants to run. */
+sealed interface CallTarget {
+    /** Name of the one stage of a plain service. */
+    StageName SERVICE_STAGE = new StageName("service");
+
+    /**
+     * A pipeline.
+     *
+     * @param name its name
+     */
+    record ToPipeline(PipelineName name) implements CallTarget {}
+
+    /**
+     * A plain service.
+     *
+     * @param name name of its pool
+     */
+    record ToService(PoolName name) implements CallTarget {}
+
+    /**
+     * Reads the target from a path of the form v1/pipelines/NAME/requests or
+     * v1/services/POOL/requests.
+     *
+     * @param segments segments of the path
+     * @return the target; empty for any other path
+     */
+    static Optional<CallTarget> of(List<String> segments) {
+        if (segments.size() != 4
+                || !segments.get(0).equals("v1")
+                || !segments.get(3).equals("requests")
+                || !NameRules.isValid(segments.get(2))) {
+            return Optional.empty();
+        }
+        String name = segments.get(2);
+        return switch (segments.get(1)) {
+            case "pipelines" -> Optional.of(new ToPipeline(new PipelineName(name)));
+            case "services" -> Optional.of(new ToService(new PoolName(name)));
+            default -> Optional.empty();
+        };
+    }
+
+    /**
+     * Words for messages.
+     *
+     * @return kind and name
+     */
+    default String description() {
+        return switch (this) {
+            case ToPipeline pipeline -> "pipeline '" + pipeline.name() + "'";
+            case ToService service -> "service '" + service.name() + "'";
+        };
+    }
+
+    /**
+     * Tells whether a workspace may use this.
+     *
+     * @param workspace the workspace
+     * @return true where it lists this target
+     */
+    default boolean isAllowedFor(Workspace workspace) {
+        return switch (this) {
+            case ToPipeline pipeline -> workspace.pipelines().contains(pipeline.name());
+            case ToService service -> workspace.services().contains(service.name());
+        };
+    }
+
+    /**
+     * The pipeline to run.
+     *
+     * @param configuration configuration in force
+     * @return the pipeline, of one stage for a plain service; empty where there is none
+     */
+    default Optional<Pipeline> resolve(Configuration configuration) {
+        return switch (this) {
+            case ToPipeline pipeline -> configuration.pipeline(pipeline.name());
+            case ToService service ->
+                    configuration
+                            .pool(service.name())
+                            .filter(Pool::exposed)
+                            .map(CallTarget::pipelineOf);
+        };
+    }
+
+    private static Pipeline pipelineOf(Pool pool) {
+        return Pipeline.builder()
+                .name(new PipelineName(pool.name().value()))
+                .stages(
+                        List.of(
+                                new Stage(
+                                        SERVICE_STAGE, pool.name(), pool.repeatable(), List.of())))
+                .build();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/caller/CallerHandler.java
@@ -0,0 +1,121 @@
+package org.wasabilug.entry.internal.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.wasabilug.entry.internal.actor.InstanceMessage;
+import org.wasabilug.entry.internal.actor.PublishedState;
+import org.wasabilug.entry.internal.actor.RequestRecord;
+import org.wasabilug.entry.internal.http.BodyReader;
+import org.wasabilug.entry.internal.http.ConnectionWatch;
+import org.wasabilug.entry.internal.http.EntryReporter;
+import org.wasabilug.entry.internal.http.Json;
+import org.wasabilug.entry.internal.http.PathSegments;
+import org.wasabilug.entry.internal.http.RequestHandler;
+import org.wasabilug.entry.internal.http.Responses;
+import org.wasabilug.entry.internal.security.Authenticator;
+import org.wasabilug.model.CallerRequest;
+import org.wasabilug.model.Refusal;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.Workspace;
+
+/** The callers' interface. */
+public final class CallerHandler implements RequestHandler {
+    private final Authenticator mAuthenticator;
+    private final PublishedState mPublished;
+    private final BodyReader mBodies;
+    private final SubmissionCheck mCheck;
+    private final Submitter mSubmitter;
+    private final Consumer<InstanceMessage> mInstance;
+
+    /**
+     * Creates the interface.
+     *
+     * @param authenticator finds out who calls
+     * @param published state of the instance
+     * @param bodies reads bodies
+     * @param submitter hands requests to the instance
+     * @param instance takes messages
+     */
+    public CallerHandler(
+            Authenticator authenticator,
+            PublishedState published,
+            BodyReader bodies,
+            Submitter submitter,
+            Consumer<InstanceMessage> instance) {
+        mAuthenticator = authenticator;
+        mPublished = published;
+        mBodies = bodies;
+        mSubmitter = submitter;
+        mCheck = new SubmissionCheck(submitter.limits());
+        mInstance = instance;
+    }
+
+    @Override
+    public CompletionStage<HttpResponse> handle(HttpRequest request, ConnectionWatch connection) {
+        Optional<Workspace> workspace = mAuthenticator.workspace(request);
+        if (workspace.isEmpty()) {
+            return refused(request, EntryReporter.unauthenticated());
+        }
+        List<String> segments = PathSegments.of(request);
+        Optional<CallTarget> target = CallTarget.of(segments);
+        if (target.isPresent() && request.method().equals(HttpMethods.POST)) {
+            return mBodies.withBody(
+                    request,
+                    text -> submit(request, connection, target.get(), workspace.get(), text));
+        }
+        if (isRequestStatus(segments) && request.method().equals(HttpMethods.GET)) {
+            request.discardEntityBytes(mSubmitter.system());
+            return status(CallerRequest.requestIdOf(workspace.get().name(), segments.get(2)));
+        }
+        return refused(request, EntryReporter.notFound("path " + request.getUri().path()));
+    }
+
+    private static boolean isRequestStatus(List<String> segments) {
+        return segments.size() == 3
+                && segments.get(0).equals("v1")
+                && segments.get(1).equals("requests");
+    }
+
+    private CompletionStage<HttpResponse> refused(HttpRequest request, Refusal refusal) {
+        request.discardEntityBytes(mSubmitter.system());
+        return CompletableFuture.completedFuture(Responses.problem(refusal));
+    }
+
+    private CompletionStage<HttpResponse> submit(
+            HttpRequest request,
+            ConnectionWatch connection,
+            CallTarget target,
+            Workspace workspace,
+            String text) {
+        return switch (mCheck.check(request, target, workspace, mPublished.configuration(), text)) {
+            case SubmissionCheck.Refused refused ->
+                    CompletableFuture.completedFuture(Responses.problem(refused.refusal()));
+            case SubmissionCheck.Checked checked ->
+                    mSubmitter.submit(checked.request(), target, connection);
+        };
+    }
+
+    private CompletionStage<HttpResponse> status(RequestId request) {
+        CompletableFuture<Optional<RequestRecord>> answer = new CompletableFuture<>();
+        mInstance.accept(new InstanceMessage.RequestWanted(request, answer));
+        return answer.thenApply(
+                found ->
+                        found.map(each -> Responses.json(200, statusBody(request, each)))
+                                .orElseGet(
+                                        () -> Responses.problem(EntryReporter.requestUnknown())));
+    }
+
+    private static ObjectNode statusBody(RequestId request, RequestRecord earlier) {
+        ObjectNode body =
+                Json.object().put("request", request.value()).put("state", earlier.state().name());
+        earlier.refusal().ifPresent(refusal -> body.set("problem", Responses.problemBody(refusal)));
+        return body;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/caller/StreamedAnswer.java
@@ -0,0 +1,110 @@
+package org.wasabilug.entry.internal.caller;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.wasabilug.entry.internal.actor.AnswerSink;
+import org.wasabilug.entry.internal.http.Responses;
+import org.wasabilug.model.Refusal;
+import org.wasabilug.model.RequestId;
+import org.wasabilug.model.StageName;
+
+/** Passes an answer on as server-sent events, as its parts come. */
+final class StreamedAnswer implements AnswerSink {
+    private final RequestId mRequest;
+    private final EventQueue mEvents;
+    private final Runnable mReaderLeft;
+    private final CompletableFuture<HttpResponse> mResponse = new CompletableFuture<>();
+    private boolean mBegun;
+
+    /**
+     * Creates the answer.
+     *
+     * @param request the request
+     * @param events waiting events
+     * @param readerLeft runs when the caller no longer reads
+     */
+    StreamedAnswer(RequestId request, EventQueue events, Runnable readerLeft) {
+        mRequest = request;
+        mEvents = events;
+        mReaderLeft = readerLeft;
+    }
+
+    CompletionStage<HttpResponse> response() {
+        return mResponse;
+    }
+
+    @Override
+    public Acceptance part(StageName stage, String text) {
+        if (!mEvents.add(new AnswerEvent.Part(stage, text))) {
+            return Acceptance.OVERFLOWED;
+        }
+        begin();
+        return mEvents.holds() ? Acceptance.HOLD : Acceptance.READY;
+    }
+
+    @Override
+    public void complete() {
+        end(new AnswerEvent.Done(mRequest));
+        begin();
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        if (mBegun) {
+            end(new AnswerEvent.Failed(refusal));
+        } else {
+            mResponse.complete(Responses.problem(refusal));
+        }
+    }
+
+    private void end(AnswerEvent last) {
+        mEvents.add(last);
+        mEvents.close();
+    }
+
+    private void begin() {
+        if (!mBegun) {
+            mBegun = true;
+            mResponse.complete(eventStream());
+        }
+    }
+
+    private HttpResponse eventStream() {
+        return HttpResponse.create()
+                .withEntity(
+                        HttpEntities.create(
+                                MediaTypes.TEXT_EVENT_STREAM.toContentType(), encodedEvents()));
+    }
+
+    private Source<ByteString, NotUsed> encodedEvents() {
+        return Source.unfoldAsync(
+                        mEvents,
+                        events ->
+                                events.next()
+                                        .thenApply(
+                                                batch ->
+                                                        batch.map(
+                                                                each -> Pair.create(events, each))))
+                .map(StreamedAnswer::encoded)
+                .watchTermination(
+                        (nothing, ended) -> {
+                            ended.whenComplete((done, failure) -> mReaderLeft.run());
+                            return nothing;
+                        });
+    }
+
+    private static ByteString encoded(List<AnswerEvent> events) {
+        return events.stream()
+                .map(AnswerEvent::encoded)
+                .reduce(ByteString::concat)
+                .orElseGet(ByteString::emptyByteString);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface. */
+package org.wasabilug.entry.internal.caller;
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/BodyReader.java
@@ -0,0 +1,64 @@
+package org.wasabilug.entry.internal.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+
+/** Reads bodies up to a limit. */
+public final class BodyReader {
+    private static final long TIMEOUT_MILLISECONDS = 10_000;
+
+    private final ActorSystem<?> mSystem;
+    private final int mMaximumBytes;
+
+    /**
+     * Creates the reader.
+     *
+     * @param system runs the streams
+     * @param maximumBytes largest body
+     */
+    public BodyReader(ActorSystem<?> system, int maximumBytes) {
+        mSystem = system;
+        mMaximumBytes = maximumBytes;
+    }
+
+    /**
+     * Reads the body and answers with it.
+     *
+     * @param request the request
+     * @param answer makes the response from the body's text
+     * @return the response; a problem where the body is too large or incomplete
+     */
+    public CompletionStage<HttpResponse> withBody(
+            HttpRequest request, Function<String, CompletionStage<HttpResponse>> answer) {
+        return request.entity()
+                .withSizeLimit(mMaximumBytes)
+                .toStrict(TIMEOUT_MILLISECONDS, mMaximumBytes, mSystem)
+                .handle((body, failure) -> answerTo(body, failure, answer))
+                .thenCompose(Function.identity());
+    }
+
+    private CompletionStage<HttpResponse> answerTo(
+            HttpEntity.Strict body,
+            Throwable failure,
+            Function<String, CompletionStage<HttpResponse>> answer) {
+        if (failure == null) {
+            return answer.apply(body.getData().utf8String());
+        }
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        return CompletableFuture.completedFuture(
+                Responses.problem(
+                        cause instanceof EntityStreamSizeException
+                                ? EntryReporter.bodyTooLarge(mMaximumBytes)
+                                : EntryReporter.bodyIncomplete()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/ProblemStatus.java
@@ -0,0 +1,31 @@
+package org.wasabilug.entry.internal.http;
+
+import org.wasabilug.error.ErrorCode;
+
+/** HTTP status code that goes with each error code. */
+public final class ProblemStatus {
+    private ProblemStatus() {}
+
+    /**
+     * The status code.
+     *
+     * @param code error code
+     * @return status code from 400 to 599
+     */
+    public static int of(ErrorCode code) {
+        return switch (code) {
+            case INVALID_NAME, INVALID_BODY, INVALID_SETTINGS, INVALID_DEADLINE -> 400;
+            case UNAUTHENTICATED -> 401;
+            case FORBIDDEN -> 403;
+            case NOT_FOUND -> 404;
+            case TICKET_SUPERSEDED, TICKET_CONFLICT, IDEMPOTENCY_CONFLICT, ALREADY_RUNNING -> 409;
+            case BODY_TOO_LARGE -> 413;
+            case INVALID_TICKET, STAGE_REJECTED, QUARANTINED -> 422;
+            case WORKSPACE_LIMIT -> 429;
+            case INTERNAL -> 500;
+            case STAGE_FAILED -> 502;
+            case OVERLOADED, NO_ENDPOINT, PLATFORM_UNAVAILABLE, OUTCOME_UNKNOWN, STOPPING -> 503;
+            case DEADLINE_EXCEEDED -> 504;
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/operators/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface, health and metrics. */
+package org.wasabilug.entry.internal.operators;
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/security/package-info.java
@@ -0,0 +1,2 @@
+/** Credentials and their check. */
+package org.wasabilug.entry.internal.security;
--- a/entry/src/main/java/org/wasabilug/entry/package-info.java
+++ b/entry/src/main/java/org/wasabilug/entry/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The daemon that serves callers and operators and runs pipelines on endpoints. */
 package org.wasabilug.entry;
--- /dev/null
+++ b/entry/src/test/java/org/wasabilug/entry/fake/package-info.java
@@ -0,0 +1,2 @@
+/** Small fakes at the interfaces of an entry instance. */
+package org.wasabilug.entry.fake;
