Carry messages between instances over TCP

Cause: the core asks for messages to peers, and nothing carries them. Change: one event loop, protobuf frames of bounded length, a bounded queue for each connection, reconnects with growing pauses, encryption by contexts handed in, and answers over the peer's own connection where its address is unknown. Conclusion: a peer that stops reading costs a bounded queue and nothing else.

--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerTransport.java
@@ -0,0 +1,308 @@
+package org.wasabilug.entry.internal.peer;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wasabilug.messages.PeerEnvelope;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.port.PeerMessage;
+
+/**
+ * Sends messages between instances over TCP. Sending never blocks; what a connection can't take is
+ * dropped, since the core's exchange makes up for lost messages.
+ */
+public final class PeerTransport implements AutoCloseable {
+    private static final Logger LOGGER = LogManager.getLogger(PeerTransport.class);
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
+    private static final int MAXIMUM_PENDING_SENDS = 4_096;
+    private static final int MAXIMUM_KEPT_ADDRESSES = 1_024;
+    private static final long CLOSE_TIMEOUT_SECONDS = 2;
+
+    private final InstanceName mName;
+    private final long mIncarnation;
+    private final PeerTransportLimits mLimits;
+    private final TransportCounters mCounters = new TransportCounters();
+    private final ReplyChannels mReplyChannels = new ReplyChannels();
+    private final Map<String, PeerConnection> mConnections = new HashMap<>();
+    private final AtomicInteger mPendingSends = new AtomicInteger();
+    private final EventLoopGroup mGroup;
+    private final EventLoop mLoop;
+    private final ChannelGroup mInbound;
+    private final Bootstrap mBootstrap;
+    private final Channel mListener;
+
+    private PeerTransport(Builder builder) {
+        mName = builder.mName;
+        mIncarnation = builder.mIncarnation;
+        mLimits = builder.mLimits;
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mLoop = mGroup.next();
+        mInbound = new DefaultChannelGroup(mLoop);
+        mBootstrap = newBootstrap(builder);
+        mListener = listen(builder);
+    }
+
+    /**
+     * Starts building.
+     *
+     * @return a builder without values
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    private Bootstrap newBootstrap(Builder builder) {
+        return new Bootstrap()
+                .group(mGroup)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .handler(
+                        new PeerChannelInitializer(
+                                mLimits,
+                                builder.mClientEncryption,
+                                () -> newHandler(builder.mReceiver)));
+    }
+
+    private WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(mLimits.maximumQueuedBytes() / 2, queueLimitBytes());
+    }
+
+    /** A channel takes one more message below the mark, so the mark leaves room for one. */
+    private int queueLimitBytes() {
+        return Math.max(
+                mLimits.maximumQueuedBytes() - mLimits.maximumFrameBytes(),
+                mLimits.maximumQueuedBytes() / 2);
+    }
+
+    private PeerChannelHandler newHandler(PeerReceiver receiver) {
+        return new PeerChannelHandler(mReplyChannels, receiver, mCounters);
+    }
+
+    private Channel listen(Builder builder) {
+        PeerChannelInitializer initializer =
+                new PeerChannelInitializer(
+                        mLimits, builder.mServerEncryption, () -> newHandler(builder.mReceiver));
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                        .childHandler(new InboundLimiter(mInbound, mLimits, initializer))
+                        .bind(builder.mListenAddress)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            close();
+            throw PeerReporter.cannotListen(builder.mListenAddress, bound.cause());
+        }
+        return bound.channel();
+    }
+
+    /**
+     * Address at which peers reach this transport.
+     *
+     * @return the address with the port in use
+     */
+    public InetSocketAddress listenAddress() {
+        return (InetSocketAddress) mListener.localAddress();
+    }
+
+    /**
+     * Sends a message without waiting for it to arrive; it may get lost.
+     *
+     * @param peer to whom
+     * @param address IP number and port; empty to answer over the connection on which the peer
+     *     spoke
+     * @param message the message
+     */
+    public void send(InstanceName peer, String address, PeerMessage message) {
+        if (mLoop.isShuttingDown() || mPendingSends.get() >= MAXIMUM_PENDING_SENDS) {
+            mCounters.dropped();
+            return;
+        }
+        mPendingSends.incrementAndGet();
+        mLoop.execute(
+                () -> {
+                    mPendingSends.decrementAndGet();
+                    sendOnLoop(peer, address, message);
+                });
+    }
+
+    private void sendOnLoop(InstanceName peer, String address, PeerMessage message) {
+        PeerEnvelope envelope = PeerMessageCodec.encode(mName, mIncarnation, message);
+        if (envelope.getSerializedSize() > mLimits.maximumFrameBytes()) {
+            mCounters.dropped();
+            LOGGER.warn("Dropped a message to {}: it is longer than a frame may be", peer);
+        } else if (address.isEmpty()) {
+            mReplyChannels
+                    .find(peer)
+                    .ifPresentOrElse(
+                            channel -> PeerConnection.write(channel, envelope, mCounters),
+                            mCounters::dropped);
+        } else {
+            connection(address)
+                    .ifPresentOrElse(connection -> connection.send(envelope), mCounters::dropped);
+        }
+    }
+
+    private Optional<PeerConnection> connection(String address) {
+        PeerConnection known = mConnections.get(address);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        if (mConnections.size() >= MAXIMUM_KEPT_ADDRESSES) {
+            mConnections.values().removeIf(PeerConnection::isIdle);
+        }
+        Optional<PeerConnection> created =
+                parse(address)
+                        .map(
+                                parsed ->
+                                        new PeerConnection(
+                                                parsed, mBootstrap, mLoop, mLimits, mCounters));
+        created.ifPresent(connection -> mConnections.put(address, connection));
+        return created;
+    }
+
+    private static Optional<InetSocketAddress> parse(String address) {
+        try {
+            HostAndPort parsed = HostAndPort.fromString(address);
+            return Optional.of(
+                    new InetSocketAddress(
+                            InetAddresses.forString(parsed.getHost()), parsed.getPort()));
+        } catch (IllegalArgumentException | IllegalStateException invalid) {
+            LOGGER.warn("Peer address '{}' is no IP number with a port", address);
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * What this transport has done.
+     *
+     * @return counts since it was opened
+     */
+    public PeerTransportCounts counts() {
+        return mCounters.counts();
+    }
+
+    /** Closes the listener and every connection; messages on their way may get lost. */
+    @Override
+    public void close() {
+        mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(2 * CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Builds a {@link PeerTransport}. */
+    public static final class Builder {
+        private InstanceName mName;
+        private long mIncarnation = 1;
+        private InetSocketAddress mListenAddress;
+        private PeerReceiver mReceiver = (sender, message) -> {};
+        private PeerTransportLimits mLimits = PeerTransportLimits.standard();
+        private Optional<SslContext> mServerEncryption = Optional.empty();
+        private Optional<SslContext> mClientEncryption = Optional.empty();
+
+        private Builder() {}
+
+        /**
+         * Sets the name of this instance.
+         *
+         * @param value the name
+         * @return this builder
+         */
+        public Builder name(InstanceName value) {
+            mName = value;
+            return this;
+        }
+
+        /**
+         * Sets the number of this process's life.
+         *
+         * @param value grows with each restart of the instance
+         * @return this builder
+         */
+        public Builder incarnation(long value) {
+            mIncarnation = value;
+            return this;
+        }
+
+        /**
+         * Sets where to listen.
+         *
+         * @param value IP number and port; port 0 lets the system choose
+         * @return this builder
+         */
+        public Builder listenAddress(InetSocketAddress value) {
+            mListenAddress = value;
+            return this;
+        }
+
+        /**
+         * Sets who takes arriving messages.
+         *
+         * @param value called on the transport's thread
+         * @return this builder
+         */
+        public Builder receiver(PeerReceiver value) {
+            mReceiver = value;
+            return this;
+        }
+
+        /**
+         * Sets limits.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder limits(PeerTransportLimits value) {
+            mLimits = value;
+            return this;
+        }
+
+        /**
+         * Encrypts every connection; the contexts decide whether both sides show certificates.
+         *
+         * @param server context of connections that others open
+         * @param client context of connections that this instance opens
+         * @return this builder
+         */
+        public Builder encryption(SslContext server, SslContext client) {
+            mServerEncryption = Optional.of(server);
+            mClientEncryption = Optional.of(client);
+            return this;
+        }
+
+        /**
+         * Opens the transport.
+         *
+         * @return a transport that listens
+         */
+        public PeerTransport open() {
+            return new PeerTransport(this);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerTransportLimits.java
@@ -0,0 +1,42 @@
+package org.wasabilug.entry.internal.peer;
+
+/**
+ * Limits of connections between instances.
+ *
+ * @param maximumFrameBytes longest message, in bytes
+ * @param maximumQueuedBytes most bytes that wait for one connection to take them
+ * @param maximumInboundConnections most connections that others may hold open here
+ * @param writeTimeoutSeconds a connection that takes nothing for so long is closed
+ * @param firstReconnectMilliseconds pause after the first failure to connect; it doubles up to the
+ *     longest
+ * @param longestReconnectMilliseconds longest pause between trials to connect
+ */
+public record PeerTransportLimits(
+        int maximumFrameBytes,
+        int maximumQueuedBytes,
+        int maximumInboundConnections,
+        int writeTimeoutSeconds,
+        long firstReconnectMilliseconds,
+        long longestReconnectMilliseconds) {
+    private static final int FRAME_BYTES = 4 << 20;
+    private static final int QUEUED_BYTES = 8 << 20;
+    private static final int INBOUND_CONNECTIONS = 512;
+    private static final int WRITE_TIMEOUT_SECONDS = 10;
+    private static final long FIRST_RECONNECT_MILLISECONDS = 100;
+    private static final long LONGEST_RECONNECT_MILLISECONDS = 3_000;
+
+    /**
+     * The limits that suit a deployment.
+     *
+     * @return the limits
+     */
+    public static PeerTransportLimits standard() {
+        return new PeerTransportLimits(
+                FRAME_BYTES,
+                QUEUED_BYTES,
+                INBOUND_CONNECTIONS,
+                WRITE_TIMEOUT_SECONDS,
+                FIRST_RECONNECT_MILLISECONDS,
+                LONGEST_RECONNECT_MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/ReplyChannels.java
@@ -0,0 +1,24 @@
+package org.wasabilug.entry.internal.peer;
+
+import io.netty.channel.Channel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.model.InstanceName;
+
+/** Connections over which each instance has spoken last; only the transport's thread uses it. */
+final class ReplyChannels {
+    private final Map<InstanceName, Channel> mChannels = new HashMap<>();
+
+    void spoke(InstanceName sender, Channel channel) {
+        mChannels.put(sender, channel);
+    }
+
+    void closed(Channel channel) {
+        mChannels.values().removeIf(each -> each == channel);
+    }
+
+    Optional<Channel> find(InstanceName peer) {
+        return Optional.ofNullable(mChannels.get(peer));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/TransportCounters.java
@@ -0,0 +1,32 @@
+package org.wasabilug.entry.internal.peer;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts what a transport does; any thread may read. */
+final class TransportCounters {
+    private final LongAdder mSent = new LongAdder();
+    private final LongAdder mDropped = new LongAdder();
+    private final LongAdder mReceived = new LongAdder();
+    private final LongAdder mRefused = new LongAdder();
+
+    void sent() {
+        mSent.increment();
+    }
+
+    void dropped() {
+        mDropped.increment();
+    }
+
+    void received() {
+        mReceived.increment();
+    }
+
+    void refused() {
+        mRefused.increment();
+    }
+
+    PeerTransportCounts counts() {
+        return new PeerTransportCounts(
+                mSent.sum(), mDropped.sum(), mReceived.sum(), mRefused.sum());
+    }
+}
