--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -185,6 +185,6 @@
     /** Less time left is more urgent. */
     private static int priority(RequestRun run, Turn turn) {
         long steps = run.remainingNanos(turn.nowNanos()) / NANOS_PER_PRIORITY_STEP;
-        return (int) Math.clamp(steps, MOST_URGENT, LEAST_URGENT);
+        return Math.clamp(steps, MOST_URGENT, LEAST_URGENT);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
@@ -27,7 +27,7 @@
      */
     public InstanceCore(InstanceSettings settings) {
         mSettings = settings;
-        mParts = new InstanceParts(settings);
+        mParts = new InstanceParts(settings, mAttempts);
         mSharing = new PeerSharing(mParts);
         mKnown = mParts.configuration();
     }
@@ -96,10 +96,7 @@
         if (mPolling.isDue(nowNanos)) {
             mDemand.noteWaiting(mParts.waiting().pools());
             mDemand.ask(
-                    mParts.router().watched(),
-                    mParts.configuration(),
-                    mParts.grants(),
-                    nowNanos);
+                    mParts.router().watched(), mParts.configuration(), mParts.grants(), nowNanos);
             actions.addAll(
                     mPolling.poll(mParts.router().watched(), mParts.configuration(), nowNanos));
         }
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
@@ -42,7 +42,7 @@
     private final SlackWaitingCalls mWaiting;
     private final RequestExecutor mExecutor;
 
-    InstanceParts(InstanceSettings settings) {
+    InstanceParts(InstanceSettings settings, RunningAttempts attempts) {
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed());
         String incarnation = settings.name() + "-" + settings.incarnation();
         mLease =
@@ -51,12 +51,17 @@
                         .incarnation(incarnation)
                         .random(mRandom)
                         .build();
-        mGrants = ColdStartGrants.builder().lease(mLease).random(mRandom).build();
-        mLedger = new TableLedger(incarnation, mRandom, LedgerSettings.usual());
-        mQuarantine = new CrashQuarantine(QuarantineSettings.usual());
-        mOrders = new EngineOrders(mLease, mRandom, OrderSettings.usual());
+        mGrants =
+                ColdStartGrants.builder()
+                        .lease(mLease)
+                        .random(mRandom)
+                        .callsInFlight(attempts::countAt)
+                        .build();
+        mLedger = new TableLedger(incarnation, mRandom, LedgerSettings.DEFAULT);
+        mQuarantine = new CrashQuarantine(QuarantineSettings.DEFAULT);
+        mOrders = new EngineOrders(mLease, mRandom, OrderSettings.DEFAULT);
         mFeed = new ConfigurationFeed(mState, mRandom);
-        mTickets = new TicketAcceptance(mState::configuration, mRandom);
+        mTickets = new TicketAcceptance(mFeed, mRandom);
         mMembership = makeMembership(settings);
         mRouter =
                 AdaptiveRouter.builder()
@@ -92,7 +97,7 @@
                         mAdmission,
                         new LearnedStagePlanner(),
                         mWaiting,
-                        new BudgetedRetryPolicy(RetrySettings.usual(), mRandom),
+                        new BudgetedRetryPolicy(RetrySettings.builder().build(), mRandom),
                         mLedger,
                         mQuarantine));
     }
--- a/core/src/main/java/org/wasabilug/internal/instance/RunningAttempts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/RunningAttempts.java
@@ -9,16 +9,23 @@
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.model.EndpointName;
 
-/** Knows where each running attempt was sent. */
+/** Knows where each running attempt was sent, and how many run at each endpoint. */
 final class RunningAttempts {
     private final Map<AttemptId, EndpointName> mEndpoints = new HashMap<>();
+    private final Map<EndpointName, Integer> mCounts = new HashMap<>();
+
+    /** Calls of this instance in flight at an endpoint. */
+    int countAt(EndpointName endpoint) {
+        return mCounts.getOrDefault(endpoint, 0);
+    }
 
     void noteActions(List<InstanceAction> actions) {
         for (InstanceAction action : actions) {
             if (action instanceof InstanceAction.Dispatch dispatch) {
                 mEndpoints.put(dispatch.call().attempt(), dispatch.call().endpoint());
+                mCounts.merge(dispatch.call().endpoint(), 1, Integer::sum);
             } else if (action instanceof InstanceAction.CancelAttempt cancel) {
-                mEndpoints.remove(cancel.attempt());
+                endOf(cancel.attempt());
             }
         }
     }
@@ -39,6 +46,10 @@
     }
 
     private Optional<EndpointName> endOf(AttemptId attempt) {
-        return Optional.ofNullable(mEndpoints.remove(attempt));
+        EndpointName endpoint = mEndpoints.remove(attempt);
+        if (endpoint != null) {
+            mCounts.computeIfPresent(endpoint, (name, count) -> count == 1 ? null : count - 1);
+        }
+        return Optional.ofNullable(endpoint);
     }
 }
--- a/demo/src/main/java/org/wasabilug/demo/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Placeholder. */
-package org.wasabilug.demo;
--- a/endpoint/src/main/java/org/wasabilug/endpoint/wire/StageCallBody.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/wire/StageCallBody.java
@@ -14,7 +14,7 @@
 public record StageCallBody(
         String request,
         String stage,
-        int attempt,
+        long attempt,
         String input,
         int offset,
         int priority,
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
@@ -0,0 +1,128 @@
+package org.wasabilug.entry;
+
+import com.google.common.io.Closer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.pekko.actor.ActorSystem;
+import org.wasabilug.endpoint.HttpEndpointClient;
+import org.wasabilug.entry.internal.peer.PeerTransport;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.instance.InstanceCore;
+import org.wasabilug.internal.instance.InstanceSettings;
+import org.wasabilug.internal.ticket.TicketCodec;
+import org.wasabilug.internal.ticket.TicketParse;
+import org.wasabilug.internal.ticket.TicketValidator;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.platform.HttpPlatformClient;
+import org.wasabilug.port.PeerMessage;
+
+/** A whole entry instance: decision core, clients of platform and endpoints, peers and HTTP. */
+public final class EntryDaemon implements AutoCloseable {
+    private final Closer mResources = Closer.create();
+    private final AtomicReference<EntryInstance> mInstance = new AtomicReference<>();
+    private final PeerTransport mPeers;
+    private final EntryAddresses mAddresses;
+
+    EntryDaemon(EntryDaemonBuilder settings) {
+        InstanceSettings core = settings.mCore;
+        ActorSystem clients = ActorSystem.create("wasabilug-clients");
+        mResources.register(clients::terminate);
+        HttpPlatformClient platform =
+                HttpPlatformClient.builder()
+                        .actorSystem(clients)
+                        .baseUri(settings.mPlatform)
+                        .instanceName(core.name().value())
+                        .build();
+        mResources.register(platform::close);
+        HttpEndpointClient endpoints = HttpEndpointClient.builder().actorSystem(clients).build();
+        mResources.register(endpoints::close);
+        mPeers = openPeers(settings);
+        mResources.register(mPeers::close);
+        EntryInstance instance =
+                settings.mShell
+                        .core(new InstanceCore(core))
+                        .platform(platform)
+                        .endpoints(endpoints)
+                        .peers(mPeers::send)
+                        .ticketReader(EntryDaemon::readTicket)
+                        .ticketChecker(TicketValidator::check)
+                        .stateWriter(TicketCodec::writeState)
+                        .build();
+        mResources.register(instance::close);
+        mInstance.set(instance);
+        mAddresses = instance.start();
+    }
+
+    private PeerTransport openPeers(EntryDaemonBuilder settings) {
+        return PeerTransport.builder()
+                .name(settings.mCore.name())
+                .incarnation(settings.mCore.incarnation())
+                .listenAddress(settings.mPeerAddress)
+                .receiver(this::receive)
+                .open();
+    }
+
+    /** Drops what arrives before the instance is there; peers repeat what matters. */
+    private void receive(InstanceName sender, PeerMessage message) {
+        EntryInstance instance = mInstance.get();
+        if (instance != null) {
+            instance.deliver(new InstanceEvent.PeerSpoke(sender, message));
+        }
+    }
+
+    private static TicketReader.Outcome readTicket(String json) {
+        return switch (TicketCodec.parse(json)) {
+            case TicketParse.Parsed parsed -> new TicketReader.Parsed(parsed.ticket());
+            case TicketParse.Rejected rejected -> new TicketReader.Rejected(rejected.findings());
+        };
+    }
+
+    /**
+     * Starts building.
+     *
+     * @return a builder
+     */
+    public static EntryDaemonBuilder builder() {
+        return new EntryDaemonBuilder();
+    }
+
+    /**
+     * Where callers and operators reach the instance.
+     *
+     * @return base addresses
+     */
+    public EntryAddresses addresses() {
+        return mAddresses;
+    }
+
+    /**
+     * Where peers reach the instance.
+     *
+     * @return IP number and port
+     */
+    public InetSocketAddress peerAddress() {
+        return mPeers.listenAddress();
+    }
+
+    /**
+     * Begins a planned stop: every request in flight is answered, and the listeners close last.
+     *
+     * @return completes once the instance serves nothing any more
+     */
+    public CompletionStage<Void> stop() {
+        return mInstance.get().stop();
+    }
+
+    /** Closes everything at once; requests in flight are cut. */
+    @Override
+    public void close() {
+        try {
+            mResources.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/standin/src/test/java/org/wasabilug/standin/TestCalls.java
+++ b/standin/src/test/java/org/wasabilug/standin/TestCalls.java
@@ -45,7 +45,7 @@
                 call.requestPath(),
                 call.protocol(),
                 input,
-                call.resumeOffset(),
+                call.resumeText(),
                 call.timeoutNanos(),
                 call.priority(),
                 call.repeatable());
@@ -60,7 +60,7 @@
                 "/v1/completions",
                 protocol,
                 INPUT,
-                offset,
+                "x".repeat(offset),
                 timeoutNanos,
                 0,
                 true);
