Keep a claim that another made on a row given back

Cause: a release whose answer was lost, asked for again meanwhile, met the claim of another instance and replaced it, so that the stage ran twice. Change: the claim meets the row in its way like any other claim. Conclusion: the checker over whole schedules stays as the test.

--- a/core/src/main/java/org/wasabilug/internal/ledger/TableLedger.java
+++ b/core/src/main/java/org/wasabilug/internal/ledger/TableLedger.java
@@ -262,18 +262,14 @@
             mUnrecorded--;
             mResultCharacters -= entry.mResult.length();
         } else if (entry.mAwaited) {
-            claimAgain(entry, nowNanos);
+            entry.mPhase = Phase.CLAIMING;
+            entry.mToken = nextToken();
+            mBatches.add(entry, nowNanos);
             return;
         }
         mEntries.remove(entry.mKey);
     }
 
-    private void claimAgain(LedgerEntry entry, long nowNanos) {
-        entry.mPhase = Phase.CLAIMING;
-        entry.mToken = nextToken();
-        mBatches.add(entry, nowNanos);
-    }
-
     private void foundInTheWay(LedgerEntry entry, Optional<Row> row, long nowNanos) {
         entry.mDoubtful = false;
         long version = row.map(Row::version).orElse(0L);
@@ -283,9 +279,14 @@
             return;
         }
         boolean own = value.token().equals(entry.mToken);
-        entry.mVersion = version;
         if (own && !value.isRecorded()) {
+            entry.mVersion = version;
             mBatches.add(entry, nowNanos);
+        } else if (entry.mPhase == Phase.RELEASING && entry.mAwaited) {
+            // Another may have claimed the row that was given back.
+            entry.mPhase = Phase.CLAIMING;
+            entry.mToken = nextToken();
+            claimMet(entry, value, version, nowNanos);
         } else {
             reportUnless(own || entry.mPhase == Phase.RELEASING, entry);
             finished(entry, nowNanos);
