Judge only the session that was seen to lapse

Cause: a lapse seen of an earlier epoch counted for later epochs too, so that a slot was taken from a live holder. Change: the observer says nothing of an epoch above the one in the row. Conclusion: a takeover rests on the row of just that session.

--- a/core/src/main/java/org/wasabilug/internal/lease/LeaseObserver.java
+++ b/core/src/main/java/org/wasabilug/internal/lease/LeaseObserver.java
@@ -77,7 +77,8 @@
      */
     public OptionalLong endedSince(InstanceName instance, long epoch) {
         Sighting sighting = mSightings.get(instance);
-        if (sighting == null) {
+        // What was seen of an earlier session says nothing of a later one.
+        if (sighting == null || sighting.value().epoch() < epoch) {
             return OptionalLong.empty();
         }
         if (sighting.value().epoch() > epoch) {
