--- a/core/src/test/java/org/wasabilug/internal/lease/SessionLeaseTest.java
+++ b/core/src/test/java/org/wasabilug/internal/lease/SessionLeaseTest.java
@@ -11,9 +11,9 @@
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.simulation.FaultyTable;
 import org.wasabilug.internal.simulation.SimulatedProcess;
+import org.wasabilug.internal.simulation.TrustedAnswers;
 import org.wasabilug.internal.simulation.VirtualTime;
 import org.wasabilug.model.InstanceName;
-import org.wasabilug.port.CommitOutcome;
 
 class SessionLeaseTest {
     private static final int SCHEDULES = 300;
@@ -157,7 +157,7 @@
                         Holder next = new Holder(time, table, "p" + holders.size(), holders.size());
                         next.setAnswerFilter(
                                 trustsLostAnswers
-                                        ? SessionLeaseTest::trust
+                                        ? TrustedAnswers::trust
                                         : UnaryOperator.identity());
                         holders.add(next);
                     }
@@ -175,12 +175,4 @@
         time.runFor(Duration.ofMinutes(3));
         return counts;
     }
-
-    private static InstanceEvent trust(InstanceEvent event) {
-        return event instanceof InstanceEvent.CommitAnswered answer
-                        && answer.outcome() instanceof CommitOutcome.Unknown
-                ? new InstanceEvent.CommitAnswered(
-                        answer.operation(), new CommitOutcome.Committed())
-                : event;
-    }
 }
--- a/core/src/test/java/org/wasabilug/internal/ledger/TableLedgerTest.java
+++ b/core/src/test/java/org/wasabilug/internal/ledger/TableLedgerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.simulation.TrustedAnswers;
 import org.wasabilug.internal.table.RowJson;
 import org.wasabilug.model.RequestId;
 import org.wasabilug.port.CommitOutcome;
@@ -164,20 +165,11 @@
     void checkerCatchesLedgerThatTakesLostAnswersForCommits() {
         long violations = 0;
         for (int seed = 0; seed < 50; seed++) {
-            LedgerSimulation simulation =
-                    new LedgerSimulation(seed, 0.4, TableLedgerTest::trustLostAnswer);
+            LedgerSimulation simulation = new LedgerSimulation(seed, 0.4, TrustedAnswers::trust);
             simulation.run();
             violations += simulation.mReceived.values().stream().filter(count -> count > 1).count();
         }
 
         assertThat(violations).isPositive();
     }
-
-    private static InstanceEvent trustLostAnswer(InstanceEvent event) {
-        return event instanceof InstanceEvent.CommitAnswered answer
-                        && answer.outcome() instanceof CommitOutcome.Unknown
-                ? new InstanceEvent.CommitAnswered(
-                        answer.operation(), new CommitOutcome.Committed())
-                : event;
-    }
 }
