Measure the configuration and try its faults

Cause: memory, merge time, time to take effect and traffic had no figures; an address without an authority, such as mailto:anne, made the validator fail.

--- a/core/src/main/java/org/wasabilug/internal/ticket/StateReader.java
+++ b/core/src/main/java/org/wasabilug/internal/ticket/StateReader.java
@@ -1,6 +1,8 @@
 package org.wasabilug.internal.ticket;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.Interner;
+import com.google.common.collect.Interners;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.Duration;
@@ -32,6 +34,11 @@
 
 /** Reads the whole state of one object from JSON. */
 final class StateReader {
+    /** Thousands of workspaces share a few sets, so that each set is kept in memory once. */
+    private static final Interner<Set<PipelineName>> PIPELINES = Interners.newWeakInterner();
+
+    private static final Interner<Set<PoolName>> SERVICES = Interners.newWeakInterner();
+
     private final ObjectKey mKey;
     private final FieldReader mFields;
     private final List<Finding> mFindings;
@@ -130,8 +137,9 @@
     private Workspace readWorkspace() {
         Workspace.Builder builder = Workspace.builder().name(new WorkspaceName(mKey.name()));
         builder.key(readKey());
-        builder.pipelines(Set.copyOf(mFields.names("pipelines", PipelineName::new)));
-        builder.services(Set.copyOf(mFields.names("services", PoolName::new)));
+        builder.pipelines(
+                PIPELINES.intern(Set.copyOf(mFields.names("pipelines", PipelineName::new))));
+        builder.services(SERVICES.intern(Set.copyOf(mFields.names("services", PoolName::new))));
         mFields.decimal("requestsPerSecond").ifPresent(builder::requestsPerSecond);
         mFields.integer("concurrentRequests").ifPresent(builder::concurrentRequests);
         mFields.integer("shareWeight").ifPresent(builder::shareWeight);
--- a/core/src/main/java/org/wasabilug/internal/ticket/StateRules.java
+++ b/core/src/main/java/org/wasabilug/internal/ticket/StateRules.java
@@ -73,7 +73,8 @@
 
     private void checkAddress(URI address) {
         boolean base =
-                address.getRawQuery() == null
+                !address.isOpaque()
+                        && address.getRawQuery() == null
                         && address.getRawFragment() == null
                         && address.getRawUserInfo() == null
                         && (address.getRawPath().isEmpty() || address.getRawPath().equals("/"));
--- a/core/src/test/java/org/wasabilug/internal/feed/SimulatedInstance.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/SimulatedInstance.java
@@ -93,11 +93,11 @@
         SimulatedPlatform platform = mFleet.platform();
         for (InstanceAction action : actions) {
             switch (action) {
-                case InstanceAction.CommitTable commit -> platform.commit(commit, this::handle);
-                case InstanceAction.ReadTable read -> platform.read(read, this::handle);
-                case InstanceAction.ReadObject read -> platform.readObject(read, this::handle);
-                case InstanceAction.WriteObject write -> platform.writeObject(write, this::handle);
-                case InstanceAction.ReadInstanceList read -> platform.readList(read, this::handle);
+                case InstanceAction.CommitTable commit -> platform.commit(commit, this);
+                case InstanceAction.ReadTable read -> platform.read(read, this);
+                case InstanceAction.ReadObject read -> platform.readObject(read, this);
+                case InstanceAction.WriteObject write -> platform.writeObject(write, this);
+                case InstanceAction.ReadInstanceList read -> platform.readList(read, this);
                 case InstanceAction.SendToPeer send -> mFleet.deliver(this, send);
                 case InstanceAction.AnswerTicket answer ->
                         mSubmissions.remove(answer.submission()).accept(answer.answer());
--- a/core/src/test/java/org/wasabilug/internal/feed/SimulatedPlatform.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/SimulatedPlatform.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
@@ -27,6 +27,7 @@
     private final UniformRandomProvider mRandom;
     List<ListedInstance> mListed = List.of();
     boolean mAvailable = true;
+    Predicate<SimulatedInstance> mCutOff = instance -> false;
     double mLostAnswerShare;
     double mDelayedCommitShare;
     long mReads;
@@ -37,6 +38,10 @@
         mRandom = random;
     }
 
+    private boolean reaches(SimulatedInstance instance) {
+        return mAvailable && !mCutOff.test(instance);
+    }
+
     private long latencyNanos() {
         return mRandom.nextLong(LONGEST_LATENCY_NANOS);
     }
@@ -45,17 +50,17 @@
         mClock.schedule(mClock.nowNanos() + nanos, task);
     }
 
-    private void answer(Consumer<InstanceEvent> instance, InstanceEvent event) {
-        later(latencyNanos(), () -> instance.accept(event));
+    private void answer(SimulatedInstance instance, InstanceEvent event) {
+        later(latencyNanos(), () -> instance.handle(event));
     }
 
-    void commit(InstanceAction.CommitTable commit, Consumer<InstanceEvent> instance) {
+    void commit(InstanceAction.CommitTable commit, SimulatedInstance instance) {
         mCommits++;
         double fate = mRandom.nextDouble();
         boolean lost = fate < mLostAnswerShare + mDelayedCommitShare;
         long delayNanos =
                 fate < mDelayedCommitShare ? mRandom.nextLong(LONGEST_DELAY_NANOS) : latencyNanos();
-        boolean refused = !mAvailable;
+        boolean refused = !reaches(instance);
         later(
                 delayNanos,
                 () -> {
@@ -73,15 +78,15 @@
             later(
                     ANSWER_LIMIT_NANOS,
                     () ->
-                            instance.accept(
+                            instance.handle(
                                     new InstanceEvent.CommitAnswered(
                                             commit.operation(), new CommitOutcome.Unknown())));
         }
     }
 
-    void read(InstanceAction.ReadTable read, Consumer<InstanceEvent> instance) {
+    void read(InstanceAction.ReadTable read, SimulatedInstance instance) {
         mReads++;
-        boolean lost = !mAvailable || mRandom.nextDouble() < mLostAnswerShare;
+        boolean lost = !reaches(instance) || mRandom.nextDouble() < mLostAnswerShare;
         later(
                 latencyNanos(),
                 () ->
@@ -94,7 +99,7 @@
                                                 : new ReadOutcome.Rows(mTable.read(read.read())))));
     }
 
-    void readObject(InstanceAction.ReadObject read, Consumer<InstanceEvent> instance) {
+    void readObject(InstanceAction.ReadObject read, SimulatedInstance instance) {
         ObjectOutcome outcome =
                 Optional.ofNullable(mObjects.get(read.name()))
                         .<ObjectOutcome>map(ObjectOutcome.Found::new)
@@ -102,23 +107,23 @@
         answerObject(read.operation(), outcome, instance);
     }
 
-    void writeObject(InstanceAction.WriteObject write, Consumer<InstanceEvent> instance) {
-        if (mAvailable) {
+    void writeObject(InstanceAction.WriteObject write, SimulatedInstance instance) {
+        if (reaches(instance)) {
             mObjects.put(write.name(), write.text());
         }
         answerObject(write.operation(), new ObjectOutcome.Written(), instance);
     }
 
     private void answerObject(
-            OperationId operation, ObjectOutcome outcome, Consumer<InstanceEvent> instance) {
-        ObjectOutcome answered = mAvailable ? outcome : new ObjectOutcome.Unavailable();
+            OperationId operation, ObjectOutcome outcome, SimulatedInstance instance) {
+        ObjectOutcome answered = reaches(instance) ? outcome : new ObjectOutcome.Unavailable();
         answer(instance, new InstanceEvent.ObjectAnswered(operation, answered));
     }
 
-    void readList(InstanceAction.ReadInstanceList read, Consumer<InstanceEvent> instance) {
+    void readList(InstanceAction.ReadInstanceList read, SimulatedInstance instance) {
         mReads++;
         ListOutcome outcome =
-                mAvailable ? new ListOutcome.Listed(mListed) : new ListOutcome.Unavailable();
+                reaches(instance) ? new ListOutcome.Listed(mListed) : new ListOutcome.Unavailable();
         answer(instance, new InstanceEvent.ListAnswered(read.operation(), outcome));
     }
 }
