Drive whole fleets of decision cores in virtual time

Cause: the joined core was proved only by one demonstration. Figures: four first tests pass: configuration in force, own whole answers under 50 requests/s, no new work to a taken-out domain, no overload of a cold endpoint. Conclusion: invariants can be checked on the real core.

--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Fleet.java
@@ -0,0 +1,370 @@
+package org.wasabilug.scenarios.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.TicketAnswer;
+import org.wasabilug.model.CallerRequest;
+import org.wasabilug.model.ChangeTicket;
+import org.wasabilug.model.ConfigurationObject;
+import org.wasabilug.model.DomainState;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.FailureDomain;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.ObjectChange;
+import org.wasabilug.model.OperatorName;
+import org.wasabilug.model.Stage;
+import org.wasabilug.port.ListedInstance;
+import org.wasabilug.port.ListedRole;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.fake.EndpointProfile;
+import org.wasabilug.scenarios.internal.fake.FakeEndpoint;
+import org.wasabilug.scenarios.internal.fake.FakeNetwork;
+import org.wasabilug.scenarios.internal.fake.FakePlatform;
+import org.wasabilug.scenarios.internal.fake.StageResults;
+import org.wasabilug.scenarios.internal.history.History;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** The instances and endpoints of one deployment, in virtual time. */
+public final class Fleet {
+    private static final long LIST_LAG_NANOS = 500 * VirtualClock.MILLISECOND_NANOS;
+    private static final long LARGEST_CLOCK_OFFSET_NANOS = 1L << 50;
+    private static final OperatorName OPERATOR = new OperatorName("anne");
+
+    private final FleetShape mShape;
+    private final CoreFactory mCores;
+    private final UniformRandomProvider mRandom;
+    private final VirtualClock mClock = new VirtualClock();
+    private final History mHistory = new History(mClock);
+    private final FakePlatform mPlatform = new FakePlatform(mClock, LIST_LAG_NANOS);
+    private final FakeNetwork mNetwork = new FakeNetwork();
+    private final Map<EndpointName, FakeEndpoint> mEndpoints = new LinkedHashMap<>();
+    private final Map<InstanceName, InstanceLife> mInstances = new LinkedHashMap<>();
+    private final Map<EndpointName, Boolean> mLeaving = new HashMap<>();
+    private final Surroundings mSurroundings;
+    private long mLastIncarnation;
+    private long mLastSubmission;
+    private long mLastTicket;
+
+    /**
+     * Creates the fleet; nothing runs before {@link #start()}.
+     *
+     * @param shape instances, endpoints and configuration
+     * @param cores makes the decision cores
+     * @param seed seed of everything that varies
+     */
+    public Fleet(FleetShape shape, CoreFactory cores, long seed) {
+        mShape = shape;
+        mCores = cores;
+        mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        for (Endpoint endpoint : shape.endpoints()) {
+            EndpointProfile profile = shape.profiles().get(endpoint.pool());
+            mEndpoints.put(endpoint.name(), new FakeEndpoint(mClock, mHistory, endpoint, profile));
+        }
+        mSurroundings = new Surroundings(mClock, mHistory, mPlatform, mNetwork, mEndpoints);
+    }
+
+    /** Starts every instance and puts the configuration in force through a first ticket. */
+    public void start() {
+        mShape.instances().forEach(this::startInstance);
+        publishList();
+        submitTicket(firstInstance(), mShape.objects());
+        runMilliseconds(5_000);
+    }
+
+    /**
+     * Starts a new process life of an instance.
+     *
+     * @param name name of the instance
+     * @param failureDomain failure domain that holds it
+     */
+    public void startInstance(InstanceName name, FailureDomainName failureDomain) {
+        mLastIncarnation++;
+        long incarnation = mLastIncarnation;
+        long offset = mRandom.nextLong() % LARGEST_CLOCK_OFFSET_NANOS;
+        InstanceLife life =
+                new InstanceLife(
+                        new InstanceLife.LifeIdentity(name, failureDomain, incarnation, offset),
+                        mSurroundings,
+                        mCores.create(name, failureDomain, incarnation, mRandom.nextLong()),
+                        mInstances::get);
+        life.onTicketAnswer(this::ticketAnswered);
+        mInstances.put(name, life);
+        life.start();
+        publishList();
+    }
+
+    private void ticketAnswered(long submission, TicketAnswer answer) {
+        if (answer instanceof TicketAnswer.Accepted
+                || answer instanceof TicketAnswer.AlreadyAccepted) {
+            mHistory.add(new HistoryEvent.TicketAccepted(submission));
+        } else {
+            mHistory.add(new HistoryEvent.Disturbance("ticket " + submission + ": " + answer));
+        }
+    }
+
+    private InstanceLife firstInstance() {
+        return mInstances.values().iterator().next();
+    }
+
+    /**
+     * Kills the process of an instance; another life may be started later.
+     *
+     * @param name name of the instance
+     */
+    public void kill(InstanceName name) {
+        mHistory.add(new HistoryEvent.Disturbance("killed " + name));
+        instance(name).kill();
+        publishList();
+    }
+
+    /**
+     * Pauses a process; events wait for it.
+     *
+     * @param name name of the instance
+     * @param paused false to let it go on
+     */
+    public void setPaused(InstanceName name, boolean paused) {
+        mHistory.add(new HistoryEvent.Disturbance((paused ? "paused " : "continued ") + name));
+        if (paused) {
+            instance(name).pause();
+        } else {
+            instance(name).resume();
+        }
+    }
+
+    /**
+     * Begins a planned stop.
+     *
+     * @param name name of the instance
+     */
+    public void stop(InstanceName name) {
+        instance(name).beginStop();
+        publishList();
+    }
+
+    /**
+     * Cuts or heals both directions between two failure domains.
+     *
+     * @param one a failure domain
+     * @param other another failure domain
+     * @param cut false to heal
+     */
+    public void setCut(FailureDomainName one, FailureDomainName other, boolean cut) {
+        mHistory.add(
+                new HistoryEvent.Disturbance((cut ? "cut " : "healed ") + one + " from " + other));
+        mNetwork.setCut(one, other, cut);
+        mNetwork.setCut(other, one, cut);
+    }
+
+    /**
+     * Shows an endpoint as leaving in the platform's list.
+     *
+     * @param name name of the endpoint
+     */
+    public void listAsLeaving(EndpointName name) {
+        mLeaving.put(name, true);
+        publishList();
+        mClock.after(LIST_LAG_NANOS, () -> mHistory.add(new HistoryEvent.ListedLeaving(name)));
+    }
+
+    private void publishList() {
+        List<ListedInstance> listed = new ArrayList<>();
+        for (InstanceLife life : mInstances.values()) {
+            if (life.isAlive()) {
+                listed.add(
+                        new ListedInstance(
+                                life.name().value(),
+                                ListedRole.ENTRY,
+                                life.failureDomain(),
+                                "127.0.0.1:" + (1 + listed.size()),
+                                false));
+            }
+        }
+        for (FakeEndpoint endpoint : mEndpoints.values()) {
+            listed.add(listedEndpoint(endpoint.configuration()));
+        }
+        mPlatform.publish(listed);
+    }
+
+    private ListedInstance listedEndpoint(Endpoint endpoint) {
+        return new ListedInstance(
+                endpoint.name().value(),
+                ListedRole.ENDPOINT,
+                endpoint.failureDomain(),
+                endpoint.address().getAuthority(),
+                mLeaving.getOrDefault(endpoint.name(), false));
+    }
+
+    /**
+     * Submits a ticket with the next number at an instance.
+     *
+     * @param life the instance
+     * @param objects whole new states
+     * @return number of the ticket
+     */
+    public long submitTicket(InstanceLife life, List<ConfigurationObject> objects) {
+        mLastTicket++;
+        submitTicket(life, mLastTicket, objects);
+        return mLastTicket;
+    }
+
+    /**
+     * Submits a ticket with a number of the operator's choice.
+     *
+     * @param life the instance
+     * @param number number of the ticket
+     * @param objects whole new states
+     */
+    public void submitTicket(InstanceLife life, long number, List<ConfigurationObject> objects) {
+        mLastTicket = Math.max(mLastTicket, number);
+        List<ObjectChange> changes =
+                objects.stream()
+                        .map(object -> new ObjectChange(object.objectKey(), Optional.of(object)))
+                        .toList();
+        life.deliver(
+                new InstanceEvent.TicketSubmitted(
+                        number, new ChangeTicket(number, OPERATOR, changes)));
+    }
+
+    /**
+     * Takes a failure domain out or brings it back, through a ticket.
+     *
+     * @param name name of the failure domain
+     * @param out true to take it out
+     */
+    public void moveDomain(FailureDomainName name, boolean out) {
+        FailureDomain domain =
+                FailureDomain.builder()
+                        .name(name)
+                        .state(out ? DomainState.TAKEN_OUT : DomainState.IN_SERVICE)
+                        .build();
+        InstanceLife operatorsInstance =
+                mInstances.values().stream()
+                        .filter(InstanceLife::isAlive)
+                        .findFirst()
+                        .orElseThrow();
+        long number = mLastTicket + 1;
+        operatorsInstance.onTicketAnswer(
+                (submission, answer) -> {
+                    ticketAnswered(submission, answer);
+                    if (submission == number && answer instanceof TicketAnswer.Accepted) {
+                        mHistory.add(new HistoryEvent.DomainMoved(name, out));
+                    }
+                });
+        submitTicket(operatorsInstance, List.of(domain));
+    }
+
+    /**
+     * Submits a request.
+     *
+     * @param name instance that gets it
+     * @param request the request
+     */
+    public void submit(InstanceName name, CallerRequest request) {
+        mLastSubmission++;
+        mHistory.add(
+                new HistoryEvent.Submitted(
+                        mLastSubmission,
+                        request.id(),
+                        name,
+                        StageResults.answer(request.id(), request.pipeline(), this::profileOf),
+                        mClock.nowNanos() + request.deadline().toNanos()));
+        instance(name).submit(mLastSubmission, request);
+    }
+
+    private EndpointProfile profileOf(Stage stage) {
+        return mShape.profiles().get(stage.pool());
+    }
+
+    /**
+     * Lets virtual time pass.
+     *
+     * @param milliseconds how long
+     */
+    public void runMilliseconds(long milliseconds) {
+        mClock.runUntil(mClock.nowNanos() + milliseconds * VirtualClock.MILLISECOND_NANOS);
+    }
+
+    /**
+     * An instance's current life.
+     *
+     * @param name its name
+     * @return the life
+     */
+    public InstanceLife instance(InstanceName name) {
+        return mInstances.get(name);
+    }
+
+    /**
+     * The current lives of all instances.
+     *
+     * @return dead ones included
+     */
+    public List<InstanceLife> instances() {
+        return List.copyOf(mInstances.values());
+    }
+
+    /**
+     * An endpoint.
+     *
+     * @param name its name
+     * @return the fake
+     */
+    public FakeEndpoint endpoint(EndpointName name) {
+        return mEndpoints.get(name);
+    }
+
+    /**
+     * Every endpoint.
+     *
+     * @return the fakes
+     */
+    public List<FakeEndpoint> endpoints() {
+        return List.copyOf(mEndpoints.values());
+    }
+
+    /**
+     * The platform, for faults and counts.
+     *
+     * @return the fake
+     */
+    public FakePlatform platform() {
+        return mPlatform;
+    }
+
+    /**
+     * Links between failure domains.
+     *
+     * @return the fake
+     */
+    public FakeNetwork network() {
+        return mNetwork;
+    }
+
+    /**
+     * Virtual time.
+     *
+     * @return the clock
+     */
+    public VirtualClock clock() {
+        return mClock;
+    }
+
+    /**
+     * What has happened.
+     *
+     * @return the history
+     */
+    public History history() {
+        return mHistory;
+    }
+}
--- /dev/null
+++ b/scenarios/src/test/java/org/wasabilug/scenarios/internal/fleet/FleetTest.java
@@ -0,0 +1,118 @@
+package org.wasabilug.scenarios.internal.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.internal.instance.InstanceCore;
+import org.wasabilug.internal.instance.InstanceSettings;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+class FleetTest {
+    private static final CoreFactory CORES =
+            (name, domain, incarnation, seed) ->
+                    new InstanceCore(
+                            InstanceSettings.builder()
+                                    .name(name)
+                                    .failureDomain(domain)
+                                    .incarnation(incarnation)
+                                    .seed(seed)
+                                    .build());
+
+    private final FleetShape mShape = FleetShape.frigoval();
+    private final Fleet mFleet = new Fleet(mShape, CORES, 1);
+
+    @Test
+    void putsTheFirstTicketInForceEverywhere() {
+        mFleet.start();
+
+        assertThat(mFleet.instances())
+                .allSatisfy(
+                        life ->
+                                assertThat(life.configuration().objects())
+                                        .hasSize(mShape.objects().size()));
+    }
+
+    @Test
+    void givesEveryCallerItsOwnWholeAnswer() {
+        mFleet.start();
+
+        submitSteadily(200, 20);
+        mFleet.runMilliseconds(5_000);
+
+        Map<Long, String> expected =
+                mFleet.history()
+                        .events(HistoryEvent.Submitted.class)
+                        .collect(
+                                Collectors.toMap(
+                                        HistoryEvent.Submitted::submission,
+                                        HistoryEvent.Submitted::expectedAnswer));
+        Map<Long, String> answers =
+                mFleet.history()
+                        .events(HistoryEvent.Answered.class)
+                        .collect(
+                                Collectors.toMap(
+                                        HistoryEvent.Answered::submission,
+                                        HistoryEvent.Answered::answer));
+        assertThat(answers).isEqualTo(expected);
+    }
+
+    @Test
+    void sendsNoNewWorkToADomainThatWasTakenOut() {
+        mFleet.start();
+        submitSteadily(50, 20);
+        mFleet.moveDomain(new FailureDomainName("brest"), true);
+        mFleet.runMilliseconds(3_000);
+        long before = receivedAt("brest");
+
+        submitSteadily(100, 20);
+        mFleet.runMilliseconds(5_000);
+
+        assertThat(mFleet.history().events(HistoryEvent.DomainMoved.class)).hasSize(1);
+        assertThat(receivedAt("brest")).isEqualTo(before);
+    }
+
+    @Test
+    void neverOverloadsAnEndpointThatTurnedColdUnannounced() {
+        mFleet.start();
+        submitSteadily(50, 20);
+        mFleet.endpoint(new EndpointName("brest-generators-1")).turnCold();
+
+        submitSteadily(1_500, 20);
+        mFleet.runMilliseconds(5_000);
+
+        assertThat(crashes()).isEmpty();
+        assertThat(mFleet.endpoint(new EndpointName("brest-generators-1")).isCold()).isFalse();
+    }
+
+    private List<HistoryEvent.Crashed> crashes() {
+        return mFleet.history().events(HistoryEvent.Crashed.class).toList();
+    }
+
+    private long receivedAt(String domain) {
+        return mFleet.history()
+                .events(HistoryEvent.Received.class)
+                .filter(event -> event.endpoint().value().startsWith(domain))
+                .count();
+    }
+
+    private void submitSteadily(int requests, long everyMilliseconds) {
+        List<InstanceName> names = List.copyOf(mShape.instances().keySet());
+        for (int index = 0; index < requests; index++) {
+            mFleet.submit(
+                    names.get(index % names.size()),
+                    mShape.request(
+                            "r" + mFleet.clock().nowNanos(),
+                            index % 5 == 0 ? FleetShape.TRANSFERS : FleetShape.CERTIFICATES,
+                            index,
+                            "cold room " + index,
+                            index % 5 == 0));
+            mFleet.runMilliseconds(everyMilliseconds);
+        }
+    }
+}
