--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/feed/ReturnAfterOutageTest.java
@@ -0,0 +1,57 @@
+package org.wasabilug.internal.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class ReturnAfterOutageTest {
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final int INSTANCES = 450;
+    private static final long READS_PER_SECOND = 2_000;
+    private static final int OUTAGE_SECONDS = 60;
+    private static final int RETURN_SECONDS = 15;
+
+    private static long mostReadsInOneSecond(SimulatedFleet fleet, int seconds) {
+        long most = 0;
+        for (int second = 0; second < seconds; second++) {
+            long before = fleet.platform().mReads;
+            fleet.clock().runFor(SECOND_NANOS);
+            most = Math.max(most, fleet.platform().mReads - before);
+        }
+        return most;
+    }
+
+    @Test
+    void asksNoMoreOfThePlatformThanItsRateWhenEveryInstanceComesBack() {
+        SimulatedFleet fleet = new SimulatedFleet(INSTANCES, 6, 5);
+        fleet.start();
+        fleet.clock().runFor(10 * SECOND_NANOS);
+        fleet.platform().mAvailable = false;
+        long during = mostReadsInOneSecond(fleet, OUTAGE_SECONDS);
+        fleet.platform().mAvailable = true;
+        long after = mostReadsInOneSecond(fleet, RETURN_SECONDS);
+
+        System.out.printf(
+                "%d instances: most reads in a second %d in an outage, %d after it%n",
+                INSTANCES, during, after);
+        assertThat(Math.max(during, after)).isLessThan(READS_PER_SECOND);
+        assertThat(fleet.instances()).allMatch(each -> each.mFeed.platformReachable());
+    }
+
+    @Test
+    void asksNoMoreOfThePlatformThanItsRateWhenEveryInstanceRestartsAtOnce() {
+        SimulatedFleet fleet = new SimulatedFleet(INSTANCES, 6, 5);
+        fleet.start();
+        fleet.clock().runFor(10 * SECOND_NANOS);
+        for (int number = 0; number < INSTANCES; number++) {
+            fleet.restart(number, 2, List.of());
+        }
+        long most = mostReadsInOneSecond(fleet, RETURN_SECONDS);
+
+        System.out.printf(
+                "%d instances: most reads in a second %d when all restart%n", INSTANCES, most);
+        assertThat(most).isLessThan(READS_PER_SECOND);
+    }
+}
