Spread the first reads of instances that start together

Cause: 450 instances that restart at once read from the platform within 0.2 s. Change: the first reads of feed and list are spread over 1.5 s; the test counts object reads too.

--- a/core/src/main/java/org/wasabilug/internal/feed/PollPacer.java
+++ b/core/src/main/java/org/wasabilug/internal/feed/PollPacer.java
@@ -13,6 +13,7 @@
     private static final long INTERVAL_PER_INSTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final long FIRST_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long LONGEST_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(8);
+    private static final long START_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int JITTER_PARTS = 5;
 
     private final UniformRandomProvider mRandom;
@@ -37,7 +38,7 @@
 
     /** Pause of an instance that starts, so that many starting at once come spread out. */
     long startNanos() {
-        return mRandom.nextLong(mIntervalNanos / JITTER_PARTS);
+        return mRandom.nextLong(START_SPREAD_NANOS);
     }
 
     void answered() {
--- a/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
@@ -13,6 +13,7 @@
     private static final long LONGEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long INTERVAL_PER_INSTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
+    private static final long START_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int JITTER_PARTS = 5;
 
     private final UniformRandomProvider mRandom;
@@ -27,15 +28,19 @@
         mRandom = random;
     }
 
-    /** The read that is due now, if one is. */
+    /** The read that is due now, if one is; at the start a wake-up for the first one. */
     Optional<InstanceAction> onTime(long nowNanos) {
-        if (mStarted && nowNanos - mNextNanos < 0) {
+        if (!mStarted) {
+            mStarted = true;
+            mNextNanos = nowNanos + mRandom.nextLong(START_SPREAD_NANOS);
+            return Optional.of(new InstanceAction.WakeAt(mNextNanos));
+        }
+        if (nowNanos - mNextNanos < 0) {
             return Optional.empty();
         }
         if (mWaiting) {
             mAvailable = false;
         }
-        mStarted = true;
         mWaiting = true;
         mOperation++;
         mNextNanos = nowNanos + ANSWER_LIMIT_NANOS;
--- a/core/src/test/java/org/wasabilug/internal/feed/SimulatedInstance.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/SimulatedInstance.java
@@ -72,7 +72,9 @@
         perform(mAcceptance.handle(event, nowNanos));
         perform(mFeed.handle(event, nowNanos).actions());
         perform(mMembership.handle(event, nowNanos));
-        mFeed.instanceCount(mMembership.instanceCountEstimate(nowNanos));
+        if (event instanceof InstanceEvent.ListAnswered) {
+            mFeed.instanceCount(mMembership.instanceCountEstimate(nowNanos));
+        }
         checkNothingReverted();
     }
 
--- a/core/src/test/java/org/wasabilug/internal/feed/SimulatedPlatform.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/SimulatedPlatform.java
@@ -100,6 +100,7 @@
     }
 
     void readObject(InstanceAction.ReadObject read, SimulatedInstance instance) {
+        mReads++;
         ObjectOutcome outcome =
                 Optional.ofNullable(mObjects.get(read.name()))
                         .<ObjectOutcome>map(ObjectOutcome.Found::new)
