Tell the culprit of a crash from what ran beside it

Cause: contents that ran beside a culprit at two endpoints, from two instances, were condemned with it; a lost connection and one crash condemned an innocent. Change: suspects of one crash are spread over the pool by rank, the same way at every instance; a content waits while its second crash is unconfirmed; restarts seen in reports tell a fallen domain; a content that completes is cleared.

--- a/core/src/main/java/org/wasabilug/internal/quarantine/Crash.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/Crash.java
@@ -11,6 +11,12 @@
     final long mTimeNanos;
     final Set<Long> mFingerprints = new TreeSet<>();
 
+    /** A report showed that the endpoint has started again. */
+    boolean mConfirmed;
+
+    /** Contents that have completed since; what a peer says of them no longer counts. */
+    private final Set<Long> mCleared = new TreeSet<>();
+
     /** How often this crash is still to be told to peers. */
     int mSharesLeft;
 
@@ -25,6 +31,22 @@
         return mGeneration == generation && mEndpoint.equals(endpoint);
     }
 
+    /** Adds a content that ran there; false where that is no news. */
+    boolean accuse(long fingerprint) {
+        return !mCleared.contains(fingerprint) && mFingerprints.add(fingerprint);
+    }
+
+    void clear(long fingerprint) {
+        if (mFingerprints.remove(fingerprint)) {
+            mCleared.add(fingerprint);
+        }
+    }
+
+    /** Place of the content among those that ran there, the same at every instance. */
+    int rankOf(long fingerprint) {
+        return (int) mFingerprints.stream().filter(other -> other < fingerprint).count();
+    }
+
     /** True where this content is the only one that ran at both crashes. */
     boolean sharesOnly(long fingerprint, Crash other) {
         return mFingerprints.contains(fingerprint)
--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashJudge.java
@@ -17,15 +17,19 @@
  * <p>A content is condemned where it is the only one that ran at two crashes. A crash that a
  * condemned content explains speaks against nobody else. Contents that ran together at two
  * unexplained crashes can't be told apart; none of them runs again while the evidence lasts, since
- * a third endpoint must not fall. Many endpoints of one failure domain that end within a moment,
- * without one content at all of them, fell for another reason.
+ * a third endpoint must not fall. While it is not yet known whether a lost connection was a crash,
+ * a content that would be condemned by it waits. Many endpoints of one failure domain that end
+ * within a moment, without one content at all of them, fell for another reason.
  */
 final class CrashJudge {
+    /** A restart shows in a report this much later. */
+    private static final long REPORT_LAG_NANOS = 2_000_000_000L;
+
     private final QuarantineSettings mSettings;
     private final Function<EndpointName, Optional<FailureDomainName>> mDomains;
 
-    /** Contents that must not run, and those that must run apart. */
-    record Judgement(Set<Long> quarantined, Set<Long> suspects) {}
+    /** Contents that must not run, those that must wait, and those that must run apart. */
+    record Judgement(Set<Long> quarantined, Set<Long> waiting, Set<Long> suspects) {}
 
     CrashJudge(
             QuarantineSettings settings,
@@ -34,8 +38,29 @@
         mDomains = domains;
     }
 
-    Judgement judge(List<Crash> crashes) {
-        List<Crash> counted = withoutMassEvents(crashes);
+    /**
+     * Judges all contents.
+     *
+     * @param crashes every crash and lost connection
+     * @param restarts when each endpoint was last seen in a new life
+     * @return the judgement
+     */
+    Judgement judge(List<Crash> crashes, Map<EndpointName, Long> restarts) {
+        List<Crash> counted =
+                crashes.stream()
+                        .filter(crash -> !isPartOfMassEvent(crash, crashes, restarts))
+                        .toList();
+        Judgement possible = judge(counted);
+        Judgement certain = judge(counted.stream().filter(crash -> crash.mConfirmed).toList());
+        Set<Long> waiting = new HashSet<>(possible.quarantined());
+        waiting.removeAll(certain.quarantined());
+        Set<Long> suspects = new HashSet<>(possible.suspects());
+        suspects.addAll(waiting);
+        suspects.removeAll(certain.quarantined());
+        return new Judgement(certain.quarantined(), waiting, suspects);
+    }
+
+    private Judgement judge(List<Crash> counted) {
         Map<Long, List<Crash>> byFingerprint = new HashMap<>();
         for (Crash crash : counted) {
             for (long fingerprint : crash.mFingerprints) {
@@ -62,7 +87,7 @@
                     }
                 });
         suspects.removeAll(quarantined);
-        return new Judgement(quarantined, suspects);
+        return new Judgement(quarantined, Set.of(), suspects);
     }
 
     private boolean isOnlyCommonOne(long fingerprint, List<Crash> crashes) {
@@ -80,11 +105,8 @@
         return crash.mFingerprints.stream().anyMatch(condemned::contains);
     }
 
-    private List<Crash> withoutMassEvents(List<Crash> crashes) {
-        return crashes.stream().filter(crash -> !isPartOfMassEvent(crash, crashes)).toList();
-    }
-
-    private boolean isPartOfMassEvent(Crash crash, List<Crash> crashes) {
+    private boolean isPartOfMassEvent(
+            Crash crash, List<Crash> crashes, Map<EndpointName, Long> restarts) {
         Optional<FailureDomainName> domain = mDomains.apply(crash.mEndpoint);
         if (domain.isEmpty()) {
             return false;
@@ -95,8 +117,23 @@
                         .filter(other -> Math.abs(other.mTimeNanos - crash.mTimeNanos) <= window)
                         .filter(other -> mDomains.apply(other.mEndpoint).equals(domain))
                         .toList();
-        long endpoints = together.stream().map(other -> other.mEndpoint).distinct().count();
-        return endpoints >= mSettings.massEndpoints() && !haveCommonContent(together);
+        Set<EndpointName> endpoints = new HashSet<>();
+        together.forEach(other -> endpoints.add(other.mEndpoint));
+        restarts.forEach(
+                (endpoint, seenNanos) -> {
+                    long later = seenNanos - crash.mTimeNanos;
+                    if (later >= -window
+                            && later <= window + REPORT_LAG_NANOS
+                            && mDomains.apply(endpoint).equals(domain)) {
+                        endpoints.add(endpoint);
+                    }
+                });
+        return endpoints.size() >= mSettings.massEndpoints() && !isAtAll(together, endpoints);
+    }
+
+    private boolean isAtAll(List<Crash> together, Set<EndpointName> endpoints) {
+        long withContents = together.stream().map(crash -> crash.mEndpoint).distinct().count();
+        return withContents == endpoints.size() && haveCommonContent(together);
     }
 
     private boolean haveCommonContent(List<Crash> crashes) {
--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
@@ -26,6 +26,9 @@
     private static final int HEARD_SHARES = 2;
     private static final int MAXIMUM_SHARED = 64;
 
+    /** From then on a suspect may go to any endpoint, as its own may be away. */
+    private static final long TURNS_END_NANOS = 30_000_000_000L;
+
     /** A report may have been on its way for this long beyond its stated age. */
     private static final long TRANSIT_NANOS = 500_000_000L;
 
@@ -33,6 +36,7 @@
     private final CrashJudge mJudge;
     private final Map<AttemptId, Running> mRunning = new HashMap<>();
     private final Map<EndpointName, Life> mLives = new HashMap<>();
+    private final Map<EndpointName, Long> mRestarts = new HashMap<>();
     private final List<Crash> mCrashes = new ArrayList<>();
     private Optional<CrashJudge.Judgement> mJudgement = Optional.empty();
     private Configuration mConfiguration = Configuration.empty();
@@ -67,20 +71,35 @@
     }
 
     private CrashJudge.Judgement judgement(long nowNanos) {
-        if (dropExpired(nowNanos) || mJudgement.isEmpty()) {
-            mJudgement = Optional.of(mJudge.judge(mCrashes));
+        if (dropExpired(nowNanos) | confirmOld(nowNanos) || mJudgement.isEmpty()) {
+            mJudgement = Optional.of(mJudge.judge(mCrashes, mRestarts));
         }
         return mJudgement.get();
     }
 
+    private boolean confirmOld(long nowNanos) {
+        long oldest = nowNanos - mSettings.confirmation().toNanos();
+        boolean changed = false;
+        for (Crash crash : mCrashes) {
+            if (!crash.mConfirmed && crash.mTimeNanos < oldest) {
+                crash.mConfirmed = true;
+                changed = true;
+            }
+        }
+        return changed;
+    }
+
     private boolean dropExpired(long nowNanos) {
         long oldest = nowNanos - mSettings.expiry().toNanos();
         return mCrashes.removeIf(crash -> crash.mTimeNanos < oldest);
     }
 
     /**
-     * Tells whether a suspect may be sent to an endpoint: only where no other suspect of this
-     * instance runs, so that the next crash tells them apart.
+     * Tells whether a content may be sent to an endpoint now; to be asked beside {@link #judge}.
+     *
+     * <p>The suspects of one crash are spread over the other endpoints of the pool by rank, the
+     * same way at every instance, so that the next crash tells them apart. A content waits while it
+     * is not known whether a lost connection was its second crash.
      *
      * @param fingerprint hash of the content
      * @param endpoint the endpoint
@@ -88,12 +107,46 @@
      * @return true also for contents that are no suspects
      */
     public boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos) {
-        if (judge(fingerprint, nowNanos) == Suspicion.CLEAN) {
+        Suspicion suspicion = judge(fingerprint, nowNanos);
+        if (suspicion == Suspicion.CLEAN) {
             return true;
         }
-        return mRunning.values().stream()
-                .filter(running -> running.endpoint().equals(endpoint))
-                .noneMatch(running -> judge(running.fingerprint(), nowNanos) != Suspicion.CLEAN);
+        if (suspicion == Suspicion.QUARANTINED
+                || judgement(nowNanos).waiting().contains(fingerprint)) {
+            return false;
+        }
+        boolean apart =
+                mRunning.values().stream()
+                        .filter(running -> running.endpoint().equals(endpoint))
+                        .noneMatch(running -> isSuspect(running.fingerprint(), nowNanos));
+        return apart
+                && mCrashes.stream()
+                        .filter(crash -> crash.mFingerprints.contains(fingerprint))
+                        .allMatch(crash -> isItsTurn(fingerprint, crash, endpoint, nowNanos));
+    }
+
+    private boolean isSuspect(long fingerprint, long nowNanos) {
+        return judge(fingerprint, nowNanos) != Suspicion.CLEAN;
+    }
+
+    private boolean isItsTurn(long fingerprint, Crash crash, EndpointName endpoint, long nowNanos) {
+        List<EndpointName> others = othersInPoolOf(crash.mEndpoint);
+        long sinceNanos = nowNanos - crash.mTimeNanos;
+        if (others.isEmpty() || sinceNanos > TURNS_END_NANOS) {
+            return true;
+        }
+        int rank = crash.rankOf(fingerprint);
+        long startNanos = rank / others.size() * mSettings.wave().toNanos();
+        return sinceNanos >= startNanos && others.get(rank % others.size()).equals(endpoint);
+    }
+
+    private List<EndpointName> othersInPoolOf(EndpointName endpoint) {
+        return mConfiguration.endpoint(endpoint).stream()
+                .flatMap(each -> mConfiguration.endpointsOf(each.pool()).stream())
+                .filter(each -> !each.leaving())
+                .map(Endpoint::name)
+                .filter(name -> !name.equals(endpoint))
+                .toList();
     }
 
     @Override
@@ -102,6 +155,22 @@
         mRunning.put(attempt, new Running(fingerprint, endpoint, nowNanos));
     }
 
+    /**
+     * Notes that an attempt has its whole result; a content that completes crashes no endpoint. To
+     * be called before {@link #ended}.
+     *
+     * @param attempt the attempt
+     * @param nowNanos monotonic time, in nanoseconds
+     */
+    public void completed(AttemptId attempt, long nowNanos) {
+        Running running = mRunning.get(attempt);
+        if (running == null || judge(running.fingerprint(), nowNanos) == Suspicion.CLEAN) {
+            return;
+        }
+        mCrashes.forEach(crash -> crash.clear(running.fingerprint()));
+        mJudgement = Optional.empty();
+    }
+
     @Override
     public List<InstanceAction> ended(AttemptId attempt, boolean crashed, long nowNanos) {
         Running ended = mRunning.remove(attempt);
@@ -114,12 +183,12 @@
         Crash crash =
                 known.filter(each -> ended.sinceNanos() <= each.mTimeNanos)
                         .orElseGet(() -> add(ended.endpoint(), generation, nowNanos, OWN_SHARES));
-        crash.mFingerprints.add(ended.fingerprint());
+        crash.accuse(ended.fingerprint());
         crash.mSharesLeft = OWN_SHARES;
         mRunning.values().stream()
                 .filter(running -> running.endpoint().equals(ended.endpoint()))
                 .filter(running -> running.sinceNanos() <= crash.mTimeNanos)
-                .forEach(running -> crash.mFingerprints.add(running.fingerprint()));
+                .forEach(running -> crash.accuse(running.fingerprint()));
         mJudgement = Optional.empty();
         return List.of(new InstanceAction.LogDecision(decision(attempt, ended, nowNanos)));
     }
@@ -169,6 +238,9 @@
         if (life != null && sampleNanos < life.sampleNanos()) {
             return;
         }
+        if (life != null && life.generation() != report.generation()) {
+            restarted(endpoint, report.generation(), nowNanos);
+        }
         mLives.put(endpoint, new Life(report.generation(), sampleNanos));
         boolean dismissed =
                 mCrashes.removeIf(
@@ -180,6 +252,15 @@
         }
     }
 
+    private void restarted(EndpointName endpoint, long generation, long nowNanos) {
+        mRestarts.put(endpoint, nowNanos);
+        mCrashes.stream()
+                .filter(crash -> crash.mEndpoint.equals(endpoint))
+                .filter(crash -> crash.mGeneration != generation)
+                .forEach(crash -> crash.mConfirmed = true);
+        mJudgement = Optional.empty();
+    }
+
     /**
      * Takes evidence of a peer.
      *
@@ -201,7 +282,7 @@
                                                     evidence.generation(),
                                                     timeNanos,
                                                     HEARD_SHARES));
-            if (crash.mFingerprints.add(evidence.fingerprint())) {
+            if (crash.accuse(evidence.fingerprint())) {
                 mJudgement = Optional.empty();
             }
         }
@@ -268,6 +349,7 @@
      */
     public void configurationChanged(Configuration configuration) {
         mConfiguration = configuration;
+        mRestarts.keySet().removeIf(name -> configuration.endpoint(name).isEmpty());
         mLives.keySet().removeIf(name -> configuration.endpoint(name).isEmpty());
         mJudgement = Optional.empty();
     }
--- a/core/src/main/java/org/wasabilug/internal/quarantine/QuarantineSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/QuarantineSettings.java
@@ -9,6 +9,8 @@
  * @param sameCrashWindow losses of one endpoint within this time are one crash
  * @param massWindow crashes in one failure domain within this time may have one other cause
  * @param massEndpoints so many endpoints must crash for that
+ * @param confirmation a lost connection counts as a crash after this where no report disproves it
+ * @param wave time between the runs of suspects that have to share an endpoint
  * @param maximumCrashes most crashes in memory; the oldest go first
  */
 public record QuarantineSettings(
@@ -16,9 +18,17 @@
         Duration sameCrashWindow,
         Duration massWindow,
         int massEndpoints,
+        Duration confirmation,
+        Duration wave,
         int maximumCrashes) {
     /** Evidence counts for an hour. */
     public static final QuarantineSettings DEFAULT =
             new QuarantineSettings(
-                    Duration.ofHours(1), Duration.ofSeconds(5), Duration.ofSeconds(3), 3, 256);
+                    Duration.ofHours(1),
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(1),
+                    3,
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(3),
+                    256);
 }
