--- a/entry/src/main/java/org/wasabilug/entry/internal/http/BodyReader.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/BodyReader.java
@@ -39,7 +39,7 @@
             HttpRequest request, Function<String, CompletionStage<HttpResponse>> answer) {
         return request.entity()
                 .withSizeLimit(mMaximumBytes)
-                .toStrict(TIMEOUT_MILLISECONDS, mMaximumBytes, mSystem)
+                .toStrict(TIMEOUT_MILLISECONDS, mSystem)
                 .handle((body, failure) -> answerTo(body, failure, answer))
                 .thenCompose(Function.identity());
     }
