Add settings, the daemon's program and the operators' command

Cause: an instance could only be made from code, and operators had curl alone. Change: a table of settings read from flags and variables with every finding reported together; EntryProcess wires core, clients and peers; SIGTERM begins a planned stop; wasabilug-operator checks, submits and makes tickets and shows what is in force. Salted hashes are made and compared in one place.

--- a/core/src/main/java/org/wasabilug/model/SaltedHash.java
+++ b/core/src/main/java/org/wasabilug/model/SaltedHash.java
@@ -1,9 +1,63 @@
 package org.wasabilug.model;
 
+import com.google.common.hash.Hashing;
+import com.google.common.io.BaseEncoding;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+
 /**
  * Salted hash of a key; the key itself is never stored.
  *
  * @param salt lower-case hexadecimal salt
  * @param hash lower-case hexadecimal SHA-256 over salt bytes followed by the key's UTF-8 bytes
  */
-public record SaltedHash(String salt, String hash) {}
+public record SaltedHash(String salt, String hash) {
+    private static final BaseEncoding HEXADECIMAL = BaseEncoding.base16().lowerCase();
+    private static final int SALT_BYTES = 16;
+
+    /**
+     * Hashes a key with a new random salt.
+     *
+     * @param key the key
+     * @param random source of the salt
+     * @return the salted hash
+     */
+    public static SaltedHash of(String key, SecureRandom random) {
+        byte[] salt = new byte[SALT_BYTES];
+        random.nextBytes(salt);
+        return new SaltedHash(HEXADECIMAL.encode(salt), HEXADECIMAL.encode(digest(salt, key)));
+    }
+
+    /**
+     * Tells whether salt and hash can be read.
+     *
+     * @return true where both are lower-case hexadecimal
+     */
+    public boolean isWellFormed() {
+        return salt != null
+                && hash != null
+                && HEXADECIMAL.canDecode(salt)
+                && HEXADECIMAL.canDecode(hash);
+    }
+
+    /**
+     * Compares a key with this well-formed hash, in constant time.
+     *
+     * @param key the key
+     * @return true where the hash was made from the key
+     */
+    public boolean matches(String key) {
+        return MessageDigest.isEqual(
+                digest(HEXADECIMAL.decode(salt), key), HEXADECIMAL.decode(hash));
+    }
+
+    private static byte[] digest(byte[] salt, String key) {
+        return Hashing.sha256()
+                .newHasher()
+                .putBytes(salt)
+                .putBytes(key.getBytes(StandardCharsets.UTF_8))
+                .hash()
+                .asBytes();
+    }
+}
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.wasabilug.entry.internal.actor.InstanceMessage;
 import org.wasabilug.entry.internal.actor.InstanceParts;
@@ -24,6 +26,7 @@
  */
 public final class EntryInstance implements AutoCloseable {
     private final EntryInstanceBuilder mParts;
+    private final ActorSystem<?> mSystem;
     private final InstanceShell mShell;
     private final AtomicReference<CompletionStage<Void>> mStop = new AtomicReference<>();
     private HttpListener mCallers;
@@ -31,6 +34,7 @@
 
     EntryInstance(EntryInstanceBuilder parts) {
         mParts = parts;
+        mSystem = parts.mActorSystem.orElseGet(() -> EntryActorSystem.start(parts.mLimits));
         mShell =
                 new InstanceShell(
                         new InstanceParts(
@@ -39,7 +43,7 @@
                                 parts.mEndpoints,
                                 parts.mPeers,
                                 parts.mLimits),
-                        parts.mPollPeriod);
+                        mSystem);
     }
 
     /**
@@ -59,7 +63,7 @@
     public EntryAddresses start() {
         Authenticator authenticator =
                 new Authenticator(mShell.published()::configuration, mParts.mBootstrapKey);
-        BodyReader bodies = new BodyReader(mShell.system(), mParts.mLimits.maximumBodyBytes());
+        BodyReader bodies = new BodyReader(mSystem, mParts.mLimits.maximumBodyBytes());
         mOperators = listenToOperators(authenticator, bodies);
         mCallers = listenToCallers(authenticator, bodies);
         EntryAddresses addresses = addresses();
@@ -73,21 +77,19 @@
                         authenticator,
                         mShell.published(),
                         bodies,
-                        new Submitter(mShell.system(), mParts.mLimits, mShell::tell),
+                        new Submitter(mSystem, mParts.mLimits, mShell::tell),
                         mShell::tell);
         return HttpListener.start(
-                        mShell.system(),
-                        mParts.mCallersAddress,
-                        mParts.mEncryption.map(ConnectionContext::httpsServer),
-                        handler)
-                .toCompletableFuture()
-                .join();
+                mSystem,
+                mParts.mCallersAddress,
+                mParts.mEncryption.map(ConnectionContext::httpsServer),
+                handler);
     }
 
     private HttpListener listenToOperators(Authenticator authenticator, BodyReader bodies) {
         OperatorHandler handler =
                 new OperatorHandler(
-                        mShell.system(),
+                        mSystem,
                         authenticator,
                         mShell.published(),
                         bodies,
@@ -95,13 +97,7 @@
                                 mParts.mTicketReader, mParts.mTicketChecker, mParts.mStateWriter),
                         mParts.mMetrics,
                         mShell::tell);
-        return HttpListener.start(
-                        mShell.system(),
-                        mParts.mOperatorsAddress,
-                        java.util.Optional.empty(),
-                        handler)
-                .toCompletableFuture()
-                .join();
+        return HttpListener.start(mSystem, mParts.mOperatorsAddress, Optional.empty(), handler);
     }
 
     private EntryAddresses addresses() {
@@ -146,5 +142,8 @@
     @Override
     public void close() {
         mShell.close();
+        if (mParts.mActorSystem.isEmpty()) {
+            EntryActorSystem.end(mSystem);
+        }
     }
 }
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
@@ -3,16 +3,19 @@
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import javax.net.ssl.SSLContext;
+import org.apache.pekko.actor.typed.ActorSystem;
 import org.wasabilug.endpoint.EndpointClient;
 import org.wasabilug.internal.instance.DecisionCore;
+import org.wasabilug.internal.ticket.TicketCodec;
+import org.wasabilug.internal.ticket.TicketParse;
+import org.wasabilug.internal.ticket.TicketValidator;
 import org.wasabilug.model.SaltedHash;
 import org.wasabilug.platform.PlatformClient;
 
-/** Builds an {@link EntryInstance}. Core, clients and JSON forms have to be set. */
+/** Builds an {@link EntryInstance}. Core and clients have to be set. */
 public final class EntryInstanceBuilder {
     private static final InetSocketAddress ANY_LOOPBACK_PORT =
             new InetSocketAddress("127.0.0.1", 0);
@@ -21,15 +24,15 @@
     PlatformClient mPlatform;
     EndpointClient mEndpoints;
     PeerLink mPeers = (peer, address, message) -> {};
-    TicketReader mTicketReader;
-    TicketChecker mTicketChecker = (ticket, configuration) -> List.of();
-    ObjectStateWriter mStateWriter;
+    TicketReader mTicketReader = EntryInstanceBuilder::readTicket;
+    TicketChecker mTicketChecker = TicketValidator::check;
+    ObjectStateWriter mStateWriter = TicketCodec::writeState;
     Optional<SaltedHash> mBootstrapKey = Optional.empty();
     InetSocketAddress mCallersAddress = ANY_LOOPBACK_PORT;
     InetSocketAddress mOperatorsAddress = ANY_LOOPBACK_PORT;
     Optional<SSLContext> mEncryption = Optional.empty();
     EntryLimits mLimits = EntryLimits.standard();
-    Duration mPollPeriod = Duration.ofSeconds(1);
+    Optional<ActorSystem<?>> mActorSystem = Optional.empty();
     Duration mNotReadyPeriod = Duration.ZERO;
     MetricRegistry mMetrics = new MetricRegistry();
 
@@ -80,7 +83,7 @@
     }
 
     /**
-     * Sets what reads tickets.
+     * Sets what reads tickets, in place of the usual JSON form.
      *
      * @param value the reader
      * @return this builder
@@ -91,7 +94,7 @@
     }
 
     /**
-     * Sets what checks tickets that are not submitted; without it only their form is checked.
+     * Sets what checks tickets that are not submitted, in place of the usual rules.
      *
      * @param value the checker
      * @return this builder
@@ -102,7 +105,7 @@
     }
 
     /**
-     * Sets what writes the states of objects.
+     * Sets what writes the states of objects, in place of the usual JSON form.
      *
      * @param value the writer
      * @return this builder
@@ -168,13 +171,13 @@
     }
 
     /**
-     * Sets how often endpoints are asked for their load.
+     * Sets the actor system to run in; without it the instance starts and ends one of its own.
      *
-     * @param value the period
+     * @param value a system from {@link EntryActorSystem}; the instance does not end it
      * @return this builder
      */
-    public EntryInstanceBuilder pollPeriod(Duration value) {
-        mPollPeriod = value;
+    public EntryInstanceBuilder actorSystem(ActorSystem<?> value) {
+        mActorSystem = Optional.of(value);
         return this;
     }
 
@@ -210,8 +213,13 @@
         Objects.requireNonNull(mCore, "core");
         Objects.requireNonNull(mPlatform, "platform");
         Objects.requireNonNull(mEndpoints, "endpoints");
-        Objects.requireNonNull(mTicketReader, "ticketReader");
-        Objects.requireNonNull(mStateWriter, "stateWriter");
         return new EntryInstance(this);
     }
+
+    private static TicketReader.Outcome readTicket(String text) {
+        return switch (TicketCodec.parse(text)) {
+            case TicketParse.Parsed parsed -> new TicketReader.Parsed(parsed.ticket());
+            case TicketParse.Rejected rejected -> new TicketReader.Rejected(rejected.findings());
+        };
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/EntryProgram.java
@@ -0,0 +1,53 @@
+package org.wasabilug.entry;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.entry.internal.settings.CommandLineReader;
+import org.wasabilug.entry.internal.settings.SettingValues;
+import org.wasabilug.entry.internal.settings.SettingsOutcome;
+import org.wasabilug.error.WasabilugException;
+import org.wasabilug.model.Finding;
+
+/** Reads settings, runs an instance and tells the exit code. */
+final class EntryProgram {
+    static final int STOPPED = 0;
+    static final int FAILED = 1;
+    static final int INVALID_SETTINGS = 2;
+
+    private final PrintStream mOutput;
+    private final PrintStream mErrors;
+
+    EntryProgram(PrintStream output, PrintStream errors) {
+        mOutput = output;
+        mErrors = errors;
+    }
+
+    int run(List<String> arguments, Map<String, String> variables) {
+        return switch (CommandLineReader.read(arguments, variables)) {
+            case SettingsOutcome.TextWanted wanted -> print(wanted.text());
+            case SettingsOutcome.ChecksPassed passed -> print(passed.text());
+            case SettingsOutcome.Invalid invalid -> report(invalid.findings());
+            case SettingsOutcome.Valid valid -> serve(valid.values());
+        };
+    }
+
+    private int print(String text) {
+        mOutput.println(text);
+        return STOPPED;
+    }
+
+    private int report(List<Finding> findings) {
+        findings.forEach(mErrors::println);
+        return INVALID_SETTINGS;
+    }
+
+    private int serve(SettingValues values) {
+        try (EntryProcess process = new EntryProcess(values)) {
+            return new StopSignal(process).serveUntilStopped();
+        } catch (WasabilugException exception) {
+            mErrors.println(exception.getMessage());
+            return FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/StopSignal.java
@@ -0,0 +1,35 @@
+package org.wasabilug.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * Turns SIGTERM into a planned stop. The signal's hook begins the stop and waits, so that the JVM
+ * lives until the main thread has closed everything and ends it.
+ */
+final class StopSignal {
+    private final EntryProcess mProcess;
+    private final CompletableFuture<Void> mSignalled = new CompletableFuture<>();
+
+    StopSignal(EntryProcess process) {
+        mProcess = process;
+    }
+
+    int serveUntilStopped() {
+        mProcess.start();
+        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(this::awaitEnd));
+        mSignalled.join();
+        mProcess.stop().toCompletableFuture().join();
+        return EntryProgram.STOPPED;
+    }
+
+    private void awaitEnd() {
+        mSignalled.complete(null);
+        CountDownLatch processEnd = new CountDownLatch(1);
+        try {
+            processEnd.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/ActionPerformer.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/ActionPerformer.java
@@ -49,6 +49,7 @@
             case InstanceAction.ReadInstanceList list -> listInstances(list);
             case InstanceAction.SendToPeer send ->
                     mPeers.send(send.peer(), send.address(), send.message());
+            case InstanceAction.PollEndpoint poll -> mEndpoints.poll(poll.endpoint(), mEvents);
             case InstanceAction.SendOrder send -> mEndpoints.order(send.order(), mEvents);
             case InstanceAction.ReadEngineState read ->
                     mEndpoints.readState(read.endpoint(), read.address(), mEvents);
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/DecisionLog.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/DecisionLog.java
@@ -1,8 +1,9 @@
 package org.wasabilug.entry.internal.actor;
 
+import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
+import org.apache.logging.log4j.message.MapMessage;
 import org.wasabilug.internal.event.Decision;
 
 /** Writes one log line for each decision. */
@@ -20,16 +21,19 @@
         if (!LOGGER.isInfoEnabled()) {
             return;
         }
-        StringMapMessage message =
-                new StringMapMessage(Decision.class.getRecordComponents().length)
-                        .with("kind", decision.kind())
-                        .with("request", decision.request())
-                        .with("workspace", decision.workspace())
-                        .with("stage", decision.stage())
-                        .with("candidates", decision.candidates())
-                        .with("chosen", decision.chosen())
-                        .with("reason", decision.reason())
-                        .with("remainingMilliseconds", decision.remainingMilliseconds());
+        MapMessage<?, Object> message = new MapMessage<>(fieldsOf(decision));
         LOGGER.info(message);
     }
+
+    private static Map<String, Object> fieldsOf(Decision decision) {
+        return Map.of(
+                "kind", decision.kind(),
+                "request", decision.request(),
+                "workspace", decision.workspace(),
+                "stage", decision.stage(),
+                "candidates", decision.candidates(),
+                "chosen", decision.chosen(),
+                "reason", decision.reason(),
+                "remainingMilliseconds", decision.remainingMilliseconds());
+    }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
@@ -23,7 +23,6 @@
     private final CallerDelivery mDelivery;
     private final InstanceDuties mDuties;
     private final WakeUps mWakeUps;
-    private final LoadPoller mPoller;
     private final ActionPerformer mPerformer;
 
     private InstanceActor(
@@ -40,7 +39,6 @@
         mWakeUps = new WakeUps(timer, () -> self.tell(new InstanceMessage.WakeDue()));
         mDuties = new InstanceDuties(mWakeUps, parts.limits().rememberedDecisions());
         mDelivery = new CallerDelivery(parts.endpoints(), events, parts.limits());
-        mPoller = new LoadPoller(parts.endpoints(), events);
         mPerformer =
                 new ActionPerformer(
                         parts.platform(),
@@ -90,8 +88,10 @@
             case InstanceMessage.DecisionsWanted wanted ->
                     wanted.answer().complete(mDuties.decisionsOf(wanted.request()));
             case InstanceMessage.WakeDue due -> wake();
-            case InstanceMessage.PollDue due -> poll();
             case InstanceMessage.StopWanted wanted -> stop(wanted);
+            case InstanceMessage.CloseWanted wanted -> {
+                return Behaviors.stopped();
+            }
         }
         return this;
     }
@@ -118,12 +118,6 @@
         feed(new InstanceEvent.TimePassed());
     }
 
-    private void poll() {
-        InstanceStatus status = status();
-        mPublished.publishReady(status.ready());
-        mPoller.poll(status.endpoints(), mCore.configuration());
-    }
-
     private InstanceStatus status() {
         return mCore.status(System.nanoTime());
     }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceMessage.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceMessage.java
@@ -83,13 +83,13 @@
     /** A wake-up that the core asked for is due. */
     record WakeDue() implements InstanceMessage {}
 
-    /** It is time to ask endpoints for their load. */
-    record PollDue() implements InstanceMessage {}
-
     /**
      * A planned stop begins.
      *
      * @param finished completes once everything in flight has ended
      */
     record StopWanted(CompletableFuture<Void> finished) implements InstanceMessage {}
+
+    /** The actor is to end at once. */
+    record CloseWanted() implements InstanceMessage {}
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceShell.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceShell.java
@@ -1,60 +1,36 @@
 package org.wasabilug.entry.internal.actor;
 
-import com.typesafe.config.Config;
-import com.typesafe.config.ConfigFactory;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.wasabilug.entry.EntryLimits;
+import org.apache.pekko.actor.typed.Props;
 
 /** Runs the instance's actor with its timer. */
 public final class InstanceShell implements AutoCloseable {
-    private static final Duration IDLE_MARGIN = Duration.ofMinutes(1);
-
     private final PublishedState mPublished = new PublishedState();
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
                     Thread.ofPlatform().daemon().name("wasabilug-timer").factory());
-    private final ActorSystem<InstanceMessage> mSystem;
+    private final ActorRef<InstanceMessage> mActor;
 
     /**
      * Starts the actor.
      *
      * @param parts what the instance is made of
-     * @param pollPeriod how often endpoints are asked for their load
+     * @param system runs the actor; the shell does not end it
      */
-    public InstanceShell(InstanceParts parts, Duration pollPeriod) {
-        mSystem =
-                ActorSystem.create(
+    public InstanceShell(InstanceParts parts, ActorSystem<?> system) {
+        mActor =
+                system.systemActorOf(
                         InstanceActor.create(parts, mPublished, mTimer),
-                        "wasabilug-entry",
-                        configurationFor(parts.limits()));
+                        "wasabilug-instance",
+                        Props.empty());
         tell(new InstanceMessage.WakeDue());
-        mTimer.scheduleWithFixedDelay(
-                () -> tell(new InstanceMessage.PollDue()),
-                0,
-                pollPeriod.toNanos(),
-                TimeUnit.NANOSECONDS);
-    }
-
-    private static Config configurationFor(EntryLimits limits) {
-        Duration idle = limits.maximumDeadline().plus(IDLE_MARGIN);
-        return ConfigFactory.parseMap(
-                        Map.of(
-                                "pekko.loglevel", "WARNING",
-                                "pekko.coordinated-shutdown.run-by-jvm-shutdown-hook", "off",
-                                "pekko.http.server.server-header", "",
-                                "pekko.http.server.request-timeout", "infinite",
-                                "pekko.http.server.idle-timeout", idle.toSeconds() + "s",
-                                "pekko.http.server.max-connections", limits.maximumConnections(),
-                                "pekko.http.server.parsing.max-header-value-length",
-                                        limits.maximumHeaderBytes()))
-                .withFallback(ConfigFactory.defaultReference());
     }
 
     /**
@@ -63,16 +39,7 @@
      * @param message the message
      */
     public void tell(InstanceMessage message) {
-        mSystem.tell(message);
-    }
-
-    /**
-     * Runs streams.
-     *
-     * @return the actor system
-     */
-    public ActorSystem<InstanceMessage> system() {
-        return mSystem;
+        mActor.tell(message);
     }
 
     /**
@@ -102,10 +69,10 @@
         return finished;
     }
 
+    /** Ends the actor and its timer at once. */
     @Override
     public void close() {
         mTimer.shutdownNow();
-        mSystem.terminate();
-        mSystem.getWhenTerminated().toCompletableFuture().join();
+        tell(new InstanceMessage.CloseWanted());
     }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/PublishedState.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/PublishedState.java
@@ -5,7 +5,6 @@
 /** What the instance's actor publishes to other threads. */
 public final class PublishedState {
     private volatile Configuration mConfiguration = Configuration.empty();
-    private volatile boolean mReady;
     private volatile boolean mStopping;
 
     /**
@@ -17,15 +16,6 @@
         return mConfiguration;
     }
 
-    /**
-     * Tells whether the instance takes new requests.
-     *
-     * @return false before its first configuration and once a stop has begun
-     */
-    public boolean isReady() {
-        return mReady && !mStopping;
-    }
-
     /**
      * Tells whether a planned stop has begun.
      *
@@ -45,8 +35,4 @@
             mConfiguration = configuration;
         }
     }
-
-    void publishReady(boolean ready) {
-        mReady = ready;
-    }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/http/EntryReporter.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/EntryReporter.java
@@ -1,10 +1,13 @@
 package org.wasabilug.entry.internal.http;
 
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.wasabilug.error.ErrorCode;
+import org.wasabilug.error.WasabilugException;
 import org.wasabilug.model.Finding;
 import org.wasabilug.model.Refusal;
 import org.wasabilug.model.RunState;
@@ -312,4 +315,52 @@
                 RunState.OUTCOME_UNKNOWN,
                 Optional.empty());
     }
+
+    /**
+     * The settings name a certificate without its private key.
+     *
+     * @return the exception to throw
+     */
+    public static WasabilugException privateKeyMissing() {
+        return new WasabilugException(
+                ErrorCode.INVALID_SETTINGS,
+                "A certificate for callers is set without its private key. Set"
+                        + " --callers-private-key-file too.");
+    }
+
+    /**
+     * Certificate or private key can't be used.
+     *
+     * @param certificate file of the certificate chain
+     * @param privateKey file of the private key
+     * @param cause what went wrong
+     * @return the exception to throw
+     */
+    public static WasabilugException unreadableCertificate(
+            Path certificate, Path privateKey, Exception cause) {
+        return new WasabilugException(
+                ErrorCode.INVALID_SETTINGS,
+                "Callers can't be served over TLS with "
+                        + certificate
+                        + " and "
+                        + privateKey
+                        + ". Give a PEM certificate chain and its PEM private key in PKCS#8.",
+                cause);
+    }
+
+    /**
+     * An address can't be listened at.
+     *
+     * @param address the address
+     * @param cause what went wrong
+     * @return the exception to throw
+     */
+    public static WasabilugException cannotListen(InetSocketAddress address, Throwable cause) {
+        return new WasabilugException(
+                ErrorCode.INVALID_SETTINGS,
+                "The instance can't listen at "
+                        + address
+                        + ". Check that the address is its own and that the port is free.",
+                cause);
+    }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/http/HttpListener.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/HttpListener.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -34,20 +35,26 @@
      * @param address where to listen; port 0 lets the system choose
      * @param encryption TLS context; empty for plain TCP
      * @param handler answers requests
-     * @return the listener, once it listens
+     * @return the listener, which listens
      */
-    public static CompletionStage<HttpListener> start(
+    public static HttpListener start(
             ActorSystem<?> system,
             InetSocketAddress address,
             Optional<HttpsConnectionContext> encryption,
             RequestHandler handler) {
         ServerBuilder builder =
                 Http.get(system).newServerAt(address.getHostString(), address.getPort());
-        return encryption
-                .map(builder::enableHttps)
-                .orElse(builder)
-                .bindFlow(connectionFlow(handler))
-                .thenApply(HttpListener::new);
+        try {
+            return new HttpListener(
+                    encryption
+                            .map(builder::enableHttps)
+                            .orElse(builder)
+                            .bindFlow(connectionFlow(handler))
+                            .toCompletableFuture()
+                            .join());
+        } catch (CompletionException exception) {
+            throw EntryReporter.cannotListen(address, exception.getCause());
+        }
     }
 
     private static Flow<HttpRequest, HttpResponse, ?> connectionFlow(RequestHandler handler) {
--- a/entry/src/main/java/org/wasabilug/entry/internal/http/ProblemStatus.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/ProblemStatus.java
@@ -14,7 +14,12 @@
      */
     public static int of(ErrorCode code) {
         return switch (code) {
-            case INVALID_NAME, INVALID_BODY, INVALID_SETTINGS, INVALID_DEADLINE -> 400;
+            case INVALID_NAME,
+                    INVALID_BODY,
+                    INVALID_SETTINGS,
+                    INVALID_DEADLINE,
+                    IDEMPOTENCY_KEY_REQUIRED ->
+                    400;
             case UNAUTHENTICATED -> 401;
             case FORBIDDEN -> 403;
             case NOT_FOUND -> 404;
--- a/entry/src/main/java/org/wasabilug/entry/internal/operators/ConfigurationView.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/operators/ConfigurationView.java
@@ -33,7 +33,13 @@
     private ObjectNode of(VersionedObject object) {
         ObjectNode node =
                 Json.object()
-                        .put("kind", object.key().kind().name().toLowerCase(Locale.ROOT))
+                        .put(
+                                "kind",
+                                object.key()
+                                        .kind()
+                                        .name()
+                                        .toLowerCase(Locale.ROOT)
+                                        .replace('_', '-'))
                         .put("name", object.key().name())
                         .put("ticket", object.ticketNumber());
         node.set("state", object.state().map(this::state).orElse(NullNode.getInstance()));
--- a/entry/src/main/java/org/wasabilug/entry/internal/operators/OperatorHandler.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/operators/OperatorHandler.java
@@ -85,15 +85,26 @@
         return switch (route) {
             case "GET /live" ->
                     answered(request, Responses.json(200, Json.object().put("live", true)));
-            case "GET /ready" -> answered(request, readiness());
+            case "GET /ready" -> readiness(request);
             case "GET /metrics" -> answered(request, Responses.json(200, mMetrics.json()));
             default -> authenticated(request, route);
         };
     }
 
-    private HttpResponse readiness() {
-        boolean ready = mPublished.isReady();
-        return Responses.json(ready ? 200 : 503, Json.object().put("ready", ready));
+    private CompletionStage<HttpResponse> readiness(HttpRequest request) {
+        request.discardEntityBytes(mSystem);
+        return instanceStatus()
+                .thenApplyAsync(status -> status.ready() && !mPublished.isStopping())
+                .thenApply(
+                        ready ->
+                                Responses.json(
+                                        ready ? 200 : 503, Json.object().put("ready", ready)));
+    }
+
+    private CompletionStage<InstanceStatus> instanceStatus() {
+        CompletableFuture<InstanceStatus> answer = new CompletableFuture<>();
+        mInstance.accept(new InstanceMessage.StatusWanted(answer));
+        return answer;
     }
 
     private CompletionStage<HttpResponse> authenticated(HttpRequest request, String route) {
@@ -115,10 +126,11 @@
 
     private CompletionStage<HttpResponse> status(HttpRequest request) {
         request.discardEntityBytes(mSystem);
-        CompletableFuture<InstanceStatus> answer = new CompletableFuture<>();
-        mInstance.accept(new InstanceMessage.StatusWanted(answer));
-        return answer.thenApplyAsync(
-                status -> Responses.json(200, StatusView.of(status, mPublished.configuration())));
+        return instanceStatus()
+                .thenApplyAsync(
+                        status ->
+                                Responses.json(
+                                        200, StatusView.of(status, mPublished.configuration())));
     }
 
     private CompletionStage<HttpResponse> explanation(HttpRequest request) {
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/settings/AddressText.java
@@ -0,0 +1,28 @@
+package org.wasabilug.entry.internal.settings;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/** Reads IP numbers with ports. */
+final class AddressText {
+    private AddressText() {}
+
+    static boolean isAddress(String text) {
+        return parse(text).isPresent();
+    }
+
+    static Optional<InetSocketAddress> parse(String text) {
+        try {
+            HostAndPort parsed = HostAndPort.fromString(text);
+            return parsed.hasPort() && InetAddresses.isInetAddress(parsed.getHost())
+                    ? Optional.of(
+                            new InetSocketAddress(
+                                    InetAddresses.forString(parsed.getHost()), parsed.getPort()))
+                    : Optional.empty();
+        } catch (IllegalArgumentException exception) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/internal/settings/EntrySettings.java
@@ -0,0 +1,193 @@
+package org.wasabilug.entry.internal.settings;
+
+import java.util.List;
+import org.wasabilug.entry.internal.settings.Setting.Kind;
+
+/** The table of the daemon's settings; help and documentation are made from it. */
+public final class EntrySettings {
+    /** Name of the instance. */
+    public static final Setting NAME = required("name", Kind.NAME, "name of this instance");
+
+    /** Failure domain of the instance. */
+    public static final Setting FAILURE_DOMAIN =
+            required("failure-domain", Kind.NAME, "failure domain that holds this instance");
+
+    /** Address for callers. */
+    public static final Setting CALLERS_ADDRESS =
+            optional("callers-address", Kind.ADDRESS, "127.0.0.1:8080", "where callers are served");
+
+    /** Address for operators. */
+    public static final Setting OPERATORS_ADDRESS =
+            optional(
+                    "operators-address",
+                    Kind.ADDRESS,
+                    "127.0.0.1:8081",
+                    "where operators, health checks and metrics are served");
+
+    /** Address for other instances. */
+    public static final Setting PEERS_ADDRESS =
+            optional("peers-address", Kind.ADDRESS, "127.0.0.1:8082", "where instances are served");
+
+    /** Addresses of other instances. */
+    public static final Setting PEER_SEEDS =
+            optional(
+                    "peer-seeds",
+                    Kind.ADDRESSES,
+                    "",
+                    "instances to try while the platform's list can't be read");
+
+    /** Address of the platform. */
+    public static final Setting PLATFORM =
+            required("platform", Kind.URI, "base address of the platform's services");
+
+    /** Key of operators without an account. */
+    public static final Setting OPERATOR_KEY =
+            optional(
+                    "bootstrap-operator-key",
+                    Kind.SECRET,
+                    "",
+                    "key that operators without an account show; none lets only accounts in");
+
+    /** Certificates for callers. */
+    public static final Setting CERTIFICATE_FILE =
+            optional(
+                    "callers-certificate-file",
+                    Kind.FILE,
+                    "",
+                    "PEM certificate chain; with it callers are served over TLS");
+
+    /** Private key that belongs to the certificate. */
+    public static final Setting PRIVATE_KEY_FILE =
+            optional(
+                    "callers-private-key-file",
+                    Kind.FILE,
+                    "",
+                    "PEM private key (PKCS#8) of the certificate");
+
+    /** Largest body. */
+    public static final Setting MAXIMUM_BODY =
+            number("maximum-body", "bytes", 1_024, 67_108_864, 1_048_576, "largest request body");
+
+    /** Largest header. */
+    public static final Setting MAXIMUM_HEADER =
+            number("maximum-header", "bytes", 256, 65_536, 8_192, "largest value of one header");
+
+    /** Most connections. */
+    public static final Setting MAXIMUM_CONNECTIONS =
+            number(
+                    "maximum-connections",
+                    "connections",
+                    1,
+                    65_536,
+                    4_096,
+                    "most connections of each interface");
+
+    /** Most requests in flight. */
+    public static final Setting MAXIMUM_STREAMS =
+            number(
+                    "maximum-streams",
+                    "requests",
+                    1,
+                    65_536,
+                    4_096,
+                    "most requests of callers in flight");
+
+    /** Longest deadline. */
+    public static final Setting MAXIMUM_DEADLINE =
+            number(
+                    "maximum-deadline",
+                    "milliseconds",
+                    1,
+                    86_400_000,
+                    600_000,
+                    "longest deadline that a caller may ask for");
+
+    /** Text that waits for a slow caller. */
+    public static final Setting CALLER_BUFFER =
+            number(
+                    "caller-buffer",
+                    "characters",
+                    1_024,
+                    16_777_216,
+                    65_536,
+                    "answer text that waits for a slow caller before its stages are held back");
+
+    /** Longest answer. */
+    public static final Setting MAXIMUM_ANSWER =
+            number(
+                    "maximum-answer",
+                    "characters",
+                    1_024,
+                    268_435_456,
+                    4_194_304,
+                    "longest whole answer, and most text that waits for one caller");
+
+    /** Time between not ready and the refusal of new requests. */
+    public static final Setting NOT_READY_PERIOD =
+            number(
+                    "not-ready-period",
+                    "milliseconds",
+                    0,
+                    600_000,
+                    5_000,
+                    "how long a stopping instance reports not ready before it refuses requests");
+
+    private static final List<Setting> ALL =
+            List.of(
+                    NAME,
+                    FAILURE_DOMAIN,
+                    CALLERS_ADDRESS,
+                    OPERATORS_ADDRESS,
+                    PEERS_ADDRESS,
+                    PEER_SEEDS,
+                    PLATFORM,
+                    OPERATOR_KEY,
+                    CERTIFICATE_FILE,
+                    PRIVATE_KEY_FILE,
+                    MAXIMUM_BODY,
+                    MAXIMUM_HEADER,
+                    MAXIMUM_CONNECTIONS,
+                    MAXIMUM_STREAMS,
+                    MAXIMUM_DEADLINE,
+                    CALLER_BUFFER,
+                    MAXIMUM_ANSWER,
+                    NOT_READY_PERIOD);
+
+    private EntrySettings() {}
+
+    /**
+     * Every setting, in the order of the documentation.
+     *
+     * @return the settings
+     */
+    public static List<Setting> all() {
+        return ALL;
+    }
+
+    private static Setting required(String name, Setting.Kind kind, String description) {
+        return new Setting(name, kind, "", 0, 0, "", true, description);
+    }
+
+    private static Setting optional(
+            String name, Setting.Kind kind, String standard, String description) {
+        return new Setting(name, kind, "", 0, 0, standard, false, description);
+    }
+
+    private static Setting number(
+            String name,
+            String unit,
+            long minimum,
+            long maximum,
+            long standard,
+            String description) {
+        return new Setting(
+                name,
+                Kind.NUMBER,
+                unit,
+                minimum,
+                maximum,
+                Long.toString(standard),
+                false,
+                description);
+    }
+}
--- a/entry/src/test/java/org/wasabilug/entry/fake/FakeCore.java
+++ b/entry/src/test/java/org/wasabilug/entry/fake/FakeCore.java
@@ -99,7 +99,7 @@
                         "/",
                         CallProtocol.STREAMED,
                         request.body(),
-                        0,
+                        "",
                         request.deadline().toNanos(),
                         0,
                         true));
--- /dev/null
+++ b/entry/src/test/java/org/wasabilug/entry/internal/actor/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the instance's actor. */
+package org.wasabilug.entry.internal.actor;
--- /dev/null
+++ b/entry/src/test/java/org/wasabilug/entry/internal/security/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of credentials. */
+package org.wasabilug.entry.internal.security;
--- /dev/null
+++ b/entry/src/test/java/org/wasabilug/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the daemon's front. */
+package org.wasabilug.entry;
--- a/entry/src/test/java/org/wasabilug/entry/usage/OperatorInterfaceTest.java
+++ b/entry/src/test/java/org/wasabilug/entry/usage/OperatorInterfaceTest.java
@@ -36,7 +36,7 @@
         assertThat(accepted.statusCode()).isEqualTo(201);
         assertThat(accepted.body()).contains("\"outcome\":\"ACCEPTED\"", "\"sequence\":1");
         assertThat(configuration.body())
-                .contains("{\"kind\":\"failure_domain\",\"name\":\"brest\",\"ticket\":17");
+                .contains("{\"kind\":\"failure-domain\",\"name\":\"brest\",\"ticket\":17");
     }
 
     @Test
--- /dev/null
+++ b/operator/src/main/java/org/wasabilug/operator/OperatorMain.java
@@ -0,0 +1,18 @@
+package org.wasabilug.operator;
+
+import java.util.List;
+
+/** The program wasabilug-operator. */
+public final class OperatorMain {
+    private OperatorMain() {}
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments command and flags, see {@code --help}
+     */
+    public static void main(String[] arguments) {
+        OperatorProgram program = new OperatorProgram(System.in, System.out, System.err);
+        System.exit(program.run(List.of(arguments), System.getenv()).number());
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/wasabilug/operator/internal/command/package-info.java
@@ -0,0 +1,2 @@
+/** What the subcommands do. */
+package org.wasabilug.operator.internal.command;
--- /dev/null
+++ b/operator/src/main/java/org/wasabilug/operator/internal/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and words for operators. */
+package org.wasabilug.operator.internal.output;
--- /dev/null
+++ b/operator/src/main/java/org/wasabilug/operator/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the command line of the operators' command. */
+package org.wasabilug.operator.internal.settings;
--- /dev/null
+++ b/operator/src/test/java/org/wasabilug/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' command. */
+package org.wasabilug.operator;
--- /dev/null
+++ b/operator/src/test/java/org/wasabilug/operator/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Use of the operators' command. */
+package org.wasabilug.operator.usage;
