Count and time what an instance does

Cause: /metrics showed the JVM alone. Conclusion: the control budget can be read off a running instance.

--- a/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
@@ -42,7 +42,8 @@
                                 parts.mPlatform,
                                 parts.mEndpoints,
                                 parts.mPeers,
-                                parts.mLimits),
+                                parts.mLimits,
+                                parts.mMetrics),
                         mSystem);
     }
 
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/CallerDelivery.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/CallerDelivery.java
@@ -20,12 +20,19 @@
     private final AttemptTracker mAttempts = new AttemptTracker();
     private final RequestHistory mHistory;
     private final int mMaximumStreams;
+    private final InstanceMetrics mMetrics;
 
-    CallerDelivery(EndpointClient endpoints, Consumer<InstanceEvent> events, EntryLimits limits) {
+    CallerDelivery(
+            EndpointClient endpoints,
+            Consumer<InstanceEvent> events,
+            EntryLimits limits,
+            InstanceMetrics metrics) {
         mEndpoints = endpoints;
         mEvents = events;
         mHistory = new RequestHistory(limits.rememberedRequests());
         mMaximumStreams = limits.maximumStreams();
+        mMetrics = metrics;
+        metrics.watchOpenAnswers(mAnswers);
     }
 
     /**
@@ -46,6 +53,7 @@
             return Optional.of(EntryReporter.tooManyStreams());
         }
         mAnswers.open(request, message.sink());
+        mMetrics.submitted();
         if (message.request().idempotencyKey().isPresent()) {
             mHistory.start(request, message.fingerprint());
         }
@@ -95,6 +103,7 @@
 
     private void hold(RequestId request) {
         if (mAttempts.hold(request)) {
+            mMetrics.heldBack();
             mAttempts.of(request).forEach(mEndpoints::hold);
         }
     }
@@ -120,6 +129,7 @@
     void vanished(RequestId request, AnswerSink sink) {
         if (mAnswers.isOpen(request, sink)) {
             mAnswers.close(request);
+            mMetrics.vanished();
             mHistory.change(request, earlier -> earlier.refused(EntryReporter.callerLeft()));
             release(request);
             mEvents.accept(new InstanceEvent.CallerLeft(request));
@@ -129,12 +139,14 @@
     void complete(RequestId request) {
         mHistory.change(request, RequestRecord::completed);
         release(request);
+        mAnswers.elapsedNanos(request).ifPresent(mMetrics::completed);
         mAnswers.close(request).ifPresent(AnswerSink::complete);
     }
 
     void refuse(RequestId request, Refusal refusal) {
         mHistory.change(request, earlier -> earlier.refused(refusal));
         release(request);
+        mMetrics.refused(refusal.code());
         mAnswers.close(request).ifPresent(sink -> sink.refuse(refusal));
     }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
@@ -1,5 +1,6 @@
 package org.wasabilug.entry.internal.actor;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
 /** Owns the core: feeds it events one at a time and has its actions performed. */
 public final class InstanceActor extends AbstractBehavior<InstanceMessage> {
     private final DecisionCore mCore;
+    private final InstanceMetrics mMetrics;
     private final PublishedState mPublished;
     private final CallerDelivery mDelivery;
     private final InstanceDuties mDuties;
@@ -32,13 +34,14 @@
             ScheduledExecutorService timer) {
         super(context);
         mCore = parts.core();
+        mMetrics = new InstanceMetrics(parts.metrics());
         mPublished = published;
         ActorRef<InstanceMessage> self = context.getSelf();
         Consumer<InstanceEvent> events =
                 event -> self.tell(new InstanceMessage.EventArrived(event));
         mWakeUps = new WakeUps(timer, () -> self.tell(new InstanceMessage.WakeDue()));
-        mDuties = new InstanceDuties(mWakeUps, parts.limits().rememberedDecisions());
-        mDelivery = new CallerDelivery(parts.endpoints(), events, parts.limits());
+        mDuties = new InstanceDuties(mWakeUps, parts.limits().rememberedDecisions(), mMetrics);
+        mDelivery = new CallerDelivery(parts.endpoints(), events, parts.limits(), mMetrics);
         mPerformer =
                 new ActionPerformer(
                         parts.platform(),
@@ -98,15 +101,17 @@
 
     private void feed(InstanceEvent event) {
         mDelivery.observe(event);
-        for (InstanceAction action : mCore.handle(event, System.nanoTime())) {
-            mPerformer.perform(action);
-        }
+        long startNanos = System.nanoTime();
+        List<InstanceAction> actions = mCore.handle(event, startNanos);
+        mMetrics.handled(System.nanoTime() - startNanos);
+        actions.forEach(mPerformer::perform);
         mPublished.publish(mCore.configuration());
     }
 
     private void submit(InstanceMessage.RequestArrived message) {
         Optional<Refusal> refusal = mDelivery.open(message);
         if (refusal.isPresent()) {
+            mMetrics.refused(refusal.get().code());
             message.sink().refuse(refusal.get());
             return;
         }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceDuties.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceDuties.java
@@ -12,11 +12,13 @@
 final class InstanceDuties {
     private final WakeUps mWakeUps;
     private final DecisionHistory mDecisions;
+    private final InstanceMetrics mMetrics;
     private final Map<Long, CompletableFuture<TicketAnswer>> mSubmissions = new HashMap<>();
     private long mLastSubmission;
     private Optional<CompletableFuture<Void>> mStop = Optional.empty();
 
-    InstanceDuties(WakeUps wakeUps, int rememberedDecisions) {
+    InstanceDuties(WakeUps wakeUps, int rememberedDecisions, InstanceMetrics metrics) {
+        mMetrics = metrics;
         mWakeUps = wakeUps;
         mDecisions = new DecisionHistory(rememberedDecisions);
     }
@@ -38,6 +40,7 @@
 
     void logDecision(Decision decision) {
         mDecisions.add(decision);
+        mMetrics.decided();
         DecisionLog.write(decision);
     }
 
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceParts.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceParts.java
@@ -1,5 +1,6 @@
 package org.wasabilug.entry.internal.actor;
 
+import com.codahale.metrics.MetricRegistry;
 import org.wasabilug.endpoint.EndpointClient;
 import org.wasabilug.entry.EntryLimits;
 import org.wasabilug.entry.PeerLink;
@@ -14,10 +15,12 @@
  * @param endpoints calls to endpoints
  * @param peers sends messages to other instances
  * @param limits bounds
+ * @param metrics where the instance counts
  */
 public record InstanceParts(
         DecisionCore core,
         PlatformClient platform,
         EndpointClient endpoints,
         PeerLink peers,
-        EntryLimits limits) {}
+        EntryLimits limits,
+        MetricRegistry metrics) {}
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/OpenAnswers.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/OpenAnswers.java
@@ -3,33 +3,43 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.wasabilug.model.RequestId;
 
 /** Where the answers of the requests in flight go. */
 final class OpenAnswers {
-    private final Map<RequestId, AnswerSink> mSinks = new HashMap<>();
+    private final Map<RequestId, OpenAnswer> mOpen = new HashMap<>();
 
     void open(RequestId request, AnswerSink sink) {
-        mSinks.put(request, sink);
+        mOpen.put(request, new OpenAnswer(sink, System.nanoTime()));
     }
 
     Optional<AnswerSink> find(RequestId request) {
-        return Optional.ofNullable(mSinks.get(request));
+        return Optional.ofNullable(mOpen.get(request)).map(OpenAnswer::sink);
     }
 
     boolean isOpen(RequestId request) {
-        return mSinks.containsKey(request);
+        return mOpen.containsKey(request);
     }
 
     boolean isOpen(RequestId request, AnswerSink sink) {
-        return mSinks.get(request) == sink;
+        return find(request).filter(open -> open == sink).isPresent();
     }
 
     Optional<AnswerSink> close(RequestId request) {
-        return Optional.ofNullable(mSinks.remove(request));
+        return Optional.ofNullable(mOpen.remove(request)).map(OpenAnswer::sink);
     }
 
     int size() {
-        return mSinks.size();
+        return mOpen.size();
     }
+
+    OptionalLong elapsedNanos(RequestId request) {
+        OpenAnswer answer = mOpen.get(request);
+        return answer == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(System.nanoTime() - answer.openedNanos());
+    }
+
+    private record OpenAnswer(AnswerSink sink, long openedNanos) {}
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/operators/InstanceMetrics.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/operators/MetricsView.java
@@ -10,14 +10,14 @@
 import java.util.concurrent.TimeUnit;
 
 /** Metrics of the instance and its JVM, as JSON. */
-final class InstanceMetrics {
+final class MetricsView {
     private final MetricRegistry mRegistry;
     private final JsonMapper mMapper =
             JsonMapper.builder()
                     .addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
                     .build();
 
-    InstanceMetrics(MetricRegistry registry) {
+    MetricsView(MetricRegistry registry) {
         mRegistry = registry;
         registry.register("jvm.memory", new MemoryUsageGaugeSet());
         registry.register("jvm.garbageCollector", new GarbageCollectorMetricSet());
--- a/entry/src/main/java/org/wasabilug/entry/internal/operators/OperatorHandler.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/operators/OperatorHandler.java
@@ -35,7 +35,7 @@
     private final BodyReader mBodies;
     private final TicketHandler mTickets;
     private final ConfigurationView mView;
-    private final InstanceMetrics mMetrics;
+    private final MetricsView mMetrics;
     private final Consumer<InstanceMessage> mInstance;
 
     /**
@@ -65,7 +65,7 @@
                 new TicketHandler(
                         formats.reader(), formats.checker(), published::configuration, instance);
         mView = new ConfigurationView(formats.writer());
-        mMetrics = new InstanceMetrics(metrics);
+        mMetrics = new MetricsView(metrics);
         mInstance = instance;
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/wasabilug/entry/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Programs that measure what an instance costs. */
+package org.wasabilug.entry.measure;
