--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/feed/SimulatedPlatform.java
@@ -0,0 +1,129 @@
+package org.wasabilug.internal.feed;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.OperationId;
+import org.wasabilug.port.CommitOutcome;
+import org.wasabilug.port.ListOutcome;
+import org.wasabilug.port.ListedInstance;
+import org.wasabilug.port.ObjectOutcome;
+import org.wasabilug.port.ReadOutcome;
+
+/** The platform's services in virtual time, with faults. */
+final class SimulatedPlatform {
+    private static final long LONGEST_LATENCY_NANOS = 20_000_000;
+    private static final long ANSWER_LIMIT_NANOS = 1_000_000_000;
+    private static final long LONGEST_DELAY_NANOS = 5_000_000_000L;
+
+    final FakeTable mTable = new FakeTable();
+    final Map<String, String> mObjects = new HashMap<>();
+    private final VirtualClock mClock;
+    private final UniformRandomProvider mRandom;
+    List<ListedInstance> mListed = List.of();
+    boolean mAvailable = true;
+    Predicate<SimulatedInstance> mCutOff = instance -> false;
+    double mLostAnswerShare;
+    double mDelayedCommitShare;
+    long mReads;
+    long mCommits;
+
+    SimulatedPlatform(VirtualClock clock, UniformRandomProvider random) {
+        mClock = clock;
+        mRandom = random;
+    }
+
+    private boolean reaches(SimulatedInstance instance) {
+        return mAvailable && !mCutOff.test(instance);
+    }
+
+    private long latencyNanos() {
+        return mRandom.nextLong(LONGEST_LATENCY_NANOS);
+    }
+
+    private void later(long nanos, Runnable task) {
+        mClock.schedule(mClock.nowNanos() + nanos, task);
+    }
+
+    private void answer(SimulatedInstance instance, InstanceEvent event) {
+        later(latencyNanos(), () -> instance.handle(event));
+    }
+
+    void commit(InstanceAction.CommitTable commit, SimulatedInstance instance) {
+        mCommits++;
+        double fate = mRandom.nextDouble();
+        boolean lost = fate < mLostAnswerShare + mDelayedCommitShare;
+        long delayNanos =
+                fate < mDelayedCommitShare ? mRandom.nextLong(LONGEST_DELAY_NANOS) : latencyNanos();
+        boolean refused = !reaches(instance);
+        later(
+                delayNanos,
+                () -> {
+                    CommitOutcome outcome =
+                            refused
+                                    ? new CommitOutcome.NotSent()
+                                    : mTable.commit(commit.transaction());
+                    if (!lost || refused) {
+                        answer(
+                                instance,
+                                new InstanceEvent.CommitAnswered(commit.operation(), outcome));
+                    }
+                });
+        if (lost && !refused) {
+            later(
+                    ANSWER_LIMIT_NANOS,
+                    () ->
+                            instance.handle(
+                                    new InstanceEvent.CommitAnswered(
+                                            commit.operation(), new CommitOutcome.Unknown())));
+        }
+    }
+
+    void read(InstanceAction.ReadTable read, SimulatedInstance instance) {
+        mReads++;
+        boolean lost = !reaches(instance) || mRandom.nextDouble() < mLostAnswerShare;
+        later(
+                latencyNanos(),
+                () ->
+                        answer(
+                                instance,
+                                new InstanceEvent.ReadAnswered(
+                                        read.operation(),
+                                        lost
+                                                ? new ReadOutcome.Unavailable()
+                                                : new ReadOutcome.Rows(mTable.read(read.read())))));
+    }
+
+    void readObject(InstanceAction.ReadObject read, SimulatedInstance instance) {
+        ObjectOutcome outcome =
+                Optional.ofNullable(mObjects.get(read.name()))
+                        .<ObjectOutcome>map(ObjectOutcome.Found::new)
+                        .orElse(new ObjectOutcome.Missing());
+        answerObject(read.operation(), outcome, instance);
+    }
+
+    void writeObject(InstanceAction.WriteObject write, SimulatedInstance instance) {
+        if (reaches(instance)) {
+            mObjects.put(write.name(), write.text());
+        }
+        answerObject(write.operation(), new ObjectOutcome.Written(), instance);
+    }
+
+    private void answerObject(
+            OperationId operation, ObjectOutcome outcome, SimulatedInstance instance) {
+        ObjectOutcome answered = reaches(instance) ? outcome : new ObjectOutcome.Unavailable();
+        answer(instance, new InstanceEvent.ObjectAnswered(operation, answered));
+    }
+
+    void readList(InstanceAction.ReadInstanceList read, SimulatedInstance instance) {
+        mReads++;
+        ListOutcome outcome =
+                reaches(instance) ? new ListOutcome.Listed(mListed) : new ListOutcome.Unavailable();
+        answer(instance, new InstanceEvent.ListAnswered(read.operation(), outcome));
+    }
+}
