--- /dev/null
+++ b/entry/src/main/java/org/wasabilug/entry/DaemonSettings.java
@@ -0,0 +1,63 @@
+package org.wasabilug.entry;
+
+import java.security.SecureRandom;
+import java.time.Instant;
+import org.wasabilug.entry.internal.security.CallerEncryption;
+import org.wasabilug.entry.internal.settings.EntrySettings;
+import org.wasabilug.entry.internal.settings.SettingValues;
+import org.wasabilug.internal.instance.InstanceSettings;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.SaltedHash;
+
+/** Turns the settings of the program into a daemon's builder. */
+final class DaemonSettings {
+    private DaemonSettings() {}
+
+    static EntryDaemonBuilder daemonOf(SettingValues values) {
+        return EntryDaemon.builder()
+                .core(coreOf(values))
+                .platform(values.uri(EntrySettings.PLATFORM))
+                .peerAddress(values.address(EntrySettings.PEERS_ADDRESS))
+                .shell(shellOf(values));
+    }
+
+    private static InstanceSettings coreOf(SettingValues values) {
+        long now = Instant.now().toEpochMilli();
+        return InstanceSettings.builder()
+                .name(new InstanceName(values.text(EntrySettings.NAME).orElseThrow()))
+                .failureDomain(
+                        new FailureDomainName(
+                                values.text(EntrySettings.FAILURE_DOMAIN).orElseThrow()))
+                .incarnation(now)
+                .seed(now)
+                .peerSeeds(values.list(EntrySettings.PEER_SEEDS))
+                .build();
+    }
+
+    private static EntryInstanceBuilder shellOf(SettingValues values) {
+        EntryInstanceBuilder shell =
+                EntryInstance.builder()
+                        .limits(limitsOf(values))
+                        .callersAddress(values.address(EntrySettings.CALLERS_ADDRESS))
+                        .operatorsAddress(values.address(EntrySettings.OPERATORS_ADDRESS))
+                        .notReadyPeriod(values.duration(EntrySettings.NOT_READY_PERIOD));
+        values.text(EntrySettings.OPERATOR_KEY)
+                .map(key -> SaltedHash.of(key, new SecureRandom()))
+                .ifPresent(shell::operatorBootstrapKey);
+        CallerEncryption.of(values).ifPresent(shell::encryption);
+        return shell;
+    }
+
+    private static EntryLimits limitsOf(SettingValues values) {
+        return EntryLimits.builder()
+                .maximumBodyBytes(values.number(EntrySettings.MAXIMUM_BODY))
+                .maximumHeaderBytes(values.number(EntrySettings.MAXIMUM_HEADER))
+                .maximumConnections(values.number(EntrySettings.MAXIMUM_CONNECTIONS))
+                .maximumStreams(values.number(EntrySettings.MAXIMUM_STREAMS))
+                .maximumDeadline(values.duration(EntrySettings.MAXIMUM_DEADLINE))
+                .callerBufferCharacters(values.number(EntrySettings.CALLER_BUFFER))
+                .maximumAnswerCharacters(values.number(EntrySettings.MAXIMUM_ANSWER))
+                .build();
+    }
+}
--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
@@ -6,15 +6,12 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
-import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.actor.typed.ActorSystem;
 import org.wasabilug.endpoint.HttpEndpointClient;
 import org.wasabilug.entry.internal.peer.PeerTransport;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.instance.InstanceCore;
 import org.wasabilug.internal.instance.InstanceSettings;
-import org.wasabilug.internal.ticket.TicketCodec;
-import org.wasabilug.internal.ticket.TicketParse;
-import org.wasabilug.internal.ticket.TicketValidator;
 import org.wasabilug.model.InstanceName;
 import org.wasabilug.platform.HttpPlatformClient;
 import org.wasabilug.port.PeerMessage;
@@ -28,28 +25,26 @@
 
     EntryDaemon(EntryDaemonBuilder settings) {
         InstanceSettings core = settings.mCore;
-        ActorSystem clients = ActorSystem.create("wasabilug-clients");
-        mResources.register(clients::terminate);
+        ActorSystem<?> system = EntryActorSystem.start(settings.mShell.mLimits);
+        mResources.register(() -> EntryActorSystem.end(system));
         HttpPlatformClient platform =
                 HttpPlatformClient.builder()
-                        .actorSystem(clients)
+                        .actorSystem(system)
                         .baseUri(settings.mPlatform)
                         .instanceName(core.name().value())
                         .build();
         mResources.register(platform::close);
-        HttpEndpointClient endpoints = HttpEndpointClient.builder().actorSystem(clients).build();
+        HttpEndpointClient endpoints = HttpEndpointClient.builder().actorSystem(system).build();
         mResources.register(endpoints::close);
         mPeers = openPeers(settings);
         mResources.register(mPeers::close);
         EntryInstance instance =
                 settings.mShell
+                        .actorSystem(system)
                         .core(new InstanceCore(core))
                         .platform(platform)
                         .endpoints(endpoints)
                         .peers(mPeers::send)
-                        .ticketReader(EntryDaemon::readTicket)
-                        .ticketChecker(TicketValidator::check)
-                        .stateWriter(TicketCodec::writeState)
                         .build();
         mResources.register(instance::close);
         mInstance.set(instance);
@@ -73,13 +68,6 @@
         }
     }
 
-    private static TicketReader.Outcome readTicket(String json) {
-        return switch (TicketCodec.parse(json)) {
-            case TicketParse.Parsed parsed -> new TicketReader.Parsed(parsed.ticket());
-            case TicketParse.Rejected rejected -> new TicketReader.Rejected(rejected.findings());
-        };
-    }
-
     /**
      * Starts building.
      *
--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemonBuilder.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemonBuilder.java
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Sets ports, limits, encryption and the first operator key; core, clients and JSON forms in it
-     * are replaced.
+     * Sets ports, limits, encryption and the first operator key; core, clients and actor system in
+     * it are replaced.
      *
      * @param value the shell's settings
      * @return this builder
--- a/entry/src/main/java/org/wasabilug/entry/EntryProgram.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryProgram.java
@@ -43,8 +43,8 @@
     }
 
     private int serve(SettingValues values) {
-        try (EntryProcess process = new EntryProcess(values)) {
-            return new StopSignal(process).serveUntilStopped();
+        try (EntryDaemon daemon = DaemonSettings.daemonOf(values).start()) {
+            return new StopSignal(daemon).serveUntilStopped();
         } catch (WasabilugException exception) {
             mErrors.println(exception.getMessage());
             return FAILED;
--- a/entry/src/main/java/org/wasabilug/entry/StopSignal.java
+++ b/entry/src/main/java/org/wasabilug/entry/StopSignal.java
@@ -8,18 +8,17 @@
  * lives until the main thread has closed everything and ends it.
  */
 final class StopSignal {
-    private final EntryProcess mProcess;
+    private final EntryDaemon mDaemon;
     private final CompletableFuture<Void> mSignalled = new CompletableFuture<>();
 
-    StopSignal(EntryProcess process) {
-        mProcess = process;
+    StopSignal(EntryDaemon daemon) {
+        mDaemon = daemon;
     }
 
     int serveUntilStopped() {
-        mProcess.start();
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(this::awaitEnd));
         mSignalled.join();
-        mProcess.stop().toCompletableFuture().join();
+        mDaemon.stop().toCompletableFuture().join();
         return EntryProgram.STOPPED;
     }
 
