--- a/entry/src/test/java/org/wasabilug/entry/fake/FakeInstance.java
+++ b/entry/src/test/java/org/wasabilug/entry/fake/FakeInstance.java
@@ -7,16 +7,8 @@
 import java.util.Set;
 import org.wasabilug.entry.EntryInstance;
 import org.wasabilug.entry.EntryInstanceBuilder;
-import org.wasabilug.entry.TicketReader;
 import org.wasabilug.internal.configuration.Configuration;
-import org.wasabilug.model.ChangeTicket;
 import org.wasabilug.model.ConfigurationObject;
-import org.wasabilug.model.DomainState;
-import org.wasabilug.model.FailureDomain;
-import org.wasabilug.model.FailureDomainName;
-import org.wasabilug.model.Finding;
-import org.wasabilug.model.ObjectChange;
-import org.wasabilug.model.OperatorName;
 import org.wasabilug.model.Pipeline;
 import org.wasabilug.model.PipelineName;
 import org.wasabilug.model.Pool;
@@ -49,8 +41,6 @@
                 .core(new FakeCore(configuration()))
                 .platform(new FakePlatform())
                 .endpoints(endpoints)
-                .ticketReader(FakeInstance::readTicket)
-                .stateWriter(FakeInstance::writeState)
                 .operatorBootstrapKey(hashOf("bootstrap-secret"));
     }
 
@@ -106,25 +96,4 @@
                 .services(services)
                 .build();
     }
-
-    private static TicketReader.Outcome readTicket(String text) {
-        if (!text.startsWith("{")) {
-            return new TicketReader.Rejected(List.of(new Finding("body", "is no JSON object")));
-        }
-        FailureDomain domain =
-                FailureDomain.builder()
-                        .name(new FailureDomainName("brest"))
-                        .state(DomainState.TAKEN_OUT)
-                        .build();
-        String operator = text.contains("\"paul\"") ? "paul" : "anne";
-        return new TicketReader.Parsed(
-                new ChangeTicket(
-                        17,
-                        new OperatorName(operator),
-                        List.of(new ObjectChange(domain.objectKey(), Optional.of(domain)))));
-    }
-
-    private static String writeState(ConfigurationObject state) {
-        return "{\"name\":\"" + state.objectKey().name() + "\"}";
-    }
 }
--- a/entry/src/test/java/org/wasabilug/entry/usage/OperatorInterfaceTest.java
+++ b/entry/src/test/java/org/wasabilug/entry/usage/OperatorInterfaceTest.java
@@ -12,6 +12,12 @@
 import org.wasabilug.entry.fake.HttpCaller;
 
 class OperatorInterfaceTest {
+    private static final String TICKET =
+            """
+            {"number":17,"operator":"anne","changes":[{"kind":"failure-domain","name":"brest",
+              "state":{"region":"brittany","state":"taken-out"}}]}
+            """;
+
     private EntryInstance mInstance;
     private EntryAddresses mAddresses;
     private HttpCaller mOperator;
@@ -30,18 +36,19 @@
 
     @Test
     void acceptsTicketAndShowsItInForce() {
-        var accepted = mOperator.post("/v1/tickets", FakeInstance.OPERATOR, "{}");
+        var accepted = mOperator.post("/v1/tickets", FakeInstance.OPERATOR, TICKET);
         var configuration = mOperator.get("/v1/configuration", FakeInstance.OPERATOR);
 
         assertThat(accepted.statusCode()).isEqualTo(201);
         assertThat(accepted.body()).contains("\"outcome\":\"ACCEPTED\"", "\"sequence\":1");
         assertThat(configuration.body())
-                .contains("{\"kind\":\"failure-domain\",\"name\":\"brest\",\"ticket\":17");
+                .contains("{\"kind\":\"failure-domain\",\"name\":\"brest\",\"ticket\":17")
+                .contains("\"state\":{\"region\":\"brittany\",\"state\":\"taken-out\"}");
     }
 
     @Test
     void checksTicketWithoutSubmittingIt() {
-        var checked = mOperator.post("/v1/tickets/check", FakeInstance.OPERATOR, "{}");
+        var checked = mOperator.post("/v1/tickets/check", FakeInstance.OPERATOR, TICKET);
         var configuration = mOperator.get("/v1/configuration", FakeInstance.OPERATOR);
 
         assertThat(checked.body()).contains("NO_FINDINGS");
@@ -53,12 +60,14 @@
         var rejected = mOperator.post("/v1/tickets", FakeInstance.OPERATOR, "[");
 
         assertThat(rejected.statusCode()).isEqualTo(422);
-        assertThat(rejected.body()).contains("INVALID_TICKET", "body: is no JSON object");
+        assertThat(rejected.body()).contains("INVALID_TICKET", "is not valid JSON");
     }
 
     @Test
     void refusesTicketUnderForeignName() {
-        var refused = mOperator.post("/v1/tickets", FakeInstance.OPERATOR, "{\"paul\"}");
+        var refused =
+                mOperator.post(
+                        "/v1/tickets", FakeInstance.OPERATOR, TICKET.replace("anne", "paul"));
 
         assertThat(refused.statusCode()).isEqualTo(403);
     }
