Check invariants over random fault schedules

Cause: nothing checked the invariants independently of the decisions. Change: ten checkers that read a history, and seeded fault schedules over both deployments' shapes with kills, pauses, cuts, lost answers, late commits and moves.

--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/chaos/package-info.java
@@ -0,0 +1,2 @@
+/** Random schedules of faults, repeated from their seeds. */
+package org.wasabilug.scenarios.internal.chaos;
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/checker/ConfigurationChecker.java
@@ -0,0 +1,36 @@
+package org.wasabilug.scenarios.internal.checker;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.ObjectKey;
+import org.wasabilug.scenarios.internal.history.History;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** CONFIG: no instance ever puts an older state of an object in force over a newer one. */
+public final class ConfigurationChecker implements InvariantChecker {
+    /** Creates the checker. */
+    public ConfigurationChecker() {}
+
+    @Override
+    public List<Violation> check(History history) {
+        Map<Place, History.Entry> inForce = new HashMap<>();
+        List<Violation> violations = new ArrayList<>();
+        for (History.Entry entry : history.entries()) {
+            if (entry.event() instanceof HistoryEvent.Applied event) {
+                Place place = new Place(event.instance(), event.incarnation(), event.object());
+                History.Entry before = inForce.put(place, entry);
+                if (before != null
+                        && ((HistoryEvent.Applied) before.event()).ticketNumber()
+                                >= event.ticketNumber()) {
+                    violations.add(new Violation("CONFIG", "reverted", List.of(before, entry)));
+                }
+            }
+        }
+        return violations;
+    }
+
+    private record Place(InstanceName instance, long incarnation, ObjectKey object) {}
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/checker/Invariants.java
@@ -0,0 +1,45 @@
+package org.wasabilug.scenarios.internal.checker;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.scenarios.internal.history.History;
+
+/** Every invariant of the system. */
+public final class Invariants {
+    private final List<InvariantChecker> mCheckers;
+
+    /**
+     * Creates the checkers for a deployment.
+     *
+     * @param endpoints endpoints of the deployment
+     */
+    public Invariants(List<Endpoint> endpoints) {
+        Map<String, FailureDomainName> domains = new HashMap<>();
+        endpoints.forEach(each -> domains.put(each.name().value(), each.failureDomain()));
+        mCheckers =
+                List.of(
+                        new WholeAnswerChecker(),
+                        new EveryRequestEndsChecker(),
+                        new ColdStartChecker(),
+                        new DomainOutChecker(domains),
+                        new LeavingChecker(),
+                        new NotRunChecker(),
+                        new AtMostOnceChecker(),
+                        new PlannedStopChecker(),
+                        new ConfigurationChecker(),
+                        new PoisonChecker());
+    }
+
+    /**
+     * Checks a history against every invariant.
+     *
+     * @param history the history
+     * @return every violation; empty where all invariants hold
+     */
+    public List<Violation> check(History history) {
+        return mCheckers.stream().flatMap(checker -> checker.check(history).stream()).toList();
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/checker/PlannedStopChecker.java
@@ -0,0 +1,46 @@
+package org.wasabilug.scenarios.internal.checker;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.history.History;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** STOP: a planned stop ends within its bound and cuts no request. */
+public final class PlannedStopChecker implements InvariantChecker {
+    /** Creates the checker. */
+    public PlannedStopChecker() {}
+
+    private static final long BOUND_NANOS = 60 * VirtualClock.SECOND_NANOS;
+
+    @Override
+    public List<Violation> check(History history) {
+        Map<InstanceName, History.Entry> stopping = new HashMap<>();
+        List<Violation> violations = new ArrayList<>();
+        for (History.Entry entry : history.entries()) {
+            switch (entry.event()) {
+                case HistoryEvent.StopBegan event -> stopping.put(event.instance(), entry);
+                case HistoryEvent.Died event -> stopping.remove(event.instance());
+                case HistoryEvent.StopEnded event -> {
+                    History.Entry began = stopping.remove(event.instance());
+                    if (event.requestsCut() > 0
+                            || entry.atNanos() - began.atNanos() > BOUND_NANOS) {
+                        violations.add(new Violation("STOP", "cut or late", List.of(began, entry)));
+                    }
+                }
+                default -> {
+                    // Other events have no part in stops.
+                }
+            }
+        }
+        stopping.values()
+                .forEach(
+                        began ->
+                                violations.add(
+                                        new Violation("STOP", "never ended", List.of(began))));
+        return violations;
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/checker/PoisonChecker.java
@@ -0,0 +1,76 @@
+package org.wasabilug.scenarios.internal.checker;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.history.History;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/**
+ * POISON: content that crashed two endpoints reaches no third, and no other content is condemned.
+ */
+public final class PoisonChecker implements InvariantChecker {
+    /** Creates the checker. */
+    public PoisonChecker() {}
+
+    private static final Pattern CONTENT = Pattern.compile("POISON[-A-Za-z0-9]*");
+    private static final long SHARING_NANOS = VirtualClock.SECOND_NANOS;
+    private static final int CRASHES_ALLOWED = 2;
+
+    @Override
+    public List<Violation> check(History history) {
+        Map<String, List<History.Entry>> crashes = new HashMap<>();
+        Isolation isolation = new Isolation();
+        List<Violation> violations = new ArrayList<>();
+        for (History.Entry entry : history.entries()) {
+            switch (entry.event()) {
+                case HistoryEvent.Crashed event ->
+                        poisonIn(event.content())
+                                .ifPresent(
+                                        content ->
+                                                crashes.computeIfAbsent(
+                                                                content,
+                                                                ignored -> new ArrayList<>())
+                                                        .add(entry));
+                case HistoryEvent.Isolated event -> isolation.note(event, entry.atNanos());
+                case HistoryEvent.Received event -> {
+                    if (!isolation.wasIsolated(
+                            event.instance(), event.sentNanos(), SHARING_NANOS)) {
+                        checkReceived(event, entry, crashes, violations);
+                    }
+                }
+                default -> {
+                    // Other events run no content.
+                }
+            }
+        }
+        return violations;
+    }
+
+    private static void checkReceived(
+            HistoryEvent.Received event,
+            History.Entry entry,
+            Map<String, List<History.Entry>> crashes,
+            List<Violation> violations) {
+        List<History.Entry> earlier =
+                poisonIn(event.content())
+                        .map(content -> crashes.getOrDefault(content, List.of()))
+                        .orElse(List.of());
+        if (earlier.size() >= CRASHES_ALLOWED
+                && event.sentNanos() > earlier.get(1).atNanos() + SHARING_NANOS) {
+            List<History.Entry> trace = new ArrayList<>(earlier);
+            trace.add(entry);
+            violations.add(new Violation("POISON", "reached a third endpoint", trace));
+        }
+    }
+
+    private static Optional<String> poisonIn(String content) {
+        Matcher matcher = CONTENT.matcher(content);
+        return matcher.find() ? Optional.of(matcher.group()) : Optional.empty();
+    }
+}
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/ActionPerformer.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/ActionPerformer.java
@@ -87,7 +87,7 @@
             later(CONNECT_TIMEOUT_NANOS, unreachable(call));
             return;
         }
-        Consumer<InstanceEvent> answers = answersFrom(domain);
+        Consumer<InstanceEvent> answers = answersFrom(endpoint);
         mSurroundings
                 .clock()
                 .after(
@@ -117,14 +117,38 @@
         mSurroundings.clock().after(delayNanos, () -> mLife.deliver(event));
     }
 
-    private Consumer<InstanceEvent> answersFrom(FailureDomainName domain) {
+    private Consumer<InstanceEvent> answersFrom(FakeEndpoint endpoint) {
+        FailureDomainName domain = endpoint.configuration().failureDomain();
         return event -> {
             if (mSurroundings.network().delivers(domain, mLife.failureDomain())) {
                 later(latencyNanos(domain), event);
+                mSurroundings
+                        .clock()
+                        .after(latencyNanos(domain), () -> noteEvidence(endpoint, event));
             }
         };
     }
 
+    private void noteEvidence(FakeEndpoint endpoint, InstanceEvent event) {
+        if (mLife.isAttentive() && showsColdStart(event)) {
+            mSurroundings
+                    .history()
+                    .add(
+                            new HistoryEvent.EvidenceReached(
+                                    mLife.name(), endpoint.configuration().name()));
+        }
+    }
+
+    private static boolean showsColdStart(InstanceEvent event) {
+        return switch (event) {
+            case InstanceEvent.LoadReported reported -> reported.report().cold();
+            case InstanceEvent.StageFailed failed ->
+                    failed.kind() == FailureKind.CONNECTION_LOST
+                            || failed.kind() == FailureKind.CONNECTION_REFUSED;
+            default -> false;
+        };
+    }
+
     private void cancel(InstanceAction.CancelAttempt cancel) {
         mSurroundings
                 .clock()
@@ -185,7 +209,7 @@
         if (!endpoint.isUp() || !mSurroundings.network().delivers(mLife.failureDomain(), domain)) {
             return;
         }
-        Consumer<InstanceEvent> answers = answersFrom(domain);
+        Consumer<InstanceEvent> answers = answersFrom(endpoint);
         mSurroundings
                 .clock()
                 .after(
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Fleet.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Fleet.java
@@ -121,7 +121,7 @@
      * @param name name of the instance
      */
     public void kill(InstanceName name) {
-        mHistory.add(new HistoryEvent.Disturbance("killed " + name));
+        mHistory.add(new HistoryEvent.Died(name));
         instance(name).kill();
         publishList();
     }
@@ -133,7 +133,7 @@
      * @param paused false to let it go on
      */
     public void setPaused(InstanceName name, boolean paused) {
-        mHistory.add(new HistoryEvent.Disturbance((paused ? "paused " : "continued ") + name));
+        mHistory.add(new HistoryEvent.Isolated(name, paused));
         if (paused) {
             instance(name).pause();
         } else {
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/InstanceLife.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/InstanceLife.java
@@ -99,6 +99,11 @@
         return mAlive;
     }
 
+    /** True where an event reaches the core at once. */
+    boolean isAttentive() {
+        return mAlive && !mPaused;
+    }
+
     /**
      * State for assertions.
      *
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/history/HistoryEvent.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/history/HistoryEvent.java
@@ -138,6 +138,13 @@
     record Applied(InstanceName instance, long incarnation, ObjectKey object, long ticketNumber)
             implements HistoryEvent {}
 
+    /**
+     * A process was killed.
+     *
+     * @param instance the instance
+     */
+    record Died(InstanceName instance) implements HistoryEvent {}
+
     /**
      * A planned stop began.
      *
@@ -153,6 +160,30 @@
      */
     record StopEnded(InstanceName instance, int requestsCut) implements HistoryEvent {}
 
+    /**
+     * Evidence of a cold start reached an instance: a report, or a connection refused or lost.
+     *
+     * @param instance the instance
+     * @param endpoint the endpoint
+     */
+    record EvidenceReached(InstanceName instance, EndpointName endpoint) implements HistoryEvent {}
+
+    /**
+     * An instance lost the platform or reached it again.
+     *
+     * @param instance the instance
+     * @param cut true where no request to the platform gets through
+     */
+    record PlatformCut(InstanceName instance, boolean cut) implements HistoryEvent {}
+
+    /**
+     * An instance was cut off from what brings it news, or joined to it again.
+     *
+     * @param instance the instance
+     * @param isolated true where neither the platform nor a peer elsewhere reaches it, or it pauses
+     */
+    record Isolated(InstanceName instance, boolean isolated) implements HistoryEvent {}
+
     /**
      * An instance or link was cut off, healed, killed or started.
      *
