--- a/core/src/test/java/org/wasabilug/internal/feed/FleetConvergenceTest.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/FleetConvergenceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +58,10 @@
         return milliseconds;
     }
 
+    private static long processorNanos() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
     private static void measure(
             SimulatedFleet fleet, int tickets, long spacingNanos, long targetMilliseconds) {
         fleet.start();
@@ -65,6 +70,7 @@
         long startBytes = fleet.mBytes;
         long startMessages = fleet.mMessages;
         long startReads = fleet.platform().mReads;
+        long startProcessorNanos = processorNanos();
         Histogram milliseconds = new Histogram(3);
         for (int number = 1; number <= tickets; number++) {
             milliseconds.recordValue(millisecondsUntilInForce(fleet, number));
@@ -73,16 +79,19 @@
         double seconds = (fleet.clock().nowNanos() - startNanos) / (double) SECOND_NANOS;
         double perNode = seconds * fleet.instances().size();
         double bytesPerNode = (fleet.mBytes - startBytes) / perNode;
+        double processorMicros = (processorNanos() - startProcessorNanos) / perNode / 1_000;
         double readsPerSecond = (fleet.platform().mReads - startReads) / seconds;
         System.out.printf(
                 "%d instances: in force everywhere p50 %d ms, p99 %d ms, max %d ms; a node a"
-                    + " second: %.0f bytes, %.1f messages sent; platform: %.0f reads a second%n",
+                        + " second: %.0f bytes, %.1f messages sent, %.0f us of processor with"
+                        + " the simulation; platform: %.0f reads a second%n",
                 fleet.instances().size(),
                 milliseconds.getValueAtPercentile(50),
                 milliseconds.getValueAtPercentile(99),
                 milliseconds.getMaxValue(),
                 bytesPerNode,
                 (fleet.mMessages - startMessages) / perNode,
+                processorMicros,
                 readsPerSecond);
         assertThat(milliseconds.getValueAtPercentile(99)).isLessThan(targetMilliseconds);
         assertThat(2 * bytesPerNode).isLessThan(CONTROL_BYTES_PER_SECOND);
