--- a/core/src/main/java/org/wasabilug/internal/order/EngineOrders.java
+++ b/core/src/main/java/org/wasabilug/internal/order/EngineOrders.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wasabilug.internal.configuration.Configuration;
@@ -38,6 +39,7 @@
     private final Map<EndpointName, EngineView> mEngines = new HashMap<>();
     private final ArrayDeque<Long> mLoads = new ArrayDeque<>();
     private Map<PoolName, List<Engine>> mPools = Map.of();
+    private Map<EndpointName, Engine> mByName = Map.of();
 
     private record Engine(Endpoint endpoint, EngineTarget target) {}
 
@@ -75,6 +77,12 @@
                                         engine -> engine.endpoint().pool(),
                                         TreeMap::new,
                                         Collectors.toList()));
+        mByName =
+                mPools.values().stream()
+                        .flatMap(List::stream)
+                        .collect(
+                                Collectors.toMap(
+                                        engine -> engine.endpoint().name(), Function.identity()));
         mRights.setPools(mPools.keySet());
         mEngines.keySet().removeIf(name -> configuration.engineTarget(name).isEmpty());
     }
@@ -181,15 +189,10 @@
     }
 
     private void takeEngineAnswer(EndpointName endpoint, OrderOutcome outcome) {
-        Optional<Engine> known =
-                mPools.values().stream()
-                        .flatMap(List::stream)
-                        .filter(engine -> engine.endpoint().name().equals(endpoint))
-                        .findFirst();
-        if (known.isEmpty()) {
+        Engine engine = mByName.get(endpoint);
+        if (engine == null) {
             return;
         }
-        Engine engine = known.get();
         EngineView view = viewOf(engine);
         switch (outcome) {
             case OrderOutcome.State state -> {
