Bound what leases and ledgers ask of a table service in trouble

Cause: 450 leases asked a table service that was down three times as much as one that was up; claims crowded results out of full transactions. Change: retries of a lease double up to the pace of renewals; half of a full transaction is left to results; an instance sends at most 25 transactions a second. Conclusion: an outage ends without a herd.

--- a/core/src/main/java/org/wasabilug/internal/lease/SessionLease.java
+++ b/core/src/main/java/org/wasabilug/internal/lease/SessionLease.java
@@ -29,6 +29,7 @@
 public final class SessionLease implements HeldLease {
     private static final double JITTER_SHARE = 0.1;
     private static final int RETRIES_PER_RENEWAL = 6;
+    private static final int MAXIMUM_DOUBLINGS = 4;
     private static final int LOOKS_PER_RENEWAL = 3;
 
     private final InstanceName mInstance;
@@ -44,6 +45,7 @@
     private boolean mDoubtful;
     private long mDoubtSinceNanos;
     private long mNextStepNanos = Long.MIN_VALUE;
+    private int mFailures;
     private boolean mReleasing;
     private boolean mReleased;
     private long mEpoch;
@@ -299,6 +301,7 @@
     private void settle(Row row, long sentNanos, long nowNanos) {
         LeaseRow value = LeaseRow.of(row);
         mRow = Optional.of(row);
+        mFailures = 0;
         mDoubtful = false;
         mNextStepNanos = nowNanos;
         long expiry = sentNanos + mSettings.term().toNanos() - mSettings.safetyMargin().toNanos();
@@ -325,6 +328,7 @@
             return;
         }
         mRow = row;
+        mFailures = 0;
         mRowWasRead = true;
         mObserver.observe(mInstance, row, sent.sentNanos(), nowNanos);
         mNextStepNanos =
@@ -333,8 +337,12 @@
                         : nowNanos + jittered(mSettings.renewal().toNanos() / LOOKS_PER_RENEWAL);
     }
 
+    /** Retries become rarer, up to the pace of renewals, so that an outage ends without a herd. */
     private long retryNanos() {
-        return jittered(mSettings.renewal().toNanos() / RETRIES_PER_RENEWAL);
+        long first = mSettings.renewal().toNanos() / RETRIES_PER_RENEWAL;
+        long wait = Math.min(mSettings.renewal().toNanos(), first << mFailures);
+        mFailures = Math.min(MAXIMUM_DOUBLINGS, mFailures + 1);
+        return jittered(wait);
     }
 
     private long jittered(long nanos) {
--- a/core/src/main/java/org/wasabilug/internal/ledger/LedgerBatches.java
+++ b/core/src/main/java/org/wasabilug/internal/ledger/LedgerBatches.java
@@ -92,8 +92,10 @@
 
     private InstanceAction sendOne(long nowNanos) {
         List<LedgerEntry> entries = new ArrayList<>();
-        int characters = take(mClaims, entries, 0);
-        take(mRecords, entries, characters);
+        // Half of a full transaction is left to results, so that claims can't crowd them out.
+        int kept = Math.min(mRecords.size(), mRowLimit / 2);
+        int characters = take(mClaims, mRowLimit - kept, entries, 0);
+        take(mRecords, mRowLimit, entries, characters);
         entries.forEach(entry -> entry.mInFlight = true);
         OperationId operation = new OperationId(Part.LEDGER, ++mOperationCount);
         mOutstanding.put(operation, new Batch(operation, nowNanos, entries));
@@ -105,9 +107,10 @@
                         entries.stream().map(LedgerEntry::write).toList()));
     }
 
-    private int take(ArrayDeque<LedgerEntry> queue, List<LedgerEntry> entries, int characters) {
+    private int take(
+            ArrayDeque<LedgerEntry> queue, int limit, List<LedgerEntry> entries, int characters) {
         int total = characters;
-        while (!queue.isEmpty() && entries.size() < mRowLimit) {
+        while (!queue.isEmpty() && entries.size() < limit) {
             total += queue.getFirst().size();
             if (total > MAXIMUM_CHARACTERS && !entries.isEmpty()) {
                 return total;
--- a/core/src/main/java/org/wasabilug/internal/ledger/LedgerSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/ledger/LedgerSettings.java
@@ -19,10 +19,10 @@
         Duration patience,
         Duration answerTimeout,
         int maximumEntries) {
-    /** At most 50 transactions a second from each instance. */
+    /** At most 25 transactions a second from each instance. */
     public static final LedgerSettings DEFAULT =
             new LedgerSettings(
-                    Duration.ofMillis(20),
+                    Duration.ofMillis(40),
                     Duration.ofMillis(5),
                     Duration.ofMillis(200),
                     Duration.ofSeconds(2),
--- a/core/src/test/java/org/wasabilug/internal/lease/SessionLeaseTest.java
+++ b/core/src/test/java/org/wasabilug/internal/lease/SessionLeaseTest.java
@@ -118,6 +118,20 @@
         assertThat(second.isHeld()).isTrue();
     }
 
+    @Test
+    void asksNoMoreOftenDuringLongOutageThanWhileRenewing() {
+        FaultyTable table = table(6, 0);
+        new Holder(mTime, table, "first", 1);
+        table.setDown(true);
+        mTime.runFor(Duration.ofMinutes(1));
+        int before = table.commits() + table.reads();
+
+        mTime.runFor(Duration.ofMinutes(10));
+
+        int asked = table.commits() + table.reads() - before;
+        assertThat(asked).isLessThanOrEqualTo(10 * 60 / 3 + 20);
+    }
+
     @Test
     void neverTwoHoldersUnderAnyFaults() {
         int violations = 0;
--- a/core/src/test/java/org/wasabilug/internal/ledger/TableLedgerTest.java
+++ b/core/src/test/java/org/wasabilug/internal/ledger/TableLedgerTest.java
@@ -134,6 +134,20 @@
         assertThat(transactions).isLessThanOrEqualTo(50);
     }
 
+    @Test
+    void leavesHalfOfFullTransactionToResults() {
+        LedgerStep first = claim("first", 0);
+        for (int index = 0; index < 100; index++) {
+            claim("waiting-" + index, 1);
+        }
+        answer(first, new CommitOutcome.Committed(), 2);
+        mLedger.record(new RequestId("first"), LedgerSimulation.STAGE, "result", 3);
+
+        LedgerStep batch = mLedger.tick(SECOND_NANOS / 10);
+
+        assertThat(commit(batch).transaction().writes().toString()).contains("result");
+    }
+
     @Test
     void runsNoRequestTwiceUnderAnyFaults() {
         int received = 0;
