Take the times of all leases from the one held

Cause: orders watched other leases with default times whatever was configured. Change: the held lease tells its settings; grants and orders use them. The page for embedders is compared with the test that it quotes. Conclusion: one place sets the times.

--- a/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrantsBuilder.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrantsBuilder.java
@@ -3,7 +3,6 @@
 import java.util.function.ToIntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wasabilug.internal.lease.HeldLease;
-import org.wasabilug.internal.lease.LeaseSettings;
 import org.wasabilug.model.EndpointName;
 
 /** Builds {@link ColdStartGrants}. */
@@ -12,7 +11,6 @@
     UniformRandomProvider mRandom;
     ToIntFunction<EndpointName> mCallsInFlight;
     GrantSettings mSettings = GrantSettings.DEFAULT;
-    LeaseSettings mLeaseSettings = LeaseSettings.DEFAULT;
 
     ColdStartGrantsBuilder() {}
 
@@ -60,17 +58,6 @@
         return this;
     }
 
-    /**
-     * Sets the times of the leases of all instances.
-     *
-     * @param value the times
-     * @return this builder
-     */
-    public ColdStartGrantsBuilder leaseSettings(LeaseSettings value) {
-        mLeaseSettings = value;
-        return this;
-    }
-
     /**
      * Builds the grants, of which none is held yet.
      *
--- a/core/src/main/java/org/wasabilug/internal/grant/SlotTable.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/SlotTable.java
@@ -62,7 +62,7 @@
         mSettings = builder.mSettings;
         mLease = builder.mLease;
         mRandom = builder.mRandom;
-        mObserver = new LeaseObserver(builder.mLeaseSettings);
+        mObserver = new LeaseObserver(builder.mLease.settings());
     }
 
     /** Counts requests without an answer in time as lost. */
--- a/core/src/main/java/org/wasabilug/internal/lease/HeldLease.java
+++ b/core/src/main/java/org/wasabilug/internal/lease/HeldLease.java
@@ -32,4 +32,11 @@
      * @return its name
      */
     InstanceName instance();
+
+    /**
+     * Times of the leases of all instances.
+     *
+     * @return the times
+     */
+    LeaseSettings settings();
 }
--- a/core/src/main/java/org/wasabilug/internal/lease/SessionLease.java
+++ b/core/src/main/java/org/wasabilug/internal/lease/SessionLease.java
@@ -88,6 +88,11 @@
         return mInstance;
     }
 
+    @Override
+    public LeaseSettings settings() {
+        return mSettings;
+    }
+
     @Override
     public boolean isHeld(long nowNanos) {
         return mHeld && nowNanos < mExpiryNanos;
--- a/core/src/main/java/org/wasabilug/internal/order/OrderRights.java
+++ b/core/src/main/java/org/wasabilug/internal/order/OrderRights.java
@@ -19,7 +19,6 @@
 import org.wasabilug.internal.lease.HeldLease;
 import org.wasabilug.internal.lease.LeaseObserver;
 import org.wasabilug.internal.lease.LeaseRow;
-import org.wasabilug.internal.lease.LeaseSettings;
 import org.wasabilug.internal.table.RowJson;
 import org.wasabilug.model.InstanceName;
 import org.wasabilug.model.PoolName;
@@ -62,7 +61,7 @@
         mLease = lease;
         mRandom = random;
         mSettings = settings;
-        mObserver = new LeaseObserver(LeaseSettings.DEFAULT);
+        mObserver = new LeaseObserver(lease.settings());
     }
 
     /** Competes for the rights over these pools only. */
--- a/core/src/test/java/org/wasabilug/internal/grant/GrantSimulation.java
+++ b/core/src/test/java/org/wasabilug/internal/grant/GrantSimulation.java
@@ -10,6 +10,7 @@
 import org.wasabilug.internal.configuration.Configuration;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.lease.HeldLease;
+import org.wasabilug.internal.lease.LeaseSettings;
 import org.wasabilug.internal.lease.SessionLease;
 import org.wasabilug.internal.simulation.FaultyTable;
 import org.wasabilug.internal.simulation.SimulatedProcess;
@@ -156,6 +157,11 @@
                     return mLease.incarnation();
                 }
 
+                @Override
+                public LeaseSettings settings() {
+                    return mLease.settings();
+                }
+
                 @Override
                 public InstanceName instance() {
                     return mLease.instance();
--- a/core/src/test/java/org/wasabilug/usage/CoordinationPartsUsageTest.java
+++ b/core/src/test/java/org/wasabilug/usage/CoordinationPartsUsageTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiFunction;
@@ -89,6 +92,29 @@
                 .isEqualTo(new ClaimOutcome.Recorded("reserved"));
     }
 
+    @Test
+    void pageForEmbeddersShowsTheExampleThatRunsHere() throws IOException {
+        String page = Files.readString(Path.of("..", "docs", "EMBEDDING.md"));
+        String source =
+                Files.readString(
+                        Path.of("src/test/java/org/wasabilug/usage")
+                                .resolve("CoordinationPartsUsageTest.java"));
+
+        String example = between(source, "// tag::" + "ledger\n", "// end::" + "ledger");
+
+        assertThat(withoutSpace(between(page, "```java\n", "```")))
+                .isEqualTo(withoutSpace(example));
+    }
+
+    private static String between(String text, String start, String end) {
+        int from = text.indexOf(start) + start.length();
+        return text.substring(from, text.indexOf(end, from));
+    }
+
+    private static String withoutSpace(String text) {
+        return text.replaceAll("\\s+", "");
+    }
+
     private LedgerStep settle(TableLedger ledger, LedgerStep step, long nowNanos) {
         LedgerStep last = step;
         for (InstanceAction action : step.actions()) {
