Close connections in both directions and keep them for further calls

Cause: ending the answer alone left the connection half open, so that a cancelled or timed out call went on at its endpoint; and a new connection for each call costs a handshake and the set-up of two stream graphs. Change: a connection is a stream that carries one call after another and is aborted as a whole; calls that may not be repeated get a fresh one; whether a connection was made is awaited before a failure is named.

--- a/endpoint/src/main/java/org/wasabilug/endpoint/HttpEndpointClient.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/HttpEndpointClient.java
@@ -18,7 +18,7 @@
 import org.wasabilug.model.Endpoint;
 import org.wasabilug.model.EndpointName;
 
-/** Calls to endpoints over HTTP, one connection each. */
+/** Calls to endpoints over HTTP; a connection carries one call at a time. */
 public final class HttpEndpointClient implements EndpointClient {
     private final ConcurrentHashMap<AttemptId, RunningCall> mRunning = new ConcurrentHashMap<>();
     private final Connections mConnections;
@@ -50,9 +50,14 @@
     public void run(StageCall call, Consumer<InstanceEvent> events) {
         AttemptId attempt = call.attempt();
         RunningCall running =
-                new RunningCall(call, mLimits, events, ended -> mRunning.remove(attempt, ended));
+                new RunningCall(
+                        call,
+                        mLimits,
+                        mConnections,
+                        events,
+                        ended -> mRunning.remove(attempt, ended));
         mRunning.put(attempt, running);
-        running.start(mConnections);
+        running.start();
     }
 
     @Override
@@ -89,6 +94,7 @@
     @Override
     public void close() {
         mRunning.keySet().forEach(this::cancel);
+        mConnections.close();
     }
 
     /** Builds a {@link HttpEndpointClient}. */
--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/AnswerReader.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/AnswerReader.java
@@ -1,5 +1,6 @@
 package org.wasabilug.endpoint.internal.call;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -38,16 +39,14 @@
         mLimits = limits;
     }
 
+    /** Reads the load report that rides on an answer. */
     static Optional<LoadReport> loadReport(HttpResponse response) {
         return response.getHeader(EndpointPaths.LOAD_HEADER)
                 .flatMap(header -> EndpointJson.read(header.value(), LoadReport.class));
     }
 
+    /** Reads the events of a result. */
     Source<StreamEvent, NotUsed> read(HttpResponse response) {
-        int status = response.status().intValue();
-        if (status != OK) {
-            return Source.failed(refusal(response, status));
-        }
         Source<ByteString, ?> bytes = response.entity().withoutSizeLimit().getDataBytes();
         return switch (mProtocol) {
             case STREAMED ->
@@ -91,16 +90,19 @@
                                         new CallRefusedException(
                                                 FailureKind.FAILED, "the answer is not JSON"));
         int start = Math.min(mResumeOffset, text.length());
-        return java.util.List.of(
+        return List.of(
                 new StreamEvent.Chunk(start, text.substring(start)),
                 new StreamEvent.Done(text.length()));
     }
 
-    private static CallRefusedException refusal(HttpResponse response, int status) {
-        return new CallRefusedException(failureKind(response, status), "status " + status);
+    /** Tells whether an answer carries a result. */
+    static boolean isAnswer(HttpResponse response) {
+        return response.status().intValue() == OK;
     }
 
-    private static FailureKind failureKind(HttpResponse response, int status) {
+    /** Tells what an answer without a result means. */
+    static FailureKind failureKind(HttpResponse response) {
+        int status = response.status().intValue();
         boolean noRoom = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
         if (noRoom && response.getHeader(EndpointPaths.NOT_RUN_HEADER).isPresent()) {
             return FailureKind.OVERLOADED;
--- /dev/null
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/ConnectionAbortedException.java
@@ -0,0 +1,11 @@
+package org.wasabilug.endpoint.internal.call;
+
+import org.wasabilug.error.ErrorCode;
+import org.wasabilug.error.WasabilugException;
+
+/** Ends a connection at once from this side. */
+final class ConnectionAbortedException extends WasabilugException {
+    ConnectionAbortedException() {
+        super(ErrorCode.INTERNAL, "This instance closed the connection to the endpoint.");
+    }
+}
--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/Connections.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/Connections.java
@@ -2,27 +2,31 @@
 
 import java.net.URI;
 import java.time.Duration;
-import java.util.concurrent.CompletionStage;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.OutgoingConnection;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
-import org.apache.pekko.stream.javadsl.Flow;
 
 /**
- * Makes a connection for each call.
+ * Connections to endpoints, kept for further calls for a short while.
  *
- * <p>A connection that carries one call tells whether the endpoint can have received it, ends with
- * its cancellation, and never waits for another call. A pool gives none of the three.
+ * <p>Unlike the pool of the HTTP library, it bounds no concurrency, closes the connection of a
+ * cancelled call, never sends anything twice, and tells whether a connection was made at all.
  */
-public final class Connections {
+public final class Connections implements AutoCloseable {
+    private static final int MAXIMUM_IDLE_PER_ENDPOINT = 64;
+    private static final long MAXIMUM_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final Map<URI, Deque<Idle>> mIdle = new HashMap<>();
     private final ClassicActorSystemProvider mActorSystem;
     private final ClientConnectionSettings mSettings;
 
     /**
-     * Creates the maker of connections.
+     * Creates a holder without connections.
      *
      * @param actorSystem runs the connections
      * @param connectTimeout longest time to make one
@@ -35,20 +39,6 @@
                         .withIdleTimeout(scala.concurrent.duration.Duration.Inf());
     }
 
-    /**
-     * Makes a connection when its flow runs.
-     *
-     * @param address http with host and port
-     * @return the flow; its value fails where no connection was made and nothing was sent
-     */
-    public Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> open(URI address) {
-        return Http.get(mActorSystem)
-                .connectionTo(address.getHost())
-                .toPort(address.getPort())
-                .withClientConnectionSettings(mSettings)
-                .http();
-    }
-
     /**
      * The actor system that runs the connections.
      *
@@ -57,4 +47,54 @@
     public ClassicActorSystemProvider actorSystem() {
         return mActorSystem;
     }
+
+    /** Closes every idle connection. */
+    @Override
+    public synchronized void close() {
+        mIdle.values().forEach(idle -> idle.forEach(entry -> entry.connection().abort()));
+        mIdle.clear();
+    }
+
+    /** Takes an idle connection or makes one. */
+    CallConnection take(URI address) {
+        CallConnection idle = takeIdle(address, System.nanoTime());
+        return idle == null ? open(address) : idle;
+    }
+
+    /** Makes a connection; a call on it can't be lost for what happened before. */
+    CallConnection open(URI address) {
+        return new CallConnection(
+                mActorSystem,
+                Http.get(mActorSystem)
+                        .connectionTo(address.getHost())
+                        .toPort(address.getPort())
+                        .withClientConnectionSettings(mSettings)
+                        .http());
+    }
+
+    /** Keeps a connection whose last answer was read to its end. */
+    synchronized void giveBack(URI address, CallConnection connection) {
+        connection.free();
+        Deque<Idle> idle = mIdle.computeIfAbsent(address, key -> new ArrayDeque<>());
+        idle.addLast(new Idle(connection, System.nanoTime()));
+        if (idle.size() > MAXIMUM_IDLE_PER_ENDPOINT) {
+            idle.removeFirst().connection().abort();
+        }
+    }
+
+    private synchronized CallConnection takeIdle(URI address, long nowNanos) {
+        Deque<Idle> idle = mIdle.get(address);
+        while (idle != null && !idle.isEmpty()) {
+            Idle newest = idle.removeLast();
+            boolean fresh = nowNanos - newest.sinceNanos() < MAXIMUM_IDLE_NANOS;
+            if (fresh && newest.connection().isOpen()) {
+                return newest.connection();
+            }
+            newest.connection().abort();
+        }
+        mIdle.remove(address);
+        return null;
+    }
+
+    private record Idle(CallConnection connection, long sinceNanos) {}
 }
--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/ControlExchange.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/ControlExchange.java
@@ -1,10 +1,12 @@
 package org.wasabilug.endpoint.internal.call;
 
 import java.net.URI;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 
 /** Sends one short request and reads its whole answer. */
@@ -20,24 +22,55 @@
         mLimits = limits;
     }
 
+    /** Sends a request; fails where no whole answer arrives in time. */
     CompletionStage<ControlAnswer> send(URI address, HttpRequest request) {
-        return Source.single(request)
-                .via(mConnections.open(address))
-                .flatMapConcat(
-                        response ->
-                                response.entity()
-                                        .withSizeLimit(mLimits.maximumBodyBytes())
-                                        .getDataBytes()
-                                        .fold(ByteString.emptyByteString(), ByteString::concat)
-                                        .map(
-                                                body ->
-                                                        new ControlAnswer(
-                                                                response.status().intValue(),
-                                                                body.utf8String())))
-                .completionTimeout(mLimits.controlTimeout())
-                .runWith(Sink.head(), mConnections.actorSystem());
+        CompletableFuture<ControlAnswer> answer = new CompletableFuture<>();
+        answer.orTimeout(mLimits.controlTimeout().toNanos(), TimeUnit.NANOSECONDS);
+        CallConnection connection = mConnections.take(address);
+        connection.send(request, new User(answer));
+        return answer.whenComplete(
+                (whole, failure) -> {
+                    if (failure == null) {
+                        mConnections.giveBack(address, connection);
+                    } else {
+                        connection.abort();
+                    }
+                });
     }
 
     /** Status and body of an answer. */
     record ControlAnswer(int status, String body) {}
+
+    private final class User implements ConnectionUser {
+        private final CompletableFuture<ControlAnswer> mAnswer;
+
+        private User(CompletableFuture<ControlAnswer> answer) {
+            mAnswer = answer;
+        }
+
+        @Override
+        public void onResponse(HttpResponse response) {
+            response.entity()
+                    .withSizeLimit(mLimits.maximumBodyBytes())
+                    .getDataBytes()
+                    .runWith(
+                            Sink.fold(ByteString.emptyByteString(), ByteString::concat),
+                            mConnections.actorSystem())
+                    .whenComplete((body, failure) -> settle(response, body, failure));
+        }
+
+        @Override
+        public void onConnectionEnd(boolean neverMade, String reason) {
+            mAnswer.completeExceptionally(new ConnectionAbortedException());
+        }
+
+        private void settle(HttpResponse response, ByteString body, Throwable failure) {
+            if (failure == null) {
+                int status = response.status().intValue();
+                mAnswer.complete(new ControlAnswer(status, body.utf8String()));
+            } else {
+                mAnswer.completeExceptionally(failure);
+            }
+        }
+    }
 }
--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
@@ -1,23 +1,13 @@
 package org.wasabilug.endpoint.internal.call;
 
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
-import org.apache.pekko.Done;
-import org.apache.pekko.NotUsed;
-import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.japi.Pair;
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.SharedKillSwitch;
-import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
 import org.wasabilug.endpoint.wire.EndpointJson;
 import org.wasabilug.endpoint.wire.StageCallBody;
 import org.wasabilug.endpoint.wire.StreamEvent;
@@ -29,10 +19,12 @@
 public final class RunningCall {
     private final StageCall mCall;
     private final AnswerReader mReader;
+    private final Connections mConnections;
     private final Consumer<InstanceEvent> mEvents;
     private final Consumer<RunningCall> mOnEnd;
     private final ReadingGate mGate = new ReadingGate();
-    private final SharedKillSwitch mStop;
+    private CallConnection mConnection;
+    private Cancellable mDeadline;
     private boolean mEnded;
 
     /**
@@ -40,43 +32,51 @@
      *
      * @param call what to run
      * @param limits bounds of what is read
+     * @param connections gives connections
      * @param events receives the events of the attempt
      * @param onEnd told before the final event
      */
     public RunningCall(
             StageCall call,
             CallLimits limits,
+            Connections connections,
             Consumer<InstanceEvent> events,
             Consumer<RunningCall> onEnd) {
         mCall = call;
         mReader = new AnswerReader(call.protocol(), call.resumeOffset(), limits);
+        mConnections = connections;
         mEvents = events;
         mOnEnd = onEnd;
-        mStop = KillSwitches.shared("attempt");
     }
 
-    /**
-     * Connects and sends the call.
-     *
-     * @param connections makes the connection
-     */
-    public void start(Connections connections) {
-        Pair<CompletionStage<OutgoingConnection>, CompletionStage<Done>> running =
-                Source.single(request())
-                        .viaMat(connections.open(mCall.address()), Keep.right())
-                        .flatMapConcat(this::readAnswer)
-                        .completionTimeout(Duration.ofNanos(Math.max(1, mCall.timeoutNanos())))
-                        .via(mStop.flow())
-                        .toMat(Sink.foreach(this::deliver), Keep.both())
-                        .run(connections.actorSystem());
-        CompletableFuture<OutgoingConnection> connected = running.first().toCompletableFuture();
-        running.second().whenComplete((done, failure) -> finish(connected, failure));
+    /** Connects and sends the call. */
+    public synchronized void start() {
+        if (mEnded) {
+            return;
+        }
+        // A kept connection may turn out to be closed, which leaves open whether the call was
+        // received; a call that may not be repeated takes no such risk.
+        mConnection =
+                mCall.repeatable()
+                        ? mConnections.take(mCall.address())
+                        : mConnections.open(mCall.address());
+        mDeadline =
+                mConnections
+                        .actorSystem()
+                        .classicSystem()
+                        .scheduler()
+                        .scheduleOnce(
+                                Duration.ofNanos(Math.max(1, mCall.timeoutNanos())),
+                                () -> fail(FailureKind.TIMED_OUT, "no answer within its time"),
+                                mConnections.actorSystem().classicSystem().dispatcher());
+        mConnection.send(request(), new User());
     }
 
     /** Closes the connection; no further event is delivered. */
-    public void cancel() {
-        end(null);
-        mStop.shutdown();
+    public synchronized void cancel() {
+        if (endOnce()) {
+            mConnection.abort();
+        }
     }
 
     /** Stops reading. */
@@ -103,12 +103,31 @@
                 .withEntity(ContentTypes.APPLICATION_JSON, EndpointJson.write(body));
     }
 
-    private Source<StreamEvent, NotUsed> readAnswer(HttpResponse response) {
+    private void read(HttpResponse response) {
         AnswerReader.loadReport(response)
                 .ifPresent(
                         report ->
                                 deliver(new InstanceEvent.LoadReported(mCall.endpoint(), report)));
-        return mReader.read(response).mapAsync(1, mGate::pass);
+        mReader.read(response)
+                .mapAsync(1, mGate::pass)
+                .runWith(Sink.foreach(this::deliver), mConnections.actorSystem())
+                .whenComplete((done, failure) -> finishReading(failure));
+    }
+
+    private void refuse(HttpResponse response) {
+        response.discardEntityBytes(mConnections.actorSystem());
+        fail(AnswerReader.failureKind(response), "status " + response.status().intValue());
+    }
+
+    private void finishReading(Throwable failure) {
+        if (failure == null) {
+            fail(FailureKind.CONNECTION_LOST, "the answer ended before its last event");
+            mConnections.giveBack(mCall.address(), mConnection);
+        } else if (failure instanceof CallRefusedException refused) {
+            fail(refused.kind(), refused.getMessage());
+        } else {
+            fail(FailureKind.CONNECTION_LOST, failure.toString());
+        }
     }
 
     private void deliver(StreamEvent event) {
@@ -117,10 +136,7 @@
                     deliver(
                             new InstanceEvent.ChunkArrived(
                                     mCall.attempt(), chunk.offset(), chunk.text()));
-            case StreamEvent.Done done -> {
-                end(new InstanceEvent.StageFinished(mCall.attempt(), done.length()));
-                mStop.shutdown();
-            }
+            case StreamEvent.Done done -> finish(done);
         }
     }
 
@@ -130,32 +146,42 @@
         }
     }
 
-    private void finish(CompletableFuture<OutgoingConnection> connected, Throwable failure) {
-        String detail =
-                failure == null ? "the answer ended before its last event" : failure.toString();
-        end(new InstanceEvent.StageFailed(mCall.attempt(), kind(connected, failure), detail));
+    private synchronized void finish(StreamEvent.Done done) {
+        if (endOnce()) {
+            mEvents.accept(new InstanceEvent.StageFinished(mCall.attempt(), done.length()));
+        }
     }
 
-    private static FailureKind kind(
-            CompletableFuture<OutgoingConnection> connected, Throwable failure) {
-        if (connected.isCompletedExceptionally()) {
-            return FailureKind.CONNECTION_REFUSED;
+    private synchronized void fail(FailureKind kind, String detail) {
+        if (endOnce()) {
+            mConnection.abort();
+            mEvents.accept(new InstanceEvent.StageFailed(mCall.attempt(), kind, detail));
         }
-        return switch (failure) {
-            case CallRefusedException refused -> refused.kind();
-            case TimeoutException timeout -> FailureKind.TIMED_OUT;
-            case null, default -> FailureKind.CONNECTION_LOST;
-        };
     }
 
-    private synchronized void end(InstanceEvent lastEvent) {
+    private boolean endOnce() {
         if (mEnded) {
-            return;
+            return false;
         }
         mEnded = true;
+        mDeadline.cancel();
         mOnEnd.accept(this);
-        if (lastEvent != null) {
-            mEvents.accept(lastEvent);
+        return true;
+    }
+
+    private final class User implements ConnectionUser {
+        @Override
+        public void onResponse(HttpResponse response) {
+            if (AnswerReader.isAnswer(response)) {
+                read(response);
+            } else {
+                refuse(response);
+            }
+        }
+
+        @Override
+        public void onConnectionEnd(boolean neverMade, String reason) {
+            fail(neverMade ? FailureKind.CONNECTION_REFUSED : FailureKind.CONNECTION_LOST, reason);
         }
     }
 }
