--- a/standin/src/main/java/org/wasabilug/standin/EndpointFaults.java
+++ b/standin/src/main/java/org/wasabilug/standin/EndpointFaults.java
@@ -6,7 +6,7 @@
  * @param slowFactor factor on every time of an answer; 0 and 1 change nothing
  * @param failing true to receive calls and answer with status 500
  * @param refusing true to refuse calls before any work, with status 429
- * @param silent true to receive calls and never answer
+ * @param silent true to receive calls and never send a result
  * @param poisonMarker text of an input that crashes the endpoint
  * @param cutAfterChunks chunks after which an answer's connection breaks
  * @param doubledChunks true to send each chunk twice
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/AnswerStream.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/AnswerStream.java
@@ -16,6 +16,12 @@
 
 /** Makes the bytes of an answer at the pace of an engine. */
 final class AnswerStream {
+    /** Written while there is nothing to say, so that a closed connection is noticed. */
+    private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
+
+    private static final ByteString STREAM_HEARTBEAT = ByteString.fromString(":\n\n");
+    private static final ByteString JSON_HEARTBEAT = ByteString.fromString(" ");
+
     private final long mFirstTokenNanos;
     private final long mTokenNanos;
     private final EndpointFaults mFaults;
@@ -43,7 +49,8 @@
                 cut
                         ? Source.failed(new ConnectionBrokenException())
                         : Source.single(line(new StreamEvent.Done(text.length())));
-        return afterFirstToken(chunks.concat(last));
+        return afterFirstToken(chunks.concat(last))
+                .keepAlive(HEARTBEAT_INTERVAL, () -> STREAM_HEARTBEAT);
     }
 
     Source<ByteString, NotUsed> whole(String text) {
@@ -52,7 +59,11 @@
                 mFaults.cutAfterChunks() > 0
                         ? Source.failed(new ConnectionBrokenException())
                         : Source.single(body);
-        return afterFirstToken(answer);
+        return afterFirstToken(answer).keepAlive(HEARTBEAT_INTERVAL, () -> JSON_HEARTBEAT);
+    }
+
+    static Source<ByteString, NotUsed> endless() {
+        return Source.<ByteString>never().keepAlive(HEARTBEAT_INTERVAL, () -> STREAM_HEARTBEAT);
     }
 
     private static List<StreamEvent> chunks(String text, int offset) {
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndWatch.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndWatch.java
@@ -11,14 +11,16 @@
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
 
-/** Passes an answer on and tells once whether all of it was taken. */
+/** Passes an answer on, tells when it starts, and at its end whether all of it was taken. */
 final class EndWatch extends GraphStage<FlowShape<ByteString, ByteString>> {
     private final Inlet<ByteString> mIn = Inlet.create("answer.in");
     private final Outlet<ByteString> mOut = Outlet.create("answer.out");
     private final FlowShape<ByteString, ByteString> mShape = FlowShape.of(mIn, mOut);
+    private final Runnable mOnStart;
     private final Consumer<Boolean> mOnEnd;
 
-    EndWatch(Consumer<Boolean> onEnd) {
+    EndWatch(Runnable onStart, Consumer<Boolean> onEnd) {
+        mOnStart = onStart;
         mOnEnd = onEnd;
     }
 
@@ -61,6 +63,11 @@
                     });
         }
 
+        @Override
+        public void preStart() {
+            mOnStart.run();
+        }
+
         @Override
         public void postStop() {
             mOnEnd.accept(mComplete);
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
@@ -99,11 +99,12 @@
 
     private CompletionStage<HttpResponse> run(StageCallBody call) {
         EndpointFaults faults = mLife.faults();
-        return switch (mLife.admit(call, System.nanoTime())) {
+        return switch (mLife.admit(call)) {
             case Admission.Refused refused -> completed(refusal());
-            case Admission.Crashed crashed -> completed(Answers.broken());
-            case Admission.Running running when faults.failing() -> completed(failed(running));
-            case Admission.Running running when faults.silent() -> Answers.never();
+            case Admission.Running running when faults.failing() ->
+                    completed(Answers.empty(Answers.SERVER_ERROR));
+            case Admission.Running running when faults.silent() ->
+                    completed(stream(AnswerStream.endless(), running));
             case Admission.Running running -> completed(answer(call, running, faults));
         };
     }
@@ -118,24 +119,26 @@
                 mSettings.protocol() == CallProtocol.STREAMED
                         ? stream.streamed(text, call.offset())
                         : stream.whole(text);
+        return stream(bytes, running);
+    }
+
+    private HttpResponse stream(Source<ByteString, NotUsed> bytes, Admission.Running running) {
         return HttpResponse.create()
-                .addHeader(loadHeader(nowNanos))
+                .addHeader(loadHeader(System.nanoTime()))
                 .withEntity(HttpEntities.create(contentType(), counted(bytes, running)));
     }
 
     private Source<ByteString, NotUsed> counted(
             Source<ByteString, NotUsed> bytes, Admission.Running running) {
         return bytes.via(running.killSwitch().flow())
-                .via(new EndWatch(complete -> end(running, complete)));
-    }
-
-    private void end(Admission.Running running, boolean complete) {
-        mLife.end(running.generation(), complete, System.nanoTime());
-    }
-
-    private HttpResponse failed(Admission.Running running) {
-        end(running, false);
-        return Answers.empty(Answers.SERVER_ERROR);
+                .via(
+                        new EndWatch(
+                                () -> mLife.start(running, System.nanoTime()),
+                                complete ->
+                                        mLife.end(
+                                                running.generation(),
+                                                complete,
+                                                System.nanoTime())));
     }
 
     private HttpResponse refusal() {
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointLife.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointLife.java
@@ -107,21 +107,33 @@
         return currentReport(nowNanos, mGeneration.isCold(nowNanos));
     }
 
-    synchronized Admission admit(StageCallBody call, long nowNanos) {
+    synchronized Admission admit(StageCallBody call) {
         if (mFaults.refusing()) {
             mLog.refused();
             return new Admission.Refused();
         }
         mLog.received(call.request(), call.stage());
-        boolean cold = mGeneration.isCold(nowNanos);
-        mGeneration.enter();
-        mLog.inFlight(mGeneration.inFlight(), cold, mSettings.coldLimit());
-        if (isPoison(call) || fallsOver(cold)) {
+        return new Admission.Running(
+                mGeneration,
+                call,
+                mGeneration.killSwitch(),
+                paceFactor(mGeneration.inFlight() + 1));
+    }
+
+    /**
+     * Starts the work of a call. An answer that nobody asks for, as the connection closed before,
+     * never starts.
+     */
+    synchronized void start(Admission.Running running, long nowNanos) {
+        Generation generation = running.generation();
+        boolean cold = generation.isCold(nowNanos);
+        generation.enter();
+        mLog.inFlight(generation.inFlight(), cold, mSettings.coldLimit());
+        boolean crashes = isPoison(running.call()) || fallsOver(cold, generation);
+        if (crashes && generation == mGeneration) {
             crash(nowNanos);
-            return new Admission.Crashed();
         }
         recordReport(nowNanos);
-        return new Admission.Running(mGeneration, mGeneration.killSwitch(), paceFactor());
     }
 
     synchronized void end(Generation generation, boolean complete, long nowNanos) {
@@ -134,12 +146,12 @@
         return !mFaults.poisonMarker().isEmpty() && call.input().contains(mFaults.poisonMarker());
     }
 
-    private boolean fallsOver(boolean cold) {
-        return mSettings.fallsOver() && cold && mGeneration.inFlight() > mSettings.coldLimit();
+    private boolean fallsOver(boolean cold, Generation generation) {
+        return mSettings.fallsOver() && cold && generation.inFlight() > mSettings.coldLimit();
     }
 
-    private double paceFactor() {
-        double crowding = mGeneration.inFlight() / (double) mSettings.concurrency();
+    private double paceFactor(int inFlight) {
+        double crowding = inFlight / (double) mSettings.concurrency();
         return mFaults.slowFactor() * Math.max(1, crowding);
     }
 
--- /dev/null
+++ b/standin/src/main/java/org/wasabilug/standin/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the daemon from flags and environment variables. */
+package org.wasabilug.standin.internal.settings;
--- /dev/null
+++ b/standin/src/test/java/org/wasabilug/standin/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings. */
+package org.wasabilug.standin.internal.settings;
