--- a/entry/src/main/java/org/wasabilug/entry/DaemonSettings.java
+++ b/entry/src/main/java/org/wasabilug/entry/DaemonSettings.java
@@ -52,12 +52,15 @@
     private static EntryLimits limitsOf(SettingValues values) {
         return EntryLimits.builder()
                 .maximumBodyBytes(values.number(EntrySettings.MAXIMUM_BODY))
+                .maximumTicketBytes(values.number(EntrySettings.MAXIMUM_TICKET))
                 .maximumHeaderBytes(values.number(EntrySettings.MAXIMUM_HEADER))
                 .maximumConnections(values.number(EntrySettings.MAXIMUM_CONNECTIONS))
                 .maximumStreams(values.number(EntrySettings.MAXIMUM_STREAMS))
                 .maximumDeadline(values.duration(EntrySettings.MAXIMUM_DEADLINE))
                 .callerBufferCharacters(values.number(EntrySettings.CALLER_BUFFER))
                 .maximumAnswerCharacters(values.number(EntrySettings.MAXIMUM_ANSWER))
+                .rememberedRequests(values.number(EntrySettings.REMEMBERED_REQUESTS))
+                .rememberedDecisions(values.number(EntrySettings.REMEMBERED_DECISIONS))
                 .build();
     }
 }
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
@@ -64,20 +64,19 @@
     public EntryAddresses start() {
         Authenticator authenticator =
                 new Authenticator(mShell.published()::configuration, mParts.mBootstrapKey);
-        BodyReader bodies = new BodyReader(mSystem, mParts.mLimits.maximumBodyBytes());
-        mOperators = listenToOperators(authenticator, bodies);
-        mCallers = listenToCallers(authenticator, bodies);
+        mOperators = listenToOperators(authenticator);
+        mCallers = listenToCallers(authenticator);
         EntryAddresses addresses = addresses();
         LifecycleLog.started(addresses.callers().toString(), addresses.operators().toString());
         return addresses;
     }
 
-    private HttpListener listenToCallers(Authenticator authenticator, BodyReader bodies) {
+    private HttpListener listenToCallers(Authenticator authenticator) {
         CallerHandler handler =
                 new CallerHandler(
                         authenticator,
                         mShell.published(),
-                        bodies,
+                        new BodyReader(mSystem, mParts.mLimits.maximumBodyBytes()),
                         new Submitter(mSystem, mParts.mLimits, mShell::tell),
                         mShell::tell);
         return HttpListener.start(
@@ -87,13 +86,13 @@
                 handler);
     }
 
-    private HttpListener listenToOperators(Authenticator authenticator, BodyReader bodies) {
+    private HttpListener listenToOperators(Authenticator authenticator) {
         OperatorHandler handler =
                 new OperatorHandler(
                         mSystem,
                         authenticator,
                         mShell.published(),
-                        bodies,
+                        new BodyReader(mSystem, mParts.mLimits.maximumTicketBytes()),
                         new OperatorHandler.TicketFormats(
                                 mParts.mTicketReader, mParts.mTicketChecker, mParts.mStateWriter),
                         mParts.mMetrics,
--- a/entry/src/main/java/org/wasabilug/entry/EntryLimits.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryLimits.java
@@ -5,7 +5,8 @@
 /**
  * Bounds on what callers may make an instance hold.
  *
- * @param maximumBodyBytes largest body of a request
+ * @param maximumBodyBytes largest body of a caller's request
+ * @param maximumTicketBytes largest ticket of an operator
  * @param maximumHeaderBytes largest single header
  * @param maximumConnections most connections of each interface
  * @param maximumStreams most requests of callers in flight
@@ -17,6 +18,7 @@
  */
 public record EntryLimits(
         int maximumBodyBytes,
+        int maximumTicketBytes,
         int maximumHeaderBytes,
         int maximumConnections,
         int maximumStreams,
@@ -47,6 +49,7 @@
     /** Builds {@link EntryLimits}. */
     public static final class Builder {
         private int mMaximumBodyBytes = 1_048_576;
+        private int mMaximumTicketBytes = 16_777_216;
         private int mMaximumHeaderBytes = 8_192;
         private int mMaximumConnections = 4_096;
         private int mMaximumStreams = 4_096;
@@ -69,6 +72,17 @@
             return this;
         }
 
+        /**
+         * Sets the value of {@link EntryLimits#maximumTicketBytes()}.
+         *
+         * @param value largest ticket, in bytes
+         * @return this builder
+         */
+        public Builder maximumTicketBytes(int value) {
+            mMaximumTicketBytes = value;
+            return this;
+        }
+
         /**
          * Sets the value of {@link EntryLimits#maximumHeaderBytes()}.
          *
@@ -165,6 +179,7 @@
         public EntryLimits build() {
             return new EntryLimits(
                     mMaximumBodyBytes,
+                    mMaximumTicketBytes,
                     mMaximumHeaderBytes,
                     mMaximumConnections,
                     mMaximumStreams,
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/CallerDelivery.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/CallerDelivery.java
@@ -146,7 +146,11 @@
     void refuse(RequestId request, Refusal refusal) {
         mHistory.change(request, earlier -> earlier.refused(refusal));
         release(request);
-        mMetrics.refused(refusal.code());
-        mAnswers.close(request).ifPresent(sink -> sink.refuse(refusal));
+        mAnswers.close(request)
+                .ifPresent(
+                        sink -> {
+                            mMetrics.refused(refusal.code());
+                            sink.refuse(refusal);
+                        });
     }
 }
--- a/entry/src/main/java/org/wasabilug/entry/internal/settings/EntrySettings.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/settings/EntrySettings.java
@@ -68,6 +68,10 @@
     public static final Setting MAXIMUM_BODY =
             number("maximum-body", "bytes", 1_024, 67_108_864, 1_048_576, "largest request body");
 
+    /** Largest ticket. */
+    public static final Setting MAXIMUM_TICKET =
+            number("maximum-ticket", "bytes", 1_024, 268_435_456, 16_777_216, "largest ticket");
+
     /** Largest header. */
     public static final Setting MAXIMUM_HEADER =
             number("maximum-header", "bytes", 256, 65_536, 8_192, "largest value of one header");
@@ -122,6 +126,26 @@
                     4_194_304,
                     "longest whole answer, and most text that waits for one caller");
 
+    /** Requests whose state can be asked for. */
+    public static final Setting REMEMBERED_REQUESTS =
+            number(
+                    "remembered-requests",
+                    "requests",
+                    1,
+                    1_048_576,
+                    4_096,
+                    "latest requests with an idempotency key whose state can be asked for");
+
+    /** Decisions that can be explained. */
+    public static final Setting REMEMBERED_DECISIONS =
+            number(
+                    "remembered-decisions",
+                    "decisions",
+                    1,
+                    1_048_576,
+                    16_384,
+                    "latest decisions that explanations can show");
+
     /** Time between not ready and the refusal of new requests. */
     public static final Setting NOT_READY_PERIOD =
             number(
@@ -145,12 +169,15 @@
                     CERTIFICATE_FILE,
                     PRIVATE_KEY_FILE,
                     MAXIMUM_BODY,
+                    MAXIMUM_TICKET,
                     MAXIMUM_HEADER,
                     MAXIMUM_CONNECTIONS,
                     MAXIMUM_STREAMS,
                     MAXIMUM_DEADLINE,
                     CALLER_BUFFER,
                     MAXIMUM_ANSWER,
+                    REMEMBERED_REQUESTS,
+                    REMEMBERED_DECISIONS,
                     NOT_READY_PERIOD);
 
     private EntrySettings() {}
