Try exchanges larger than the recent news, and gaps that hide changes

Change: tests with more objects than peers remember and with objects touched only within the gap; the list is read at least every 2 s, while pauses after failures still grow to 10 s. Conclusion: both mechanisms now have a test that depends on them.

--- a/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
@@ -10,11 +10,12 @@
 /** Reads the platform's list again and again, more seldom the more instances share it. */
 final class InstanceListReader {
     private static final long SHORTEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-    private static final long LONGEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long LONGEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long INTERVAL_PER_INSTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
     private static final long START_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int JITTER_PARTS = 5;
+    private static final long LONGEST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private final UniformRandomProvider mRandom;
     private boolean mWaiting;
@@ -71,7 +72,7 @@
 
     private long failurePauseNanos() {
         long pauseNanos = mRandom.nextLong(mFailurePauseNanos / 2, mFailurePauseNanos);
-        mFailurePauseNanos = Math.min(mFailurePauseNanos * 2, LONGEST_INTERVAL_NANOS);
+        mFailurePauseNanos = Math.min(mFailurePauseNanos * 2, LONGEST_PAUSE_NANOS);
         return pauseNanos;
     }
 
--- a/core/src/test/java/org/wasabilug/internal/feed/PartitionTest.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/PartitionTest.java
@@ -2,11 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.model.ChangeTicket;
+import org.wasabilug.model.ObjectChange;
+import org.wasabilug.model.OperatorName;
+import org.wasabilug.model.Pool;
 import org.wasabilug.model.PoolName;
 
 class PartitionTest {
@@ -24,7 +30,11 @@
     }
 
     private void submit(int instance, long number) {
-        mFleet.instances().get(instance).submit(FleetConvergenceTest.ticket(number), answer -> {});
+        submit(instance, FleetConvergenceTest.ticket(number));
+    }
+
+    private void submit(int instance, ChangeTicket ticket) {
+        mFleet.instances().get(instance).submit(ticket, answer -> {});
         mFleet.clock().runFor(3 * SECOND_NANOS);
     }
 
@@ -102,6 +112,40 @@
         assertThat(restarted.mFeed.ageNanos(mFleet.clock().nowNanos())).isNotNegative();
     }
 
+    @Test
+    void startsFromPeersWithMoreObjectsThanTheyRememberAsNews() {
+        submit(0, manyPools(100, 2));
+        mFleet.platform().mAvailable = false;
+
+        SimulatedInstance restarted = mFleet.restart(5, 2, List.of(SimulatedFleet.addressOf(3)));
+        mFleet.clock().runFor(15 * SECOND_NANOS);
+
+        assertThat(configurationOf(restarted).hash())
+                .isEqualTo(configurationOf(mFleet.instances().getFirst()).hash());
+    }
+
+    @Test
+    void takesUpMoreChangesFromPeersThanTheyRememberAsNews() {
+        mFleet.mCut = (from, to) -> isEntry(from, 4) || isEntry(to, 4);
+        mFleet.platform().mCutOff = instance -> isEntry(instance, 4);
+        submit(0, manyPools(100, 2));
+        assertThat(configurationOf(mFleet.instances().get(4)).objects()).hasSize(1);
+
+        mFleet.mCut = (from, to) -> false;
+        mFleet.clock().runFor(30 * SECOND_NANOS);
+
+        assertAllHold(101);
+    }
+
+    static ChangeTicket manyPools(int count, long number) {
+        List<ObjectChange> changes = new ArrayList<>();
+        for (int pool = 0; pool < count; pool++) {
+            Pool state = Pool.builder().name(new PoolName("many-" + pool)).build();
+            changes.add(new ObjectChange(state.objectKey(), Optional.of(state)));
+        }
+        return new ChangeTicket(number, new OperatorName("anne"), changes);
+    }
+
     @Test
     void forgetsWhatAnEarlierLifeOfPeerSaid() {
         SimulatedInstance watcher = mFleet.instances().getFirst();
--- a/core/src/test/java/org/wasabilug/internal/feed/SnapshotTest.java
+++ b/core/src/test/java/org/wasabilug/internal/feed/SnapshotTest.java
@@ -6,34 +6,40 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.wasabilug.internal.configuration.Configuration;
 import org.wasabilug.internal.ticket.TicketRows;
+import org.wasabilug.model.ChangeTicket;
 import org.wasabilug.port.TableRead;
 
 class SnapshotTest {
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int TICKETS = 2_800;
-    private static final int POOLS = 10;
+    private static final int ONCE_TOUCHED = 3;
 
     private SimulatedFleet mFleet;
-    private String mFirstSnapshot;
 
     @BeforeEach
     void acceptMoreTicketsThanTheFeedKeeps() {
         mFleet = new SimulatedFleet(4, 2, 11);
         mFleet.start();
         mFleet.clock().runFor(5 * SECOND_NANOS);
-        for (int number = 1; number <= TICKETS; number++) {
-            mFleet.instances()
-                    .get(number % 4)
-                    .submit(FleetConvergenceTest.ticket(number), answer -> {});
-            mFleet.clock().runFor(SECOND_NANOS / 4);
-            if (mFirstSnapshot == null) {
-                mFirstSnapshot = mFleet.platform().mObjects.get(FeedFollower.SNAPSHOT_NAME);
-            }
+        acceptOnceTouched(1);
+        for (int number = 2; number <= TICKETS; number++) {
+            accept(FleetConvergenceTest.ticket(number));
         }
         mFleet.clock().runFor(100 * SECOND_NANOS);
     }
 
+    private void accept(ChangeTicket ticket) {
+        mFleet.instances().getFirst().submit(ticket, answer -> {});
+        mFleet.clock().runFor(SECOND_NANOS / 4);
+    }
+
+    /** Touches objects that no later ticket touches, so that only their own row tells of them. */
+    private void acceptOnceTouched(long number) {
+        accept(PartitionTest.manyPools(ONCE_TOUCHED, number));
+    }
+
     private void restartAlone() {
         mFleet.mCut = (from, to) -> true;
         SimulatedInstance restarted = mFleet.restart(2, 2, List.of());
@@ -65,7 +71,8 @@
 
     @Test
     void startsFromTheObjectsWhereTheSnapshotIsOlderThanTheFeed() {
-        mFleet.platform().mObjects.put(FeedFollower.SNAPSHOT_NAME, mFirstSnapshot);
+        String old = SnapshotCodec.write(Configuration.empty(), 0);
+        mFleet.platform().mObjects.put(FeedFollower.SNAPSHOT_NAME, old);
 
         restartAlone();
     }
@@ -75,9 +82,9 @@
         SimulatedInstance cutOff = mFleet.instances().get(3);
         mFleet.mCut = (from, to) -> from == cutOff || to == cutOff;
         mFleet.platform().mCutOff = instance -> instance == cutOff;
-        for (int number = TICKETS + 1; number <= 2 * TICKETS; number++) {
-            mFleet.instances().getFirst().submit(FleetConvergenceTest.ticket(number), each -> {});
-            mFleet.clock().runFor(SECOND_NANOS / 4);
+        acceptOnceTouched(TICKETS + 1);
+        for (int number = TICKETS + 2; number <= 2 * TICKETS; number++) {
+            accept(FleetConvergenceTest.ticket(number));
         }
         assertThat(cutOff.mFeed.sequence()).isLessThanOrEqualTo(TICKETS);
 
@@ -85,6 +92,7 @@
         mFleet.clock().runFor(15 * SECOND_NANOS);
 
         assertThat(cutOff.mFeed.sequence()).isEqualTo(2 * TICKETS);
-        assertThat(cutOff.mState.configuration().objects()).hasSize(POOLS);
+        assertThat(cutOff.mState.configuration().hash())
+                .isEqualTo(mFleet.instances().getFirst().mState.configuration().hash());
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/quarantine/QuarantineSimulation.java
+++ b/core/src/test/java/org/wasabilug/internal/quarantine/QuarantineSimulation.java
@@ -105,7 +105,7 @@
         void lost(AttemptId attempt) {
             mQuarantine.ended(attempt, true, mTime.nowNanos());
             long fingerprint = mContents.get(attempt);
-            int number = attempt.number() + 1;
+            int number = (int) attempt.number() + 1;
             if (number <= 3) {
                 long backoff = (300 + mRandom.nextInt(200)) * MILLISECOND_NANOS;
                 mTime.after(backoff, () -> send(fingerprint, attempt.request(), number));
