--- a/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
@@ -15,6 +15,7 @@
     private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
     private static final long START_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int JITTER_PARTS = 5;
+    private static final long LONGEST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private final UniformRandomProvider mRandom;
     private boolean mWaiting;
@@ -71,7 +72,7 @@
 
     private long failurePauseNanos() {
         long pauseNanos = mRandom.nextLong(mFailurePauseNanos / 2, mFailurePauseNanos);
-        mFailurePauseNanos = Math.min(mFailurePauseNanos * 2, LONGEST_INTERVAL_NANOS);
+        mFailurePauseNanos = Math.min(mFailurePauseNanos * 2, LONGEST_PAUSE_NANOS);
         return pauseNanos;
     }
 
