Judge again only when evidence changes or comes of age

Cause: each dispatch walked every crash. Change: the judgement is kept until evidence changes, expires or is confirmed.

--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
@@ -39,6 +39,7 @@
     private final Map<EndpointName, Long> mRestarts = new HashMap<>();
     private final List<Crash> mCrashes = new ArrayList<>();
     private Optional<CrashJudge.Judgement> mJudgement = Optional.empty();
+    private long mNextChangeNanos = Long.MIN_VALUE;
     private Configuration mConfiguration = Configuration.empty();
 
     private record Running(long fingerprint, EndpointName endpoint, long sinceNanos) {}
@@ -71,27 +72,31 @@
     }
 
     private CrashJudge.Judgement judgement(long nowNanos) {
-        if (dropExpired(nowNanos) | confirmOld(nowNanos) || mJudgement.isEmpty()) {
+        if (mJudgement.isEmpty() || nowNanos >= mNextChangeNanos) {
+            dropExpired(nowNanos);
+            confirmOld(nowNanos);
+            mNextChangeNanos =
+                    mCrashes.stream().mapToLong(this::nextChangeOf).min().orElse(Long.MAX_VALUE);
             mJudgement = Optional.of(mJudge.judge(mCrashes, mRestarts));
         }
         return mJudgement.get();
     }
 
-    private boolean confirmOld(long nowNanos) {
+    private long nextChangeOf(Crash crash) {
+        long lasts = (crash.mConfirmed ? mSettings.expiry() : mSettings.confirmation()).toNanos();
+        return crash.mTimeNanos + lasts + 1;
+    }
+
+    private void confirmOld(long nowNanos) {
         long oldest = nowNanos - mSettings.confirmation().toNanos();
-        boolean changed = false;
-        for (Crash crash : mCrashes) {
-            if (!crash.mConfirmed && crash.mTimeNanos < oldest) {
-                crash.mConfirmed = true;
-                changed = true;
-            }
-        }
-        return changed;
+        mCrashes.stream()
+                .filter(crash -> crash.mTimeNanos < oldest)
+                .forEach(crash -> crash.mConfirmed = true);
     }
 
-    private boolean dropExpired(long nowNanos) {
+    private void dropExpired(long nowNanos) {
         long oldest = nowNanos - mSettings.expiry().toNanos();
-        return mCrashes.removeIf(crash -> crash.mTimeNanos < oldest);
+        mCrashes.removeIf(crash -> crash.mTimeNanos < oldest);
     }
 
     /**
