Bound the cost of a judgement when a whole domain falls

Cause: each lost connection of a falling domain judged 256 crashes anew, with a walk through the configuration for each pair. Change: domains are kept by endpoint, the search for a common content ends early, 128 crashes are kept, the log line needs no judgement.

--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashJudge.java
@@ -138,7 +138,12 @@
 
     private boolean haveCommonContent(List<Crash> crashes) {
         Set<Long> common = new HashSet<>(crashes.getFirst().mFingerprints);
-        crashes.forEach(crash -> common.retainAll(crash.mFingerprints));
-        return !common.isEmpty();
+        for (Crash crash : crashes) {
+            common.retainAll(crash.mFingerprints);
+            if (common.isEmpty()) {
+                return false;
+            }
+        }
+        return true;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
@@ -12,6 +12,7 @@
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.model.Endpoint;
 import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.FailureDomainName;
 import org.wasabilug.port.CrashEvidence;
 import org.wasabilug.port.LoadReport;
 
@@ -39,6 +40,7 @@
     private final Map<EndpointName, Long> mRestarts = new HashMap<>();
     private final List<Crash> mCrashes = new ArrayList<>();
     private Optional<CrashJudge.Judgement> mJudgement = Optional.empty();
+    private final Map<EndpointName, FailureDomainName> mDomains = new HashMap<>();
     private long mNextChangeNanos = Long.MIN_VALUE;
     private Configuration mConfiguration = Configuration.empty();
 
@@ -53,10 +55,7 @@
      */
     public CrashQuarantine(QuarantineSettings settings) {
         mSettings = settings;
-        mJudge =
-                new CrashJudge(
-                        settings,
-                        name -> mConfiguration.endpoint(name).map(Endpoint::failureDomain));
+        mJudge = new CrashJudge(settings, name -> Optional.ofNullable(mDomains.get(name)));
     }
 
     @Override
@@ -195,10 +194,10 @@
                 .filter(running -> running.sinceNanos() <= crash.mTimeNanos)
                 .forEach(running -> crash.accuse(running.fingerprint()));
         mJudgement = Optional.empty();
-        return List.of(new InstanceAction.LogDecision(decision(attempt, ended, nowNanos)));
+        return List.of(new InstanceAction.LogDecision(decision(attempt, ended)));
     }
 
-    private Decision decision(AttemptId attempt, Running ended, long nowNanos) {
+    private Decision decision(AttemptId attempt, Running ended) {
         return new Decision(
                 "quarantine",
                 attempt.request().value(),
@@ -206,7 +205,7 @@
                 attempt.stage().value(),
                 0,
                 ended.endpoint().value(),
-                "connection lost; content is " + judge(ended.fingerprint(), nowNanos),
+                "connection lost while the content ran",
                 -1);
     }
 
@@ -354,6 +353,12 @@
      */
     public void configurationChanged(Configuration configuration) {
         mConfiguration = configuration;
+        mDomains.clear();
+        configuration.objects().stream()
+                .flatMap(object -> object.state().stream())
+                .filter(Endpoint.class::isInstance)
+                .map(Endpoint.class::cast)
+                .forEach(endpoint -> mDomains.put(endpoint.name(), endpoint.failureDomain()));
         mRestarts.keySet().removeIf(name -> configuration.endpoint(name).isEmpty());
         mLives.keySet().removeIf(name -> configuration.endpoint(name).isEmpty());
         mJudgement = Optional.empty();
--- a/core/src/main/java/org/wasabilug/internal/quarantine/QuarantineSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/QuarantineSettings.java
@@ -30,5 +30,5 @@
                     3,
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(3),
-                    256);
+                    128);
 }
