--- a/core/src/main/java/org/wasabilug/internal/deadline/QueueOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/QueueOrder.java
@@ -13,8 +13,17 @@
     /** The call with the least time left to run. */
     record ShortestRemainingWork() implements QueueOrder {}
 
-    /** Weighted fair shares between workspaces, and least slack within each. */
-    record WeightedShares() implements QueueOrder {}
+    /**
+     * Weighted fair shares between workspaces.
+     *
+     * @param within order of the calls of one workspace
+     */
+    record WeightedShares(QueueOrder within) implements QueueOrder {
+        /** Shares with the order that wastes least under overload. */
+        public WeightedShares() {
+            this(new ShortestRemainingWork());
+        }
+    }
 
     /**
      * Order of calls within one group; ties go by request and stage, so that it is total.
@@ -26,9 +35,10 @@
                 switch (this) {
                     case EarliestDeadline() -> Comparator.comparingLong(WaitingCall::deadlineNanos);
                     case ShortestRemainingWork() ->
-                            Comparator.comparingLong(WaitingCall::expectedNanos);
-                    case LeastSlack(), WeightedShares() ->
-                            Comparator.comparingLong(WaitingCall::latestStartNanos);
+                            Comparator.comparingLong(WaitingCall::expectedNanos)
+                                    .thenComparingLong(WaitingCall::latestStartNanos);
+                    case LeastSlack() -> Comparator.comparingLong(WaitingCall::latestStartNanos);
+                    case WeightedShares(QueueOrder within) -> within.comparator();
                 };
         return first.thenComparing(call -> call.request().toString())
                 .thenComparing(call -> call.stage().toString());
--- a/core/src/main/java/org/wasabilug/internal/routing/RoutingSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/RoutingSettings.java
@@ -34,7 +34,7 @@
 
     /** Builds {@link RoutingSettings}. */
     public static final class Builder {
-        private RoutingStyle mStyle = new RoutingStyle.Adaptive(2);
+        private RoutingStyle mStyle = new RoutingStyle.Adaptive(3);
         private int mSubsetSize = 96;
         private Duration mCrossDomainTime = Duration.ofMillis(3);
         private Duration mReportExpiry = Duration.ofSeconds(10);
--- a/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
@@ -7,6 +7,7 @@
 /** Attempts in flight, and what their ends tell of the endpoints. */
 final class RunningAttempts {
     private static final double TIMEOUT_WEIGHT = 0.5;
+    private static final double SLOW_RATIO = 3;
 
     private final Map<AttemptId, RunningAttempt> mRunning = new HashMap<>();
 
@@ -65,7 +66,10 @@
         if (nanos > tracker.serviceTime().nanos(running.pool().serviceNanos(), nowNanos)) {
             tracker.serviceTime().observe(nanos, nowNanos);
         }
-        tracker.limit().overloaded(nowNanos);
+        // A call that had little time left says nothing of the endpoint's concurrency.
+        if (nanos > SLOW_RATIO * running.pool().serviceNanos()) {
+            tracker.limit().overloaded(nowNanos);
+        }
         failed(running, TIMEOUT_WEIGHT, nowNanos);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/comparison/package-info.java
@@ -0,0 +1,2 @@
+/** Comparison of policies on the same seeded arrivals, in virtual time. */
+package org.wasabilug.comparison;
