--- a/core/src/main/java/org/wasabilug/internal/routing/LoadEstimate.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/LoadEstimate.java
@@ -37,6 +37,13 @@
         mOthers = Math.max(0, mReported - mOwn.at(takenNanos));
     }
 
+    /** Takes a refusal for lack of room as the newest report: the others fill the limit. */
+    void refused(double limit, long nowNanos) {
+        mHeard = true;
+        mReportedNanos = nowNanos;
+        mOthers = Math.max(mOthers, (int) Math.ceil(limit) - mOwn.now());
+    }
+
     boolean isFresh(long nowNanos) {
         return mHeard && nowNanos - mReportedNanos <= mExpiryNanos;
     }
--- a/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
@@ -38,7 +38,7 @@
         running.tracker().released(running.isSuspect(), nowNanos);
         switch (end) {
             case SUCCEEDED -> succeeded(running, nowNanos);
-            case OVERLOADED -> running.tracker().limit().overloaded(nowNanos);
+            case OVERLOADED -> overloaded(running.tracker(), nowNanos);
             case TIMED_OUT -> timedOut(running, nowNanos);
             case FAILED -> failed(running, 1, nowNanos);
             case CANCELLED, REJECTED -> {
@@ -59,6 +59,11 @@
         }
     }
 
+    private static void overloaded(EndpointTracker tracker, long nowNanos) {
+        tracker.load().refused(tracker.limit().limit(), nowNanos);
+        tracker.limit().overloaded(nowNanos);
+    }
+
     private static void timedOut(RunningAttempt running, long nowNanos) {
         EndpointTracker tracker = running.tracker();
         double nanos = running.unloadedNanos(nowNanos);
--- a/core/src/test/java/org/wasabilug/comparison/ModelResult.java
+++ b/core/src/test/java/org/wasabilug/comparison/ModelResult.java
@@ -41,6 +41,12 @@
         return (double) inTime / all;
     }
 
+    /** Share of one workspace's requests answered in time. */
+    double attainment(WorkspaceName workspace) {
+        Count count = mCounts.get(workspace);
+        return (double) count.mInTime / count.mAll;
+    }
+
     /** Attainment of the workspace that fares worst. */
     double worstWorkspace() {
         return mCounts.values().stream()
--- a/core/src/test/java/org/wasabilug/internal/routing/AdaptiveRouterTest.java
+++ b/core/src/test/java/org/wasabilug/internal/routing/AdaptiveRouterTest.java
@@ -251,6 +251,20 @@
         assertThat(later).contains("a", "b");
     }
 
+    @Test
+    void leavesAnOverloadedEndpointAloneUntilNewerNews() {
+        mFixture.choices(1, 0);
+        mFixture.report("a", false, 0, 0, 0);
+        mFixture.report("b", false, 4, 0, 0);
+
+        mFixture.run("a", AttemptEnd.OVERLOADED, 10, 11);
+        List<String> before = mFixture.choices(20, 12);
+        mFixture.report("a", false, 0, 0, 20);
+
+        assertThat(before).containsOnly("b");
+        assertThat(mFixture.choices(20, 21)).contains("a");
+    }
+
     @Test
     void raisesItsLimitAgainAfterAnOverloadHasPassed() {
         mFixture.choices(1, 0);
