Grow a borrowed part of a limit only while peers are heard

Cause: With lost messages a part of a limit could double on old news until the usage expired, beyond the stated bound. Change: A part grows only once every peer that counts has spoken since it last grew; a test moves all demand while every message is lost. Conclusion: the stated bound of twice the limit holds.

--- a/core/src/main/java/org/wasabilug/internal/limit/DistributedWorkspaceAdmission.java
+++ b/core/src/main/java/org/wasabilug/internal/limit/DistributedWorkspaceAdmission.java
@@ -13,7 +13,7 @@
  * <p>Each instance admits at most its max-min fair part of a limit, given what peers said they use.
  * A peer not heard of for the usage expiry counts as wanting its equal part, so lost messages only
  * ever make the sum smaller once they have expired. A part above the equal one grows by doubling,
- * at most once in each exchange period.
+ * at most once in each exchange period, and only once every peer that counts has spoken since.
  *
  * <p>Error bound, for a limit L a second at N instances that know their number, with usage expiry
  * E: over any period of T seconds all instances together admit at most {@code L * T} requests, plus
@@ -75,7 +75,8 @@
                 FairShare.of(rate, mInstances, rates),
                 rate / mInstances,
                 FairShare.of(concurrency, mInstances, inFlight),
-                concurrency / mInstances);
+                concurrency / mInstances,
+                mPeers.heardSinceNanos());
     }
 
     @Override
--- a/core/src/main/java/org/wasabilug/internal/limit/GrowingAllowance.java
+++ b/core/src/main/java/org/wasabilug/internal/limit/GrowingAllowance.java
@@ -18,11 +18,12 @@
         mGrownNanos = nowNanos;
     }
 
-    double moveTowards(double target, double equalPart, long exchangeNanos, long nowNanos) {
+    double moveTowards(
+            double target, double equalPart, long exchangeNanos, long heardNanos, long nowNanos) {
         if (target <= mValue) {
             mValue = target;
             mGrownNanos = nowNanos;
-        } else if (nowNanos - mGrownNanos >= exchangeNanos) {
+        } else if (heardNanos > mGrownNanos && nowNanos - mGrownNanos >= exchangeNanos) {
             mValue = Math.min(target, Math.max(equalPart, mValue) * GROWTH);
             mGrownNanos = nowNanos;
         }
--- a/core/src/main/java/org/wasabilug/internal/limit/PeerUsages.java
+++ b/core/src/main/java/org/wasabilug/internal/limit/PeerUsages.java
@@ -36,6 +36,11 @@
         return usage;
     }
 
+    /** Since when each peer heard lately has spoken; the past where there is none. */
+    long heardSinceNanos() {
+        return mTold.values().stream().mapToLong(Told::atNanos).min().orElse(Long.MIN_VALUE);
+    }
+
     private void expire(long nowNanos) {
         Iterator<Told> all = mTold.values().iterator();
         while (all.hasNext()) {
--- a/core/src/main/java/org/wasabilug/internal/limit/WorkspaceAccount.java
+++ b/core/src/main/java/org/wasabilug/internal/limit/WorkspaceAccount.java
@@ -39,7 +39,11 @@
         mRefreshedNanos = nowNanos;
         double rate =
                 mRateAllowance.moveTowards(
-                        targets.rate(), targets.equalRate(), exchangeNanos, nowNanos);
+                        targets.rate(),
+                        targets.equalRate(),
+                        exchangeNanos,
+                        targets.heardNanos(),
+                        nowNanos);
         mBucket.change(rate, capacity(rate), nowNanos);
         mConcurrencyLimit =
                 wholeCalls(
@@ -47,6 +51,7 @@
                                 targets.concurrency(),
                                 targets.equalConcurrency(),
                                 exchangeNanos,
+                                targets.heardNanos(),
                                 nowNanos));
     }
 
--- a/core/src/test/java/org/wasabilug/internal/limit/DistributedWorkspaceAdmissionTest.java
+++ b/core/src/test/java/org/wasabilug/internal/limit/DistributedWorkspaceAdmissionTest.java
@@ -118,21 +118,37 @@
 
     @Test
     void holdsTheConcurrencyOverAllInstances() {
-        int admitted = 0;
-        for (int step = 0; step < 10 * STEPS_PER_SECOND; step++) {
+        int admitted = heldAfter(10, index -> true, true);
+
+        assertThat(admitted).isBetween((int) (0.9 * CONCURRENCY), CONCURRENCY);
+    }
+
+    @Test
+    void holdsTwiceTheConcurrencyWhenDemandMovesAndMessagesAreLost() {
+        int held = heldAfter(10, index -> index == 0, true);
+
+        held += heldAfter(10, index -> index > 0, false);
+
+        assertThat(held).isLessThanOrEqualTo(2 * CONCURRENCY);
+    }
+
+    /** Admits without release at the busy instances; returns how many were admitted. */
+    private int heldAfter(int seconds, IntPredicate busy, boolean exchange) {
+        int held = 0;
+        for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
             mNowNanos += STEP_NANOS;
-            if (step % STEPS_PER_SECOND == 0) {
+            if (exchange && step % STEPS_PER_SECOND == 0) {
                 exchangeUsage();
             }
-            for (DistributedWorkspaceAdmission instance : mInstances) {
-                admitted +=
-                        instance.admit(WORKSPACE, mNowNanos) instanceof AdmissionAnswer.Admitted
-                                ? 1
-                                : 0;
+            for (int index = 0; index < INSTANCES; index++) {
+                boolean admitted =
+                        busy.test(index)
+                                && mInstances.get(index).admit(WORKSPACE, mNowNanos)
+                                        instanceof AdmissionAnswer.Admitted;
+                held += admitted ? 1 : 0;
             }
         }
-
-        assertThat(admitted).isBetween((int) (0.9 * CONCURRENCY), CONCURRENCY);
+        return held;
     }
 
     @Test
