--- a/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
+++ b/core/src/main/java/org/wasabilug/internal/routing/RunningAttempts.java
@@ -7,6 +7,7 @@
 /** Attempts in flight, and what their ends tell of the endpoints. */
 final class RunningAttempts {
     private static final double TIMEOUT_WEIGHT = 0.5;
+    private static final double SLOW_RATIO = 3;
 
     private final Map<AttemptId, RunningAttempt> mRunning = new HashMap<>();
 
@@ -37,7 +38,7 @@
         running.tracker().released(running.isSuspect(), nowNanos);
         switch (end) {
             case SUCCEEDED -> succeeded(running, nowNanos);
-            case OVERLOADED -> running.tracker().limit().overloaded(nowNanos);
+            case OVERLOADED -> overloaded(running.tracker(), nowNanos);
             case TIMED_OUT -> timedOut(running, nowNanos);
             case FAILED -> failed(running, 1, nowNanos);
             case CANCELLED, REJECTED -> {
@@ -58,6 +59,11 @@
         }
     }
 
+    private static void overloaded(EndpointTracker tracker, long nowNanos) {
+        tracker.load().refused(tracker.limit().limit(), nowNanos);
+        tracker.limit().overloaded(nowNanos);
+    }
+
     private static void timedOut(RunningAttempt running, long nowNanos) {
         EndpointTracker tracker = running.tracker();
         double nanos = running.unloadedNanos(nowNanos);
@@ -65,7 +71,10 @@
         if (nanos > tracker.serviceTime().nanos(running.pool().serviceNanos(), nowNanos)) {
             tracker.serviceTime().observe(nanos, nowNanos);
         }
-        tracker.limit().overloaded(nowNanos);
+        // A call that had little time left says nothing of the endpoint's concurrency.
+        if (nanos > SLOW_RATIO * running.pool().serviceNanos()) {
+            tracker.limit().overloaded(nowNanos);
+        }
         failed(running, TIMEOUT_WEIGHT, nowNanos);
     }
 
