--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/Admission.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/Admission.java
@@ -1,6 +1,5 @@
 package org.wasabilug.standin.internal.endpoint;
 
-import org.apache.pekko.stream.SharedKillSwitch;
 import org.wasabilug.endpoint.wire.StageCallBody;
 
 /** What an endpoint does with a call that it was sent. */
@@ -13,13 +12,8 @@
      *
      * @param generation process life that runs it
      * @param call the call
-     * @param killSwitch cuts the answer when that life ends
      * @param paceFactor factor on every time of the answer
      */
-    record Running(
-            Generation generation,
-            StageCallBody call,
-            SharedKillSwitch killSwitch,
-            double paceFactor)
+    record Running(Generation generation, StageCallBody call, double paceFactor)
             implements Admission {}
 }
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndWatch.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndWatch.java
@@ -1,27 +1,29 @@
 package org.wasabilug.standin.internal.endpoint;
 
-import java.util.function.Consumer;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
 import org.apache.pekko.stream.Inlet;
 import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
+import org.wasabilug.standin.internal.http.ConnectionBrokenException;
 
-/** Passes an answer on, tells when it starts, and at its end whether all of it was taken. */
+/** Passes an answer on, counts it as running from its first demand to its end, and can cut it. */
 final class EndWatch extends GraphStage<FlowShape<ByteString, ByteString>> {
     private final Inlet<ByteString> mIn = Inlet.create("answer.in");
     private final Outlet<ByteString> mOut = Outlet.create("answer.out");
     private final FlowShape<ByteString, ByteString> mShape = FlowShape.of(mIn, mOut);
-    private final Runnable mOnStart;
-    private final Consumer<Boolean> mOnEnd;
+    private final EndpointLife mLife;
+    private final Admission.Running mRunning;
 
-    EndWatch(Runnable onStart, Consumer<Boolean> onEnd) {
-        mOnStart = onStart;
-        mOnEnd = onEnd;
+    EndWatch(EndpointLife life, Admission.Running running) {
+        mLife = life;
+        mRunning = running;
     }
 
     @Override
@@ -35,10 +37,14 @@
     }
 
     private final class Logic extends GraphStageLogic {
+        private final Runnable mAbort;
         private boolean mComplete;
 
         private Logic() {
             super(mShape);
+            AsyncCallback<NotUsed> abort =
+                    createAsyncCallback(nothing -> failStage(new ConnectionBrokenException()));
+            mAbort = () -> abort.invoke(NotUsed.getInstance());
             setHandler(
                     mIn,
                     new AbstractInHandler() {
@@ -65,12 +71,14 @@
 
         @Override
         public void preStart() {
-            mOnStart.run();
+            if (!mLife.start(mRunning, mAbort, System.nanoTime())) {
+                failStage(new ConnectionBrokenException());
+            }
         }
 
         @Override
         public void postStop() {
-            mOnEnd.accept(mComplete);
+            mLife.end(mRunning.generation(), mAbort, mComplete, System.nanoTime());
         }
     }
 }
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
@@ -125,20 +125,9 @@
     private HttpResponse stream(Source<ByteString, NotUsed> bytes, Admission.Running running) {
         return HttpResponse.create()
                 .addHeader(loadHeader(System.nanoTime()))
-                .withEntity(HttpEntities.create(contentType(), counted(bytes, running)));
-    }
-
-    private Source<ByteString, NotUsed> counted(
-            Source<ByteString, NotUsed> bytes, Admission.Running running) {
-        return bytes.via(running.killSwitch().flow())
-                .via(
-                        new EndWatch(
-                                () -> mLife.start(running, System.nanoTime()),
-                                complete ->
-                                        mLife.end(
-                                                running.generation(),
-                                                complete,
-                                                System.nanoTime())));
+                .withEntity(
+                        HttpEntities.create(
+                                contentType(), bytes.via(new EndWatch(mLife, running))));
     }
 
     private HttpResponse refusal() {
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointLife.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointLife.java
@@ -113,31 +113,30 @@
             return new Admission.Refused();
         }
         mLog.received(call.request(), call.stage());
-        return new Admission.Running(
-                mGeneration,
-                call,
-                mGeneration.killSwitch(),
-                paceFactor(mGeneration.inFlight() + 1));
+        return new Admission.Running(mGeneration, call, paceFactor(mGeneration.inFlight() + 1));
     }
 
     /**
      * Starts the work of a call. An answer that nobody asks for, as the connection closed before,
      * never starts.
+     *
+     * @return false where the process life that should run it has ended
      */
-    synchronized void start(Admission.Running running, long nowNanos) {
+    synchronized boolean start(Admission.Running running, Runnable abort, long nowNanos) {
         Generation generation = running.generation();
         boolean cold = generation.isCold(nowNanos);
-        generation.enter();
+        generation.enter(abort);
         mLog.inFlight(generation.inFlight(), cold, mSettings.coldLimit());
         boolean crashes = isPoison(running.call()) || fallsOver(cold, generation);
         if (crashes && generation == mGeneration) {
             crash(nowNanos);
         }
         recordReport(nowNanos);
+        return !generation.isCrashed();
     }
 
-    synchronized void end(Generation generation, boolean complete, long nowNanos) {
-        generation.leave();
+    synchronized void end(Generation generation, Runnable abort, boolean complete, long nowNanos) {
+        generation.leave(abort);
         mLog.ended(complete);
         recordReport(nowNanos);
     }
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/Generation.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/Generation.java
@@ -1,15 +1,15 @@
 package org.wasabilug.standin.internal.endpoint;
 
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.SharedKillSwitch;
-import org.wasabilug.standin.internal.http.ConnectionBrokenException;
+import java.util.HashSet;
+import java.util.Set;
 
 /** One process life of an endpoint. Its owner guards it. */
 final class Generation {
     private final long mNumber;
-    private final SharedKillSwitch mSwitch = KillSwitches.shared("generation");
+    private final Set<Runnable> mAborts = new HashSet<>();
     private long mWarmAtNanos;
     private int mInFlight;
+    private boolean mCrashed;
 
     Generation(long number, long warmAtNanos) {
         mNumber = number;
@@ -32,19 +32,24 @@
         return mInFlight;
     }
 
-    void enter() {
+    /** Adds a running answer; the action cuts it. */
+    void enter(Runnable abort) {
         mInFlight += 1;
+        mAborts.add(abort);
     }
 
-    void leave() {
+    void leave(Runnable abort) {
         mInFlight -= 1;
+        mAborts.remove(abort);
     }
 
-    SharedKillSwitch killSwitch() {
-        return mSwitch;
+    boolean isCrashed() {
+        return mCrashed;
     }
 
     void crash() {
-        mSwitch.abort(new ConnectionBrokenException());
+        mCrashed = true;
+        mAborts.forEach(Runnable::run);
+        mAborts.clear();
     }
 }
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/ReportHistory.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/ReportHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.port.LoadReport;
 
@@ -23,14 +24,7 @@
 
     /** Shows the last report that was true at a time, or the oldest that is kept. */
     LoadReport at(long atNanos, long nowNanos) {
-        Entry shown = mEntries.getFirst();
-        for (Entry entry : mEntries) {
-            if (entry.sinceNanos() - atNanos > 0) {
-                break;
-            }
-            shown = entry;
-        }
-        LoadReport report = shown.report();
+        LoadReport report = entryAt(atNanos).report();
         return new LoadReport(
                 report.generation(),
                 report.cold(),
@@ -39,5 +33,16 @@
                 TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - atNanos)));
     }
 
+    private Entry entryAt(long atNanos) {
+        Iterator<Entry> newestFirst = mEntries.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Entry entry = newestFirst.next();
+            if (entry.sinceNanos() - atNanos <= 0) {
+                return entry;
+            }
+        }
+        return mEntries.getFirst();
+    }
+
     private record Entry(long sinceNanos, LoadReport report) {}
 }
