--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
@@ -74,7 +74,7 @@
 
     /** Closes the connection; no further event is delivered. */
     public synchronized void cancel() {
-        if (endOnce()) {
+        if (endOnce() && mConnection != null) {
             mConnection.abort();
         }
     }
@@ -164,7 +164,9 @@
             return false;
         }
         mEnded = true;
-        mDeadline.cancel();
+        if (mDeadline != null) {
+            mDeadline.cancel();
+        }
         mOnEnd.accept(this);
         return true;
     }
