Close what a daemon has opened when it can't listen

Cause: a taken port left clients, peers and threads of the daemon behind. Conclusion: an embedding program can try again at another port.

--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.wasabilug.endpoint.HttpEndpointClient;
 import org.wasabilug.entry.internal.peer.PeerTransport;
+import org.wasabilug.error.WasabilugException;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.instance.InstanceCore;
 import org.wasabilug.internal.instance.InstanceSettings;
@@ -48,7 +49,16 @@
                         .build();
         mResources.register(instance::close);
         mInstance.set(instance);
-        mAddresses = instance.start();
+        mAddresses = startOrClose(instance);
+    }
+
+    private EntryAddresses startOrClose(EntryInstance instance) {
+        try {
+            return instance.start();
+        } catch (WasabilugException exception) {
+            close();
+            throw exception;
+        }
     }
 
     private PeerTransport openPeers(EntryDaemonBuilder settings) {
