End the actor before its timer; shorten what the demonstration prints

Cause: closing an instance ended its timer while the actor still carried out events, so that wake-ups were refused and the rest of an event's actions lost, with a stack trace at the end of the demonstration. Change: the actor ends first, and the close waits for that. The demonstration prints three events and the last of a stream, and for each second the service seen and the share of each failure domain; decisions of all traffic stay out. Conclusion: what had arrived before a close is carried out.

--- a/demonstration/src/main/java/org/wasabilug/demo/DemoMain.java
+++ b/demonstration/src/main/java/org/wasabilug/demo/DemoMain.java
@@ -20,7 +20,7 @@
 /** Runs the demonstration and ends with exit code 0 where every step succeeded. */
 public final class DemoMain {
     private static final String MOVED_DOMAIN = "brest";
-    private static final long STEP_NANOS = TimeUnit.SECONDS.toNanos(4);
+    private static final int STEP_SECONDS = 4;
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final int STATUS_OK = 200;
@@ -49,7 +49,7 @@
             startInstances(standIns);
             configure(standIns, client);
             showOneRequest(client);
-            moveDomainDuringTraffic(client);
+            moveDomainDuringTraffic(standIns, client);
             stopGracefully();
         } finally {
             mDaemons.forEach(EntryDaemon::close);
@@ -119,34 +119,28 @@
         mOut.println("Where each stage ran and why:");
         decisions.path("decisions").forEach(each -> mOut.println("  " + each));
         mOut.println("Streamed answer:");
-        client.stream(
-                callers(first),
-                "leak check at the fishing port",
-                line -> {
-                    if (!line.isBlank()) {
-                        mOut.println("  " + line);
-                    }
-                });
+        DemoStream stream = new DemoStream();
+        client.stream(callers(first), "leak check at the fishing port", stream::line);
+        stream.print(mOut);
     }
 
-    private void moveDomainDuringTraffic(DemoClient client) {
+    private void moveDomainDuringTraffic(DemoStandIns standIns, DemoClient client) {
         List<URI> instances = mDaemons.stream().map(DemoMain::callers).toList();
         try (DemoTraffic traffic = new DemoTraffic(client, instances)) {
-            pause();
-            mOut.println("Before the move: " + traffic.summary());
+            DemoService service = new DemoService(mOut, traffic, standIns);
+            service.show("Before the move:", STEP_SECONDS);
             submit(
                     client,
                     DemoTickets.move(2, MOVED_DOMAIN, DomainState.TAKEN_OUT),
                     "take " + MOVED_DOMAIN + " out");
-            pause();
-            mOut.println("While " + MOVED_DOMAIN + " is out: " + traffic.summary());
+            service.show("While " + MOVED_DOMAIN + " is out:", STEP_SECONDS);
             submit(
                     client,
                     DemoTickets.move(3, MOVED_DOMAIN, DomainState.IN_SERVICE),
                     "bring " + MOVED_DOMAIN + " back");
-            pause();
+            service.show("After its return:", STEP_SECONDS);
             traffic.finish();
-            mOut.println("After its return: " + traffic.summary());
+            mOut.println("Altogether: " + traffic.summary());
         }
     }
 
@@ -167,10 +161,6 @@
         return daemon.addresses().operators();
     }
 
-    private static void pause() {
-        LockSupport.parkNanos(STEP_NANOS);
-    }
-
     private void await(String what, BooleanSupplier condition) {
         long end = System.nanoTime() + PATIENCE_NANOS;
         while (!condition.getAsBoolean()) {
--- a/demonstration/src/main/java/org/wasabilug/demo/DemoStandIns.java
+++ b/demonstration/src/main/java/org/wasabilug/demo/DemoStandIns.java
@@ -1,12 +1,16 @@
 package org.wasabilug.demo;
 
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ListMultimap;
 import com.google.common.io.Closer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.pekko.actor.ActorSystem;
 import org.wasabilug.model.Endpoint;
 import org.wasabilug.model.EndpointName;
@@ -32,6 +36,7 @@
     private final Closer mResources = Closer.create();
     private final StandInPlatform mPlatform;
     private final List<Endpoint> mEndpoints = new ArrayList<>();
+    private final ListMultimap<String, StandInEndpoint> mByDomain = ArrayListMultimap.create();
 
     DemoStandIns() {
         ActorSystem system = StandInSystem.start("stand-ins");
@@ -57,6 +62,7 @@
                         .timeBetweenTokens(generates ? TOKEN : Duration.ofMillis(1))
                         .start();
         mResources.register(endpoint::close);
+        mByDomain.put(domain, endpoint);
         return Endpoint.builder()
                 .name(new EndpointName(endpoint.name()))
                 .pool(new PoolName(pool))
@@ -75,6 +81,19 @@
         return mEndpoints;
     }
 
+    /** Calls that each failure domain's endpoints have received since their start. */
+    Map<String, Long> received() {
+        Map<String, Long> received = new LinkedHashMap<>();
+        for (String domain : DOMAINS) {
+            received.put(
+                    domain,
+                    mByDomain.get(domain).stream()
+                            .mapToLong(endpoint -> endpoint.counts().received())
+                            .sum());
+        }
+        return received;
+    }
+
     /** Puts an entry instance on the platform's list, as the platform does at its start. */
     void list(String name, String domain, InetSocketAddress peerAddress) {
         mPlatform.list(
--- a/demonstration/src/main/java/org/wasabilug/demo/DemoTraffic.java
+++ b/demonstration/src/main/java/org/wasabilug/demo/DemoTraffic.java
@@ -44,6 +44,10 @@
         return mAnswered.get() + " answered, " + mRefused.get() + " refused";
     }
 
+    int answered() {
+        return mAnswered.get();
+    }
+
     int refused() {
         return mRefused.get();
     }
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceActor.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.SupervisorStrategy;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -26,13 +27,16 @@
     private final InstanceDuties mDuties;
     private final WakeUps mWakeUps;
     private final ActionPerformer mPerformer;
+    private final Runnable mEnded;
 
     private InstanceActor(
             ActorContext<InstanceMessage> context,
             InstanceParts parts,
             PublishedState published,
-            ScheduledExecutorService timer) {
+            ScheduledExecutorService timer,
+            Runnable ended) {
         super(context);
+        mEnded = ended;
         mCore = parts.core();
         mMetrics = new InstanceMetrics(parts.metrics());
         mPublished = published;
@@ -58,19 +62,32 @@
      * @param parts what the instance is made of
      * @param published where the actor publishes its state
      * @param timer runs wake-ups
+     * @param ended runs once the actor has ended and uses the timer no more
      * @return the behavior
      */
     public static Behavior<InstanceMessage> create(
-            InstanceParts parts, PublishedState published, ScheduledExecutorService timer) {
+            InstanceParts parts,
+            PublishedState published,
+            ScheduledExecutorService timer,
+            Runnable ended) {
         Behavior<InstanceMessage> behavior =
-                Behaviors.setup(context -> new InstanceActor(context, parts, published, timer));
+                Behaviors.setup(
+                        context -> new InstanceActor(context, parts, published, timer, ended));
         return Behaviors.supervise(behavior)
                 .onFailure(RuntimeException.class, SupervisorStrategy.resume());
     }
 
     @Override
     public Receive<InstanceMessage> createReceive() {
-        return newReceiveBuilder().onAnyMessage(this::receive).build();
+        return newReceiveBuilder()
+                .onAnyMessage(this::receive)
+                .onSignal(PostStop.class, signal -> end())
+                .build();
+    }
+
+    private Behavior<InstanceMessage> end() {
+        mEnded.run();
+        return this;
     }
 
     private Behavior<InstanceMessage> receive(InstanceMessage message) {
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceShell.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceShell.java
@@ -12,6 +12,9 @@
 
 /** Runs the instance's actor with its timer. */
 public final class InstanceShell implements AutoCloseable {
+    private static final long CLOSE_PATIENCE_MILLISECONDS = 5_000;
+
+    private final CompletableFuture<Void> mEnded = new CompletableFuture<>();
     private final PublishedState mPublished = new PublishedState();
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
@@ -27,7 +30,8 @@
     public InstanceShell(InstanceParts parts, ActorSystem<?> system) {
         mActor =
                 system.systemActorOf(
-                        InstanceActor.create(parts, mPublished, mTimer),
+                        InstanceActor.create(
+                                parts, mPublished, mTimer, () -> mEnded.complete(null)),
                         "wasabilug-instance",
                         Props.empty());
         tell(new InstanceMessage.WakeDue());
@@ -69,10 +73,11 @@
         return finished;
     }
 
-    /** Ends the actor and its timer at once. */
+    /** Ends the actor, then its timer; returns when what the actor had begun is done. */
     @Override
     public void close() {
-        mTimer.shutdownNow();
         tell(new InstanceMessage.CloseWanted());
+        mEnded.completeOnTimeout(null, CLOSE_PATIENCE_MILLISECONDS, TimeUnit.MILLISECONDS).join();
+        mTimer.shutdownNow();
     }
 }
