--- a/demonstration/src/main/java/org/wasabilug/demo/DemoTickets.java
+++ b/demonstration/src/main/java/org/wasabilug/demo/DemoTickets.java
@@ -45,7 +45,7 @@
         return ticket(number, List.of(domain(domain, state)));
     }
 
-    private static String ticket(long number, List<ConfigurationObject> objects) {
+    static String ticket(long number, List<ConfigurationObject> objects) {
         List<ObjectChange> changes =
                 objects.stream()
                         .map(object -> new ObjectChange(object.objectKey(), Optional.of(object)))
@@ -54,7 +54,7 @@
                 new ChangeTicket(number, new OperatorName(DemoKeys.OPERATOR), changes));
     }
 
-    private static FailureDomain domain(String name, DomainState state) {
+    static FailureDomain domain(String name, DomainState state) {
         return FailureDomain.builder()
                 .name(new FailureDomainName(name))
                 .region("brittany")
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/AnswerStream.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/AnswerStream.java
@@ -46,13 +46,18 @@
         }
         Source<ByteString, NotUsed> chunks = paced(Source.from(events)).map(AnswerStream::line);
         Source<ByteString, NotUsed> last =
-                cut
-                        ? Source.failed(new ConnectionBrokenException())
-                        : Source.single(line(new StreamEvent.Done(text.length())));
-        return afterFirstToken(chunks.concat(last))
+                cut ? broken() : Source.single(line(new StreamEvent.Done(text.length())));
+        return afterFirstToken(chunks.concatLazy(last))
                 .keepAlive(HEARTBEAT_INTERVAL, () -> STREAM_HEARTBEAT);
     }
 
+    /** Fails when it is asked; one that fails at once would overtake the chunks before it. */
+    private static Source<ByteString, NotUsed> broken() {
+        return Source.<ByteString, NotUsed>lazySource(
+                        () -> Source.failed(new ConnectionBrokenException()))
+                .mapMaterializedValue(value -> NotUsed.getInstance());
+    }
+
     Source<ByteString, NotUsed> whole(String text) {
         ByteString body = ByteString.fromString(EndpointJson.write(new WholeAnswer(text)));
         Source<ByteString, NotUsed> answer =
