Send the beginning of a result that is to be continued

Cause: a call that goes on with a cut result carried its offset alone; an engine elsewhere can't know the characters before it. Change: the body carries the text too, up to 1 Mi characters; after a longer one the whole result is asked for again. The stand-in refuses a beginning that does not belong to the result. Conclusion: any endpoint of a pool can continue a result.

--- a/endpoint/src/main/java/org/wasabilug/endpoint/HttpEndpointClient.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/HttpEndpointClient.java
@@ -31,6 +31,7 @@
                 new CallLimits(
                         builder.mMaximumEventBytes,
                         builder.mMaximumBodyBytes,
+                        builder.mMaximumResumeCharacters,
                         builder.mControlTimeout);
         mConnections = new Connections(builder.mActorSystem, builder.mConnectTimeout);
         mLoadPort = new LoadPort(mConnections, mLimits);
@@ -104,6 +105,7 @@
         private Duration mControlTimeout = Duration.ofSeconds(2);
         private int mMaximumEventBytes = 1 << 20;
         private int mMaximumBodyBytes = 16 << 20;
+        private int mMaximumResumeCharacters = 1 << 20;
 
         private Builder() {}
 
@@ -162,6 +164,17 @@
             return this;
         }
 
+        /**
+         * Sets the longest beginning of a result that is sent to be continued.
+         *
+         * @param value characters; after a longer beginning the whole result is asked for again
+         * @return this builder
+         */
+        public Builder maximumResumeCharacters(int value) {
+            mMaximumResumeCharacters = value;
+            return this;
+        }
+
         /**
          * Builds the client.
          *
--- a/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/internal/call/RunningCall.java
@@ -18,6 +18,7 @@
 /** One attempt at an endpoint, from connecting to its one final event. */
 public final class RunningCall {
     private final StageCall mCall;
+    private final String mResumeText;
     private final AnswerReader mReader;
     private final Connections mConnections;
     private final Consumer<InstanceEvent> mEvents;
@@ -43,7 +44,9 @@
             Consumer<InstanceEvent> events,
             Consumer<RunningCall> onEnd) {
         mCall = call;
-        mReader = new AnswerReader(call.protocol(), call.resumeOffset(), limits);
+        mResumeText =
+                call.resumeOffset() <= limits.maximumResumeCharacters() ? call.resumeText() : "";
+        mReader = new AnswerReader(call.protocol(), mResumeText.length(), limits);
         mConnections = connections;
         mEvents = events;
         mOnEnd = onEnd;
@@ -96,7 +99,8 @@
                         mCall.attempt().stage().value(),
                         mCall.attempt().number(),
                         mCall.input(),
-                        mCall.resumeOffset(),
+                        mResumeText.length(),
+                        mResumeText,
                         mCall.priority(),
                         TimeUnit.NANOSECONDS.toMillis(mCall.timeoutNanos()));
         return HttpRequest.POST(mCall.requestPath())
--- a/endpoint/src/main/java/org/wasabilug/endpoint/wire/StageCallBody.java
+++ b/endpoint/src/main/java/org/wasabilug/endpoint/wire/StageCallBody.java
@@ -8,6 +8,7 @@
  * @param attempt number of the attempt
  * @param input input of the stage
  * @param offset characters of the result that the caller has already
+ * @param resumeText these characters; an endpoint goes on after them
  * @param priority 0 for the most urgent, larger for less
  * @param timeoutMilliseconds time left for the attempt
  */
@@ -17,5 +18,6 @@
         long attempt,
         String input,
         int offset,
+        String resumeText,
         int priority,
         long timeoutMilliseconds) {}
--- a/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/endpoint/EndpointHandler.java
@@ -93,10 +93,20 @@
 
     private CompletionStage<HttpResponse> call(String body) {
         return EndpointJson.read(body, StageCallBody.class)
+                .filter(this::resumesRightly)
                 .map(this::run)
                 .orElseGet(() -> completed(Answers.empty(Answers.BAD_REQUEST)));
     }
 
+    /** A beginning that is not the one of this call's result belongs to another call. */
+    private boolean resumesRightly(StageCallBody call) {
+        return call.offset() == call.resumeText().length()
+                && mSettings
+                        .behaviour()
+                        .answer(call.stage(), call.input())
+                        .startsWith(call.resumeText());
+    }
+
     private CompletionStage<HttpResponse> run(StageCallBody call) {
         EndpointFaults faults = mLife.faults();
         return switch (mLife.admit(call)) {
--- a/standin/src/test/java/org/wasabilug/standin/EndpointClientTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/EndpointClientTest.java
@@ -72,12 +72,43 @@
         String expected = mEndpoint.answerTo(TestCalls.STAGE, TestCalls.INPUT);
         int offset = 21;
 
-        sClient.run(TestCalls.resumed(mEndpoint.baseUri(), "request-3", offset), mEvents);
+        sClient.run(
+                TestCalls.resumed(mEndpoint.baseUri(), "request-3", expected.substring(0, offset)),
+                mEvents);
         mEvents.await(InstanceEvent.StageFinished.class);
 
         assertThat(mEvents.text()).isEqualTo(expected.substring(offset));
     }
 
+    @Test
+    void refusesToContinueAnotherResult() {
+        start(StandInEndpoint.builder());
+
+        sClient.run(
+                TestCalls.resumed(mEndpoint.baseUri(), "request-3", "of another call"), mEvents);
+        InstanceEvent.StageFailed failed = mEvents.await(InstanceEvent.StageFailed.class);
+
+        assertThat(failed.kind()).isEqualTo(FailureKind.REJECTED);
+    }
+
+    @Test
+    void asksForTheWholeResultWhereItsBeginningIsTooLongToSend() {
+        start(StandInEndpoint.builder());
+        String expected = mEndpoint.answerTo(TestCalls.STAGE, TestCalls.INPUT);
+        String beginning = expected.substring(0, 21);
+
+        try (HttpEndpointClient client =
+                HttpEndpointClient.builder()
+                        .actorSystem(sSystem)
+                        .maximumResumeCharacters(20)
+                        .build()) {
+            client.run(TestCalls.resumed(mEndpoint.baseUri(), "request-3", beginning), mEvents);
+            mEvents.await(InstanceEvent.StageFinished.class);
+        }
+
+        assertThat(mEvents.text()).isEqualTo(expected);
+    }
+
     @Test
     void callsRefusedConnectionsNeverReceived() {
         start(StandInEndpoint.builder());
--- a/standin/src/test/java/org/wasabilug/standin/TestCalls.java
+++ b/standin/src/test/java/org/wasabilug/standin/TestCalls.java
@@ -22,19 +22,19 @@
     }
 
     static StageCall streamed(URI address, String request) {
-        return call(address, request, CallProtocol.STREAMED, 0, GENEROUS_NANOS);
+        return call(address, request, CallProtocol.STREAMED, "", GENEROUS_NANOS);
     }
 
     static StageCall whole(URI address, String request) {
-        return call(address, request, CallProtocol.WHOLE, 0, GENEROUS_NANOS);
+        return call(address, request, CallProtocol.WHOLE, "", GENEROUS_NANOS);
     }
 
-    static StageCall resumed(URI address, String request, int offset) {
-        return call(address, request, CallProtocol.STREAMED, offset, GENEROUS_NANOS);
+    static StageCall resumed(URI address, String request, String resumeText) {
+        return call(address, request, CallProtocol.STREAMED, resumeText, GENEROUS_NANOS);
     }
 
     static StageCall impatient(URI address, String request, long timeoutNanos) {
-        return call(address, request, CallProtocol.STREAMED, 0, timeoutNanos);
+        return call(address, request, CallProtocol.STREAMED, "", timeoutNanos);
     }
 
     static StageCall withInput(StageCall call, String input) {
@@ -52,7 +52,11 @@
     }
 
     private static StageCall call(
-            URI address, String request, CallProtocol protocol, int offset, long timeoutNanos) {
+            URI address,
+            String request,
+            CallProtocol protocol,
+            String resumeText,
+            long timeoutNanos) {
         return new StageCall(
                 attempt(request),
                 new EndpointName("rennes-1"),
@@ -60,7 +64,7 @@
                 "/v1/completions",
                 protocol,
                 INPUT,
-                "x".repeat(offset),
+                resumeText,
                 timeoutNanos,
                 0,
                 true);
