Tell peers the age of the configuration

Cause: an instance that started from peers while the platform was away said that its configuration had never been known to be the newest. Change: heartbeats carry the age; an instance with equal configuration takes the youngest age it hears of and adds the time since. The field is optional, so that earlier senders are read as not knowing. Conclusion: the status gives the age of a configuration that came from peers.

--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
@@ -85,6 +85,7 @@
                 .seeds(settings.peerSeeds())
                 .state(mState)
                 .feedSequence(mFeed::sequence)
+                .configurationAge(mFeed::ageNanos)
                 .random(mRandom)
                 .build();
     }
--- a/core/src/main/java/org/wasabilug/internal/membership/Membership.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/Membership.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.LongUnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wasabilug.internal.configuration.ConfigurationState;
 import org.wasabilug.internal.event.InstanceAction;
@@ -35,6 +36,7 @@
     private final long mIncarnation;
     private final ConfigurationState mState;
     private final LongSupplier mFeedSequence;
+    private final ConfigurationAge mAge;
     private final UniformRandomProvider mRandom;
     private final PeerTable mPeers;
     private final SeedAddresses mSeeds;
@@ -55,6 +57,7 @@
         mIncarnation = builder.mIncarnation;
         mState = builder.mState;
         mFeedSequence = builder.mFeedSequence;
+        mAge = new ConfigurationAge(builder.mConfigurationAge);
         mRandom = builder.mRandom;
         mPeers = new PeerTable(builder.mName, mFailureDomain);
         mSeeds = new SeedAddresses(builder.mSeeds);
@@ -86,7 +89,7 @@
             case InstanceEvent.TimePassed passed -> onTime(nowNanos, actions);
             case InstanceEvent.PeerSpoke spoke -> onMessage(spoke, nowNanos, actions);
             case InstanceEvent.ListAnswered answered -> onList(answered, nowNanos, actions);
-            case InstanceEvent.StopRequested requested -> onStop(actions);
+            case InstanceEvent.StopRequested requested -> onStop(nowNanos, actions);
             default -> {}
         }
         tellNews(event, actions);
@@ -119,7 +122,7 @@
         mReminders = 0;
         mReplies = 0;
         mPeers.choose(nowNanos);
-        PeerMessage heartbeat = heartbeat();
+        PeerMessage heartbeat = heartbeat(nowNanos);
         mPeers.chosen().forEach(peer -> send(peer, heartbeat, actions));
         probeSuspect(heartbeat, nowNanos, actions);
         if (!mListReader.isAvailable() && mPeers.live(nowNanos).size() < SEEDED_PEERS) {
@@ -143,18 +146,19 @@
         }
     }
 
-    private PeerMessage heartbeat() {
+    private PeerMessage heartbeat(long nowNanos) {
         return new PeerMessage.Heartbeat(
                 mIncarnation,
                 mFailureDomain,
                 mFeedSequence.getAsLong(),
                 mState.configuration().hash(),
-                mStopping);
+                mStopping,
+                mAge.milliseconds(nowNanos));
     }
 
-    private void onStop(List<InstanceAction> actions) {
+    private void onStop(long nowNanos, List<InstanceAction> actions) {
         mStopping = true;
-        PeerMessage heartbeat = heartbeat();
+        PeerMessage heartbeat = heartbeat(nowNanos);
         mPeers.chosen().forEach(peer -> send(peer, heartbeat, actions));
     }
 
@@ -208,8 +212,8 @@
         mPeers.heard(sender, heartbeat, nowNanos)
                 .ifPresent(
                         peer -> {
-                            replyToStranger(peer, actions);
-                            compare(peer, heartbeat.configurationHash(), nowNanos, actions);
+                            replyToStranger(peer, nowNanos, actions);
+                            compare(peer, heartbeat, nowNanos, actions);
                         });
     }
 
@@ -217,17 +221,22 @@
      * A peer that chose this instance learns so that it is alive, even where the choice is not
      * mutual.
      */
-    private void replyToStranger(Peer peer, List<InstanceAction> actions) {
+    private void replyToStranger(Peer peer, long nowNanos, List<InstanceAction> actions) {
         if (!peer.isChosen() && mReplies < REPLIES_PER_HEARTBEAT) {
             mReplies++;
-            send(peer, heartbeat(), actions);
+            send(peer, heartbeat(nowNanos), actions);
         }
     }
 
-    private void compare(Peer peer, long hash, long nowNanos, List<InstanceAction> actions) {
-        boolean equal = hash == mState.configuration().hash();
+    private void compare(
+            Peer peer,
+            PeerMessage.Heartbeat heartbeat,
+            long nowNanos,
+            List<InstanceAction> actions) {
+        boolean equal = heartbeat.configurationHash() == mState.configuration().hash();
         peer.compared(equal, nowNanos);
         if (equal) {
+            mAge.equalAt(heartbeat.configurationAgeMilliseconds(), nowNanos);
             return;
         }
         boolean empty = mState.configuration().objects().isEmpty();
@@ -292,6 +301,17 @@
         return mPeers.countEstimate(nowNanos);
     }
 
+    /**
+     * Time since the configuration was last known to be the newest, by the platform or by peers
+     * with the same one.
+     *
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return the age in milliseconds; -1 where it never was
+     */
+    public long configurationAgeMilliseconds(long nowNanos) {
+        return mAge.milliseconds(nowNanos);
+    }
+
     /**
      * State of every known peer.
      *
@@ -318,6 +338,7 @@
         private List<String> mSeeds = List.of();
         private ConfigurationState mState;
         private LongSupplier mFeedSequence = () -> 0;
+        private LongUnaryOperator mConfigurationAge = nowNanos -> -1;
         private UniformRandomProvider mRandom;
 
         private Builder() {}
@@ -388,6 +409,18 @@
             return this;
         }
 
+        /**
+         * Sets the source of the age of the feed's configuration.
+         *
+         * @param value turns monotonic time into the age, both in nanoseconds; -1 where it is not
+         *     known
+         * @return this builder
+         */
+        public Builder configurationAge(LongUnaryOperator value) {
+            mConfigurationAge = value;
+            return this;
+        }
+
         /**
          * Sets the source of jitter.
          *
--- a/core/src/main/java/org/wasabilug/port/PeerMessage.java
+++ b/core/src/main/java/org/wasabilug/port/PeerMessage.java
@@ -16,13 +16,16 @@
      * @param feedSequence last feed entry that the sender has applied
      * @param configurationHash hash over every object key and ticket number
      * @param stopping true where the sender takes no new requests
+     * @param configurationAgeMilliseconds since the sender's configuration was last known to be the
+     *     newest; -1 where it never was
      */
     record Heartbeat(
             long incarnation,
             FailureDomainName failureDomain,
             long feedSequence,
             long configurationHash,
-            boolean stopping)
+            boolean stopping,
+            long configurationAgeMilliseconds)
             implements PeerMessage {}
 
     /**
--- a/demonstration/src/test/java/org/wasabilug/demo/SmallFleet.java
+++ b/demonstration/src/test/java/org/wasabilug/demo/SmallFleet.java
@@ -178,6 +178,15 @@
         return askLater(instance, pipeline, key, body).join();
     }
 
+    long configurationAgeMilliseconds(EntryDaemon instance) {
+        try (DemoClient client = new DemoClient()) {
+            return client.get(instance.addresses().operators(), "/v1/status")
+                    .body()
+                    .path("configurationAgeMilliseconds")
+                    .asLong(-1);
+        }
+    }
+
     static String body(String input, boolean stream) {
         return MAPPER.createObjectNode().put("input", input).put("stream", stream).toString();
     }
--- a/demonstration/src/test/java/org/wasabilug/demo/WholePathTest.java
+++ b/demonstration/src/test/java/org/wasabilug/demo/WholePathTest.java
@@ -78,6 +78,18 @@
         assertThat(textOf(answer)).as(answer.body()).isEqualTo(mFleet.rightAnswer(INPUT));
     }
 
+    @Test
+    void saysHowOldAConfigurationFromPeersIs() {
+        List<EntryDaemon> instances = twoInstances();
+        instances.getLast().close();
+        mFleet.platform().setFaults(PlatformFaults.builder().down(true).build());
+
+        EntryDaemon restarted =
+                mFleet.startInstance(2, List.of(instances.getFirst().peerAddress()));
+
+        SmallFleet.await(() -> mFleet.configurationAgeMilliseconds(restarted) > 0);
+    }
+
     private List<EntryDaemon> twoInstances() {
         EntryDaemon first = mFleet.startInstance(1, List.of());
         EntryDaemon second = mFleet.startInstance(2, List.of(first.peerAddress()));
--- a/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerMessageCodec.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerMessageCodec.java
@@ -28,6 +28,8 @@
 
 /** Maps the core's peer messages to protobuf and back. */
 final class PeerMessageCodec {
+    private static final long NEVER_NEWEST = -1;
+
     private PeerMessageCodec() {}
 
     static PeerEnvelope encode(InstanceName sender, long incarnation, PeerMessage message) {
@@ -48,12 +50,16 @@
     }
 
     private static PeerHeartbeat heartbeat(PeerMessage.Heartbeat heartbeat) {
-        return PeerHeartbeat.newBuilder()
-                .setFailureDomain(heartbeat.failureDomain().value())
-                .setFeedSequence(heartbeat.feedSequence())
-                .setConfigurationHash(heartbeat.configurationHash())
-                .setStopping(heartbeat.stopping())
-                .build();
+        PeerHeartbeat.Builder builder =
+                PeerHeartbeat.newBuilder()
+                        .setFailureDomain(heartbeat.failureDomain().value())
+                        .setFeedSequence(heartbeat.feedSequence())
+                        .setConfigurationHash(heartbeat.configurationHash())
+                        .setStopping(heartbeat.stopping());
+        if (heartbeat.configurationAgeMilliseconds() >= 0) {
+            builder.setConfigurationAgeMilliseconds(heartbeat.configurationAgeMilliseconds());
+        }
+        return builder.build();
     }
 
     private static ConfigurationDigest digest(PeerMessage.Digest digest) {
@@ -147,7 +153,10 @@
                 new FailureDomainName(heartbeat.getFailureDomain()),
                 heartbeat.getFeedSequence(),
                 heartbeat.getConfigurationHash(),
-                heartbeat.getStopping());
+                heartbeat.getStopping(),
+                heartbeat.hasConfigurationAgeMilliseconds()
+                        ? heartbeat.getConfigurationAgeMilliseconds()
+                        : NEVER_NEWEST);
     }
 
     private static PeerMessage digest(ConfigurationDigest digest) {
--- a/entry/src/test/java/org/wasabilug/entry/internal/peer/PeerTransportTest.java
+++ b/entry/src/test/java/org/wasabilug/entry/internal/peer/PeerTransportTest.java
@@ -35,7 +35,7 @@
             new PeerTransportLimits(64 << 10, 256 << 10, 8, 60, 5, 20);
     private static final ObjectKey POOL_KEY = new ObjectKey(ObjectKind.POOL, "retrievers");
     private static final PeerMessage HEARTBEAT =
-            new PeerMessage.Heartbeat(7, new FailureDomainName("brest"), 12, -5, true);
+            new PeerMessage.Heartbeat(7, new FailureDomainName("brest"), 12, -5, true, 3);
 
     private final BlockingQueue<PeerMessage> mArrived = new LinkedBlockingQueue<>();
     private final BlockingQueue<PeerMessage> mAnswers = new LinkedBlockingQueue<>();
