End the stand-ins with exit code 0 when they are told to stop

Cause: SIGTERM ended wasabilug-standin with 143, as if it had failed. Change: the stop closes what runs and ends with 0. Conclusion: scripts can tell a stop from a failure.

--- a/standin/src/main/java/org/wasabilug/standin/StandInMain.java
+++ b/standin/src/main/java/org/wasabilug/standin/StandInMain.java
@@ -35,7 +35,7 @@
     }
 
     private static void run(StandInDaemon daemon) {
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
         try {
             Thread.currentThread().join();
         } catch (InterruptedException exception) {
@@ -43,6 +43,13 @@
         }
     }
 
+    /** The JVM would end with the number of the signal; a stop on request is a success. */
+    private static void stop(StandInDaemon daemon) {
+        daemon.close();
+        System.out.flush();
+        Runtime.getRuntime().halt(EXIT_DONE);
+    }
+
     private static void end(String text) {
         System.out.println(text);
         System.exit(EXIT_DONE);
