Offer mutual TLS between instances and TLS for operators as settings

Cause: the transport between instances could be encrypted, but no setting of the daemon did so; operators were served in the clear. Change: PEM files for instances (certificate, key, authority) and operators (certificate, key); a certificate without its files is refused. Conclusion: every interface of an instance can be encrypted.

--- a/entry/src/main/java/org/wasabilug/entry/DaemonSettings.java
+++ b/entry/src/main/java/org/wasabilug/entry/DaemonSettings.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.time.Instant;
 import org.wasabilug.entry.internal.security.CallerEncryption;
+import org.wasabilug.entry.internal.security.PeerEncryption;
 import org.wasabilug.entry.internal.settings.EntrySettings;
 import org.wasabilug.entry.internal.settings.SettingValues;
 import org.wasabilug.internal.instance.InstanceSettings;
@@ -15,11 +16,15 @@
     private DaemonSettings() {}
 
     static EntryDaemonBuilder daemonOf(SettingValues values) {
-        return EntryDaemon.builder()
-                .core(coreOf(values))
-                .platform(values.uri(EntrySettings.PLATFORM))
-                .peerAddress(values.address(EntrySettings.PEERS_ADDRESS))
-                .shell(shellOf(values));
+        EntryDaemonBuilder daemon =
+                EntryDaemon.builder()
+                        .core(coreOf(values))
+                        .platform(values.uri(EntrySettings.PLATFORM))
+                        .peerAddress(values.address(EntrySettings.PEERS_ADDRESS))
+                        .shell(shellOf(values));
+        PeerEncryption.of(values)
+                .ifPresent(each -> daemon.peerEncryption(each.server(), each.client()));
+        return daemon;
     }
 
     private static InstanceSettings coreOf(SettingValues values) {
@@ -46,6 +51,7 @@
                 .map(key -> SaltedHash.of(key, new SecureRandom()))
                 .ifPresent(shell::operatorBootstrapKey);
         CallerEncryption.of(values).ifPresent(shell::encryption);
+        CallerEncryption.ofOperators(values).ifPresent(shell::operatorsEncryption);
         return shell;
     }
 
--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
@@ -62,12 +62,13 @@
     }
 
     private PeerTransport openPeers(EntryDaemonBuilder settings) {
-        return PeerTransport.builder()
-                .name(settings.mCore.name())
-                .incarnation(settings.mCore.incarnation())
-                .listenAddress(settings.mPeerAddress)
-                .receiver(this::receive)
-                .open();
+        PeerTransport.Builder transport =
+                PeerTransport.builder()
+                        .name(settings.mCore.name())
+                        .incarnation(settings.mCore.incarnation())
+                        .listenAddress(settings.mPeerAddress)
+                        .receiver(this::receive);
+        return settings.mPeerEncryption.apply(transport).open();
     }
 
     /** Drops what arrives before the instance is there; peers repeat what matters. */
--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemonBuilder.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemonBuilder.java
@@ -1,7 +1,10 @@
 package org.wasabilug.entry;
 
+import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.function.UnaryOperator;
+import org.wasabilug.entry.internal.peer.PeerTransport;
 import org.wasabilug.internal.instance.InstanceSettings;
 
 /** Builds an {@link EntryDaemon}. Core settings and platform address have to be set. */
@@ -10,6 +13,7 @@
     URI mPlatform;
     InetSocketAddress mPeerAddress = new InetSocketAddress("127.0.0.1", 0);
     EntryInstanceBuilder mShell = EntryInstance.builder();
+    UnaryOperator<PeerTransport.Builder> mPeerEncryption = UnaryOperator.identity();
 
     EntryDaemonBuilder() {}
 
@@ -46,6 +50,19 @@
         return this;
     }
 
+    /**
+     * Encrypts the connections between instances; the contexts decide whether both sides show
+     * certificates.
+     *
+     * @param server context of connections that others open
+     * @param client context of connections that this instance opens
+     * @return this builder
+     */
+    public EntryDaemonBuilder peerEncryption(SslContext server, SslContext client) {
+        mPeerEncryption = transport -> transport.encryption(server, client);
+        return this;
+    }
+
     /**
      * Sets ports, limits, encryption and the first operator key; core, clients and actor system in
      * it are replaced.
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstance.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
+import javax.net.ssl.SSLContext;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.ConnectionContext;
 import org.wasabilug.entry.internal.actor.InstanceMessage;
@@ -97,16 +98,21 @@
                                 mParts.mTicketReader, mParts.mTicketChecker, mParts.mStateWriter),
                         mParts.mMetrics,
                         mShell::tell);
-        return HttpListener.start(mSystem, mParts.mOperatorsAddress, Optional.empty(), handler);
+        return HttpListener.start(
+                mSystem,
+                mParts.mOperatorsAddress,
+                mParts.mOperatorsEncryption.map(ConnectionContext::httpsServer),
+                handler);
     }
 
     private EntryAddresses addresses() {
-        String scheme = mParts.mEncryption.isPresent() ? "https" : "http";
         return new EntryAddresses(
-                uri(scheme, mCallers.address()), uri("http", mOperators.address()));
+                uri(mParts.mEncryption, mCallers.address()),
+                uri(mParts.mOperatorsEncryption, mOperators.address()));
     }
 
-    private static URI uri(String scheme, InetSocketAddress address) {
+    private static URI uri(Optional<SSLContext> encryption, InetSocketAddress address) {
+        String scheme = encryption.isPresent() ? "https" : "http";
         return URI.create(
                 scheme + "://" + address.getAddress().getHostAddress() + ":" + address.getPort());
     }
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
@@ -31,6 +31,7 @@
     InetSocketAddress mCallersAddress = ANY_LOOPBACK_PORT;
     InetSocketAddress mOperatorsAddress = ANY_LOOPBACK_PORT;
     Optional<SSLContext> mEncryption = Optional.empty();
+    Optional<SSLContext> mOperatorsEncryption = Optional.empty();
     EntryLimits mLimits = EntryLimits.standard();
     Optional<ActorSystem<?>> mActorSystem = Optional.empty();
     Duration mNotReadyPeriod = Duration.ZERO;
@@ -159,6 +160,17 @@
         return this;
     }
 
+    /**
+     * Serves operators over TLS.
+     *
+     * @param value context with certificate and private key
+     * @return this builder
+     */
+    public EntryInstanceBuilder operatorsEncryption(SSLContext value) {
+        mOperatorsEncryption = Optional.of(value);
+        return this;
+    }
+
     /**
      * Sets bounds on what callers may make the instance hold.
      *
--- a/entry/src/main/java/org/wasabilug/entry/internal/http/EntryReporter.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/http/EntryReporter.java
@@ -317,15 +317,15 @@
     }
 
     /**
-     * The settings name a certificate without its private key.
+     * A certificate is set without a file that belongs to it.
      *
+     * @param flag name of the missing setting
      * @return the exception to throw
      */
-    public static WasabilugException privateKeyMissing() {
+    public static WasabilugException fileMissing(String flag) {
         return new WasabilugException(
                 ErrorCode.INVALID_SETTINGS,
-                "A certificate for callers is set without its private key. Set"
-                        + " --callers-private-key-file too.");
+                "A certificate is set without a file that belongs to it. Set --" + flag + " too.");
     }
 
     /**
@@ -340,7 +340,7 @@
             Path certificate, Path privateKey, Exception cause) {
         return new WasabilugException(
                 ErrorCode.INVALID_SETTINGS,
-                "Callers can't be served over TLS with "
+                "TLS can't be offered with "
                         + certificate
                         + " and "
                         + privateKey
--- a/entry/src/main/java/org/wasabilug/entry/internal/security/CallerEncryption.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/security/CallerEncryption.java
@@ -17,28 +17,50 @@
 import javax.net.ssl.SSLContext;
 import org.wasabilug.entry.internal.http.EntryReporter;
 import org.wasabilug.entry.internal.settings.EntrySettings;
+import org.wasabilug.entry.internal.settings.Setting;
 import org.wasabilug.entry.internal.settings.SettingValues;
 
-/** Makes the TLS context for callers from PEM files. */
+/** Makes the TLS contexts for callers and operators from PEM files. */
 public final class CallerEncryption {
     private static final String ALIAS = "callers";
 
     private CallerEncryption() {}
 
     /**
-     * Reads the files that the settings name.
+     * Reads the files that the settings for callers name.
      *
      * @param values checked settings
      * @return the context; empty where the settings name no certificate
      */
     public static Optional<SSLContext> of(SettingValues values) {
-        return values.file(EntrySettings.CERTIFICATE_FILE)
+        return of(values, EntrySettings.CERTIFICATE_FILE, EntrySettings.PRIVATE_KEY_FILE);
+    }
+
+    /**
+     * Reads the files that the settings for operators name.
+     *
+     * @param values checked settings
+     * @return the context; empty where the settings name no certificate
+     */
+    public static Optional<SSLContext> ofOperators(SettingValues values) {
+        return of(
+                values,
+                EntrySettings.OPERATORS_CERTIFICATE_FILE,
+                EntrySettings.OPERATORS_PRIVATE_KEY_FILE);
+    }
+
+    private static Optional<SSLContext> of(
+            SettingValues values, Setting certificateFile, Setting keyFile) {
+        return values.file(certificateFile)
                 .map(
                         certificate ->
                                 read(
                                         certificate,
-                                        values.file(EntrySettings.PRIVATE_KEY_FILE)
-                                                .orElseThrow(EntryReporter::privateKeyMissing)));
+                                        values.file(keyFile)
+                                                .orElseThrow(
+                                                        () ->
+                                                                EntryReporter.fileMissing(
+                                                                        keyFile.name()))));
     }
 
     /**
--- a/entry/src/main/java/org/wasabilug/entry/internal/settings/EntrySettings.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/settings/EntrySettings.java
@@ -64,6 +64,46 @@
                     "",
                     "PEM private key (PKCS#8) of the certificate");
 
+    /** Certificates for operators. */
+    public static final Setting OPERATORS_CERTIFICATE_FILE =
+            optional(
+                    "operators-certificate-file",
+                    Kind.FILE,
+                    "",
+                    "PEM certificate chain; with it operators are served over TLS");
+
+    /** Private key that belongs to the certificate for operators. */
+    public static final Setting OPERATORS_PRIVATE_KEY_FILE =
+            optional(
+                    "operators-private-key-file",
+                    Kind.FILE,
+                    "",
+                    "PEM private key (PKCS#8) of the certificate for operators");
+
+    /** Certificates that instances show each other. */
+    public static final Setting PEERS_CERTIFICATE_FILE =
+            optional(
+                    "peers-certificate-file",
+                    Kind.FILE,
+                    "",
+                    "PEM certificate chain; with it instances speak over mutual TLS");
+
+    /** Private key that belongs to the certificate for instances. */
+    public static final Setting PEERS_PRIVATE_KEY_FILE =
+            optional(
+                    "peers-private-key-file",
+                    Kind.FILE,
+                    "",
+                    "PEM private key (PKCS#8) of the certificate for instances");
+
+    /** Who signs the certificates of instances. */
+    public static final Setting PEERS_AUTHORITY_FILE =
+            optional(
+                    "peers-authority-file",
+                    Kind.FILE,
+                    "",
+                    "PEM certificate of the authority that signs every instance's certificate");
+
     /** Largest body. */
     public static final Setting MAXIMUM_BODY =
             number("maximum-body", "bytes", 1_024, 67_108_864, 1_048_576, "largest request body");
@@ -168,6 +208,11 @@
                     OPERATOR_KEY,
                     CERTIFICATE_FILE,
                     PRIVATE_KEY_FILE,
+                    OPERATORS_CERTIFICATE_FILE,
+                    OPERATORS_PRIVATE_KEY_FILE,
+                    PEERS_CERTIFICATE_FILE,
+                    PEERS_PRIVATE_KEY_FILE,
+                    PEERS_AUTHORITY_FILE,
                     MAXIMUM_BODY,
                     MAXIMUM_TICKET,
                     MAXIMUM_HEADER,
--- a/entry/src/test/java/org/wasabilug/entry/usage/EncryptionTest.java
+++ b/entry/src/test/java/org/wasabilug/entry/usage/EncryptionTest.java
@@ -46,6 +46,26 @@
         }
     }
 
+    @Test
+    void servesOperatorsOverTls() throws Exception {
+        SSLContext encryption = CallerEncryption.read(CERTIFICATE, PRIVATE_KEY);
+
+        try (EntryInstance instance =
+                        FakeInstance.with(new FakeEndpoints(true))
+                                .operatorsEncryption(encryption)
+                                .build();
+                HttpClient client = HttpClient.newBuilder().sslContext(trustingContext()).build()) {
+            URI operators = instance.start().operators();
+            HttpResponse<String> response =
+                    client.send(
+                            HttpRequest.newBuilder(operators.resolve("/live")).build(),
+                            BodyHandlers.ofString());
+
+            assertThat(operators.getScheme()).isEqualTo("https");
+            assertThat(response.statusCode()).isEqualTo(200);
+        }
+    }
+
     private static SSLContext trustingContext() throws Exception {
         KeyStore store = KeyStore.getInstance("PKCS12");
         store.load(null, null);
