Report a list without any instance as a fault of the settings

Cause: a list of addresses that holds only commas passed the check, and the commands ended with a stack trace. Change: such a list is reported like a missing one, exit code 2. Conclusion: no command runs without an instance to ask.

--- a/operator/src/main/java/org/wasabilug/operator/internal/settings/SettingsCheck.java
+++ b/operator/src/main/java/org/wasabilug/operator/internal/settings/SettingsCheck.java
@@ -22,6 +22,7 @@
     static final String KEY_FILE_VARIABLE = "WASABILUG_OPERATOR_KEY_FILE";
     private static final String INSTANCES_VARIABLE = "WASABILUG_INSTANCES";
     private static final String OPERATOR_VARIABLE = "WASABILUG_OPERATOR";
+    private static final Splitter ADDRESSES = Splitter.on(',').trimResults().omitEmptyStrings();
 
     private final CommandLine mFlags;
     private final Map<String, String> mVariables;
@@ -65,8 +66,11 @@
     }
 
     private List<URI> instances() {
-        Optional<String> text = value(CommandLineReader.INSTANCES, INSTANCES_VARIABLE);
-        if (text.isEmpty()) {
+        List<String> texts =
+                value(CommandLineReader.INSTANCES, INSTANCES_VARIABLE)
+                        .map(ADDRESSES::splitToList)
+                        .orElse(List.of());
+        if (texts.isEmpty()) {
             report(
                     "--instances or " + INSTANCES_VARIABLE,
                     "is missing; allowed: http addresses parted by commas");
@@ -74,7 +78,7 @@
         }
         String place = place(CommandLineReader.INSTANCES, INSTANCES_VARIABLE);
         List<URI> instances = new ArrayList<>();
-        for (String each : Splitter.on(',').trimResults().omitEmptyStrings().split(text.get())) {
+        for (String each : texts) {
             parse(each)
                     .ifPresentOrElse(
                             instances::add,
--- a/operator/src/test/java/org/wasabilug/operator/usage/OperatorCommandTest.java
+++ b/operator/src/test/java/org/wasabilug/operator/usage/OperatorCommandTest.java
@@ -198,6 +198,13 @@
         assertThat(output()).contains("\"salt\":", "\"hash\":").doesNotContain("new-key");
     }
 
+    @Test
+    void reportsListWithoutAnyInstanceAsFault() {
+        ExitCode code = run(" , ", "status");
+
+        assertThat(code).isEqualTo(ExitCode.INVALID_USE);
+    }
+
     @Test
     void reportsEveryFaultOfCommandLineTogether() {
         ExitCode code = run("ftp://x", "take-out", "--operator", "a b", "--number", "0");
