Give tests of timeouts the time to connect on a loaded machine

Cause: PlatformClientTest failed once with NotSent for Unknown: within 50 ms on a machine at load 20 the connection was not yet made, and NotSent was the truth. Change: timeouts that must pass after sending are 2 s; an assertion on a race between two clocks is gone, the one on the late commit stays. Conclusion: the verdict no longer depends on how fast a connection is made.

--- a/standin/src/test/java/org/wasabilug/standin/ClosedConnectionTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/ClosedConnectionTest.java
@@ -20,7 +20,7 @@
 import org.wasabilug.port.TableTransaction;
 
 class ClosedConnectionTest {
-    private static final Duration SHORT = Duration.ofMillis(200);
+    private static final Duration SHORT = Duration.ofSeconds(2);
 
     private static ActorSystem sSystem;
 
--- a/standin/src/test/java/org/wasabilug/standin/EndpointClientTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/EndpointClientTest.java
@@ -15,7 +15,7 @@
 import org.wasabilug.model.CallProtocol;
 
 class EndpointClientTest {
-    private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long SHORT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private static ActorSystem sSystem;
     private static HttpEndpointClient sClient;
--- a/standin/src/test/java/org/wasabilug/standin/EndpointStreamControlTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/EndpointStreamControlTest.java
@@ -97,7 +97,7 @@
     @Test
     void endsHeldStreamsAtTheirTimeout() {
         start(StandInEndpoint.builder().behaviour(new WordAnswer(ENDLESS_WORDS)));
-        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(300);
+        long timeoutNanos = TimeUnit.SECONDS.toNanos(2);
         sClient.run(
                 TestCalls.impatient(mEndpoint.baseUri(), "held-too-long", timeoutNanos),
                 event -> {
--- a/standin/src/test/java/org/wasabilug/standin/PlatformClientTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/PlatformClientTest.java
@@ -161,7 +161,7 @@
     void callsTimeoutsUnknownForTheCutOffInstanceOnly() {
         mPlatform.setFaults(PlatformFaults.builder().cutOffInstances(Set.of("entry-cut")).build());
         HttpPlatformClient cut =
-                client().instanceName("entry-cut").timeout(Duration.ofMillis(50)).build();
+                client().instanceName("entry-cut").timeout(Duration.ofSeconds(2)).build();
 
         CommitOutcome outcome = await(cut.commit(INSERT));
 
--- a/standin/src/test/java/org/wasabilug/standin/PlatformLimitsTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/PlatformLimitsTest.java
@@ -88,7 +88,7 @@
     void sendsNoMoreThanTheBudgetOfTheInstance() {
         mPlatform.setFaults(PlatformFaults.builder().silent(true).build());
         HttpPlatformClient client =
-                client().maximumInFlight(3).timeout(Duration.ofMillis(300)).build();
+                client().maximumInFlight(3).timeout(Duration.ofSeconds(2)).build();
         List<CompletableFuture<CommitOutcome>> outcomes = new ArrayList<>();
 
         for (int number = 0; number < 5; number++) {
@@ -123,11 +123,10 @@
 
     @Test
     void carriesDelayedCommitsOutAfterTheClientGaveUp() {
-        mPlatform.setFaults(PlatformFaults.builder().commitDelayMilliseconds(400).build());
-        HttpPlatformClient client = client().timeout(Duration.ofMillis(50)).build();
+        mPlatform.setFaults(PlatformFaults.builder().commitDelayMilliseconds(4_000).build());
+        HttpPlatformClient client = client().timeout(Duration.ofSeconds(2)).build();
 
         CommitOutcome outcome = commit(client);
-        boolean writtenAtOnce = !mPlatform.readTable(READ).isEmpty();
         CompletableFuture.runAsync(
                         () -> {
                             while (mPlatform.readTable(READ).isEmpty()) {
@@ -138,7 +137,6 @@
                 .join();
 
         assertThat(outcome).isEqualTo(new CommitOutcome.Unknown());
-        assertThat(writtenAtOnce).isFalse();
     }
 
     @Test
