Compose and hash the input of a stage once

Cause: every routing try of a waiting call hashed the caller's body again, and the hashes were of the body, while the engines' cache events name prefixes of the input. Figures: none measured apart; one composition and hashing a stage instead of one a try. Conclusion: affinity now matches what the engines report.

--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -120,7 +120,7 @@
         return new RoutingQuery(
                 stage.pool().name(),
                 run.request().workspace(),
-                ContentHashes.prefixes(run.request().body()),
+                stage.prefixHashes(),
                 stage.failedAt(),
                 stageBudgetNanos(run, stage, turn),
                 suspicion == Suspicion.SUSPECT);
@@ -166,7 +166,7 @@
                                 .attempt(attempt)
                                 .endpoint(endpoint)
                                 .pool(stage.pool())
-                                .input(StageInput.compose(run, stage))
+                                .input(stage.input())
                                 .resumeText(stage.result().text())
                                 .timeoutNanos(timeout)
                                 .priority(priority(run, turn))
--- a/core/src/main/java/org/wasabilug/internal/execution/StageRun.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageRun.java
@@ -10,6 +10,7 @@
 import org.wasabilug.model.EndpointName;
 import org.wasabilug.model.Pool;
 import org.wasabilug.model.Stage;
+import org.wasabilug.port.PrefixHashes;
 
 /** State of one stage of a running request. */
 final class StageRun {
@@ -27,6 +28,8 @@
     private int mPossiblyReceived;
     private long mFirstDispatchNanos;
     private boolean mClaimed;
+    private String mInput;
+    private List<Long> mPrefixHashes = List.of();
 
     StageRun(Stage stage, Pool pool) {
         mStage = stage;
@@ -46,6 +49,20 @@
         return mStage.repeatable() && mPool.repeatable();
     }
 
+    /** Keeps the input, which stays the same through all attempts. */
+    void setInput(String input) {
+        mInput = input;
+        mPrefixHashes = PrefixHashes.of(input);
+    }
+
+    String input() {
+        return mInput;
+    }
+
+    List<Long> prefixHashes() {
+        return mPrefixHashes;
+    }
+
     ResultAssembler result() {
         return mResult;
     }
--- a/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
@@ -23,6 +23,7 @@
 
     void startReadyStages(RequestRun run, Turn turn) {
         for (StageRun stage : run.readyStages()) {
+            stage.setInput(StageInput.compose(run, stage));
             if (stage.isRepeatable()) {
                 waitForRoom(run, stage, turn);
             } else {
