Bound the load polls of an instance at 60 a second

Cause: each watched endpoint was asked every half second, however many there are, so that polls grew with the fleet.

Change: a round lasts half a second up to 30 endpoints and grows in proportion beyond.

Figures: at 1,536 watched endpoints 3,072 polls a second before, 60 now, a round of 25.6 s. At 27 endpoints 54 a second, as before.

Conclusion: the polls of a node no longer depend on the size of the fleet.

--- a/core/src/main/java/org/wasabilug/internal/instance/LoadPolling.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/LoadPolling.java
@@ -6,11 +6,16 @@
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.model.EndpointName;
 
-/** Asks the watched endpoints for their load, each once in a round, spread over the round. */
+/**
+ * Asks the watched endpoints for their load, each once in a round, spread over the round.
+ *
+ * <p>A round takes half a second up to 30 endpoints. With more it grows in proportion, so that at
+ * most 60 endpoints are asked in any second, however many are watched.
+ */
 final class LoadPolling {
-    private static final long ROUND_NANOS = 500_000_000L;
-    private static final int STEPS_PER_ROUND = 10;
-    private static final long STEP_NANOS = ROUND_NANOS / STEPS_PER_ROUND;
+    private static final long STEP_NANOS = 50_000_000L;
+    private static final int FEWEST_STEPS_PER_ROUND = 10;
+    private static final int MOST_POLLS_PER_STEP = 3;
 
     private long mNextNanos;
     private boolean mStarted;
@@ -28,13 +33,19 @@
             List<EndpointName> watched, Configuration configuration, long nowNanos) {
         mStarted = true;
         mNextNanos = nowNanos + STEP_NANOS;
-        mStep = (mStep + 1) % STEPS_PER_ROUND;
+        int steps = stepsPerRound(watched.size());
+        mStep = (mStep + 1) % steps;
         List<InstanceAction> polls = new ArrayList<>();
-        for (int index = mStep; index < watched.size(); index += STEPS_PER_ROUND) {
+        for (int index = mStep; index < watched.size(); index += steps) {
             configuration
                     .endpoint(watched.get(index))
                     .ifPresent(endpoint -> polls.add(new InstanceAction.PollEndpoint(endpoint)));
         }
         return polls;
     }
+
+    private static int stepsPerRound(int watched) {
+        int neededSteps = (watched + MOST_POLLS_PER_STEP - 1) / MOST_POLLS_PER_STEP;
+        return Math.max(FEWEST_STEPS_PER_ROUND, neededSteps);
+    }
 }
