Send suspects only where the quarantine lets them

Cause: the executor asked whether a content is a suspect, but not where it may run, and never said that a content had completed. A poisonous content could reach a third endpoint before its second crash was confirmed, and innocent suspects were never cleared, so that they waited for room apart from each other.

Change: the crash watch tells where a content may run; a suspect is routed among those endpoints only and otherwise backs off. Completed contents are reported.

Conclusion: most refusals for lack of room came from suspects that nothing cleared.

--- a/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
@@ -77,6 +77,7 @@
         stage.endAttempt(attempt);
         stage.moveTo(StageStatus.DONE);
         mParts.router().ended(attempt, AttemptEnd.SUCCEEDED, turn.nowNanos());
+        mParts.crashes().completed(attempt, turn.nowNanos());
         turn.actions().addAll(mParts.crashes().ended(attempt, false, turn.nowNanos()));
         mParts.planner()
                 .observe(
--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.wasabilug.error.ErrorCode;
 import org.wasabilug.internal.deadline.WaitingCall;
 import org.wasabilug.internal.event.AttemptId;
@@ -10,6 +11,8 @@
 import org.wasabilug.internal.quarantine.Suspicion;
 import org.wasabilug.internal.routing.RoutingAnswer;
 import org.wasabilug.internal.routing.RoutingQuery;
+import org.wasabilug.model.Endpoint;
+import org.wasabilug.model.EndpointName;
 import org.wasabilug.model.PoolName;
 
 /** Sends waiting calls to endpoints that have room. */
@@ -73,7 +76,11 @@
 
     private boolean startWhereRoom(RequestRun run, StageRun stage, Suspicion suspicion, Turn turn) {
         RoutingQuery query = queryOf(run, stage, suspicion, turn);
-        if (routeWithoutAvoiding(query, turn) instanceof RoutingAnswer.Chosen chosen) {
+        RoutingAnswer answer =
+                suspicion == Suspicion.SUSPECT
+                        ? routeSuspect(run, stage, query, turn)
+                        : routeWithoutAvoiding(query, turn);
+        if (answer instanceof RoutingAnswer.Chosen chosen) {
             mParts.waiting().remove(run.id(), stage.stage().name());
             dispatch(run, stage, query, chosen, turn);
             return true;
@@ -105,15 +112,32 @@
         if (answer instanceof RoutingAnswer.Chosen || query.avoid().isEmpty()) {
             return answer;
         }
-        RoutingQuery relaxed =
-                new RoutingQuery(
-                        query.pool(),
-                        query.workspace(),
-                        query.prefixHashes(),
-                        Set.of(),
-                        query.remainingNanos(),
-                        query.suspect());
-        return mParts.router().route(relaxed, turn.nowNanos());
+        return mParts.router().route(avoiding(query, Set.of()), turn.nowNanos());
+    }
+
+    /** A suspect goes only where the quarantine lets it, be it an endpoint that failed before. */
+    private RoutingAnswer routeSuspect(
+            RequestRun run, StageRun stage, RoutingQuery query, Turn turn) {
+        Set<EndpointName> barred =
+                mParts.configuration().get().endpointsOf(stage.pool().name()).stream()
+                        .map(Endpoint::name)
+                        .filter(name -> !mayRunAt(run, name, turn))
+                        .collect(Collectors.toSet());
+        return mParts.router().route(avoiding(query, barred), turn.nowNanos());
+    }
+
+    private boolean mayRunAt(RequestRun run, EndpointName endpoint, Turn turn) {
+        return mParts.crashes().mayRunAt(run.fingerprint(), endpoint, turn.nowNanos());
+    }
+
+    private static RoutingQuery avoiding(RoutingQuery query, Set<EndpointName> avoid) {
+        return new RoutingQuery(
+                query.pool(),
+                query.workspace(),
+                query.prefixHashes(),
+                avoid,
+                query.remainingNanos(),
+                query.suspect());
     }
 
     private RoutingQuery queryOf(RequestRun run, StageRun stage, Suspicion suspicion, Turn turn) {
--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashQuarantine.java
@@ -99,17 +99,13 @@
     }
 
     /**
-     * Tells whether a content may be sent to an endpoint now; to be asked beside {@link #judge}.
+     * {@inheritDoc}
      *
      * <p>The suspects of one crash are spread over the other endpoints of the pool by rank, the
      * same way at every instance, so that the next crash tells them apart. A content waits while it
      * is not known whether a lost connection was its second crash.
-     *
-     * @param fingerprint hash of the content
-     * @param endpoint the endpoint
-     * @param nowNanos monotonic time, in nanoseconds
-     * @return true also for contents that are no suspects
      */
+    @Override
     public boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos) {
         Suspicion suspicion = judge(fingerprint, nowNanos);
         if (suspicion == Suspicion.CLEAN) {
@@ -159,13 +155,8 @@
         mRunning.put(attempt, new Running(fingerprint, endpoint, nowNanos));
     }
 
-    /**
-     * Notes that an attempt has its whole result; a content that completes crashes no endpoint. To
-     * be called before {@link #ended}.
-     *
-     * @param attempt the attempt
-     * @param nowNanos monotonic time, in nanoseconds
-     */
+    /** A content that completes crashes no endpoint. */
+    @Override
     public void completed(AttemptId attempt, long nowNanos) {
         Running running = mRunning.get(attempt);
         if (running == null || judge(running.fingerprint(), nowNanos) == Suspicion.CLEAN) {
--- a/core/src/main/java/org/wasabilug/internal/quarantine/CrashWatch.java
+++ b/core/src/main/java/org/wasabilug/internal/quarantine/CrashWatch.java
@@ -16,6 +16,16 @@
      */
     Suspicion judge(long fingerprint, long nowNanos);
 
+    /**
+     * Tells whether a content may be sent to an endpoint now; to be asked beside {@link #judge}.
+     *
+     * @param fingerprint hash of the content
+     * @param endpoint the endpoint
+     * @param nowNanos monotonic time, in nanoseconds
+     * @return true also for contents that are no suspects
+     */
+    boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos);
+
     /**
      * Notes an attempt that is being sent.
      *
@@ -26,6 +36,14 @@
      */
     void dispatched(AttemptId attempt, long fingerprint, EndpointName endpoint, long nowNanos);
 
+    /**
+     * Notes that an attempt has its whole result; to be called before {@link #ended}.
+     *
+     * @param attempt the attempt
+     * @param nowNanos monotonic time, in nanoseconds
+     */
+    void completed(AttemptId attempt, long nowNanos);
+
     /**
      * Notes the end of an attempt.
      *
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -56,13 +57,22 @@
     final FakeLedger mLedger = new FakeLedger();
     final FakeRouter mRouter = new FakeRouter();
     Suspicion mSuspicion = Suspicion.CLEAN;
+    final Set<EndpointName> mBarred = new HashSet<>();
+    final List<AttemptId> mCompleted = new ArrayList<>();
     final List<InstanceAction> mActions = new ArrayList<>();
     long mNowNanos;
     private final RequestExecutor mExecutor;
 
     ExecutorFixture() {
         Configuration configuration =
-                Configuration.empty().merge(List.of(workspace(), pool(true), pool(false)));
+                Configuration.empty()
+                        .merge(
+                                List.of(
+                                        workspace(),
+                                        pool(true),
+                                        pool(false),
+                                        versioned(endpoint(1, poolName(true))),
+                                        versioned(endpoint(2, poolName(true)))));
         mExecutor =
                 new RequestExecutor(
                         new ExecutionParts(
@@ -93,6 +103,19 @@
         return new VersionedObject(object.objectKey(), 1, Optional.of(object));
     }
 
+    static EndpointName endpointName(int number) {
+        return new EndpointName("rennes-" + number);
+    }
+
+    private static Endpoint endpoint(int number, PoolName pool) {
+        return Endpoint.builder()
+                .name(endpointName(number))
+                .pool(pool)
+                .failureDomain(new FailureDomainName("rennes"))
+                .address(URI.create("http://127.0.0.1:1"))
+                .build();
+    }
+
     static Stage repeatable(String name, String... after) {
         return stage(name, true, after);
     }
@@ -209,15 +232,10 @@
                 return new RoutingAnswer.NoRoom(2, "full");
             }
             mNext++;
-            return new RoutingAnswer.Chosen(
-                    Endpoint.builder()
-                            .name(new EndpointName("rennes-" + mNext))
-                            .pool(query.pool())
-                            .failureDomain(new FailureDomainName("rennes"))
-                            .address(URI.create("http://127.0.0.1:1"))
-                            .build(),
-                    2,
-                    "next in turn");
+            while (query.avoid().contains(endpointName(mNext))) {
+                mNext++;
+            }
+            return new RoutingAnswer.Chosen(endpoint(mNext, query.pool()), 2, "next in turn");
         }
 
         @Override
@@ -272,6 +290,16 @@
             return mSuspicion;
         }
 
+        @Override
+        public boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos) {
+            return !mBarred.contains(endpoint);
+        }
+
+        @Override
+        public void completed(AttemptId attempt, long nowNanos) {
+            mCompleted.add(attempt);
+        }
+
         @Override
         public void dispatched(
                 AttemptId attempt, long fingerprint, EndpointName endpoint, long nowNanos) {}
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -233,6 +233,26 @@
         assertThat(mFixture.refusal().orElseThrow().code()).isEqualTo(ErrorCode.QUARANTINED);
     }
 
+    @Test
+    void sendsASuspectOnlyWhereTheQuarantineLetsIt() {
+        mFixture.mSuspicion = Suspicion.SUSPECT;
+        mFixture.mBarred.add(ExecutorFixture.endpointName(1));
+
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+
+        assertThat(mFixture.lastCall().endpoint()).isEqualTo(ExecutorFixture.endpointName(2));
+    }
+
+    @Test
+    void tellsTheQuarantineThatAContentHasCompleted() {
+        mFixture.submit(request("r", NO_KEY, repeatable("generate")));
+        StageCall call = mFixture.lastCall();
+
+        mFixture.finish(call, "text");
+
+        assertThat(mFixture.mCompleted).containsExactly(call.attempt());
+    }
+
     @Test
     void releasesTheClaimOfAStageThatFoundNoRoom() {
         mFixture.mRouter.mHasRoom = false;
