Retry refusals for lack of room outside the retry budget

Cause: an endpoint that refuses a call for lack of room does no work, but each refusal used up an attempt and a share of the pool's retry budget. Requests with seconds left were given up. Change: such refusals are retried with growing delays while time is left.

--- a/core/src/main/java/org/wasabilug/internal/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/org/wasabilug/internal/retry/BudgetedRetryPolicy.java
@@ -8,7 +8,8 @@
  * Retries with growing, randomly spread delays under one budget for each pool.
  *
  * <p>Where every call fails, attempts are at most {@code 1 + earnedPerFirstAttempt} times the
- * requests, plus the reserve once.
+ * requests, plus the reserve once. Refusals for lack of room count as no attempt: they are retried
+ * with growing delays as long as time is left.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
     private static final int DELAY_GROWTH = 3;
@@ -39,14 +40,16 @@
         if (kind == FailureKind.REJECTED) {
             return new RetryAnswer.GiveUp("the endpoint rejected the call as wrong");
         }
-        if (failedAttempts >= mSettings.maximumAttempts()) {
+        // An endpoint without room did no work, so asking again costs no share of the budget.
+        boolean worked = kind != FailureKind.OVERLOADED;
+        if (worked && failedAttempts >= mSettings.maximumAttempts()) {
             return new RetryAnswer.GiveUp("too many attempts failed");
         }
         long delayNanos = delayNanos(failedAttempts);
         if (delayNanos >= remainingNanos) {
             return new RetryAnswer.GiveUp("too little time is left");
         }
-        if (!mBudget.trySpend(pool)) {
+        if (worked && !mBudget.trySpend(pool)) {
             return new RetryAnswer.GiveUp("the retry budget of the pool is used up");
         }
         return new RetryAnswer.RetryAfter(delayNanos);
--- a/core/src/test/java/org/wasabilug/internal/retry/BudgetedRetryPolicyTest.java
+++ b/core/src/test/java/org/wasabilug/internal/retry/BudgetedRetryPolicyTest.java
@@ -51,6 +51,14 @@
         }
     }
 
+    @Test
+    void retriesRefusalsForLackOfRoomWhileTimeIsLeft() {
+        for (int failed = 1; failed < 50; failed++) {
+            assertThat(decide(failed, FailureKind.OVERLOADED, SECOND_NANOS))
+                    .isInstanceOf(RetryAnswer.RetryAfter.class);
+        }
+    }
+
     @Test
     void neverRetriesRejectedCall() {
         assertThat(decide(1, FailureKind.REJECTED, SECOND_NANOS))
