Judge whether a call can still be in time by nearly all stage times

Cause: calls started up to the moment at which half of them would have made the deadline; under overload the other half was wasted work. Change: the latest start counts the 90th percentile of each stage left.

--- a/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
@@ -19,6 +19,7 @@
 public final class LearnedStagePlanner implements StagePlanner {
     private static final int MAXIMUM_PIPELINES = 256;
     private static final double TYPICAL = 0.5;
+    private static final double NEARLY_ALL = 0.9;
 
     private final Map<PipelineName, Map<StageName, DecayingHistogram>> mTimes =
             new LinkedHashMap<>(16, 0.75f, true) {
@@ -35,7 +36,7 @@
     @Override
     public long expectedNanos(Pipeline pipeline, Set<StageName> done) {
         long longest = 0;
-        Map<StageName, Long> paths = pathsFrom(pipeline);
+        Map<StageName, Long> paths = pathsFrom(pipeline, NEARLY_ALL);
         for (Stage stage : pipeline.stages()) {
             if (!done.contains(stage.name())) {
                 longest = Math.max(longest, paths.get(stage.name()));
@@ -49,7 +50,7 @@
         if (remainingNanos <= 0) {
             return 0;
         }
-        long whole = pathsFrom(pipeline).getOrDefault(stage, 0L);
+        long whole = pathsFrom(pipeline, TYPICAL).getOrDefault(stage, 0L);
         long own = percentileNanos(pipeline.name(), stage, TYPICAL);
         long later = whole - own;
         long leftOver = remainingNanos - later;
@@ -57,14 +58,14 @@
         return Math.clamp(Math.max(leftOver, proportional), 0, remainingNanos);
     }
 
-    /** Typical time of each stage with all that must follow it, along the longest path. */
-    private Map<StageName, Long> pathsFrom(Pipeline pipeline) {
+    /** A percentile of each stage's time with all that must follow it, along the longest path. */
+    private Map<StageName, Long> pathsFrom(Pipeline pipeline, double share) {
         Map<StageName, Long> laterPaths = new HashMap<>();
         Map<StageName, Long> paths = new HashMap<>();
         // Stages only read earlier ones, so one pass from the end sees every reader first.
         for (Stage stage : pipeline.stages().reversed()) {
             long path =
-                    percentileNanos(pipeline.name(), stage.name(), TYPICAL)
+                    percentileNanos(pipeline.name(), stage.name(), share)
                             + laterPaths.getOrDefault(stage.name(), 0L);
             paths.put(stage.name(), path);
             raise(laterPaths, stage.after(), path);
