Refuse before any work what later stages cannot take in time

Cause: under overload requests ran their short stages and were refused at the queue of the generators; that work was wasted. Change: a queue forecasts the wait of a workspace from the pace of its recent starts, and the longest wait of the stages ahead counts against the slack.

--- a/core/src/main/java/org/wasabilug/internal/deadline/PoolQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/PoolQueue.java
@@ -16,7 +16,7 @@
     private double mVirtualNanos;
     private WaitingCall mPeeked;
     private long mLastStartNanos;
-    private boolean mStarted;
+    private boolean mBacklogged;
     private double mDrainNanos;
 
     PoolQueue(QueueOrder order) {
@@ -75,22 +75,33 @@
         learnDrain(nowNanos);
     }
 
+    /** Learns the time between starts; only while calls waited does it tell the pool's pace. */
     private void learnDrain(long nowNanos) {
-        if (mStarted) {
+        if (mBacklogged) {
             mDrainNanos += DRAIN_SMOOTHING * (nowNanos - mLastStartNanos - mDrainNanos);
         }
-        mStarted = true;
+        mBacklogged = mSize > 0;
         mLastStartNanos = nowNanos;
     }
 
+    /** Time until a call of the workspace that came now would start. */
+    long expectedWaitNanos(WorkspaceName workspace) {
+        WorkspaceQueue queue = mQueues.get(mOrder.separatesWorkspaces() ? workspace : SHARED);
+        return queue == null ? 0 : (long) (queue.calls().size() * turnNanos());
+    }
+
+    private double turnNanos() {
+        long sharers = mQueues.values().stream().filter(queue -> !queue.isEmpty()).count();
+        return mDrainNanos * sharers;
+    }
+
     /** Call with the least chance, judged by its slack less the wait until its turn. */
     WaitingCall leastChance() {
         WorkspaceQueue longest =
                 mQueues.values().stream()
                         .max(Comparator.comparingDouble(WorkspaceQueue::relativeSize))
                         .orElseThrow();
-        long sharers = mQueues.values().stream().filter(queue -> !queue.isEmpty()).count();
-        double turnNanos = mDrainNanos * sharers;
+        double turnNanos = turnNanos();
         WaitingCall worst = longest.first();
         double worstMargin = Double.POSITIVE_INFINITY;
         int position = 0;
--- a/core/src/main/java/org/wasabilug/internal/deadline/SlackWaitingCalls.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/SlackWaitingCalls.java
@@ -10,6 +10,7 @@
 import org.wasabilug.model.PoolName;
 import org.wasabilug.model.RequestId;
 import org.wasabilug.model.StageName;
+import org.wasabilug.model.WorkspaceName;
 
 /** Waiting calls with a bounded queue for each pool. */
 public final class SlackWaitingCalls implements WaitingCalls {
@@ -88,6 +89,12 @@
         return List.copyOf(expired);
     }
 
+    @Override
+    public long expectedWaitNanos(PoolName pool, WorkspaceName workspace) {
+        PoolQueue queue = mPools.get(pool);
+        return queue == null ? 0 : queue.expectedWaitNanos(workspace);
+    }
+
     @Override
     public int size() {
         return mCalls.size();
--- a/core/src/main/java/org/wasabilug/internal/deadline/WaitingCalls.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/WaitingCalls.java
@@ -5,6 +5,7 @@
 import org.wasabilug.model.PoolName;
 import org.wasabilug.model.RequestId;
 import org.wasabilug.model.StageName;
+import org.wasabilug.model.WorkspaceName;
 
 /** Calls that wait for room, in the order in which they should start. Bounded. */
 public interface WaitingCalls {
@@ -41,6 +42,15 @@
      */
     List<WaitingCall> removeExpired(long nowNanos);
 
+    /**
+     * Forecasts how long a call that came now would wait, from the pace of recent starts.
+     *
+     * @param pool the pool
+     * @param workspace workspace of the call
+     * @return time in nanoseconds; 0 where none of the workspace's calls waits
+     */
+    long expectedWaitNanos(PoolName pool, WorkspaceName workspace);
+
     /**
      * How many calls wait.
      *
--- a/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
@@ -129,11 +129,24 @@
                 stage.pool().name(),
                 run.request().workspace(),
                 shareWeight(run),
-                run.deadlineNanos() - expected,
+                run.deadlineNanos() - expected - laterWaitNanos(run, stage),
                 run.deadlineNanos(),
                 expected);
     }
 
+    /** Longest wait ahead, so that a request which can't get through is refused before any work. */
+    private long laterWaitNanos(RequestRun run, StageRun current) {
+        return run.request().pipeline().stages().stream()
+                .filter(stage -> !stage.name().equals(current.stage().name()))
+                .filter(stage -> !run.doneStages().contains(stage.name()))
+                .mapToLong(
+                        stage ->
+                                mParts.waiting()
+                                        .expectedWaitNanos(stage.pool(), run.request().workspace()))
+                .max()
+                .orElse(0);
+    }
+
     private int shareWeight(RequestRun run) {
         return mParts.configuration()
                 .get()
--- a/core/src/test/java/org/wasabilug/internal/deadline/SlackWaitingCallsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/deadline/SlackWaitingCallsTest.java
@@ -55,6 +55,22 @@
                 .containsEntry(new QueueOrder.WeightedShares(), "short");
     }
 
+    @Test
+    void forecastsWaitFromPaceOfStartsWhileCallsWaited() {
+        SlackWaitingCalls calls = new SlackWaitingCalls(new QueueOrder.LeastSlack(), 1000);
+        for (int index = 0; index < 100; index++) {
+            calls.add(call("r" + index, "site", 1, index));
+        }
+        for (long nowNanos = 10; nowNanos <= 800; nowNanos += 10) {
+            WaitingCall next = calls.peek(POOL, nowNanos).orElseThrow();
+            calls.remove(next.request(), next.stage());
+        }
+
+        long forecastNanos = calls.expectedWaitNanos(POOL, workspace());
+
+        assertThat(forecastNanos).isBetween(190L, 200L);
+    }
+
     private static WorkspaceName workspace() {
         return new WorkspaceName("site");
     }
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -351,6 +351,11 @@
             return late;
         }
 
+        @Override
+        public long expectedWaitNanos(PoolName pool, WorkspaceName workspace) {
+            return 0;
+        }
+
         @Override
         public int size() {
             return mCalls.size();
