--- /dev/null
+++ b/bench/src/main/java/org/wasabilug/bench/BenchMain.java
@@ -0,0 +1,53 @@
+package org.wasabilug.bench;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Properties;
+import org.wasabilug.bench.internal.program.CommandInput;
+import org.wasabilug.bench.internal.program.CommandReader;
+import org.wasabilug.bench.internal.program.VirtualCommand;
+
+/** Runs experiments; see {@code --help}. */
+public final class BenchMain {
+    private static final int EXIT_DONE = 0;
+    private static final int EXIT_WRONG_SETTINGS = 2;
+    private static final String BUILD_PROPERTIES =
+            "/META-INF/maven/org.wasabilug/bench/pom.properties";
+
+    private BenchMain() {}
+
+    /**
+     * Runs the command.
+     *
+     * @param arguments subcommand and flags
+     */
+    public static void main(String[] arguments) {
+        switch (CommandReader.read(arguments, System.getenv(), buildVersion())) {
+            case CommandInput.Show show -> System.out.println(show.text());
+            case CommandInput.Invalid invalid -> {
+                invalid.findings().forEach(System.err::println);
+                System.exit(EXIT_WRONG_SETTINGS);
+            }
+            case CommandInput.Virtual virtual -> run(virtual);
+        }
+        System.exit(EXIT_DONE);
+    }
+
+    private static void run(CommandInput.Virtual virtual) {
+        VirtualCommand command = new VirtualCommand(virtual.settings(), System.out);
+        Runtime.getRuntime().addShutdownHook(new Thread(command::interrupt, "stop"));
+        command.run();
+    }
+
+    private static String buildVersion() {
+        Properties properties = new Properties();
+        try (InputStream stream = BenchMain.class.getResourceAsStream(BUILD_PROPERTIES)) {
+            if (stream != null) {
+                properties.load(stream);
+            }
+        } catch (IOException exception) {
+            return "of an unreadable build: " + exception.getMessage();
+        }
+        return properties.getProperty("version", "of an unpackaged build");
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabilug/bench/internal/program/package-info.java
@@ -0,0 +1,2 @@
+/** Settings and commands of the program {@code wasabilug-bench}. */
+package org.wasabilug.bench.internal.program;
--- a/bench/src/main/java/org/wasabilug/bench/package-info.java
+++ b/bench/src/main/java/org/wasabilug/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Load, experiments and reports: the program {@code wasabilug-bench}. */
 package org.wasabilug.bench;
--- /dev/null
+++ b/bench/src/test/java/org/wasabilug/bench/internal/program/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the program's settings and commands. */
+package org.wasabilug.bench.internal.program;
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/FakeEndpoint.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/FakeEndpoint.java
@@ -193,7 +193,17 @@
     private long scaled(long nanos) {
         double load = mRuns.size() / (double) mConfiguration.concurrencyLimit();
         double cold = isCold() ? mProfile.coldFactor() : 1;
-        return (long) (nanos * mSlowFactor * cold * (1 + FULL_LOAD_SLOWDOWN * load));
+        return (long) (nanos * mSlowFactor * cold * slowdown(load));
+    }
+
+    /**
+     * How much slower calls run beside others.
+     *
+     * @param load calls in flight over the concurrency limit
+     * @return the factor; 1 where nothing runs
+     */
+    public static double slowdown(double load) {
+        return 1 + FULL_LOAD_SLOWDOWN * load;
     }
 
     private void crashIfRunning(Run run) {
