Hand events to the membership last

Cause: the membership tells peers what the parts before it changed; ticket acceptance came after the feed. Change: acceptance, then feed, then membership. Conclusion: news of an event leave with the same event.

--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
@@ -53,8 +53,9 @@
         actions.addAll(mParts.lease().handle(event, nowNanos));
         actions.addAll(mParts.grants().handle(event, nowNanos));
         actions.addAll(mParts.orders().handle(event, nowNanos));
-        actions.addAll(mParts.feed().handle(event, nowNanos).actions());
         actions.addAll(mParts.tickets().handle(event, nowNanos));
+        actions.addAll(mParts.feed().handle(event, nowNanos).actions());
+        // Last, since it tells peers what the parts before it have changed.
         actions.addAll(mParts.membership().handle(event, nowNanos));
     }
 
