Put accepted tickets in force before their feed rows are read

Cause: the instance that got a ticket accepted went on with the old configuration until its next read of the feed. Where the platform went down in between, no instance knew of the ticket until the platform was back, although one of them had answered that it was accepted.

Change: the accepted ticket's objects are merged at once, and peers are told of them as of any other change.

--- a/core/src/main/java/org/wasabilug/internal/feed/ConfigurationFeed.java
+++ b/core/src/main/java/org/wasabilug/internal/feed/ConfigurationFeed.java
@@ -1,6 +1,7 @@
 package org.wasabilug.internal.feed;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -13,6 +14,7 @@
 import org.wasabilug.internal.ticket.ConfigurationView;
 import org.wasabilug.port.ObjectOutcome;
 import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.port.VersionedObject;
 
 /**
  * Brings accepted tickets from the platform into force at one instance.
@@ -174,6 +176,11 @@
         return mFollower.sequence();
     }
 
+    @Override
+    public void accepted(Collection<VersionedObject> objects) {
+        mState.merge(objects);
+    }
+
     /**
      * Time since the configuration was last known to be the platform's newest.
      *
--- a/core/src/main/java/org/wasabilug/internal/ticket/ConfigurationView.java
+++ b/core/src/main/java/org/wasabilug/internal/ticket/ConfigurationView.java
@@ -1,6 +1,8 @@
 package org.wasabilug.internal.ticket;
 
+import java.util.Collection;
 import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.port.VersionedObject;
 
 /** Where acceptance starts from when it works out the configuration that a ticket changes. */
 public interface ConfigurationView {
@@ -17,4 +19,11 @@
      * @return its sequence; 0 where none has been applied
      */
     long sequence();
+
+    /**
+     * Takes the objects of an accepted ticket, which may come before its feed entry.
+     *
+     * @param objects objects with their tickets
+     */
+    void accepted(Collection<VersionedObject> objects);
 }
--- a/core/src/main/java/org/wasabilug/internal/ticket/Submission.java
+++ b/core/src/main/java/org/wasabilug/internal/ticket/Submission.java
@@ -108,6 +108,7 @@
         if (!mTransactions.isSame(accepted)) {
             return answer(new TicketAnswer.Conflict());
         }
+        takeEffect();
         return answer(
                 mCommit == null
                         ? new TicketAnswer.AlreadyAccepted(accepted.sequence())
@@ -155,8 +156,10 @@
 
     SubmissionStep onCommit(CommitOutcome outcome) {
         return switch (outcome) {
-            case CommitOutcome.Committed committed ->
-                    answer(new TicketAnswer.Accepted(headSequence() + 1));
+            case CommitOutcome.Committed committed -> {
+                takeEffect();
+                yield answer(new TicketAnswer.Accepted(headSequence() + 1));
+            }
             case CommitOutcome.Rejected rejected -> {
                 mPhase = Phase.READING_ROWS;
                 yield proceed();
@@ -170,6 +173,11 @@
         };
     }
 
+    /** The platform may be away before its feed has been read, so peers hear of it from here. */
+    private void takeEffect() {
+        mView.accepted(TicketCodec.objectsOf(mTicket));
+    }
+
     private SubmissionStep onTicketRow(List<Row> rows) {
         if (!rows.isEmpty()) {
             return settled(rows.getFirst());
--- a/core/src/test/java/org/wasabilug/internal/ticket/TicketAcceptanceTest.java
+++ b/core/src/test/java/org/wasabilug/internal/ticket/TicketAcceptanceTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -32,10 +34,11 @@
 
     private final TicketAcceptance mAcceptance =
             new TicketAcceptance(new EmptyView(), RandomSource.SPLIT_MIX_64.create(1));
+    private final List<VersionedObject> mAccepted = new ArrayList<>();
     private long mNowNanos;
 
     /** A view that has applied nothing yet. */
-    private record EmptyView() implements ConfigurationView {
+    private final class EmptyView implements ConfigurationView {
         @Override
         public Configuration configuration() {
             return Configuration.empty();
@@ -45,6 +48,11 @@
         public long sequence() {
             return 0;
         }
+
+        @Override
+        public void accepted(Collection<VersionedObject> objects) {
+            mAccepted.addAll(objects);
+        }
     }
 
     private static ChangeTicket ticket(long number, Pool pool) {
@@ -99,6 +107,16 @@
                 .containsExactly(answered(new TicketAnswer.Superseded(KEY, 9)));
     }
 
+    @Test
+    void putsAnAcceptedTicketInForceBeforeItsFeedRowIsRead() {
+        ChangeTicket ticket = ticket(7, POOL);
+        InstanceAction commit = answerRead(submit(ticket)).getFirst();
+
+        answerCommit(commit, new CommitOutcome.Committed());
+
+        assertThat(mAccepted).isEqualTo(TicketCodec.objectsOf(ticket));
+    }
+
     @Test
     void tellsRepeatedTicketsFromThoseThatUseNumbersAgain() {
         ChangeTicket ticket = ticket(7, POOL);
