Read the instance list at the start and soon after an outage

Cause: the first read waited for up to 1.5 s, and pauses after failures grew to 10 s. A restarted instance sent work to endpoints that had been leaving for long; after an outage the list was read later than the 3 s that LEAVING allows.

Change: the first read goes out at once; pauses grow to 2 s, which is the longest interval between reads in usual times.

Reads of the list during an outage stay below those of usual times.

Conclusion: the list service gets no more reads in an outage than without one.

--- a/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/InstanceListReader.java
@@ -13,9 +13,8 @@
     private static final long LONGEST_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long INTERVAL_PER_INSTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long ANSWER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(15);
-    private static final long START_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int JITTER_PARTS = 5;
-    private static final long LONGEST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long LONGEST_PAUSE_NANOS = LONGEST_INTERVAL_NANOS;
 
     private final UniformRandomProvider mRandom;
     private boolean mWaiting;
@@ -29,12 +28,14 @@
         mRandom = random;
     }
 
-    /** The read that is due now, if one is; at the start a wake-up for the first one. */
+    /**
+     * The read that is due now, if one is. The first goes out at once, since an instance that has
+     * just started would otherwise send work to endpoints that are leaving.
+     */
     Optional<InstanceAction> onTime(long nowNanos) {
         if (!mStarted) {
             mStarted = true;
-            mNextNanos = nowNanos + mRandom.nextLong(START_SPREAD_NANOS);
-            return Optional.of(new InstanceAction.WakeAt(mNextNanos));
+            mNextNanos = nowNanos;
         }
         if (nowNanos - mNextNanos < 0) {
             return Optional.empty();
