Count cancelled calls and bound calls at cold endpoints

Cause: a cancelled call counted as ended at once, although its endpoint runs it until the cancellation arrives; the next call under the same slot could exceed the cold limit. Calls at cold endpoints were not bound by the longest call, which whoever takes a slot over waits for.

Change: a cancelled call counts against the slots for 1 s or until its end is known. Calls to endpoints that are not proven warm get at most the longest call.

Conclusion: a little room at cold endpoints is given up for the limit.

--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -172,7 +172,10 @@
         stage.beginAttempt(attempt, endpoint.name(), turn.nowNanos());
         mParts.router().dispatched(attempt, endpoint.name(), query, turn.nowNanos());
         mParts.crashes().dispatched(attempt, run.fingerprint(), endpoint.name(), turn.nowNanos());
-        long timeout = timeoutNanos(run, stage, query, turn);
+        long timeout =
+                Math.min(
+                        timeoutNanos(run, stage, query, turn),
+                        mParts.coldStart().longestCallNanos(endpoint.name(), turn.nowNanos()));
         if (stage.isRepeatable()) {
             mTable.timers()
                     .schedule(turn.nowNanos() + timeout, new TimerPurpose.AttemptTimeout(attempt));
--- a/core/src/main/java/org/wasabilug/internal/execution/ExecutionParts.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/ExecutionParts.java
@@ -4,6 +4,7 @@
 import org.wasabilug.internal.configuration.Configuration;
 import org.wasabilug.internal.deadline.StagePlanner;
 import org.wasabilug.internal.deadline.WaitingCalls;
+import org.wasabilug.internal.grant.ColdStartGate;
 import org.wasabilug.internal.ledger.AtMostOnceLedger;
 import org.wasabilug.internal.limit.WorkspaceAdmission;
 import org.wasabilug.internal.quarantine.CrashWatch;
@@ -21,6 +22,7 @@
  * @param retries decides on retries
  * @param ledger claims of stages that may not be repeated
  * @param crashes ties crashes to content
+ * @param coldStart bounds calls at endpoints in cold start
  */
 public record ExecutionParts(
         Supplier<Configuration> configuration,
@@ -30,4 +32,5 @@
         WaitingCalls waiting,
         RetryPolicy retries,
         AtMostOnceLedger ledger,
-        CrashWatch crashes) {}
+        CrashWatch crashes,
+        ColdStartGate coldStart) {}
--- a/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrants.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrants.java
@@ -28,6 +28,7 @@
     private static final int MAXIMUM_DOUBLINGS = 3;
 
     private final ToIntFunction<EndpointName> mCallsInFlight;
+    private final ToIntFunction<EndpointName> mCancelledCalls;
     private final GrantSettings mSettings;
     private final HeldLease mLease;
     private final UniformRandomProvider mRandom;
@@ -38,6 +39,7 @@
 
     ColdStartGrants(ColdStartGrantsBuilder builder) {
         mCallsInFlight = builder.mCallsInFlight;
+        mCancelledCalls = builder.mCancelledCalls;
         mSettings = builder.mSettings;
         mLease = builder.mLease;
         mRandom = builder.mRandom;
@@ -65,16 +67,13 @@
         if (!mLease.isHeld(nowNanos) || slots.mWarmth.isQuiet(nowNanos)) {
             return 0;
         }
-        return slots.usable(mLease.epoch(), endpoint.coldLimit());
+        int usable = slots.usable(mLease.epoch(), endpoint.coldLimit());
+        return Math.max(0, usable - mCancelledCalls.applyAsInt(endpoint.name()));
     }
 
-    /**
-     * Longest time that an attempt at a cold endpoint may take; whoever dispatches cancels it then.
-     *
-     * @return nanoseconds
-     */
-    public long longestCallNanos() {
-        return mSettings.longestCall().toNanos();
+    @Override
+    public long longestCallNanos(EndpointName endpoint, long nowNanos) {
+        return isWarm(endpoint, nowNanos) ? Long.MAX_VALUE : mSettings.longestCall().toNanos();
     }
 
     /**
--- a/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrantsBuilder.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrantsBuilder.java
@@ -10,6 +10,7 @@
     HeldLease mLease;
     UniformRandomProvider mRandom;
     ToIntFunction<EndpointName> mCallsInFlight;
+    ToIntFunction<EndpointName> mCancelledCalls = endpoint -> 0;
     GrantSettings mSettings = GrantSettings.DEFAULT;
 
     ColdStartGrantsBuilder() {}
@@ -47,6 +48,17 @@
         return this;
     }
 
+    /**
+     * Sets what counts the cancelled calls that an endpoint may still be running.
+     *
+     * @param value the count; none without this setting
+     * @return this builder
+     */
+    public ColdStartGrantsBuilder cancelledCalls(ToIntFunction<EndpointName> value) {
+        mCancelledCalls = value;
+        return this;
+    }
+
     /**
      * Sets the times of slots.
      *
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
@@ -36,6 +36,7 @@
     public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
         List<InstanceAction> actions = new ArrayList<>();
         mWakes.passed(nowNanos);
+        mAttempts.timePassed(nowNanos);
         takeControlEvent(event, nowNanos, actions);
         learn(event, nowNanos, actions);
         if (event instanceof InstanceEvent.TimePassed) {
@@ -129,7 +130,7 @@
 
     private void execute(InstanceEvent event, long nowNanos, List<InstanceAction> actions) {
         List<InstanceAction> executed = mParts.executor().handle(event, nowNanos);
-        mAttempts.noteActions(executed);
+        mAttempts.noteActions(executed, nowNanos);
         mDemand.noteActions(executed, mKnown);
         for (InstanceAction action : executed) {
             if (action instanceof InstanceAction.FinishStop) {
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
@@ -56,6 +56,7 @@
                         .lease(mLease)
                         .random(mRandom)
                         .callsInFlight(attempts::countAt)
+                        .cancelledCalls(attempts::cancelledAt)
                         .build();
         mLedger = new TableLedger(incarnation, mRandom, LedgerSettings.DEFAULT);
         mQuarantine = new CrashQuarantine(QuarantineSettings.DEFAULT);
@@ -99,7 +100,8 @@
                         mWaiting,
                         new BudgetedRetryPolicy(RetrySettings.builder().build(), mRandom),
                         mLedger,
-                        mQuarantine));
+                        mQuarantine,
+                        mGrants));
     }
 
     Configuration configuration() {
--- a/core/src/main/java/org/wasabilug/internal/instance/RunningAttempts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/RunningAttempts.java
@@ -1,5 +1,7 @@
 package org.wasabilug.internal.instance;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,27 +11,61 @@
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.model.EndpointName;
 
-/** Knows where each running attempt was sent, and how many run at each endpoint. */
+/**
+ * Knows where each running attempt was sent, and how many run at each endpoint. A cancelled attempt
+ * counts until its end is known or its cancellation must have arrived.
+ */
 final class RunningAttempts {
+    private static final long CANCELLATION_NANOS = 1_000_000_000L;
+
     private final Map<AttemptId, EndpointName> mEndpoints = new HashMap<>();
     private final Map<EndpointName, Integer> mCounts = new HashMap<>();
+    private final Map<EndpointName, Integer> mCancelledCounts = new HashMap<>();
+    private final Deque<Cancelled> mCancelled = new ArrayDeque<>();
+
+    private record Cancelled(AttemptId attempt, EndpointName endpoint, long untilNanos) {}
 
-    /** Calls of this instance in flight at an endpoint. */
+    /** Calls of this instance in flight at an endpoint, cancelled ones included. */
     int countAt(EndpointName endpoint) {
         return mCounts.getOrDefault(endpoint, 0);
     }
 
-    void noteActions(List<InstanceAction> actions) {
+    /** Cancelled calls that the endpoint may still be running. */
+    int cancelledAt(EndpointName endpoint) {
+        return mCancelledCounts.getOrDefault(endpoint, 0);
+    }
+
+    void noteActions(List<InstanceAction> actions, long nowNanos) {
         for (InstanceAction action : actions) {
             if (action instanceof InstanceAction.Dispatch dispatch) {
                 mEndpoints.put(dispatch.call().attempt(), dispatch.call().endpoint());
-                mCounts.merge(dispatch.call().endpoint(), 1, Integer::sum);
+                add(mCounts, dispatch.call().endpoint());
             } else if (action instanceof InstanceAction.CancelAttempt cancel) {
-                endOf(cancel.attempt());
+                noteCancelled(cancel.attempt(), nowNanos);
             }
         }
     }
 
+    private void noteCancelled(AttemptId attempt, long nowNanos) {
+        EndpointName endpoint = mEndpoints.remove(attempt);
+        if (endpoint != null) {
+            mCancelled.add(new Cancelled(attempt, endpoint, nowNanos + CANCELLATION_NANOS));
+            add(mCancelledCounts, endpoint);
+        }
+    }
+
+    /** Counts those cancelled attempts no longer whose cancellation must have arrived. */
+    void timePassed(long nowNanos) {
+        while (!mCancelled.isEmpty() && mCancelled.peek().untilNanos() <= nowNanos) {
+            forget(mCancelled.remove());
+        }
+    }
+
+    private void forget(Cancelled cancelled) {
+        remove(mCancelledCounts, cancelled.endpoint());
+        remove(mCounts, cancelled.endpoint());
+    }
+
     /** The endpoint whose connection failed, where the event says that one did. */
     Optional<EndpointName> lostEndpoint(InstanceEvent event) {
         if (event instanceof InstanceEvent.StageFailed failed) {
@@ -48,8 +84,16 @@
     private Optional<EndpointName> endOf(AttemptId attempt) {
         EndpointName endpoint = mEndpoints.remove(attempt);
         if (endpoint != null) {
-            mCounts.computeIfPresent(endpoint, (name, count) -> count == 1 ? null : count - 1);
+            remove(mCounts, endpoint);
         }
         return Optional.ofNullable(endpoint);
     }
+
+    private static void add(Map<EndpointName, Integer> counts, EndpointName endpoint) {
+        counts.merge(endpoint, 1, Integer::sum);
+    }
+
+    private static void remove(Map<EndpointName, Integer> counts, EndpointName endpoint) {
+        counts.computeIfPresent(endpoint, (name, count) -> count == 1 ? null : count - 1);
+    }
 }
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -18,6 +18,7 @@
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.internal.grant.ColdStartGate;
 import org.wasabilug.internal.ledger.AtMostOnceLedger;
 import org.wasabilug.internal.ledger.ClaimOutcome;
 import org.wasabilug.internal.ledger.LedgerStep;
@@ -57,6 +58,7 @@
     final FakeLedger mLedger = new FakeLedger();
     final FakeRouter mRouter = new FakeRouter();
     Suspicion mSuspicion = Suspicion.CLEAN;
+    long mLongestCallNanos = Long.MAX_VALUE;
     final Set<EndpointName> mBarred = new HashSet<>();
     final List<AttemptId> mCompleted = new ArrayList<>();
     final List<InstanceAction> mActions = new ArrayList<>();
@@ -83,7 +85,8 @@
                                 new FirstComeFirstServed(),
                                 new RetryTwice(),
                                 mLedger,
-                                new FixedSuspicion()));
+                                new FixedSuspicion(),
+                                new NarrowGate()));
     }
 
     private static VersionedObject workspace() {
@@ -310,6 +313,18 @@
         }
     }
 
+    private final class NarrowGate implements ColdStartGate {
+        @Override
+        public int allowance(Endpoint endpoint, long nowNanos) {
+            return UNLIMITED;
+        }
+
+        @Override
+        public long longestCallNanos(EndpointName endpoint, long nowNanos) {
+            return mLongestCallNanos;
+        }
+    }
+
     private static final class OpenAdmission implements WorkspaceAdmission {
         @Override
         public AdmissionAnswer admit(Workspace workspace, long nowNanos) {
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -253,6 +253,15 @@
         assertThat(mFixture.mCompleted).containsExactly(call.attempt());
     }
 
+    @Test
+    void boundsCallsAtEndpointsInColdStart() {
+        mFixture.mLongestCallNanos = 1_000 * ExecutorFixture.MILLISECOND_NANOS;
+
+        mFixture.submit(request("r", KEY, once("transfer")));
+
+        assertThat(mFixture.lastCall().timeoutNanos()).isEqualTo(mFixture.mLongestCallNanos);
+    }
+
     @Test
     void releasesTheClaimOfAStageThatFoundNoRoom() {
         mFixture.mRouter.mHasRoom = false;
