Describe failures and invariants in a scenario language

Cause: What must always hold was checked under random faults only; nobody could write down one situation and repeat it.

Change: Gherkin steps in the words of operators drive a fleet of real decision cores in virtual time. The list lag of the fake platform can be set, and a fleet tells its newest ticket.

--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/FakePlatform.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fake/FakePlatform.java
@@ -24,7 +24,7 @@
     private final FakeTable mTable = new FakeTable();
     private final Map<String, String> mObjects = new HashMap<>();
     private final PlatformFaults mFaults = new PlatformFaults();
-    private final long mListLagNanos;
+    private long mListLagNanos;
     private List<ListedInstance> mListed = List.of();
     private long mReads;
     private long mWrites;
@@ -76,6 +76,24 @@
         return mReads;
     }
 
+    /**
+     * How late the instance list shows a change.
+     *
+     * @return the lag, in nanoseconds
+     */
+    public long listLagNanos() {
+        return mListLagNanos;
+    }
+
+    /**
+     * Sets how late the instance list shows the changes to come.
+     *
+     * @param nanos the lag, in nanoseconds
+     */
+    public void setListLagNanos(long nanos) {
+        mListLagNanos = nanos;
+    }
+
     /**
      * Changes the instance list, which shows the change after its lag.
      *
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Fleet.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/fleet/Fleet.java
@@ -173,7 +173,8 @@
     public void listAsLeaving(EndpointName name) {
         mLeaving.put(name, true);
         publishList();
-        mClock.after(LIST_LAG_NANOS, () -> mHistory.add(new HistoryEvent.ListedLeaving(name)));
+        mClock.after(
+                mPlatform.listLagNanos(), () -> mHistory.add(new HistoryEvent.ListedLeaving(name)));
     }
 
     private void publishList() {
@@ -217,6 +218,15 @@
         return mLastTicket;
     }
 
+    /**
+     * Number of the newest ticket that was submitted.
+     *
+     * @return the number
+     */
+    public long lastTicket() {
+        return mLastTicket;
+    }
+
     /**
      * Submits a ticket with a number of the operator's choice.
      *
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/DisturbedParts.java
@@ -0,0 +1,29 @@
+package org.wasabilug.scenarios.internal.language;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wasabilug.scenarios.internal.fleet.Fleet;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** Remembers how to end each failure that a scenario began. */
+final class DisturbedParts {
+    private final Fleet mFleet;
+    private final List<Runnable> mRepairs = new ArrayList<>();
+
+    DisturbedParts(Fleet fleet) {
+        mFleet = fleet;
+    }
+
+    void begin(String what, Runnable failure, Runnable repair) {
+        mFleet.history().add(new HistoryEvent.Disturbance(what));
+        failure.run();
+        mRepairs.add(repair);
+    }
+
+    void endAll() {
+        mFleet.history().add(new HistoryEvent.Disturbance("every failure ends"));
+        List<Runnable> repairs = List.copyOf(mRepairs);
+        mRepairs.clear();
+        repairs.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/EndpointSteps.java
@@ -0,0 +1,93 @@
+package org.wasabilug.scenarios.internal.language;
+
+import io.cucumber.java.en.When;
+import java.util.List;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.PoolName;
+import org.wasabilug.scenarios.internal.fake.FakeEndpoint;
+
+/** Steps in which endpoints slow down, fail, turn cold and leave. */
+public final class EndpointSteps {
+    /** Creates the steps. */
+    public EndpointSteps() {}
+
+    private static ScenarioWorld world() {
+        return CurrentScenario.world();
+    }
+
+    /**
+     * Slows an endpoint until every failure ends.
+     *
+     * @param name name of the endpoint
+     * @param factor how many times slower
+     */
+    @When("endpoint {word} is {int} times slower")
+    public void slowEndpoint(String name, int factor) {
+        slow(name, List.of(world().endpoint(name)), factor);
+    }
+
+    /**
+     * Slows every endpoint of a pool until every failure ends.
+     *
+     * @param pool name of the pool
+     * @param factor how many times slower
+     */
+    @When("every endpoint of pool {word} is {int} times slower")
+    public void slowPool(String pool, int factor) {
+        slow(pool, endpointsOf(pool), factor);
+    }
+
+    private static List<FakeEndpoint> endpointsOf(String pool) {
+        PoolName name = new PoolName(pool);
+        if (!world().shape().profiles().containsKey(name)) {
+            throw LanguageReporter.unknown("pool", pool, world().shape().profiles().keySet());
+        }
+        return world().fleet().endpoints().stream()
+                .filter(each -> each.configuration().pool().equals(name))
+                .toList();
+    }
+
+    private static void slow(String what, List<FakeEndpoint> endpoints, int factor) {
+        world().disturbed()
+                .begin(
+                        what + " " + factor + " times slower",
+                        () -> endpoints.forEach(each -> each.setSlowFactor(factor)),
+                        () -> endpoints.forEach(each -> each.setSlowFactor(1)));
+    }
+
+    /**
+     * Makes every call at an endpoint fail until every failure ends.
+     *
+     * @param name name of the endpoint
+     */
+    @When("endpoint {word} fails every call")
+    public void fail(String name) {
+        FakeEndpoint endpoint = world().endpoint(name);
+        world().disturbed()
+                .begin(
+                        name + " fails every call",
+                        () -> endpoint.setFailing(true),
+                        () -> endpoint.setFailing(false));
+    }
+
+    /**
+     * Turns an endpoint cold without warning.
+     *
+     * @param name name of the endpoint
+     */
+    @When("endpoint {word} turns cold")
+    public void turnCold(String name) {
+        world().endpoint(name).turnCold();
+    }
+
+    /**
+     * Shows an endpoint as leaving in the platform's list.
+     *
+     * @param name name of the endpoint
+     */
+    @When("endpoint {word} is leaving")
+    public void leave(String name) {
+        EndpointName endpoint = world().endpoint(name).configuration().name();
+        world().fleet().listAsLeaving(endpoint);
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/OperatorSteps.java
@@ -0,0 +1,63 @@
+package org.wasabilug.scenarios.internal.language;
+
+import io.cucumber.java.en.When;
+import java.util.List;
+import org.wasabilug.model.ConfigurationObject;
+import org.wasabilug.model.Workspace;
+import org.wasabilug.scenarios.internal.fleet.InstanceLife;
+
+/** Steps in which operators change the configuration. */
+public final class OperatorSteps {
+    private static final int FIRST_LIMIT = 1_000;
+    private static final int SECOND_LIMIT = 2_000;
+
+    /** Creates the steps. */
+    public OperatorSteps() {}
+
+    private static ScenarioWorld world() {
+        return CurrentScenario.world();
+    }
+
+    /**
+     * Takes a failure domain out.
+     *
+     * @param name name of the failure domain
+     */
+    @When("failure domain {word} is taken out")
+    public void takeOut(String name) {
+        world().fleet().moveDomain(world().domain(name), true);
+    }
+
+    /**
+     * Brings a failure domain back.
+     *
+     * @param name name of the failure domain
+     */
+    @When("failure domain {word} is brought back")
+    public void bringBack(String name) {
+        world().fleet().moveDomain(world().domain(name), false);
+    }
+
+    /** Lets an operator change a workspace. */
+    @When("an operator changes a workspace")
+    public void changeWorkspace() {
+        world().fleet().submitTicket(runningInstances().getFirst(), change(FIRST_LIMIT));
+    }
+
+    /** Lets two operators change the same workspace at two instances at once. */
+    @When("two operators race with changes of the same workspace")
+    public void race() {
+        List<InstanceLife> running = runningInstances();
+        world().fleet().submitTicket(running.getLast(), change(FIRST_LIMIT));
+        world().fleet().submitTicket(running.getFirst(), change(SECOND_LIMIT));
+    }
+
+    private static List<InstanceLife> runningInstances() {
+        return world().fleet().instances().stream().filter(InstanceLife::isAlive).toList();
+    }
+
+    private static List<ConfigurationObject> change(int limit) {
+        Workspace workspace = world().shape().workspaces().getFirst();
+        return List.of(workspace.toBuilder().concurrentRequests(limit).build());
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/PlatformSteps.java
@@ -0,0 +1,177 @@
+package org.wasabilug.scenarios.internal.language;
+
+import io.cucumber.java.en.When;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.fake.PlatformFaults;
+import org.wasabilug.scenarios.internal.fleet.Fleet;
+import org.wasabilug.scenarios.internal.history.HistoryEvent;
+
+/** Steps in which the platform and the network fail. */
+public final class PlatformSteps {
+    private static final long LATE_COMMIT_MILLISECONDS = 2_500;
+    private static final long PLATFORM_TIMEOUT_MILLISECONDS = 1_000;
+
+    /** Creates the steps. */
+    public PlatformSteps() {}
+
+    private static ScenarioWorld world() {
+        return CurrentScenario.world();
+    }
+
+    private static PlatformFaults faults() {
+        return world().fleet().platform().faults();
+    }
+
+    /** Switches the platform off until every failure ends. */
+    @When("the platform goes down")
+    public void platformDown() {
+        PlatformFaults faults = faults();
+        Fleet fleet = world().fleet();
+        world().disturbed()
+                .begin(
+                        "platform down",
+                        () -> setPlatform(fleet, faults, true),
+                        () -> setPlatform(fleet, faults, false));
+    }
+
+    private static void setPlatform(Fleet fleet, PlatformFaults faults, boolean down) {
+        faults.setDown(down);
+        noteEverywhere(fleet, down);
+    }
+
+    private static void noteEverywhere(Fleet fleet, boolean cut) {
+        fleet.instances()
+                .forEach(
+                        life ->
+                                fleet.history()
+                                        .add(new HistoryEvent.PlatformCut(life.name(), cut)));
+    }
+
+    /**
+     * Slows the platform until every failure ends.
+     *
+     * @param milliseconds extra time of each answer
+     */
+    @When("the platform answers {int} milliseconds late")
+    public void platformSlow(int milliseconds) {
+        delay(milliseconds);
+    }
+
+    /** Makes commits take effect after their callers gave up, until every failure ends. */
+    @When("the platform commits after its callers gave up")
+    public void lateCommits() {
+        delay(LATE_COMMIT_MILLISECONDS);
+    }
+
+    private static void delay(long milliseconds) {
+        PlatformFaults faults = faults();
+        Fleet fleet = world().fleet();
+        boolean unusable = milliseconds >= PLATFORM_TIMEOUT_MILLISECONDS;
+        world().disturbed()
+                .begin(
+                        "platform answers " + milliseconds + " ms late",
+                        () -> {
+                            faults.setDelayNanos(milliseconds * VirtualClock.MILLISECOND_NANOS);
+                            noteEverywhere(fleet, unusable);
+                        },
+                        () -> {
+                            faults.setDelayNanos(0);
+                            noteEverywhere(fleet, false);
+                        });
+    }
+
+    /**
+     * Loses answers of writes that took effect.
+     *
+     * @param count how many
+     */
+    @When("the platform loses the next {int} answers")
+    public void loseAnswers(int count) {
+        PlatformFaults faults = faults();
+        world().disturbed()
+                .begin(
+                        "platform loses " + count + " answers",
+                        () -> faults.loseNextAnswers(count),
+                        () -> faults.loseNextAnswers(0));
+    }
+
+    /**
+     * Cuts one instance off from the platform until every failure ends.
+     *
+     * @param name name of the instance
+     */
+    @When("instance {word} is cut off from the platform")
+    public void cutFromPlatform(String name) {
+        cutFromPlatform(world().instance(name));
+    }
+
+    /**
+     * Cuts the instances of a failure domain off from the platform until every failure ends.
+     *
+     * @param name name of the failure domain
+     */
+    @When("failure domain {word} is cut off from the platform")
+    public void cutDomainFromPlatform(String name) {
+        FailureDomainName domain = world().domain(name);
+        world().shape()
+                .instances()
+                .forEach(
+                        (instance, home) -> {
+                            if (home.equals(domain)) {
+                                cutFromPlatform(instance);
+                            }
+                        });
+    }
+
+    private static void cutFromPlatform(InstanceName instance) {
+        PlatformFaults faults = faults();
+        Fleet fleet = world().fleet();
+        world().disturbed()
+                .begin(
+                        instance + " cut off from the platform",
+                        () -> setCutOff(fleet, faults, instance, true),
+                        () -> setCutOff(fleet, faults, instance, false));
+    }
+
+    private static void setCutOff(
+            Fleet fleet, PlatformFaults faults, InstanceName instance, boolean cut) {
+        faults.setCutOff(instance, cut);
+        fleet.history().add(new HistoryEvent.PlatformCut(instance, cut));
+    }
+
+    /**
+     * Cuts two failure domains off from each other until every failure ends.
+     *
+     * @param one name of a failure domain
+     * @param other name of the other
+     */
+    @When("failure domains {word} and {word} are cut off from each other")
+    public void partition(String one, String other) {
+        FailureDomainName first = world().domain(one);
+        FailureDomainName second = world().domain(other);
+        Fleet fleet = world().fleet();
+        world().disturbed()
+                .begin(
+                        one + " and " + other + " cut off from each other",
+                        () -> fleet.setCut(first, second, true),
+                        () -> fleet.setCut(first, second, false));
+    }
+
+    /**
+     * Makes the platform's list of instances show changes later, until every failure ends.
+     *
+     * @param seconds how late
+     */
+    @When("the list of instances lags {int} seconds")
+    public void lagList(int seconds) {
+        Fleet fleet = world().fleet();
+        long usual = fleet.platform().listLagNanos();
+        world().disturbed()
+                .begin(
+                        "list lags",
+                        () -> fleet.platform().setListLagNanos(seconds * VirtualClock.SECOND_NANOS),
+                        () -> fleet.platform().setListLagNanos(usual));
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/ScenarioWorld.java
@@ -0,0 +1,127 @@
+package org.wasabilug.scenarios.internal.language;
+
+import java.util.List;
+import org.wasabilug.internal.instance.InstanceCore;
+import org.wasabilug.internal.instance.InstanceSettings;
+import org.wasabilug.model.CallerRequest;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.FailureDomainName;
+import org.wasabilug.model.InstanceName;
+import org.wasabilug.model.PipelineName;
+import org.wasabilug.scenarios.internal.clock.VirtualClock;
+import org.wasabilug.scenarios.internal.fake.FakeEndpoint;
+import org.wasabilug.scenarios.internal.fleet.CoreFactory;
+import org.wasabilug.scenarios.internal.fleet.Fleet;
+import org.wasabilug.scenarios.internal.fleet.FleetShape;
+import org.wasabilug.scenarios.internal.fleet.InstanceLife;
+
+/** The deployment of one scenario with what the scenario has done to it. */
+public final class ScenarioWorld {
+    /** Decision cores as an entry instance uses them. */
+    public static final CoreFactory CORES =
+            (name, domain, incarnation, seed) ->
+                    new InstanceCore(
+                            InstanceSettings.builder()
+                                    .name(name)
+                                    .failureDomain(domain)
+                                    .incarnation(incarnation)
+                                    .seed(seed)
+                                    .build());
+
+    private final FleetShape mShape;
+    private final Fleet mFleet;
+    private final DisturbedParts mDisturbed;
+    private long mLastRequest;
+    private int mLastInstance;
+
+    /**
+     * Starts a deployment.
+     *
+     * @param shape the deployment
+     * @param cores makes the decision cores
+     * @param seed seed of everything that varies
+     */
+    public ScenarioWorld(FleetShape shape, CoreFactory cores, long seed) {
+        mShape = shape;
+        mFleet = new Fleet(shape, cores, seed);
+        mDisturbed = new DisturbedParts(mFleet);
+        mFleet.start();
+    }
+
+    /**
+     * Shape of the deployment.
+     *
+     * @return the shape
+     */
+    public FleetShape shape() {
+        return mShape;
+    }
+
+    /**
+     * The deployment in virtual time.
+     *
+     * @return the fleet
+     */
+    public Fleet fleet() {
+        return mFleet;
+    }
+
+    DisturbedParts disturbed() {
+        return mDisturbed;
+    }
+
+    FailureDomainName domain(String name) {
+        FailureDomainName domain = new FailureDomainName(name);
+        if (!mShape.instances().containsValue(domain)) {
+            throw LanguageReporter.unknown("failure domain", name, mShape.instances().values());
+        }
+        return domain;
+    }
+
+    InstanceName instance(String name) {
+        InstanceName instance = new InstanceName(name);
+        if (!mShape.instances().containsKey(instance)) {
+            throw LanguageReporter.unknown("instance", name, mShape.instances().keySet());
+        }
+        return instance;
+    }
+
+    FakeEndpoint endpoint(String name) {
+        FakeEndpoint endpoint = mFleet.endpoint(new EndpointName(name));
+        if (endpoint == null) {
+            List<EndpointName> known =
+                    mShape.endpoints().stream().map(each -> each.name()).toList();
+            throw LanguageReporter.unknown("endpoint", name, known);
+        }
+        return endpoint;
+    }
+
+    /** A request whose content no other request has. */
+    CallerRequest newRequest(PipelineName pipeline) {
+        return newRequest(pipeline, "cold room " + (mLastRequest + 1));
+    }
+
+    CallerRequest newRequest(PipelineName pipeline, String body) {
+        mLastRequest++;
+        return mShape.request(
+                "r" + mLastRequest,
+                pipeline,
+                (int) mLastRequest,
+                body,
+                pipeline.equals(FleetShape.TRANSFERS));
+    }
+
+    /** Submits a request at the next instance that runs; the balancer knows no more. */
+    void submit(CallerRequest request) {
+        List<InstanceLife> alive =
+                mFleet.instances().stream().filter(InstanceLife::isAlive).toList();
+        if (!alive.isEmpty()) {
+            mLastInstance++;
+            mFleet.submit(alive.get(mLastInstance % alive.size()).name(), request);
+        }
+    }
+
+    void afterMilliseconds(long milliseconds, Runnable step) {
+        mFleet.clock().after(milliseconds * VirtualClock.MILLISECOND_NANOS, step);
+    }
+}
