Show that each checker catches a mutant of the decision core

Cause: A checker that never fails proves nothing.

Change: A wrapper of the decision core makes one wrong decision in test code; ten mutants, one for each checker, run in a short scenario each.

--- /dev/null
+++ b/scenarios/src/test/java/org/wasabilug/scenarios/internal/mutant/Mutants.java
@@ -0,0 +1,214 @@
+package org.wasabilug.scenarios.internal.mutant;
+
+import java.net.URI;
+import java.util.List;
+import org.wasabilug.internal.configuration.Configuration;
+import org.wasabilug.internal.event.AttemptId;
+import org.wasabilug.internal.event.FailureKind;
+import org.wasabilug.internal.event.InstanceAction;
+import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.model.EndpointName;
+import org.wasabilug.model.Refusal;
+import org.wasabilug.model.RunState;
+import org.wasabilug.port.ListOutcome;
+import org.wasabilug.port.ListedInstance;
+import org.wasabilug.port.LoadReport;
+
+/** Wrong decisions, one for each invariant. */
+final class Mutants {
+    private static final long OTHER_ATTEMPT = 1_000_000;
+
+    private Mutants() {}
+
+    /** Hands each part of a result to the caller twice. */
+    static Mutant doublesResults() {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> alterAction(InstanceAction action) {
+                return action instanceof InstanceAction.SendToCaller
+                        ? List.of(action, action)
+                        : List.of(action);
+            }
+        };
+    }
+
+    /** Never tells a caller that its answer is whole. */
+    static Mutant forgetsTheEnd() {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> alterAction(InstanceAction action) {
+                return action instanceof InstanceAction.CompleteRequest
+                        ? List.of()
+                        : List.of(action);
+            }
+        };
+    }
+
+    /** Takes each endpoint for warm, whatever it reports and however it fails. */
+    static Mutant takesColdForWarm() {
+        return new Mutant() {
+            @Override
+            public InstanceEvent alterEvent(InstanceEvent event) {
+                return switch (event) {
+                    case InstanceEvent.LoadReported reported ->
+                            new InstanceEvent.LoadReported(
+                                    reported.endpoint(), new LoadReport(1, false, 0, 0, 0));
+                    case InstanceEvent.StageFailed failed ->
+                            new InstanceEvent.StageFailed(
+                                    failed.attempt(), FailureKind.REJECTED, failed.detail());
+                    default -> event;
+                };
+            }
+        };
+    }
+
+    /** Sends each call of a pool to one endpoint, whatever the state of its failure domain. */
+    static Mutant routesTo(String pool, EndpointName endpoint, URI address) {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> alterAction(InstanceAction action) {
+                return action instanceof InstanceAction.Dispatch dispatch
+                                && dispatch.call().endpoint().value().contains(pool)
+                        ? List.of(
+                                new InstanceAction.Dispatch(
+                                        redirected(dispatch.call(), endpoint, address)))
+                        : List.of(action);
+            }
+        };
+    }
+
+    private static StageCall redirected(StageCall call, EndpointName endpoint, URI address) {
+        return copy(call, call.attempt(), endpoint, address);
+    }
+
+    private static StageCall copy(
+            StageCall call, AttemptId attempt, EndpointName endpoint, URI address) {
+        return new StageCall(
+                attempt,
+                endpoint,
+                address,
+                call.requestPath(),
+                call.protocol(),
+                call.input(),
+                call.resumeText(),
+                call.timeoutNanos(),
+                call.priority(),
+                call.repeatable());
+    }
+
+    /** Reads every endpoint of the list as staying. */
+    static Mutant ignoresLeaving() {
+        return new Mutant() {
+            @Override
+            public InstanceEvent alterEvent(InstanceEvent event) {
+                return event instanceof InstanceEvent.ListAnswered answered
+                                && answered.outcome() instanceof ListOutcome.Listed listed
+                        ? new InstanceEvent.ListAnswered(
+                                answered.operation(), new ListOutcome.Listed(staying(listed)))
+                        : event;
+            }
+        };
+    }
+
+    private static List<ListedInstance> staying(ListOutcome.Listed listed) {
+        return listed.instances().stream()
+                .map(
+                        each ->
+                                new ListedInstance(
+                                        each.name(),
+                                        each.role(),
+                                        each.failureDomain(),
+                                        each.address(),
+                                        false))
+                .toList();
+    }
+
+    /** Says of each refused request that it has not run. */
+    static Mutant alwaysSaysNotRun() {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> alterAction(InstanceAction action) {
+                return action instanceof InstanceAction.RefuseRequest refuse
+                        ? List.of(
+                                new InstanceAction.RefuseRequest(
+                                        refuse.request(), notRun(refuse.refusal())))
+                        : List.of(action);
+            }
+        };
+    }
+
+    private static Refusal notRun(Refusal refusal) {
+        return new Refusal(
+                refusal.code(), refusal.message(), RunState.NOT_RUN, refusal.retryAfter());
+    }
+
+    /** Sends each call that may not be repeated a second time. */
+    static Mutant repeatsWhatMayNotBeRepeated() {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> alterAction(InstanceAction action) {
+                return action instanceof InstanceAction.Dispatch dispatch
+                                && !dispatch.call().repeatable()
+                        ? List.of(action, new InstanceAction.Dispatch(again(dispatch.call())))
+                        : List.of(action);
+            }
+        };
+    }
+
+    private static StageCall again(StageCall call) {
+        AttemptId attempt = call.attempt();
+        return copy(
+                call,
+                new AttemptId(attempt.request(), attempt.stage(), attempt.number() + OTHER_ATTEMPT),
+                call.endpoint(),
+                call.address());
+    }
+
+    /** Ends its process as soon as a planned stop begins. */
+    static Mutant stopsAtOnce() {
+        return new Mutant() {
+            @Override
+            public List<InstanceAction> actionsAfter(InstanceEvent event) {
+                return event instanceof InstanceEvent.StopRequested
+                        ? List.of(new InstanceAction.FinishStop())
+                        : List.of();
+            }
+        };
+    }
+
+    /** Puts the configuration before the last change in force again after a while. */
+    static Mutant revertsConfiguration() {
+        return new Mutant() {
+            private static final int LOOKS_BEFORE_REVERT = 50;
+
+            private Configuration mBefore = Configuration.empty();
+            private Configuration mNewest = Configuration.empty();
+            private int mLooks;
+
+            @Override
+            public Configuration alterConfiguration(Configuration configuration) {
+                if (configuration != mNewest) {
+                    mBefore = mNewest;
+                    mNewest = configuration;
+                    mLooks = 0;
+                }
+                mLooks++;
+                return mLooks > LOOKS_BEFORE_REVERT ? mBefore : mNewest;
+            }
+        };
+    }
+
+    /** Takes each lost connection for a plain failure, so that no content is ever suspected. */
+    static Mutant neverSuspectsContent() {
+        return new Mutant() {
+            @Override
+            public InstanceEvent alterEvent(InstanceEvent event) {
+                return event instanceof InstanceEvent.StageFailed failed
+                        ? new InstanceEvent.StageFailed(
+                                failed.attempt(), FailureKind.REJECTED, failed.detail())
+                        : event;
+            }
+        };
+    }
+}
