Run scenarios as a command and show their coverage

Cause: A failing scenario has to be repeated and read by a person, and which pairs are covered has to be seen at a glance.

Change: bin/wasabilug-scenario runs a feature file or a run of random faults, prints the history and how to repeat a failure, and writes the table of coverage of docs/PROOF.md from the tags of the feature files.

--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/cli/ScenarioMain.java
@@ -0,0 +1,72 @@
+package org.wasabilug.scenarios.internal.cli;
+
+import java.io.IOException;
+import java.util.List;
+import org.wasabilug.scenarios.internal.chaos.ChaosRun;
+import org.wasabilug.scenarios.internal.checker.Violation;
+import org.wasabilug.scenarios.internal.coverage.CoveragePage;
+import org.wasabilug.scenarios.internal.fleet.FleetShape;
+import org.wasabilug.scenarios.internal.language.LanguageReporter;
+import org.wasabilug.scenarios.internal.language.ScenarioOptions;
+import org.wasabilug.scenarios.internal.language.ScenarioWorld;
+
+/** Runs scenarios and random faults as a command. */
+public final class ScenarioMain {
+    private static final int EXIT_HOLDS = 0;
+    private static final int EXIT_VIOLATED = 1;
+    private static final int EXIT_WRONG_COMMAND = 2;
+    private static final String STEPS = "org.wasabilug.scenarios.internal.language";
+
+    private ScenarioMain() {}
+
+    /**
+     * Runs what the command line asks for.
+     *
+     * @param arguments flags and a file; see {@code --help}
+     * @throws IOException where a page or a feature file can't be read or written
+     */
+    public static void main(String[] arguments) throws IOException {
+        System.exit(run(CommandReader.read(arguments)));
+    }
+
+    private static int run(CommandInput input) throws IOException {
+        return switch (input) {
+            case CommandInput.RunFile file -> runFile(file);
+            case CommandInput.RunChaos chaos -> runChaos(chaos.seed());
+            case CommandInput.UpdateCoverage update -> {
+                new CoveragePage(update.features()).update(update.page());
+                yield EXIT_HOLDS;
+            }
+            case CommandInput.Help help -> {
+                System.out.print(help.text());
+                yield EXIT_HOLDS;
+            }
+            case CommandInput.Invalid invalid -> {
+                invalid.findings().forEach(System.err::println);
+                yield EXIT_WRONG_COMMAND;
+            }
+        };
+    }
+
+    private static int runFile(CommandInput.RunFile input) {
+        ScenarioOptions usual = ScenarioOptions.current();
+        ScenarioOptions.use(
+                new ScenarioOptions(input.seed().orElse(usual.seed()), true, usual.cores()));
+        return io.cucumber.core.cli.Main.run(
+                "--glue", STEPS, "--plugin", "pretty", "--monochrome", input.file());
+    }
+
+    private static int runChaos(long seed) {
+        FleetShape shape = seed % 2 == 0 ? FleetShape.frigoval() : FleetShape.serrano();
+        ChaosRun run = new ChaosRun(shape, ScenarioWorld.CORES, seed);
+        List<Violation> violations = run.run();
+        System.out.println(LanguageReporter.history(run.fleet().history()));
+        if (violations.isEmpty()) {
+            return EXIT_HOLDS;
+        }
+        System.out.println(LanguageReporter.violations(violations));
+        System.out.println(
+                "seed " + seed + "; repeat with: bin/wasabilug-scenario --chaos " + seed);
+        return EXIT_VIOLATED;
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/coverage/CoverageTable.java
@@ -0,0 +1,110 @@
+package org.wasabilug.scenarios.internal.coverage;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Which pairs of invariant and failure the scenarios cover, and how. */
+public final class CoverageTable {
+    private static final String NOT_COVERED = "not covered";
+
+    private final List<TaggedScenario> mScenarios;
+
+    /**
+     * Creates the table.
+     *
+     * @param scenarios every scenario
+     */
+    public CoverageTable(List<TaggedScenario> scenarios) {
+        mScenarios = List.copyOf(scenarios);
+    }
+
+    /**
+     * The table for people.
+     *
+     * @return lines of Markdown
+     */
+    public List<String> markdown() {
+        List<String> lines = new ArrayList<>();
+        lines.add("| what fails | " + header() + " |");
+        lines.add("|---".repeat(Invariant.values().length + 1) + "|");
+        for (Failure failure : Failure.values()) {
+            lines.add("| " + failure.title() + " | " + cells(failure) + " |");
+        }
+        lines.add("");
+        for (Invariant invariant : Invariant.values()) {
+            lines.add(
+                    "- **"
+                            + number(invariant)
+                            + "** "
+                            + invariant.title()
+                            + ": "
+                            + files(invariant));
+        }
+        lines.add("");
+        lines.add(total());
+        return lines;
+    }
+
+    private static String header() {
+        return Arrays.stream(Invariant.values())
+                .map(CoverageTable::number)
+                .collect(Collectors.joining(" | "));
+    }
+
+    private static String number(Invariant invariant) {
+        return String.valueOf(invariant.ordinal() + 1);
+    }
+
+    private String cells(Failure failure) {
+        return Arrays.stream(Invariant.values())
+                .map(invariant -> cell(invariant, failure))
+                .collect(Collectors.joining(" | "));
+    }
+
+    private String cell(Invariant invariant, Failure failure) {
+        String text =
+                Arrays.stream(Manner.values())
+                        .filter(manner -> count(invariant, failure, manner) > 0)
+                        .map(manner -> manner.sign() + count(invariant, failure, manner))
+                        .collect(Collectors.joining(", "));
+        return text.isEmpty() ? NOT_COVERED : text;
+    }
+
+    private long count(Invariant invariant, Failure failure, Manner manner) {
+        return mScenarios.stream()
+                .filter(scenario -> scenario.covers(invariant, failure, manner))
+                .count();
+    }
+
+    private String files(Invariant invariant) {
+        String names =
+                mScenarios.stream()
+                        .filter(scenario -> scenario.tags().contains(invariant.tag()))
+                        .map(TaggedScenario::file)
+                        .distinct()
+                        .map(name -> "`" + name + "`")
+                        .collect(Collectors.joining(", "));
+        return names.isEmpty() ? NOT_COVERED : names;
+    }
+
+    private String total() {
+        long pairs = (long) Invariant.values().length * Failure.values().length;
+        long covered = pairs - uncovered();
+        return covered + " of " + pairs + " pairs covered by " + mScenarios.size() + " scenarios.";
+    }
+
+    private long uncovered() {
+        return Arrays.stream(Invariant.values())
+                .flatMap(
+                        invariant ->
+                                Arrays.stream(Failure.values())
+                                        .filter(failure -> isUncovered(invariant, failure)))
+                .count();
+    }
+
+    private boolean isUncovered(Invariant invariant, Failure failure) {
+        return cell(invariant, failure).equals(NOT_COVERED);
+    }
+}
