Forget stage times that keep every request from running

Cause: a request whose expected time exceeds its deadline is refused. Where slow starts made that true for all requests, none ran, so no new time was learned and the instance refused everything for good. Change: times fade when 32 requests in a row asked for them and none was learned. Conclusion: refusing recovers by itself; a test covers it.

--- a/core/src/main/java/org/wasabilug/internal/deadline/DecayingHistogram.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/DecayingHistogram.java
@@ -1,5 +1,7 @@
 package org.wasabilug.internal.deadline;
 
+import java.util.Arrays;
+
 /**
  * Percentiles of recent durations in fixed memory.
  *
@@ -24,11 +26,15 @@
         }
     }
 
-    private void fade() {
+    /** Halves the weight of what was learned; forgets it where less than one value is left. */
+    void fade() {
         for (int bucket = 0; bucket < BUCKET_COUNT; bucket++) {
             mCounts[bucket] /= 2;
         }
-        mTotal /= 2;
+        mTotal = mTotal < 2 ? 0 : mTotal / 2;
+        if (mTotal == 0) {
+            Arrays.fill(mCounts, 0);
+        }
     }
 
     private static int bucketOf(long nanos) {
--- a/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
@@ -18,6 +18,7 @@
  */
 public final class LearnedStagePlanner implements StagePlanner {
     private static final int MAXIMUM_PIPELINES = 256;
+    private static final int MAXIMUM_UNOBSERVED = 32;
     private static final double TYPICAL = 0.5;
     private static final double NEARLY_ALL = 0.9;
 
@@ -30,11 +31,16 @@
                 }
             };
 
+    private final Map<PipelineName, Integer> mUnobserved = new HashMap<>();
+
     /** Makes a planner that has learned nothing. */
     public LearnedStagePlanner() {}
 
     @Override
     public long expectedNanos(Pipeline pipeline, Set<StageName> done) {
+        if (done.isEmpty()) {
+            noteAsked(pipeline.name());
+        }
         long longest = 0;
         Map<StageName, Long> paths = pathsFrom(pipeline, NEARLY_ALL);
         for (Stage stage : pipeline.stages()) {
@@ -45,6 +51,20 @@
         return longest;
     }
 
+    /**
+     * Fades times that many requests in a row have asked for without a new one being learned: where
+     * they were all refused as too late, nothing else would ever correct the times.
+     */
+    private void noteAsked(PipelineName pipeline) {
+        Map<StageName, DecayingHistogram> stages = mTimes.get(pipeline);
+        if (stages == null) {
+            mUnobserved.remove(pipeline);
+        } else if (mUnobserved.merge(pipeline, 1, Integer::sum) >= MAXIMUM_UNOBSERVED) {
+            mUnobserved.remove(pipeline);
+            stages.values().forEach(DecayingHistogram::fade);
+        }
+    }
+
     @Override
     public long stageBudgetNanos(Pipeline pipeline, StageName stage, long remainingNanos) {
         if (remainingNanos <= 0) {
@@ -95,6 +115,7 @@
 
     @Override
     public void observe(PipelineName pipeline, StageName stage, long elapsedNanos) {
+        mUnobserved.remove(pipeline);
         mTimes.computeIfAbsent(pipeline, name -> new HashMap<>())
                 .computeIfAbsent(stage, name -> new DecayingHistogram())
                 .add(elapsedNanos);
--- a/core/src/test/java/org/wasabilug/internal/deadline/LearnedStagePlannerTest.java
+++ b/core/src/test/java/org/wasabilug/internal/deadline/LearnedStagePlannerTest.java
@@ -53,6 +53,18 @@
         assertThat(mPlanner.stageBudgetNanos(PIPELINE, new StageName("encode"), 77)).isEqualTo(77);
     }
 
+    @Test
+    void forgetsTimesThatKeepEveryRequestFromRunning() {
+        learn("generate", 20_000);
+
+        long asked = 0;
+        while (asked < 1000 && mPlanner.expectedNanos(PIPELINE, Set.of()) > 0) {
+            asked++;
+        }
+
+        assertThat(asked).isLessThan(1000);
+    }
+
     @Test
     void addsTheLongestPathOfStagesThatRunSideBySide() {
         learnAll();
