--- a/bench/src/main/java/org/wasabilug/bench/BenchMain.java
+++ b/bench/src/main/java/org/wasabilug/bench/BenchMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Properties;
+import org.wasabilug.bench.internal.latency.LatencyCommand;
 import org.wasabilug.bench.internal.program.CommandInput;
 import org.wasabilug.bench.internal.program.CommandReader;
 import org.wasabilug.bench.internal.program.VirtualCommand;
@@ -29,6 +30,7 @@
                 System.exit(EXIT_WRONG_SETTINGS);
             }
             case CommandInput.Virtual virtual -> run(virtual);
+            case CommandInput.Latency latency -> run(latency);
         }
         System.exit(EXIT_DONE);
     }
@@ -39,6 +41,16 @@
         command.run();
     }
 
+    private static void run(CommandInput.Latency latency) {
+        new LatencyCommand(
+                        latency.requestsPerSecond(),
+                        latency.stages(),
+                        latency.seconds(),
+                        latency.idleSeconds(),
+                        System.out)
+                .run();
+    }
+
     private static String buildVersion() {
         Properties properties = new Properties();
         try (InputStream stream = BenchMain.class.getResourceAsStream(BUILD_PROPERTIES)) {
--- a/bench/src/main/java/org/wasabilug/bench/internal/program/CommandInput.java
+++ b/bench/src/main/java/org/wasabilug/bench/internal/program/CommandInput.java
@@ -24,4 +24,15 @@
      * @param settings the settings
      */
     record Virtual(BenchSettings settings) implements CommandInput {}
+
+    /**
+     * Measure a real entry instance over loopback.
+     *
+     * @param requestsPerSecond requests a second, open loop
+     * @param stages stages of the pipeline
+     * @param seconds length of each measured part
+     * @param idleSeconds how long the cost of an idle process is measured
+     */
+    record Latency(int requestsPerSecond, int stages, int seconds, int idleSeconds)
+            implements CommandInput {}
 }
--- a/bench/src/main/java/org/wasabilug/bench/internal/program/CommandReader.java
+++ b/bench/src/main/java/org/wasabilug/bench/internal/program/CommandReader.java
@@ -16,6 +16,9 @@
 /** Reads flags and environment variables. */
 public final class CommandReader {
     private static final String VIRTUAL = "virtual";
+    private static final String LATENCY = "latency";
+    private static final double MOST_RATE = 10_000;
+    private static final double MOST_STAGES = 6;
     private static final double LEAST_LOAD = 0.01;
     private static final double MOST_LOAD = 3;
     private static final double MOST_SECONDS = 3_600;
@@ -50,9 +53,28 @@
     }
 
     private static CommandInput checked(CommandLine line, SettingValues values) {
-        if (!line.getArgList().equals(List.of(VIRTUAL))) {
-            values.find("subcommand: '" + VIRTUAL + "' expected; see --help");
+        boolean latency = line.getArgList().equals(List.of(LATENCY));
+        if (!latency && !line.getArgList().equals(List.of(VIRTUAL))) {
+            values.find("subcommand: '" + VIRTUAL + "' or '" + LATENCY + "' expected; see --help");
         }
+        CommandInput input = latency ? latency(values) : virtual(values);
+        if (!values.findings().isEmpty()) {
+            return new CommandInput.Invalid(values.findings());
+        }
+        return line.hasOption("check-settings")
+                ? new CommandInput.Show("The settings are right.")
+                : input;
+    }
+
+    private static CommandInput latency(SettingValues values) {
+        return new CommandInput.Latency(
+                (int) values.number("rate", 100, 1, MOST_RATE),
+                (int) values.number("stages", 4, 1, MOST_STAGES),
+                (int) values.number("seconds", 20, 1, MOST_SECONDS),
+                (int) values.number("idle-seconds", 0, 0, MOST_SECONDS));
+    }
+
+    private static CommandInput virtual(SettingValues values) {
         BenchSettings settings =
                 new BenchSettings(
                         deployments(values),
@@ -62,12 +84,7 @@
                         (long) values.number("seed", 1, 0, MOST_SEED),
                         (long) values.number("seconds", 20, 1, MOST_SECONDS),
                         Path.of(values.text("directory", "bench-report")));
-        if (!values.findings().isEmpty()) {
-            return new CommandInput.Invalid(values.findings());
-        }
-        return line.hasOption("check-settings")
-                ? new CommandInput.Show("The settings are right.")
-                : new CommandInput.Virtual(settings);
+        return new CommandInput.Virtual(settings);
     }
 
     private static List<Deployment> deployments(SettingValues values) {
@@ -100,6 +117,9 @@
                         "share of capacity with a disturbance, 0.01 to 3 (usual: 0.8)")
                 .addOption(null, "seed", true, "seed of all runs (usual: 1)")
                 .addOption(null, "seconds", true, "measured seconds, 1 to 3600 (usual: 20)")
+                .addOption(null, "rate", true, "requests a second, 1 to 10000 (usual: 100)")
+                .addOption(null, "stages", true, "stages of the pipeline, 1 to 6 (usual: 4)")
+                .addOption(null, "idle-seconds", true, "idle seconds, 0 to 3600 (usual: 0)")
                 .addOption(null, "directory", true, "report's directory (usual: bench-report)")
                 .addOption(null, "check-settings", false, "check the settings and end")
                 .addOption(null, "version", false, "print the version and end")
@@ -113,8 +133,9 @@
                 .printHelp(
                         writer,
                         HELP_WIDTH,
-                        "wasabilug-bench virtual [flags]",
-                        "Runs seeded load on whole fleets of decision cores in virtual time.",
+                        "wasabilug-bench virtual|latency [flags]",
+                        "virtual: seeded load on whole fleets of decision cores in virtual time."
+                                + " latency: a real entry instance beside its stand-in.",
                         options(),
                         2,
                         2,
