--- /dev/null
+++ b/core/src/test/java/org/wasabilug/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Programs that measure what one instance costs; none of them is a test. */
+package org.wasabilug.measure;
