--- a/entry/src/test/java/org/wasabilug/entry/internal/peer/PeerMessageSizes.java
+++ b/entry/src/test/java/org/wasabilug/entry/internal/peer/PeerMessageSizes.java
@@ -23,7 +23,12 @@
     public static void main(String[] arguments) {
         PeerMessage heartbeat =
                 new PeerMessage.Heartbeat(
-                        3, new FailureDomainName("rennes"), 130_000, 0x1234_5678_9abcL, false);
+                        3,
+                        new FailureDomainName("rennes"),
+                        130_000,
+                        0x1234_5678_9abcL,
+                        false,
+                        1_000);
         System.out.printf("heartbeat: %d bytes%n", size(heartbeat));
         for (int workspaces : new int[] {10, 100, 222, 1_000}) {
             int bytes = size(new PeerMessage.Usage(usage(workspaces)));
