--- a/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
@@ -18,7 +18,9 @@
  */
 public final class LearnedStagePlanner implements StagePlanner {
     private static final int MAXIMUM_PIPELINES = 256;
+    private static final int MAXIMUM_UNOBSERVED = 32;
     private static final double TYPICAL = 0.5;
+    private static final double NEARLY_ALL = 0.9;
 
     private final Map<PipelineName, Map<StageName, DecayingHistogram>> mTimes =
             new LinkedHashMap<>(16, 0.75f, true) {
@@ -29,13 +31,18 @@
                 }
             };
 
+    private final Map<PipelineName, Integer> mUnobserved = new HashMap<>();
+
     /** Makes a planner that has learned nothing. */
     public LearnedStagePlanner() {}
 
     @Override
     public long expectedNanos(Pipeline pipeline, Set<StageName> done) {
+        if (done.isEmpty()) {
+            noteAsked(pipeline.name());
+        }
         long longest = 0;
-        Map<StageName, Long> paths = pathsFrom(pipeline);
+        Map<StageName, Long> paths = pathsFrom(pipeline, NEARLY_ALL);
         for (Stage stage : pipeline.stages()) {
             if (!done.contains(stage.name())) {
                 longest = Math.max(longest, paths.get(stage.name()));
@@ -44,12 +51,26 @@
         return longest;
     }
 
+    /**
+     * Fades times that many requests in a row have asked for without a new one being learned: where
+     * they were all refused as too late, nothing else would ever correct the times.
+     */
+    private void noteAsked(PipelineName pipeline) {
+        Map<StageName, DecayingHistogram> stages = mTimes.get(pipeline);
+        if (stages == null) {
+            mUnobserved.remove(pipeline);
+        } else if (mUnobserved.merge(pipeline, 1, Integer::sum) >= MAXIMUM_UNOBSERVED) {
+            mUnobserved.remove(pipeline);
+            stages.values().forEach(DecayingHistogram::fade);
+        }
+    }
+
     @Override
     public long stageBudgetNanos(Pipeline pipeline, StageName stage, long remainingNanos) {
         if (remainingNanos <= 0) {
             return 0;
         }
-        long whole = pathsFrom(pipeline).getOrDefault(stage, 0L);
+        long whole = pathsFrom(pipeline, TYPICAL).getOrDefault(stage, 0L);
         long own = percentileNanos(pipeline.name(), stage, TYPICAL);
         long later = whole - own;
         long leftOver = remainingNanos - later;
@@ -57,14 +78,14 @@
         return Math.clamp(Math.max(leftOver, proportional), 0, remainingNanos);
     }
 
-    /** Typical time of each stage with all that must follow it, along the longest path. */
-    private Map<StageName, Long> pathsFrom(Pipeline pipeline) {
+    /** A percentile of each stage's time with all that must follow it, along the longest path. */
+    private Map<StageName, Long> pathsFrom(Pipeline pipeline, double share) {
         Map<StageName, Long> laterPaths = new HashMap<>();
         Map<StageName, Long> paths = new HashMap<>();
         // Stages only read earlier ones, so one pass from the end sees every reader first.
         for (Stage stage : pipeline.stages().reversed()) {
             long path =
-                    percentileNanos(pipeline.name(), stage.name(), TYPICAL)
+                    percentileNanos(pipeline.name(), stage.name(), share)
                             + laterPaths.getOrDefault(stage.name(), 0L);
             paths.put(stage.name(), path);
             raise(laterPaths, stage.after(), path);
@@ -94,6 +115,7 @@
 
     @Override
     public void observe(PipelineName pipeline, StageName stage, long elapsedNanos) {
+        mUnobserved.remove(pipeline);
         mTimes.computeIfAbsent(pipeline, name -> new HashMap<>())
                 .computeIfAbsent(stage, name -> new DecayingHistogram())
                 .add(elapsedNanos);
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
@@ -36,6 +36,7 @@
     public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
         List<InstanceAction> actions = new ArrayList<>();
         mWakes.passed(nowNanos);
+        mAttempts.timePassed(nowNanos);
         takeControlEvent(event, nowNanos, actions);
         learn(event, nowNanos, actions);
         if (event instanceof InstanceEvent.TimePassed) {
@@ -53,8 +54,9 @@
         actions.addAll(mParts.lease().handle(event, nowNanos));
         actions.addAll(mParts.grants().handle(event, nowNanos));
         actions.addAll(mParts.orders().handle(event, nowNanos));
-        actions.addAll(mParts.feed().handle(event, nowNanos).actions());
         actions.addAll(mParts.tickets().handle(event, nowNanos));
+        actions.addAll(mParts.feed().handle(event, nowNanos).actions());
+        // Last, since it tells peers what the parts before it have changed.
         actions.addAll(mParts.membership().handle(event, nowNanos));
     }
 
@@ -129,7 +131,7 @@
 
     private void execute(InstanceEvent event, long nowNanos, List<InstanceAction> actions) {
         List<InstanceAction> executed = mParts.executor().handle(event, nowNanos);
-        mAttempts.noteActions(executed);
+        mAttempts.noteActions(executed, nowNanos);
         mDemand.noteActions(executed, mKnown);
         for (InstanceAction action : executed) {
             if (action instanceof InstanceAction.FinishStop) {
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.event.StageCall;
+import org.wasabilug.internal.grant.ColdStartGate;
 import org.wasabilug.internal.ledger.AtMostOnceLedger;
 import org.wasabilug.internal.ledger.ClaimOutcome;
 import org.wasabilug.internal.ledger.LedgerStep;
@@ -56,13 +58,23 @@
     final FakeLedger mLedger = new FakeLedger();
     final FakeRouter mRouter = new FakeRouter();
     Suspicion mSuspicion = Suspicion.CLEAN;
+    long mLongestCallNanos = Long.MAX_VALUE;
+    final Set<EndpointName> mBarred = new HashSet<>();
+    final List<AttemptId> mCompleted = new ArrayList<>();
     final List<InstanceAction> mActions = new ArrayList<>();
     long mNowNanos;
     private final RequestExecutor mExecutor;
 
     ExecutorFixture() {
         Configuration configuration =
-                Configuration.empty().merge(List.of(workspace(), pool(true), pool(false)));
+                Configuration.empty()
+                        .merge(
+                                List.of(
+                                        workspace(),
+                                        pool(true),
+                                        pool(false),
+                                        versioned(endpoint(1, poolName(true))),
+                                        versioned(endpoint(2, poolName(true)))));
         mExecutor =
                 new RequestExecutor(
                         new ExecutionParts(
@@ -73,7 +85,8 @@
                                 new FirstComeFirstServed(),
                                 new RetryTwice(),
                                 mLedger,
-                                new FixedSuspicion()));
+                                new FixedSuspicion(),
+                                new NarrowGate()));
     }
 
     private static VersionedObject workspace() {
@@ -93,6 +106,19 @@
         return new VersionedObject(object.objectKey(), 1, Optional.of(object));
     }
 
+    static EndpointName endpointName(int number) {
+        return new EndpointName("rennes-" + number);
+    }
+
+    private static Endpoint endpoint(int number, PoolName pool) {
+        return Endpoint.builder()
+                .name(endpointName(number))
+                .pool(pool)
+                .failureDomain(new FailureDomainName("rennes"))
+                .address(URI.create("http://127.0.0.1:1"))
+                .build();
+    }
+
     static Stage repeatable(String name, String... after) {
         return stage(name, true, after);
     }
@@ -209,15 +235,10 @@
                 return new RoutingAnswer.NoRoom(2, "full");
             }
             mNext++;
-            return new RoutingAnswer.Chosen(
-                    Endpoint.builder()
-                            .name(new EndpointName("rennes-" + mNext))
-                            .pool(query.pool())
-                            .failureDomain(new FailureDomainName("rennes"))
-                            .address(URI.create("http://127.0.0.1:1"))
-                            .build(),
-                    2,
-                    "next in turn");
+            while (query.avoid().contains(endpointName(mNext))) {
+                mNext++;
+            }
+            return new RoutingAnswer.Chosen(endpoint(mNext, query.pool()), 2, "next in turn");
         }
 
         @Override
@@ -272,6 +293,16 @@
             return mSuspicion;
         }
 
+        @Override
+        public boolean mayRunAt(long fingerprint, EndpointName endpoint, long nowNanos) {
+            return !mBarred.contains(endpoint);
+        }
+
+        @Override
+        public void completed(AttemptId attempt, long nowNanos) {
+            mCompleted.add(attempt);
+        }
+
         @Override
         public void dispatched(
                 AttemptId attempt, long fingerprint, EndpointName endpoint, long nowNanos) {}
@@ -282,6 +313,18 @@
         }
     }
 
+    private final class NarrowGate implements ColdStartGate {
+        @Override
+        public int allowance(Endpoint endpoint, long nowNanos) {
+            return UNLIMITED;
+        }
+
+        @Override
+        public long longestCallNanos(EndpointName endpoint, long nowNanos) {
+            return mLongestCallNanos;
+        }
+    }
+
     private static final class OpenAdmission implements WorkspaceAdmission {
         @Override
         public AdmissionAnswer admit(Workspace workspace, long nowNanos) {
@@ -351,6 +394,11 @@
             return late;
         }
 
+        @Override
+        public long expectedWaitNanos(PoolName pool, WorkspaceName workspace) {
+            return 0;
+        }
+
         @Override
         public int size() {
             return mCalls.size();
