Try a few requests that learned times count as too late

Cause: where the learned times of a pipeline exceeded the deadline, every request was refused at arrival, so nothing was learned again and the service never came back.

Conclusion: a thousand slow times are outweighed within a thousand arrivals.

--- a/core/src/main/java/org/wasabilug/internal/deadline/DecayingHistogram.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/DecayingHistogram.java
@@ -24,7 +24,8 @@
         }
     }
 
-    private void fade() {
+    /** Halves the weight of every value. */
+    void fade() {
         for (int bucket = 0; bucket < BUCKET_COUNT; bucket++) {
             mCounts[bucket] /= 2;
         }
--- a/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/LearnedStagePlanner.java
@@ -98,4 +98,12 @@
                 .computeIfAbsent(stage, name -> new DecayingHistogram())
                 .add(elapsedNanos);
     }
+
+    @Override
+    public void doubt(PipelineName pipeline, StageName stage) {
+        Map<StageName, DecayingHistogram> stages = mTimes.get(pipeline);
+        if (stages != null && stages.containsKey(stage)) {
+            stages.get(stage).fade();
+        }
+    }
 }
--- a/core/src/main/java/org/wasabilug/internal/deadline/StagePlanner.java
+++ b/core/src/main/java/org/wasabilug/internal/deadline/StagePlanner.java
@@ -34,4 +34,12 @@
      * @param elapsedNanos from first dispatch to complete result, in nanoseconds
      */
     void observe(PipelineName pipeline, StageName stage, long elapsedNanos);
+
+    /**
+     * Gives the times learned so far half their weight, since they may no longer hold.
+     *
+     * @param pipeline the pipeline
+     * @param stage the stage
+     */
+    void doubt(PipelineName pipeline, StageName stage);
 }
--- a/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
@@ -79,6 +79,9 @@
         mParts.router().ended(attempt, AttemptEnd.SUCCEEDED, turn.nowNanos());
         mParts.crashes().completed(attempt, turn.nowNanos());
         turn.actions().addAll(mParts.crashes().ended(attempt, false, turn.nowNanos()));
+        if (run.isTrial()) {
+            mParts.planner().doubt(run.request().pipeline().name(), stage.stage().name());
+        }
         mParts.planner()
                 .observe(
                         run.request().pipeline().name(),
--- a/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
@@ -21,6 +21,7 @@
     private final StageStarter mStarter;
     private final CallDispatcher mDispatcher;
     private final AttemptOutcomes mOutcomes;
+    private final LateArrivals mLateArrivals = new LateArrivals();
     private boolean mStopping;
     private boolean mStopped;
 
@@ -116,7 +117,13 @@
 
     private boolean isHopeless(RequestRun run, Turn turn) {
         long expected = mParts.planner().expectedNanos(run.request().pipeline(), run.doneStages());
-        return expected > run.remainingNanos(turn.nowNanos());
+        if (expected <= run.remainingNanos(turn.nowNanos())) {
+            return false;
+        }
+        if (mLateArrivals.isTrial(turn.nowNanos())) {
+            run.markTrial();
+        }
+        return !run.isTrial();
     }
 
     private Optional<Refused> checkLimits(RequestRun run, Turn turn) {
--- a/core/src/main/java/org/wasabilug/internal/execution/RequestRun.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestRun.java
@@ -20,6 +20,7 @@
     private final Map<StageName, StageRun> mStages = new LinkedHashMap<>();
     private boolean mHasRun;
     private boolean mAnswered;
+    private boolean mTrial;
 
     RequestRun(CallerRequest request, Configuration configuration, long nowNanos) {
         mRequest = request;
@@ -111,6 +112,15 @@
         return mHasRun;
     }
 
+    /** True where the request started although learned times say that it will be late. */
+    boolean isTrial() {
+        return mTrial;
+    }
+
+    void markTrial() {
+        mTrial = true;
+    }
+
     /** True once the caller has its answer or refusal; attempts may still be running. */
     boolean isAnswered() {
         return mAnswered;
--- a/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/StageStarter.java
@@ -122,7 +122,11 @@
     }
 
     private WaitingCall callOf(RequestRun run, StageRun stage) {
-        long expected = mParts.planner().expectedNanos(run.request().pipeline(), run.doneStages());
+        long expected =
+                run.isTrial()
+                        ? 0
+                        : mParts.planner()
+                                .expectedNanos(run.request().pipeline(), run.doneStages());
         return new WaitingCall(
                 run.id(),
                 stage.stage().name(),
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -66,6 +66,10 @@
     private final RequestExecutor mExecutor;
 
     ExecutorFixture() {
+        this(new BlankPlanner());
+    }
+
+    ExecutorFixture(StagePlanner planner) {
         Configuration configuration =
                 Configuration.empty()
                         .merge(
@@ -81,7 +85,7 @@
                                 () -> configuration,
                                 mRouter,
                                 new OpenAdmission(),
-                                new BlankPlanner(),
+                                planner,
                                 new FirstComeFirstServed(),
                                 new RetryTwice(),
                                 mLedger,
@@ -348,6 +352,9 @@
 
         @Override
         public void observe(PipelineName pipeline, StageName stage, long elapsedNanos) {}
+
+        @Override
+        public void doubt(PipelineName pipeline, StageName stage) {}
     }
 
     private static final class RetryTwice implements RetryPolicy {
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -8,13 +8,16 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.error.ErrorCode;
+import org.wasabilug.internal.deadline.LearnedStagePlanner;
 import org.wasabilug.internal.event.FailureKind;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.event.StageCall;
 import org.wasabilug.internal.ledger.ClaimOutcome;
 import org.wasabilug.internal.quarantine.Suspicion;
+import org.wasabilug.model.PipelineName;
 import org.wasabilug.model.RequestId;
 import org.wasabilug.model.RunState;
+import org.wasabilug.model.StageName;
 
 class RequestExecutorTest {
     private static final Optional<String> NO_KEY = Optional.empty();
@@ -253,6 +256,29 @@
         assertThat(mFixture.mCompleted).containsExactly(call.attempt());
     }
 
+    @Test
+    void servesAgainOnceStagesThatWereTooSlowAreFast() {
+        LearnedStagePlanner planner = new LearnedStagePlanner();
+        ExecutorFixture fixture = new ExecutorFixture(planner);
+        PipelineName pipeline = new PipelineName("certificates");
+        for (int index = 0; index < 1_000; index++) {
+            long slowNanos = 5_000 * ExecutorFixture.MILLISECOND_NANOS;
+            planner.observe(pipeline, new StageName("generate"), slowNanos);
+        }
+
+        for (int index = 0; index < 1_000; index++) {
+            int calls = fixture.calls().size();
+            fixture.submit(request("r" + index, NO_KEY, repeatable("generate")));
+            if (fixture.calls().size() > calls) {
+                fixture.finish(fixture.lastCall(), "text");
+            }
+            fixture.passMilliseconds(10);
+        }
+        fixture.submit(request("last", NO_KEY, repeatable("generate")));
+
+        assertThat(fixture.lastCall().attempt().request()).isEqualTo(new RequestId("last"));
+    }
+
     @Test
     void boundsCallsAtEndpointsInColdStart() {
         mFixture.mLongestCallNanos = 1_000 * ExecutorFixture.MILLISECOND_NANOS;
