Wait for calls of others after a restart, and rely on newer reports

A report proved an endpoint warm for 60 s, longer than many pauses of a process. A busy instance kept its slot for 20 s while others starved.

Change: the quiet time goes on until a report shows no calls of others; reports prove warmth for 5 s; slots are passed on after 5 s.

--- a/core/src/main/java/org/wasabilug/internal/grant/GrantSettings.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/GrantSettings.java
@@ -26,9 +26,9 @@
             new GrantSettings(
                     Duration.ofMillis(500),
                     Duration.ofSeconds(3),
-                    Duration.ofSeconds(20),
+                    Duration.ofSeconds(5),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(10),
-                    Duration.ofSeconds(60),
+                    Duration.ofSeconds(5),
                     Duration.ofSeconds(1));
 }
--- a/core/src/main/java/org/wasabilug/internal/grant/Warmth.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/Warmth.java
@@ -73,9 +73,8 @@
         mGeneration = report.generation();
         mGenerationKnown = true;
         if (otherLife) {
+            // Instances without evidence may have sent calls to the new life already.
             turnCold(nowNanos);
-            // Calls of the earlier life ended with it.
-            mQuietUntilNanos = NEVER;
         }
         if (report.cold()) {
             turnCold(nowNanos);
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/grant/WarmthTest.java
@@ -0,0 +1,28 @@
+package org.wasabilug.internal.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.wasabilug.port.LoadReport;
+
+class WarmthTest {
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private final Warmth mWarmth = new Warmth(GrantSettings.DEFAULT);
+
+    private void report(long generation, boolean cold, int inFlight, long nowNanos) {
+        mWarmth.reported(new LoadReport(generation, cold, inFlight, 0, 0), 0, nowNanos);
+    }
+
+    @Test
+    void sendsNothingToANewLifeThatRunsCallsOfOthers() {
+        report(1, false, 0, SECOND_NANOS);
+
+        report(2, true, 2, 2 * SECOND_NANOS);
+        boolean quietWithCalls = mWarmth.isQuiet(2 * SECOND_NANOS);
+        report(2, true, 0, 3 * SECOND_NANOS);
+
+        assertThat(quietWithCalls).isTrue();
+        assertThat(mWarmth.isQuiet(3 * SECOND_NANOS)).isFalse();
+    }
+}
