Hold crashing requests to two endpoints and refuse to run nothing

Cause: The checker of crashing content leaves a second for news to travel, so one request could crash three endpoints of its own instance unseen. The command ended with success where a line held no scenario.

Change: A scenario in each deployment counts crashes without that second. The command says what to name and ends with status 2. The tests of the fleet use the cores of the scenarios. The burst row of crashing content is back.

--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/cli/ScenarioMain.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/cli/ScenarioMain.java
@@ -7,6 +7,7 @@
 import org.wasabilug.scenarios.internal.coverage.CoveragePage;
 import org.wasabilug.scenarios.internal.fleet.FleetShape;
 import org.wasabilug.scenarios.internal.language.LanguageReporter;
+import org.wasabilug.scenarios.internal.language.ScenarioHooks;
 import org.wasabilug.scenarios.internal.language.ScenarioOptions;
 import org.wasabilug.scenarios.internal.language.ScenarioWorld;
 
@@ -29,7 +30,7 @@
         System.exit(run(CommandReader.read(arguments)));
     }
 
-    private static int run(CommandInput input) throws IOException {
+    static int run(CommandInput input) throws IOException {
         return switch (input) {
             case CommandInput.RunFile file -> runFile(file);
             case CommandInput.RunChaos chaos -> runChaos(chaos.seed());
@@ -52,8 +53,16 @@
         ScenarioOptions usual = ScenarioOptions.current();
         ScenarioOptions.use(
                 new ScenarioOptions(input.seed().orElse(usual.seed()), true, usual.cores()));
-        return io.cucumber.core.cli.Main.run(
-                "--glue", STEPS, "--plugin", "pretty", "--monochrome", input.file());
+        long endedBefore = ScenarioHooks.ended();
+        int status =
+                io.cucumber.core.cli.Main.run(
+                        "--glue", STEPS, "--plugin", "pretty", "--monochrome", input.file());
+        ScenarioOptions.use(usual);
+        if (ScenarioHooks.ended() == endedBefore) {
+            System.err.println(LanguageReporter.nothingRan(input.file()));
+            return EXIT_WRONG_COMMAND;
+        }
+        return status;
     }
 
     private static int runChaos(long seed) {
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/InvariantSteps.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/InvariantSteps.java
@@ -20,7 +20,9 @@
                         .check(world.fleet().history()).stream()
                                 .filter(each -> Set.of(invariants).contains(each.invariant()))
                                 .toList();
-        assertThat(violations).as(LanguageReporter.violations(violations)).isEmpty();
+        assertThat(violations)
+                .withFailMessage(() -> LanguageReporter.violations(violations))
+                .isEmpty();
     }
 
     /** Checks WHOLE and LOST. */
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/LanguageReporter.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/LanguageReporter.java
@@ -37,6 +37,19 @@
         return violations.stream().map(Violation::toString).collect(Collectors.joining("\n"));
     }
 
+    /**
+     * A file or line without a scenario.
+     *
+     * @param file what was asked for
+     * @return what to ask for instead
+     */
+    public static String nothingRan(String file) {
+        return "no scenario begins at "
+                + file
+                + "; name a feature file, or after a colon the line of a Scenario, a Scenario"
+                + " Outline or a row of its Examples";
+    }
+
     /**
      * How to repeat a scenario.
      *
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/ScenarioHooks.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/ScenarioHooks.java
@@ -2,12 +2,24 @@
 
 import io.cucumber.java.After;
 import io.cucumber.java.Scenario;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Says after each scenario what is needed to look into it. */
 public final class ScenarioHooks {
+    private static final AtomicLong ENDED = new AtomicLong();
+
     /** Creates the hooks. */
     public ScenarioHooks() {}
 
+    /**
+     * Scenarios that have ended in this process.
+     *
+     * @return the count
+     */
+    public static long ended() {
+        return ENDED.get();
+    }
+
     /**
      * Prints the history where it is wanted and how to repeat a failure.
      *
@@ -15,6 +27,7 @@
      */
     @After
     public void report(Scenario scenario) {
+        ENDED.incrementAndGet();
         ScenarioOptions options = ScenarioOptions.current();
         if (options.printHistory()) {
             CurrentScenario.find()
--- a/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/ServiceSteps.java
+++ b/scenarios/src/main/java/org/wasabilug/scenarios/internal/language/ServiceSteps.java
@@ -38,6 +38,25 @@
                 .isGreaterThanOrEqualTo(submitted * percent);
     }
 
+    /**
+     * Checks how many crashes one content caused, without the time that news may take.
+     *
+     * @param most the most crashes
+     */
+    @Then("each crashing request crashes at most {int} endpoints")
+    public void crashesAtMost(int most) {
+        Map<String, Long> crashes =
+                history()
+                        .events(HistoryEvent.Crashed.class)
+                        .filter(event -> !event.content().isEmpty())
+                        .collect(
+                                Collectors.groupingBy(
+                                        HistoryEvent.Crashed::content, Collectors.counting()));
+
+        assertThat(crashes).isNotEmpty();
+        assertThat(crashes.values()).allMatch(count -> count <= most);
+    }
+
     /** Checks that the platform accepted the newest change that an operator sent. */
     @Then("the newest change was accepted")
     public void newestChangeAccepted() {
--- a/scenarios/src/main/resources/org/wasabilug/scenarios/crashing-content.feature
+++ b/scenarios/src/main/resources/org/wasabilug/scenarios/crashing-content.feature
@@ -107,6 +107,11 @@
       | failure                                        |
       | endpoint gramado-generators-2 fails every call |
 
+    @fails-burst
+    Examples:
+      | failure                        |
+      | a burst of 60 requests arrives |
+
     @fails-process-dies
     Examples:
       | failure               |
@@ -210,3 +215,16 @@
     Examples:
       | failure                              | other                 |
       | the list of instances lags 5 seconds | instance entry-2 dies |
+
+  Scenario Outline: a caller sends a crashing request again, in the <deployment> deployment
+    Given the <deployment> deployment
+    And 20 requests a second arrive for 10 seconds
+    When 2 seconds pass
+    And a request that crashes each endpoint is sent 5 times
+    And 20 seconds pass
+    Then each crashing request crashes at most 2 endpoints
+
+    Examples:
+      | deployment |
+      | Frigoval   |
+      | Serrano    |
--- a/scenarios/src/test/java/org/wasabilug/scenarios/internal/fleet/FleetTest.java
+++ b/scenarios/src/test/java/org/wasabilug/scenarios/internal/fleet/FleetTest.java
@@ -6,26 +6,15 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
-import org.wasabilug.internal.instance.InstanceCore;
-import org.wasabilug.internal.instance.InstanceSettings;
 import org.wasabilug.model.EndpointName;
 import org.wasabilug.model.FailureDomainName;
 import org.wasabilug.model.InstanceName;
 import org.wasabilug.scenarios.internal.history.HistoryEvent;
+import org.wasabilug.scenarios.internal.language.ScenarioWorld;
 
 class FleetTest {
-    private static final CoreFactory CORES =
-            (name, domain, incarnation, seed) ->
-                    new InstanceCore(
-                            InstanceSettings.builder()
-                                    .name(name)
-                                    .failureDomain(domain)
-                                    .incarnation(incarnation)
-                                    .seed(seed)
-                                    .build());
-
     private final FleetShape mShape = FleetShape.frigoval();
-    private final Fleet mFleet = new Fleet(mShape, CORES, 1);
+    private final Fleet mFleet = new Fleet(mShape, ScenarioWorld.CORES, 1);
 
     @Test
     void putsTheFirstTicketInForceEverywhere() {
