--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceParts.java
@@ -56,6 +56,7 @@
                         .lease(mLease)
                         .random(mRandom)
                         .callsInFlight(attempts::countAt)
+                        .cancelledCalls(attempts::cancelledAt)
                         .build();
         mLedger = new TableLedger(incarnation, mRandom, LedgerSettings.DEFAULT);
         mQuarantine = new CrashQuarantine(QuarantineSettings.DEFAULT);
@@ -85,6 +86,7 @@
                 .seeds(settings.peerSeeds())
                 .state(mState)
                 .feedSequence(mFeed::sequence)
+                .configurationAge(mFeed::ageNanos)
                 .random(mRandom)
                 .build();
     }
@@ -99,7 +101,8 @@
                         mWaiting,
                         new BudgetedRetryPolicy(RetrySettings.builder().build(), mRandom),
                         mLedger,
-                        mQuarantine));
+                        mQuarantine,
+                        mGrants));
     }
 
     Configuration configuration() {
