Keep a cold endpoint quiet until every instance must have heard of it

Beside it, proofs of warmth lapsed after 5 s although a round of reports may take 25 s at 1,536 watched endpoints, which would have taken four fifths of them out of service. Change: the quiet time lasts at least as long as a proof of warmth is trusted, and a proof lasts at least three rounds of reports.

--- a/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrants.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/ColdStartGrants.java
@@ -30,6 +30,7 @@
     private final ToIntFunction<EndpointName> mCallsInFlight;
     private final ToIntFunction<EndpointName> mCancelledCalls;
     private final GrantSettings mSettings;
+    private final ProofValidity mValidity;
     private final HeldLease mLease;
     private final UniformRandomProvider mRandom;
     private final SlotTable mTable;
@@ -41,6 +42,7 @@
         mCallsInFlight = builder.mCallsInFlight;
         mCancelledCalls = builder.mCancelledCalls;
         mSettings = builder.mSettings;
+        mValidity = new ProofValidity(mSettings);
         mLease = builder.mLease;
         mRandom = builder.mRandom;
         mTable = new SlotTable(builder);
@@ -88,6 +90,15 @@
         return slots != null && slots.mWarmth.isWarm(nowNanos);
     }
 
+    /**
+     * Tells how often every watched endpoint is asked for a load report.
+     *
+     * @param roundNanos time between two reports of one endpoint, in nanoseconds
+     */
+    public void reportsEvery(long roundNanos) {
+        mValidity.reportsEvery(roundNanos);
+    }
+
     /**
      * Takes a load report.
      *
@@ -141,7 +152,7 @@
         return mEndpoints.computeIfAbsent(
                 endpoint,
                 name -> {
-                    EndpointSlots slots = new EndpointSlots(name, mSettings);
+                    EndpointSlots slots = new EndpointSlots(name, mSettings, mValidity);
                     slots.resize(coldLimitOf(slots));
                     return slots;
                 });
--- a/core/src/main/java/org/wasabilug/internal/grant/EndpointSlots.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/EndpointSlots.java
@@ -18,9 +18,9 @@
     int mFruitlessLooks;
     boolean mFreeSeen;
 
-    EndpointSlots(EndpointName endpoint, GrantSettings settings) {
+    EndpointSlots(EndpointName endpoint, GrantSettings settings, ProofValidity validity) {
         mEndpoint = endpoint;
-        mWarmth = new Warmth(settings);
+        mWarmth = new Warmth(settings, validity);
     }
 
     /** Makes room for as many slots as the endpoint's cold limit; known ones stay. */
--- a/core/src/main/java/org/wasabilug/internal/grant/Warmth.java
+++ b/core/src/main/java/org/wasabilug/internal/grant/Warmth.java
@@ -16,6 +16,7 @@
     private static final int MAXIMUM_DOUBLINGS = 10;
 
     private final GrantSettings mSettings;
+    private final ProofValidity mValidity;
     private long mGeneration;
     private boolean mGenerationKnown;
     private boolean mWarm;
@@ -28,8 +29,12 @@
     /** Calls sent while the endpoint passed for warm may run until then. */
     private long mQuietUntilNanos = NEVER;
 
-    Warmth(GrantSettings settings) {
+    /** Until then another instance may not have heard that the endpoint turned cold. */
+    private long mHeardByAllNanos = NEVER;
+
+    Warmth(GrantSettings settings, ProofValidity validity) {
         mSettings = settings;
+        mValidity = validity;
     }
 
     long generation() {
@@ -37,7 +42,7 @@
     }
 
     boolean isWarm(long nowNanos) {
-        return mWarm && nowNanos - mProvenNanos <= mSettings.proofValidity().toNanos();
+        return mWarm && nowNanos - mProvenNanos <= mValidity.nanos();
     }
 
     /**
@@ -56,6 +61,7 @@
     private void turnCold(long nowNanos) {
         if (mWarm) {
             mQuietUntilNanos = nowNanos + mSettings.longestCall().toNanos();
+            mHeardByAllNanos = nowNanos + mValidity.nanos();
         }
         mWarm = false;
         mSeenCold = true;
@@ -78,14 +84,15 @@
         }
         if (report.cold()) {
             turnCold(nowNanos);
-            endQuiet(report, fresh, ownCalls);
+            endQuiet(report, fresh, ownCalls, nowNanos);
         } else if (fresh) {
             proveWarm(nowNanos);
         }
     }
 
-    private void endQuiet(LoadReport report, boolean fresh, int ownCalls) {
-        if (fresh && report.inFlight() + report.queued() <= ownCalls) {
+    private void endQuiet(LoadReport report, boolean fresh, int ownCalls, long nowNanos) {
+        boolean heardByAll = nowNanos >= mHeardByAllNanos;
+        if (heardByAll && fresh && report.inFlight() + report.queued() <= ownCalls) {
             mQuietUntilNanos = NEVER;
         }
     }
--- a/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/InstanceCore.java
@@ -5,6 +5,7 @@
 import org.wasabilug.internal.configuration.Configuration;
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
+import org.wasabilug.model.EndpointName;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.PeerMessage;
 
@@ -99,8 +100,9 @@
             mDemand.noteWaiting(mParts.waiting().pools());
             mDemand.ask(
                     mParts.router().watched(), mParts.configuration(), mParts.grants(), nowNanos);
-            actions.addAll(
-                    mPolling.poll(mParts.router().watched(), mParts.configuration(), nowNanos));
+            List<EndpointName> watched = mParts.router().watched();
+            mParts.grants().reportsEvery(LoadPolling.roundNanos(watched.size()));
+            actions.addAll(mPolling.poll(watched, mParts.configuration(), nowNanos));
         }
         actions.addAll(mParts.lease().tick(nowNanos));
         actions.addAll(mParts.grants().tick(nowNanos));
--- a/core/src/main/java/org/wasabilug/internal/instance/LoadPolling.java
+++ b/core/src/main/java/org/wasabilug/internal/instance/LoadPolling.java
@@ -44,6 +44,11 @@
         return polls;
     }
 
+    /** Time in which every watched endpoint is asked once. */
+    static long roundNanos(int watched) {
+        return stepsPerRound(watched) * STEP_NANOS;
+    }
+
     private static int stepsPerRound(int watched) {
         int neededSteps = (watched + MOST_POLLS_PER_STEP - 1) / MOST_POLLS_PER_STEP;
         return Math.max(FEWEST_STEPS_PER_ROUND, neededSteps);
