--- a/core/src/main/java/org/wasabilug/internal/execution/RefusalTrials.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/LateArrivals.java
@@ -1,10 +1,10 @@
 package org.wasabilug.internal.execution;
 
 /**
- * Lets a few of the requests start that a rule would refuse at arrival. Where all were refused,
- * nothing would show that the reason is gone.
+ * Lets a few of the requests start that learned times count as too late. Where all were refused,
+ * nothing would show that stages have become faster.
  */
-final class RefusalTrials {
+final class LateArrivals {
     private static final int TRIAL_EVERY = 10;
     private static final long LONGEST_GAP_NANOS = 1_000_000_000L;
 
@@ -12,7 +12,7 @@
     private long mLastNanos;
     private boolean mAny;
 
-    /** Tells whether a request that the rule refuses is to be tried all the same. */
+    /** Tells whether a request that seems to be late is to be tried all the same. */
     boolean isTrial(long nowNanos) {
         mRefused++;
         boolean due = !mAny || nowNanos - mLastNanos >= LONGEST_GAP_NANOS;
--- a/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
@@ -21,9 +21,7 @@
     private final StageStarter mStarter;
     private final CallDispatcher mDispatcher;
     private final AttemptOutcomes mOutcomes;
-    private final RefusalTrials mLateTrials = new RefusalTrials();
-    private final RefusalTrials mPlatformTrials = new RefusalTrials();
-    private final PlatformHealth mPlatform = new PlatformHealth();
+    private final LateArrivals mLateArrivals = new LateArrivals();
     private boolean mStopping;
     private boolean mStopped;
 
@@ -49,7 +47,6 @@
      */
     public List<InstanceAction> handle(InstanceEvent event, long nowNanos) {
         Turn turn = new Turn(nowNanos, new ArrayList<>());
-        mPlatform.note(event);
         take(event, turn);
         fireTimers(turn);
         mDispatcher.dispatchWaiting(turn);
@@ -108,9 +105,6 @@
         if (isQuarantined(run, turn)) {
             return Optional.of(new Refused(ErrorCode.QUARANTINED, "content crashed endpoints"));
         }
-        if (isUnclaimable(run, turn)) {
-            return Optional.of(new Refused(ErrorCode.PLATFORM_UNAVAILABLE, "no claim can be made"));
-        }
         if (isHopeless(run, turn)) {
             return Optional.of(new Refused(ErrorCode.OVERLOADED, "deadline can't be met"));
         }
@@ -121,19 +115,12 @@
         return mParts.crashes().judge(run.fingerprint(), turn.nowNanos()) == Suspicion.QUARANTINED;
     }
 
-    /** Spares the work of stages before one that could not be claimed. */
-    private boolean isUnclaimable(RequestRun run, Turn turn) {
-        return run.hasOnceStage()
-                && mPlatform.isAway()
-                && !mPlatformTrials.isTrial(turn.nowNanos());
-    }
-
     private boolean isHopeless(RequestRun run, Turn turn) {
         long expected = mParts.planner().expectedNanos(run.request().pipeline(), run.doneStages());
         if (expected <= run.remainingNanos(turn.nowNanos())) {
             return false;
         }
-        if (mLateTrials.isTrial(turn.nowNanos())) {
+        if (mLateArrivals.isTrial(turn.nowNanos())) {
             run.markTrial();
         }
         return !run.isTrial();
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -5,15 +5,12 @@
 import static org.wasabilug.internal.execution.ExecutorFixture.repeatable;
 import static org.wasabilug.internal.execution.ExecutorFixture.request;
 
-import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.error.ErrorCode;
 import org.wasabilug.internal.deadline.LearnedStagePlanner;
 import org.wasabilug.internal.event.FailureKind;
 import org.wasabilug.internal.event.InstanceEvent;
-import org.wasabilug.internal.event.OperationId;
-import org.wasabilug.internal.event.Part;
 import org.wasabilug.internal.event.StageCall;
 import org.wasabilug.internal.ledger.ClaimOutcome;
 import org.wasabilug.internal.quarantine.Suspicion;
@@ -21,7 +18,6 @@
 import org.wasabilug.model.RequestId;
 import org.wasabilug.model.RunState;
 import org.wasabilug.model.StageName;
-import org.wasabilug.port.ReadOutcome;
 
 class RequestExecutorTest {
     private static final Optional<String> NO_KEY = Optional.empty();
@@ -323,38 +319,4 @@
 
         assertThat(mFixture.refusal().orElseThrow().code()).isEqualTo(ErrorCode.STOPPING);
     }
-
-    @Test
-    void startsNoneOfTheStagesBeforeAClaimThatCannotBeMade() {
-        loseThePlatform();
-        mFixture.submit(request("trial", KEY, repeatable("encode"), once("transfer", "encode")));
-        int callsOfTheTrial = mFixture.calls().size();
-
-        mFixture.submit(request("r", KEY, repeatable("encode"), once("transfer", "encode")));
-
-        assertThat(mFixture.calls()).hasSize(callsOfTheTrial);
-        assertThat(mFixture.refusal().orElseThrow().code())
-                .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
-    }
-
-    @Test
-    void startsOnceStagesAgainWithTheFirstAnswerOfThePlatform() {
-        loseThePlatform();
-        mFixture.submit(request("trial", KEY, once("transfer")));
-        mFixture.send(
-                new InstanceEvent.ReadAnswered(
-                        new OperationId(Part.FEED, 4), new ReadOutcome.Rows(List.of())));
-
-        mFixture.submit(request("r", KEY, once("transfer")));
-
-        assertThat(mFixture.calls()).hasSize(2);
-    }
-
-    private void loseThePlatform() {
-        for (int read = 1; read <= 3; read++) {
-            mFixture.send(
-                    new InstanceEvent.ReadAnswered(
-                            new OperationId(Part.FEED, read), new ReadOutcome.Unavailable()));
-        }
-    }
 }
