Measure added latency again, and refuse to compare failed calls

Cause: the straight calls of the latency measurement lacked a field that the protocol gained, so that all of them failed and counted as 0 ms; decisions filled the terminal.

--- a/bench/src/main/java/org/wasabilug/bench/BenchMain.java
+++ b/bench/src/main/java/org/wasabilug/bench/BenchMain.java
@@ -11,6 +11,7 @@
 /** Runs experiments; see {@code --help}. */
 public final class BenchMain {
     private static final int EXIT_DONE = 0;
+    private static final int EXIT_FAILED = 1;
     private static final int EXIT_WRONG_SETTINGS = 2;
     private static final String BUILD_PROPERTIES =
             "/META-INF/maven/org.wasabilug/bench/pom.properties";
@@ -30,7 +31,11 @@
                 System.exit(EXIT_WRONG_SETTINGS);
             }
             case CommandInput.Virtual virtual -> run(virtual);
-            case CommandInput.Latency latency -> run(latency);
+            case CommandInput.Latency latency -> {
+                if (!run(latency)) {
+                    System.exit(EXIT_FAILED);
+                }
+            }
         }
         System.exit(EXIT_DONE);
     }
@@ -41,8 +46,8 @@
         command.run();
     }
 
-    private static void run(CommandInput.Latency latency) {
-        new LatencyCommand(
+    private static boolean run(CommandInput.Latency latency) {
+        return new LatencyCommand(
                         latency.requestsPerSecond(),
                         latency.stages(),
                         latency.seconds(),
--- a/bench/src/main/java/org/wasabilug/bench/internal/latency/LatencyCommand.java
+++ b/bench/src/main/java/org/wasabilug/bench/internal/latency/LatencyCommand.java
@@ -41,8 +41,12 @@
         mOut = out;
     }
 
-    /** Measures and prints. */
-    public void run() {
+    /**
+     * Measures and prints.
+     *
+     * @return false where calls failed, so that there is nothing to compare
+     */
+    public boolean run() {
         try (LatencyRig rig = new LatencyRig(ENDPOINTS, mStages);
                 HttpClient client =
                         HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()) {
@@ -52,9 +56,14 @@
                     .run(rig::throughInstance, mPerSecond, mPerSecond * WARM_UP_SECONDS);
             OpenLoop straight = measure("straight", client, rig::straight);
             OpenLoop through = measure("through instance", client, rig::throughInstance);
+            if (straight.failures() + through.failures() > 0) {
+                mOut.println("Calls failed, so nothing is compared; see the failures above.");
+                return false;
+            }
             printAdded(straight, through, MEDIAN);
             printAdded(straight, through, HIGH);
             measureIdle();
+            return true;
         }
     }
 
--- a/bench/src/main/java/org/wasabilug/bench/internal/latency/LatencyRig.java
+++ b/bench/src/main/java/org/wasabilug/bench/internal/latency/LatencyRig.java
@@ -17,6 +17,8 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.apache.pekko.actor.ActorSystem;
+import org.wasabilug.endpoint.wire.EndpointJson;
+import org.wasabilug.endpoint.wire.StageCallBody;
 import org.wasabilug.entry.EntryDaemon;
 import org.wasabilug.entry.EntryInstance;
 import org.wasabilug.internal.instance.InstanceSettings;
@@ -45,6 +47,7 @@
 
 /** One real entry instance with stand-ins for the platform and for endpoints, in this process. */
 final class LatencyRig implements AutoCloseable {
+    private static final long STRAIGHT_TIMEOUT_MILLISECONDS = 10_000;
     private static final String KEY = "benchmark-key";
     private static final String SALT = "0123456789abcdef0123456789abcdef";
     private static final String OWNER = "bench";
@@ -169,8 +172,16 @@
     /** One stage's call, straight to the first stand-in. */
     HttpRequest straight() {
         String body =
-                "{\"request\":\"r\",\"stage\":\"stage-0\",\"attempt\":1,\"input\":\"site 7\","
-                        + "\"offset\":0,\"priority\":0,\"timeoutMilliseconds\":10000}";
+                EndpointJson.write(
+                        new StageCallBody(
+                                "r",
+                                "stage-0",
+                                1,
+                                "site 7",
+                                0,
+                                "",
+                                0,
+                                STRAIGHT_TIMEOUT_MILLISECONDS));
         return HttpRequest.newBuilder(mEndpoints.getFirst().baseUri().resolve("/v1/stage-calls"))
                 .header("Content-Type", "application/json")
                 .POST(HttpRequest.BodyPublishers.ofString(body))
