--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -0,0 +1,42 @@
+package org.wasabilug.internal.serving;
+
+import java.util.List;
+
+/**
+ * One piece that is to be produced.
+ *
+ * @param id its name
+ * @param service service that produces it
+ * @param key content key of the request; read where there are no inputs
+ * @param inputs handles of the results that it reads
+ * @param dueMillis when its request should be answered, for the order of work
+ * @param deadlineMillis when its result is of no use any more
+ * @param resultBytes approximate size of its result
+ * @param domain failure domain in which the result is wanted; empty where it doesn't matter
+ * @param repeat true where the piece was produced before
+ */
+public record PieceWork(
+        PieceId id,
+        String service,
+        String key,
+        List<String> inputs,
+        long dueMillis,
+        long deadlineMillis,
+        double resultBytes,
+        String domain,
+        boolean repeat) {
+    /** Copies the list. */
+    public PieceWork {
+        inputs = List.copyOf(inputs);
+    }
+
+    /**
+     * Gives the same work, marked as produced before.
+     *
+     * @return a copy
+     */
+    public PieceWork repeated() {
+        return new PieceWork(
+                id, service, key, inputs, dueMillis, deadlineMillis, resultBytes, domain, true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -0,0 +1,230 @@
+package org.wasabilug.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.wasabilug.serving.StageCapacity;
+
+/**
+ * Pieces of one service that wait for an endpoint, of all requests whose instance sends them here.
+ *
+ * <p>A call takes nearly as long with one piece as with many. A piece therefore waits here, not at
+ * an endpoint, so that the next call takes all that came meanwhile. It answers loads near the
+ * capacity of full calls; at rest a piece leaves at once.
+ */
+public final class StageQueue {
+    private static final double BYTES_PER_MEGABYTE = 1e6;
+
+    /** Results below this size cost little to read from another failure domain. */
+    private static final double LARGE_RESULT_BYTES = 500_000;
+
+    /** How much longer a large piece waits for an endpoint of its own failure domain. */
+    private static final long DOMAIN_PATIENCE_MILLIS = 150;
+
+    /** Slowness from which an endpoint gets only what others can't do sooner. */
+    private static final double SLOW_ENDPOINT = 2;
+
+    private static final Comparator<Waiting> URGENT_FIRST =
+            Comparator.comparingLong((Waiting waiting) -> waiting.mWork.dueMillis())
+                    .thenComparingLong(waiting -> waiting.mOrder);
+
+    private final TreeSet<Waiting> mWaiting = new TreeSet<>(URGENT_FIRST);
+    private final Map<PieceId, Waiting> mById = new HashMap<>();
+    private final Map<String, Integer> mCalls = new HashMap<>();
+    private final Map<String, Double> mResultBytes = new HashMap<>();
+    private long mNextOrder;
+
+    /**
+     * Adds a piece; one that waits already is not added again.
+     *
+     * @param work the piece
+     * @param nowMillis now
+     */
+    public void add(PieceWork work, long nowMillis) {
+        if (mById.containsKey(work.id())) {
+            return;
+        }
+        Waiting waiting = new Waiting(work, nowMillis, mNextOrder++);
+        mById.put(work.id(), waiting);
+        mWaiting.add(waiting);
+    }
+
+    /**
+     * Removes the waiting pieces of a request.
+     *
+     * @param request id of the request
+     */
+    public void cancel(String request) {
+        removeIf(waiting -> waiting.mWork.id().request().equals(request));
+    }
+
+    /**
+     * Takes out the pieces that are of no use any more.
+     *
+     * @param nowMillis now
+     * @return the pieces
+     */
+    public List<PieceWork> takeLate(long nowMillis) {
+        return removeIf(waiting -> waiting.mWork.deadlineMillis() <= nowMillis);
+    }
+
+    /**
+     * Takes out everything.
+     *
+     * @return the pieces
+     */
+    public List<PieceWork> takeAll() {
+        return removeIf(waiting -> true);
+    }
+
+    /**
+     * Counts the waiting pieces.
+     *
+     * @return their number
+     */
+    public int size() {
+        return mWaiting.size();
+    }
+
+    /**
+     * Forms the next calls.
+     *
+     * @param capacity what an endpoint can do
+     * @param endpoints endpoints that may take work
+     * @param nowMillis now
+     * @return calls to send now
+     */
+    public List<StageCall> takeCalls(
+            StageCapacity capacity, List<EndpointState> endpoints, long nowMillis) {
+        List<StageCall> calls = new ArrayList<>();
+        List<EndpointState> fastestFirst = fastestFirst(endpoints, nowMillis);
+        for (int index = 0; index < fastestFirst.size(); index++) {
+            EndpointState endpoint = fastestFirst.get(index);
+            if (index > 0 && fasterOnesSuffice(capacity, endpoint, index, nowMillis)) {
+                break;
+            }
+            String name = endpoint.registration().name();
+            while (!mWaiting.isEmpty() && calls(name) < Math.max(1, capacity.parallelCalls())) {
+                List<PieceWork> pieces = takePieces(capacity, endpoint, nowMillis);
+                if (pieces.isEmpty()) {
+                    break;
+                }
+                mCalls.merge(name, 1, Integer::sum);
+                calls.add(new StageCall(endpoint, pieces));
+            }
+        }
+        return calls;
+    }
+
+    /**
+     * Notes the end of a call.
+     *
+     * @param endpoint name of the endpoint
+     */
+    public void callEnded(String endpoint) {
+        mCalls.computeIfPresent(endpoint, (name, count) -> count > 1 ? count - 1 : null);
+    }
+
+    /**
+     * Notes results that no longer take room.
+     *
+     * @param endpoint name of the endpoint
+     * @param bytes their size
+     */
+    public void released(String endpoint, double bytes) {
+        mResultBytes.computeIfPresent(
+                endpoint, (name, held) -> held - bytes > 1 ? held - bytes : null);
+    }
+
+    private static List<EndpointState> fastestFirst(List<EndpointState> endpoints, long nowMillis) {
+        List<EndpointState> healthy =
+                endpoints.stream().filter(each -> !each.health().ejected(nowMillis)).toList();
+        return (healthy.isEmpty() ? endpoints : healthy)
+                .stream()
+                        .sorted(
+                                Comparator.comparingDouble(
+                                        each -> each.health().slowness(nowMillis)))
+                        .toList();
+    }
+
+    /** Tells whether all that waits is done sooner by faster endpoints than by this one. */
+    private boolean fasterOnesSuffice(
+            StageCapacity capacity, EndpointState endpoint, int faster, long nowMillis) {
+        double slowness = endpoint.health().slowness(nowMillis);
+        if (slowness < SLOW_ENDPOINT) {
+            return false;
+        }
+        double roundsOfFaster =
+                Math.ceil((double) mWaiting.size() / (capacity.piecesPerCall() * faster));
+        return roundsOfFaster + 1 < slowness;
+    }
+
+    private List<PieceWork> takePieces(
+            StageCapacity capacity, EndpointState endpoint, long nowMillis) {
+        String name = endpoint.registration().name();
+        double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name);
+        List<PieceWork> pieces = new ArrayList<>();
+        Iterator<Waiting> iterator = mWaiting.iterator();
+        while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
+            Waiting waiting = iterator.next();
+            PieceWork work = waiting.mWork;
+            if (work.resultBytes() > room || waitsForItsDomain(waiting, endpoint, nowMillis)) {
+                continue;
+            }
+            iterator.remove();
+            mById.remove(work.id());
+            room -= work.resultBytes();
+            mResultBytes.merge(name, work.resultBytes(), Double::sum);
+            pieces.add(work);
+        }
+        return pieces;
+    }
+
+    private static boolean waitsForItsDomain(
+            Waiting waiting, EndpointState endpoint, long nowMillis) {
+        PieceWork work = waiting.mWork;
+        return work.resultBytes() >= LARGE_RESULT_BYTES
+                && !work.domain().isEmpty()
+                && !work.domain().equals(endpoint.registration().failureDomain())
+                && nowMillis - waiting.mSinceMillis < DOMAIN_PATIENCE_MILLIS;
+    }
+
+    private int calls(String endpoint) {
+        return mCalls.getOrDefault(endpoint, 0);
+    }
+
+    private double held(String endpoint) {
+        return mResultBytes.getOrDefault(endpoint, 0.0);
+    }
+
+    private List<PieceWork> removeIf(java.util.function.Predicate<Waiting> condition) {
+        List<PieceWork> removed = new ArrayList<>();
+        Iterator<Waiting> iterator = mWaiting.iterator();
+        while (iterator.hasNext()) {
+            Waiting waiting = iterator.next();
+            if (condition.test(waiting)) {
+                iterator.remove();
+                mById.remove(waiting.mWork.id());
+                removed.add(waiting.mWork);
+            }
+        }
+        return removed;
+    }
+
+    /** A piece and when it came. */
+    private static final class Waiting {
+        private final PieceWork mWork;
+        private final long mSinceMillis;
+        private final long mOrder;
+
+        Waiting(PieceWork work, long sinceMillis, long order) {
+            mWork = work;
+            mSinceMillis = sinceMillis;
+            mOrder = order;
+        }
+    }
+}
--- a/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryDaemon.java
@@ -14,8 +14,8 @@
 import org.wasabilug.internal.instance.InstanceCore;
 import org.wasabilug.internal.instance.InstanceSettings;
 import org.wasabilug.model.InstanceName;
-import org.wasabilug.platform.HttpPlatformClient;
 import org.wasabilug.port.PeerMessage;
+import org.wasabilug.tableservice.HttpPlatformClient;
 
 /** A whole entry instance: decision core, clients of platform and endpoints, peers and HTTP. */
 public final class EntryDaemon implements AutoCloseable {
--- a/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
+++ b/entry/src/main/java/org/wasabilug/entry/EntryInstanceBuilder.java
@@ -13,7 +13,7 @@
 import org.wasabilug.internal.ticket.TicketParse;
 import org.wasabilug.internal.ticket.TicketValidator;
 import org.wasabilug.model.SaltedHash;
-import org.wasabilug.platform.PlatformClient;
+import org.wasabilug.tableservice.PlatformClient;
 
 /** Builds an {@link EntryInstance}. Core and clients have to be set. */
 public final class EntryInstanceBuilder {
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/ActionPerformer.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/ActionPerformer.java
@@ -8,7 +8,7 @@
 import org.wasabilug.internal.event.InstanceAction;
 import org.wasabilug.internal.event.InstanceEvent;
 import org.wasabilug.internal.event.OperationId;
-import org.wasabilug.platform.PlatformClient;
+import org.wasabilug.tableservice.PlatformClient;
 
 /** Performs the actions of the core. The instance's actor alone calls it. */
 final class ActionPerformer {
--- a/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceParts.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/actor/InstanceParts.java
@@ -5,7 +5,7 @@
 import org.wasabilug.entry.EntryLimits;
 import org.wasabilug.entry.PeerLink;
 import org.wasabilug.internal.instance.DecisionCore;
-import org.wasabilug.platform.PlatformClient;
+import org.wasabilug.tableservice.PlatformClient;
 
 /**
  * What an instance is made of.
--- a/entry/src/test/java/org/wasabilug/entry/fake/FakePlatform.java
+++ b/entry/src/test/java/org/wasabilug/entry/fake/FakePlatform.java
@@ -2,13 +2,13 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.wasabilug.platform.PlatformClient;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.ObjectOutcome;
 import org.wasabilug.port.ReadOutcome;
 import org.wasabilug.port.TableRead;
 import org.wasabilug.port.TableTransaction;
+import org.wasabilug.tableservice.PlatformClient;
 
 /** A platform that can't be reached. */
 public final class FakePlatform implements PlatformClient {
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -0,0 +1,183 @@
+package org.wasabilug.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.caller.CallerListener;
+import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
+import org.wasabilug.gateway.internal.fleet.EndpointWatch;
+import org.wasabilug.gateway.internal.log.DecisionLog;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.log.MetricsText;
+import org.wasabilug.gateway.internal.readiness.ReadinessServer;
+import org.wasabilug.gateway.internal.request.RequestReceiver;
+import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
+import org.wasabilug.gateway.internal.store.FollowedTable;
+import org.wasabilug.gateway.internal.store.TableFollower;
+import org.wasabilug.gateway.protocol.StoreProtocol;
+import org.wasabilug.gateway.protocol.WireProtocol;
+
+/** One gateway process: everything runs on one event loop. */
+public final class Gateway {
+    private static final long HOUSEKEEPING_MILLIS = 250;
+    private static final long CONFIGURATION_WAIT_MILLIS = 4_000;
+    private static final long CONFIGURATION_PAUSE_MILLIS = 20;
+    private static final long ENDPOINT_WAIT_MILLIS = 2_000;
+    private static final long ENDPOINT_PAUSE_MILLIS = 500;
+
+    /** Checks that find the instance not ready twice come within this time. */
+    private static final long LEAVE_ROTATION_MILLIS = 2_600;
+
+    /** Time at the end of a stop for closing what is left. */
+    private static final long STOP_MARGIN_MILLIS = 900;
+
+    private final GatewaySettings mSettings;
+    private final EventLoopGroup mLoops;
+    private final GatewayState mState;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final CallerListener mCallers;
+    private final ReadinessServer mReadiness;
+    private final LocalStageExecutor mStages;
+    private final EndpointWatch mEndpoints;
+    private final ConfigurationWatch mConfiguration;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+    private long mStoppingSinceMillis = -1;
+
+    /**
+     * Makes a gateway that does not run yet.
+     *
+     * @param settings its settings
+     * @param protocol names and formats of its deployment
+     */
+    public Gateway(GatewaySettings settings, WireProtocol protocol) {
+        mSettings = settings;
+        mLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = mLoops.next();
+        EndpointConnections connections =
+                new EndpointConnections(
+                        mLoops, protocol.headers().requestId(), GatewayState::clockMillis);
+        DecisionLog log = new DecisionLog(mMetrics, GatewayState::clockMillis);
+        mState = new GatewayState(settings, protocol, loop, connections, log);
+        mStages = new LocalStageExecutor(mState);
+        RequestReceiver receiver = new RequestReceiver(mState, mStages);
+        mCallers =
+                new CallerListener(
+                        mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
+        mReadiness =
+                new ReadinessServer(
+                        protocol.readinessPath(), this::ready, () -> MetricsText.of(mMetrics));
+        mEndpoints = new EndpointWatch(mState);
+        mConfiguration = new ConfigurationWatch(mState);
+    }
+
+    /**
+     * Starts to serve.
+     *
+     * @throws InterruptedException if interrupted meanwhile
+     */
+    public void start() throws InterruptedException {
+        mState.log()
+                .process(
+                        LogLine.of("started")
+                                .with("instance", mSettings.name())
+                                .with("domain", mSettings.failureDomain())
+                                .with("callers", mSettings.callers().toString())
+                                .with("store", mSettings.store().toString()));
+        mCallers.listen(mSettings.callers());
+        mReadiness.listen(mLoops, mSettings.readiness());
+        mState.loop().execute(this::follow);
+        mState.loop()
+                .scheduleAtFixedRate(
+                        this::keepHouse,
+                        HOUSEKEEPING_MILLIS,
+                        HOUSEKEEPING_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void follow() {
+        StoreProtocol store = mState.protocol().store();
+        new TableFollower(
+                        mLoops,
+                        mSettings.store(),
+                        store,
+                        new FollowedTable(
+                                store.configurationTable(),
+                                CONFIGURATION_WAIT_MILLIS,
+                                CONFIGURATION_PAUSE_MILLIS),
+                        mConfiguration)
+                .start();
+        new TableFollower(
+                        mLoops,
+                        mSettings.store(),
+                        store,
+                        new FollowedTable(
+                                store.endpointTable(), ENDPOINT_WAIT_MILLIS, ENDPOINT_PAUSE_MILLIS),
+                        mEndpoints)
+                .start();
+    }
+
+    private boolean ready() {
+        return mStoppingSinceMillis < 0
+                && mState.routes().isPresent()
+                && !mState.directory().all().isEmpty();
+    }
+
+    private void keepHouse() {
+        mEndpoints.removeLapsed();
+        mCallers.enforceTimes();
+        mState.connections().closeRested();
+        mStages.forgetOld();
+        if (mStoppingSinceMillis >= 0) {
+            continueStop();
+        }
+    }
+
+    /** Stops: answers what has come, then ends. Returns when all is done. */
+    public void stop() {
+        mState.loop()
+                .execute(
+                        () -> {
+                            if (mStoppingSinceMillis < 0) {
+                                mStoppingSinceMillis = mState.nowMillis();
+                                mCallers.startStopping();
+                                mState.log()
+                                        .process(
+                                                LogLine.of("stopping")
+                                                        .with(
+                                                                "connections",
+                                                                mCallers.connections()));
+                            }
+                        });
+        try {
+            boolean done = mStopped.await(mSettings.stopMillis(), TimeUnit.MILLISECONDS);
+            mState.log().process(LogLine.of("stopped").with("complete", done));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void continueStop() {
+        long since = mState.nowMillis() - mStoppingSinceMillis;
+        if (since < LEAVE_ROTATION_MILLIS) {
+            return;
+        }
+        mCallers.closeResting();
+        boolean late = since > mSettings.stopMillis() - STOP_MARGIN_MILLIS;
+        if (mCallers.connections() == 0 || late) {
+            mCallers.close();
+            mReadiness.close();
+            mStopped.countDown();
+        }
+    }
+
+    /** Notes that settings were read again; what a running process uses has not changed. */
+    public void settingsRead() {
+        mState.log().process(LogLine.of("settings-read"));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -0,0 +1,213 @@
+package org.wasabilug.gateway.internal;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import org.wasabilug.gateway.GatewaySettings;
+import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.log.DecisionLog;
+import org.wasabilug.gateway.protocol.WireProtocol;
+import org.wasabilug.internal.serving.EndpointDirectory;
+import org.wasabilug.internal.serving.EndpointSelector;
+import org.wasabilug.internal.serving.RetryAllowance;
+import org.wasabilug.internal.serving.RouteTable;
+import org.wasabilug.serving.CallerLimits;
+import org.wasabilug.serving.ServiceSpecification;
+
+/** What one gateway process knows and uses; owned by its event loop. */
+public final class GatewayState {
+    private static final long NANOS_PER_MILLISECOND = 1_000_000;
+    private static final int MISDIRECTED = 421;
+
+    private final GatewaySettings mSettings;
+    private final WireProtocol mProtocol;
+    private final EventLoop mLoop;
+    private final EndpointConnections mConnections;
+    private final DecisionLog mLog;
+    private final EndpointDirectory mDirectory = new EndpointDirectory();
+    private final RetryAllowance mRetries;
+    private final EndpointSelector mSelector;
+    private IntSupplier mInstances = () -> 1;
+    private RouteTable mRoutes;
+
+    /**
+     * Makes a state that knows no configuration and no endpoint.
+     *
+     * @param settings settings of the process
+     * @param protocol names and formats
+     * @param loop the event loop
+     * @param connections connections to endpoints
+     * @param log the log
+     */
+    public GatewayState(
+            GatewaySettings settings,
+            WireProtocol protocol,
+            EventLoop loop,
+            EndpointConnections connections,
+            DecisionLog log) {
+        mSettings = settings;
+        mProtocol = protocol;
+        mLoop = loop;
+        mConnections = connections;
+        mLog = log;
+        mRetries = new RetryAllowance(settings.retryLimits());
+        mSelector = new EndpointSelector(settings.coldLimits());
+    }
+
+    /**
+     * Gives the time of the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    public static long clockMillis() {
+        return System.nanoTime() / NANOS_PER_MILLISECOND;
+    }
+
+    /**
+     * Gives the time of the monotonic clock.
+     *
+     * @return milliseconds
+     */
+    public long nowMillis() {
+        return clockMillis();
+    }
+
+    /**
+     * Gives the settings.
+     *
+     * @return the settings
+     */
+    public GatewaySettings settings() {
+        return mSettings;
+    }
+
+    /**
+     * Gives names and formats.
+     *
+     * @return the protocol
+     */
+    public WireProtocol protocol() {
+        return mProtocol;
+    }
+
+    /**
+     * Gives the event loop.
+     *
+     * @return the loop
+     */
+    public EventLoop loop() {
+        return mLoop;
+    }
+
+    /**
+     * Gives the connections to endpoints.
+     *
+     * @return the connections
+     */
+    public EndpointConnections connections() {
+        return mConnections;
+    }
+
+    /**
+     * Gives the log.
+     *
+     * @return the log
+     */
+    public DecisionLog log() {
+        return mLog;
+    }
+
+    /**
+     * Gives the known endpoints.
+     *
+     * @return the directory
+     */
+    public EndpointDirectory directory() {
+        return mDirectory;
+    }
+
+    /**
+     * Gives this instance's part of the common limit of retries.
+     *
+     * @return the allowance
+     */
+    public RetryAllowance retries() {
+        return mRetries;
+    }
+
+    /**
+     * Gives the chooser of endpoints.
+     *
+     * @return the selector
+     */
+    public EndpointSelector selector() {
+        return mSelector;
+    }
+
+    /**
+     * Gives the configuration in force.
+     *
+     * @return its index, or empty before the first is known
+     */
+    public Optional<RouteTable> routes() {
+        return Optional.ofNullable(mRoutes);
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param routes its index
+     */
+    public void routes(RouteTable routes) {
+        mRoutes = routes;
+    }
+
+    /**
+     * Finds a service of the configuration in force.
+     *
+     * @param name its name
+     * @return the service, or empty
+     */
+    public Optional<ServiceSpecification> service(String name) {
+        return routes().flatMap(routes -> routes.service(name));
+    }
+
+    /**
+     * Gives the bounds of what callers may send.
+     *
+     * @return those of the configuration in force
+     */
+    public CallerLimits callerLimits() {
+        return routes().map(routes -> routes.configuration().limits()).orElse(CallerLimits.DEFAULT);
+    }
+
+    /**
+     * Counts the instances that may share a limit, heard or not.
+     *
+     * @return at least 1
+     */
+    public int instances() {
+        return Math.max(1, mInstances.getAsInt());
+    }
+
+    /**
+     * Sets how instances are counted.
+     *
+     * @param instances the counter
+     */
+    public void instances(IntSupplier instances) {
+        mInstances = instances;
+    }
+
+    /**
+     * Tells whether an answer says that its request did not run.
+     *
+     * @param head the answer's head
+     * @return true where it surely did not run
+     */
+    public boolean notExecuted(HttpResponse head) {
+        return head.status().code() == MISDIRECTED
+                || head.headers().contains(mProtocol.headers().notExecuted());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -0,0 +1,181 @@
+package org.wasabilug.gateway.internal.caller;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.ArrayDeque;
+
+/**
+ * One connection of a caller: receives whole requests and hands on one at a time.
+ *
+ * <p>It goes on reading while a request is served, since only that shows that the caller has left.
+ */
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final int MOST_PIPELINED_REQUESTS = 16;
+
+    private final CallerListener mListener;
+    private final ArrayDeque<CallerExchange> mComplete = new ArrayDeque<>();
+    private Channel mChannel;
+    private CallerExchange mReceiving;
+    private CallerExchange mServing;
+    private boolean mClosing;
+    private long mLastActivityMillis;
+
+    CallerConnection(CallerListener listener) {
+        mListener = listener;
+    }
+
+    Channel channel() {
+        return mChannel;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mChannel = context.channel();
+        mLastActivityMillis = mListener.nowMillis();
+        mListener.opened(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mClosing) {
+            return;
+        }
+        mLastActivityMillis = mListener.nowMillis();
+        if (message.decoderResult().isFailure()) {
+            refuseAndClose(statusOf(message.decoderResult()));
+            return;
+        }
+        if (message instanceof HttpRequest head) {
+            headReceived(head);
+        }
+        if (message instanceof HttpContent content && mReceiving != null) {
+            contentReceived(content);
+        }
+    }
+
+    private void headReceived(HttpRequest head) {
+        mReceiving = new CallerExchange(this, head, mListener.nowMillis());
+        int most = mListener.limits().bodyBytes();
+        if (HttpUtil.isContentLengthSet(head) && HttpUtil.getContentLength(head, 0L) > most) {
+            refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else if (HttpUtil.is100ContinueExpected(head) && mServing == null) {
+            mChannel.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void contentReceived(HttpContent content) {
+        mReceiving.receive(content.content());
+        if (mReceiving.receivedBytes() > mListener.limits().bodyBytes()) {
+            refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        if (content instanceof LastHttpContent) {
+            mReceiving.receivedAll();
+            mComplete.add(mReceiving);
+            mReceiving = null;
+            if (mComplete.size() > MOST_PIPELINED_REQUESTS) {
+                mChannel.config().setAutoRead(false);
+            }
+            serveNext();
+        }
+    }
+
+    private void serveNext() {
+        if (mServing == null && !mComplete.isEmpty() && !mClosing) {
+            mServing = mComplete.removeFirst();
+            mChannel.config().setAutoRead(true);
+            mListener.received(mServing);
+        }
+    }
+
+    /** Writes the last part of an answer. */
+    void write(Object message, boolean keepOpen) {
+        mLastActivityMillis = mListener.nowMillis();
+        mServing = null;
+        if (keepOpen) {
+            mChannel.writeAndFlush(message);
+            serveNext();
+        } else {
+            mClosing = true;
+            CallerExchange.closeAfter(mChannel, message);
+        }
+    }
+
+    boolean keepsOpen(HttpRequest head) {
+        return HttpUtil.isKeepAlive(head) && !mListener.stopping();
+    }
+
+    boolean resting() {
+        return mServing == null && mComplete.isEmpty() && mReceiving == null;
+    }
+
+    /** Closes a connection that rests, or whose request doesn't come. */
+    void enforceTimes(long nowMillis, long idleMillis, long headerMillis) {
+        long quiet = nowMillis - mLastActivityMillis;
+        if (resting() && quiet > idleMillis) {
+            mChannel.close();
+        } else if (mReceiving != null && mServing == null && quiet > headerMillis) {
+            refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+    }
+
+    private void refuseAndClose(HttpResponseStatus status) {
+        mReceiving = null;
+        mClosing = true;
+        if (mServing != null) {
+            // An answer is under way, so a second one would be taken as part of it.
+            mServing.callerLeft();
+            mChannel.close();
+            return;
+        }
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        response.headers().set(new DefaultHttpHeaders().set("Connection", "close"));
+        response.headers().set("Content-Length", 0);
+        CallerExchange.closeAfter(mChannel, response);
+        mListener.refused(status);
+    }
+
+    private static HttpResponseStatus statusOf(DecoderResult result) {
+        boolean tooLong =
+                result.cause() instanceof TooLongHttpHeaderException
+                        || result.cause() instanceof TooLongHttpLineException;
+        return tooLong
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mServing != null) {
+            mListener.writabilityChanged(mServing);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mListener.closed(this);
+        if (mServing != null) {
+            mServing.callerLeft();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -0,0 +1,162 @@
+package org.wasabilug.gateway.internal.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.wasabilug.serving.CallerLimits;
+
+/** Accepts callers' connections and bounds what they may send. */
+public final class CallerListener {
+    private static final int BACKLOG = 1_024;
+    private static final int LARGEST_CHUNK_BYTES = 65_536;
+
+    private final EventLoopGroup mLoops;
+    private final Supplier<CallerLimits> mLimits;
+    private final LongSupplier mClockMillis;
+    private final CallerEvents mEvents;
+    private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
+    private Channel mServer;
+    private boolean mStopping;
+
+    /**
+     * Makes a listener that does not listen yet.
+     *
+     * @param loops event loop of all connections
+     * @param limits bounds in force
+     * @param clockMillis monotonic clock
+     * @param events who gets the requests
+     */
+    public CallerListener(
+            EventLoopGroup loops,
+            Supplier<CallerLimits> limits,
+            LongSupplier clockMillis,
+            CallerEvents events) {
+        mLoops = loops;
+        mLimits = limits;
+        mClockMillis = clockMillis;
+        mEvents = events;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where
+     * @return the address in use
+     * @throws InterruptedException if interrupted meanwhile
+     */
+    public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+        mServer =
+                new ServerBootstrap()
+                        .group(mLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        prepare(channel);
+                                    }
+                                })
+                        .bind(address)
+                        .sync()
+                        .channel();
+        return (InetSocketAddress) mServer.localAddress();
+    }
+
+    private void prepare(SocketChannel channel) {
+        HttpDecoderConfig decoding =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(limits().headerBytes())
+                        .setMaxHeaderSize(limits().headerBytes())
+                        .setMaxChunkSize(LARGEST_CHUNK_BYTES);
+        channel.pipeline()
+                .addLast(new HttpServerCodec(decoding))
+                .addLast(new CallerConnection(this));
+    }
+
+    /** Closes connections that rest too long or send too slowly; to be called twice a second. */
+    public void enforceTimes() {
+        long now = nowMillis();
+        CallerLimits limits = limits();
+        for (CallerConnection connection : new ArrayList<>(mConnections)) {
+            connection.enforceTimes(now, limits.idleMillis(), limits.headerMillis());
+        }
+    }
+
+    /** Lets each connection end with its next answer. */
+    public void startStopping() {
+        mStopping = true;
+    }
+
+    /** Closes the connections that serve no request. */
+    public void closeResting() {
+        for (CallerConnection connection : new ArrayList<>(mConnections)) {
+            if (connection.resting()) {
+                connection.channel().close();
+            }
+        }
+    }
+
+    /**
+     * Counts the open connections.
+     *
+     * @return their number
+     */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    /** Stops listening. */
+    public void close() {
+        if (mServer != null) {
+            mServer.close();
+        }
+    }
+
+    CallerLimits limits() {
+        return mLimits.get();
+    }
+
+    long nowMillis() {
+        return mClockMillis.getAsLong();
+    }
+
+    boolean stopping() {
+        return mStopping;
+    }
+
+    void opened(CallerConnection connection) {
+        mConnections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    void received(CallerExchange exchange) {
+        mEvents.received(exchange);
+    }
+
+    void refused(HttpResponseStatus status) {
+        mEvents.refused(status);
+    }
+
+    void writabilityChanged(CallerExchange exchange) {
+        mEvents.writabilityChanged(exchange);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP connections of callers. */
+package org.wasabilug.gateway.internal.caller;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -0,0 +1,201 @@
+package org.wasabilug.gateway.internal.endpoint;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * One connection to an endpoint; it carries one call at a time.
+ *
+ * <p>An answer whose request id is not the one of the call belongs to an earlier call and is passed
+ * over. Bytes that come while no call waits end the connection.
+ */
+final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final long DEFAULT_IDLE_MILLIS = 4_000;
+    private static final long IDLE_MARGIN_MILLIS = 500;
+
+    private final EndpointConnections mOwner;
+    private final String mEndpoint;
+    private final String mRequestIdHeader;
+    private Channel mChannel;
+    private EndpointCall mCall;
+    private boolean mForeignAnswer;
+    private boolean mReusable = true;
+    private boolean mWritten;
+    private long mIdleLimitMillis = DEFAULT_IDLE_MILLIS;
+    private long mIdleSinceMillis;
+
+    EndpointConnection(EndpointConnections owner, String endpoint, String requestIdHeader) {
+        mOwner = owner;
+        mEndpoint = endpoint;
+        mRequestIdHeader = requestIdHeader;
+    }
+
+    String endpoint() {
+        return mEndpoint;
+    }
+
+    void send(EndpointCall call, Channel channel) {
+        mChannel = channel;
+        mCall = call;
+        mForeignAnswer = false;
+        mWritten = false;
+        call.sentOn(this);
+        OutgoingRequest request = call.request();
+        DefaultFullHttpRequest message =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method(),
+                        request.target(),
+                        Unpooled.wrappedBuffer(request.body()),
+                        request.headers(),
+                        EmptyHttpHeaders.INSTANCE);
+        channel.writeAndFlush(message).addListener(future -> written(call, future.isSuccess()));
+    }
+
+    void sendAgain(EndpointCall call) {
+        send(call, mChannel);
+    }
+
+    /** Tells whether an idle connection may carry another call. */
+    boolean usable(long nowMillis) {
+        return mChannel != null
+                && mChannel.isActive()
+                && nowMillis - mIdleSinceMillis < mIdleLimitMillis;
+    }
+
+    long idleMillis(long nowMillis) {
+        return nowMillis - mIdleSinceMillis;
+    }
+
+    void close() {
+        mReusable = false;
+        if (mChannel != null) {
+            mChannel.close();
+        }
+    }
+
+    void readable(boolean readable) {
+        mChannel.config().setAutoRead(readable);
+    }
+
+    private void written(EndpointCall call, boolean success) {
+        mWritten = success;
+        if (!success) {
+            call.fail(CallFailure.BROKEN);
+            close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            failCall(CallFailure.GARBLED);
+            close();
+            return;
+        }
+        if (mCall == null) {
+            close();
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            headReceived(head);
+        }
+        if (message instanceof HttpContent content) {
+            contentReceived(content);
+        }
+    }
+
+    private void headReceived(HttpResponse head) {
+        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        String id = mCall.request().id();
+        mForeignAnswer =
+                interim || !id.isEmpty() && !id.equals(head.headers().get(mRequestIdHeader));
+        if (mForeignAnswer) {
+            return;
+        }
+        boolean endsWithConnection =
+                !HttpUtil.isTransferEncodingChunked(head)
+                        && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        mReusable = mReusable && HttpUtil.isKeepAlive(head) && !endsWithConnection;
+        noteIdleLimit(head.headers().get("Keep-Alive"));
+        if (!mCall.ended()) {
+            mCall.listener().headReceived(head);
+        }
+    }
+
+    private void contentReceived(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (mForeignAnswer) {
+            mForeignAnswer = !last;
+            return;
+        }
+        EndpointCall call = mCall;
+        if (!call.ended() && content.content().isReadable()) {
+            call.listener().contentReceived(content.content());
+        }
+        if (last) {
+            finish(call);
+        }
+    }
+
+    private void finish(EndpointCall call) {
+        mCall = null;
+        boolean live = !call.ended();
+        call.end();
+        mIdleSinceMillis = mOwner.nowMillis();
+        if (mReusable && mWritten) {
+            mOwner.idle(this);
+        } else {
+            close();
+        }
+        if (live) {
+            call.listener().completed();
+        }
+    }
+
+    private void noteIdleLimit(String keepAlive) {
+        if (keepAlive == null) {
+            return;
+        }
+        int position = keepAlive.indexOf("timeout=");
+        if (position < 0) {
+            return;
+        }
+        String digits = keepAlive.substring(position + 8).replaceAll("[^0-9].*", "");
+        if (!digits.isEmpty() && digits.length() < 7) {
+            mIdleLimitMillis = Long.parseLong(digits) * 1_000 - IDLE_MARGIN_MILLIS;
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mOwner.closed(this);
+        failCall(CallFailure.BROKEN);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        failCall(CallFailure.BROKEN);
+        close();
+    }
+
+    private void failCall(CallFailure failure) {
+        EndpointCall call = mCall;
+        mCall = null;
+        if (call != null) {
+            call.fail(failure);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -0,0 +1,174 @@
+package org.wasabilug.gateway.internal.endpoint;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import jdk.net.ExtendedSocketOptions;
+import org.wasabilug.serving.EndpointRegistration;
+
+/** Keeps connections to endpoints and opens new ones where none is idle. */
+public final class EndpointConnections {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int LARGEST_CHUNK_BYTES = 65_536;
+    private static final int LARGEST_LINE_BYTES = 8_192;
+    private static final int LARGEST_HEAD_BYTES = 65_536;
+    private static final int KEEP_ALIVE_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
+    /** A request that may not run twice goes out only on a connection that rested less. */
+    private static final long ONCE_IDLE_LIMIT_MILLIS = 1_500;
+
+    private final Bootstrap mBootstrap;
+    private final String mRequestIdHeader;
+    private final LongSupplier mClockMillis;
+    private final Map<String, ArrayDeque<EndpointConnection>> mIdle = new HashMap<>();
+
+    /**
+     * Makes an empty pool.
+     *
+     * @param loops event loop of all connections
+     * @param requestIdHeader header that ties an answer to its request
+     * @param clockMillis monotonic clock
+     */
+    public EndpointConnections(
+            EventLoopGroup loops, String requestIdHeader, LongSupplier clockMillis) {
+        mRequestIdHeader = requestIdHeader;
+        mClockMillis = clockMillis;
+        mBootstrap =
+                new Bootstrap()
+                        .group(loops)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                                KEEP_ALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                                KEEP_ALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                                KEEP_ALIVE_PROBES)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param endpoint where to
+     * @param request the request
+     * @param listener who gets the answer
+     * @return the call
+     */
+    public EndpointCall send(
+            EndpointRegistration endpoint, OutgoingRequest request, CallListener listener) {
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        request.headers().set(HttpHeaderNames.HOST, hostHeader(endpoint, request));
+        EndpointCall call = new EndpointCall(request, listener);
+        EndpointConnection idle = takeIdle(endpoint.name(), request.repeatable());
+        if (idle == null) {
+            open(endpoint, call);
+        } else {
+            idle.sendAgain(call);
+        }
+        return call;
+    }
+
+    /** Closes the connections that have rested too long; to be called every second or so. */
+    public void closeRested() {
+        long now = nowMillis();
+        for (ArrayDeque<EndpointConnection> idle : mIdle.values()) {
+            Iterator<EndpointConnection> iterator = idle.iterator();
+            while (iterator.hasNext()) {
+                EndpointConnection connection = iterator.next();
+                if (!connection.usable(now)) {
+                    iterator.remove();
+                    connection.close();
+                }
+            }
+        }
+        mIdle.values().removeIf(ArrayDeque::isEmpty);
+    }
+
+    long nowMillis() {
+        return mClockMillis.getAsLong();
+    }
+
+    void idle(EndpointConnection connection) {
+        mIdle.computeIfAbsent(connection.endpoint(), name -> new ArrayDeque<>())
+                .addFirst(connection);
+    }
+
+    void closed(EndpointConnection connection) {
+        ArrayDeque<EndpointConnection> idle = mIdle.get(connection.endpoint());
+        if (idle != null) {
+            idle.remove(connection);
+        }
+    }
+
+    private static String hostHeader(EndpointRegistration endpoint, OutgoingRequest request) {
+        String original = request.headers().get(HttpHeaderNames.HOST);
+        return original == null ? endpoint.host() + ":" + endpoint.port() : original;
+    }
+
+    private EndpointConnection takeIdle(String endpoint, boolean repeatable) {
+        ArrayDeque<EndpointConnection> idle = mIdle.get(endpoint);
+        long now = nowMillis();
+        while (idle != null && !idle.isEmpty()) {
+            EndpointConnection connection = idle.removeFirst();
+            boolean fresh = repeatable || connection.idleMillis(now) < ONCE_IDLE_LIMIT_MILLIS;
+            if (connection.usable(now) && fresh) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private void open(EndpointRegistration endpoint, EndpointCall call) {
+        EndpointConnection connection =
+                new EndpointConnection(this, endpoint.name(), mRequestIdHeader);
+        mBootstrap
+                .clone()
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpClientCodec(
+                                                        LARGEST_LINE_BYTES,
+                                                        LARGEST_HEAD_BYTES,
+                                                        LARGEST_CHUNK_BYTES))
+                                        .addLast(connection);
+                            }
+                        })
+                .connect(endpoint.host(), endpoint.port())
+                .addListener(
+                        (io.netty.channel.ChannelFuture future) ->
+                                opened(future.isSuccess(), future.channel(), connection, call));
+    }
+
+    private static void opened(
+            boolean success, Channel channel, EndpointConnection connection, EndpointCall call) {
+        if (!success) {
+            call.fail(CallFailure.NOT_CONNECTED);
+        } else if (call.ended()) {
+            channel.close();
+        } else {
+            connection.send(call, channel);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP connections to endpoints. */
+package org.wasabilug.gateway.internal.endpoint;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
@@ -0,0 +1,99 @@
+package org.wasabilug.gateway.internal.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.store.TableEvents;
+import org.wasabilug.gateway.protocol.StoreProtocol;
+import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.gateway.protocol.UnreadableException;
+import org.wasabilug.internal.serving.RouteTable;
+import org.wasabilug.serving.ServingConfiguration;
+
+/** Puts each newer configuration, and what operators take out, in force. */
+public final class ConfigurationWatch implements TableEvents {
+    private final GatewayState mState;
+    private final Set<String> mDomainsOut = new TreeSet<>();
+
+    /**
+     * Makes a watch.
+     *
+     * @param state what this instance knows
+     */
+    public ConfigurationWatch(GatewayState state) {
+        mState = state;
+    }
+
+    @Override
+    public void replaced(List<StoredRow> rows) {
+        mDomainsOut.clear();
+        rows.forEach(this::apply);
+        publishDomains();
+    }
+
+    @Override
+    public void changed(List<StoredRow> rows) {
+        rows.forEach(this::apply);
+        publishDomains();
+    }
+
+    private void apply(StoredRow row) {
+        StoreProtocol store = mState.protocol().store();
+        Optional<String> domain = store.readDomainOut(row);
+        if (domain.isPresent()) {
+            applyDomain(domain.get(), row.removed());
+        } else if (!row.removed()) {
+            try {
+                store.readConfiguration(row).ifPresent(this::adopt);
+            } catch (UnreadableException unreadable) {
+                mState.log()
+                        .fault(
+                                LogLine.of("configuration-unreadable").with("key", row.key()),
+                                unreadable);
+            }
+        }
+    }
+
+    private void applyDomain(String domain, boolean removed) {
+        boolean changed = removed ? mDomainsOut.remove(domain) : mDomainsOut.add(domain);
+        if (changed) {
+            mState.log()
+                    .process(
+                            LogLine.of(removed ? "domain-back" : "domain-out")
+                                    .with("domain", domain));
+        }
+    }
+
+    private void publishDomains() {
+        mState.directory().domainsOut(mDomainsOut);
+    }
+
+    /** Puts a configuration in force unless a newer one is. */
+    void adopt(ServingConfiguration configuration) {
+        long known = mState.routes().map(routes -> routes.configuration().version()).orElse(-1L);
+        if (configuration.version() <= known) {
+            return;
+        }
+        mState.routes(new RouteTable(configuration));
+        mState.log()
+                .process(
+                        LogLine.of("configuration-in-force")
+                                .with("version", configuration.version())
+                                .with("before", known)
+                                .with("routes", configuration.routes().size())
+                                .with("services", configuration.services().size())
+                                .with("workspaces", configuration.workspaces().size()));
+    }
+
+    @Override
+    public void reachable(boolean answering, String reason) {
+        mState.log()
+                .process(
+                        LogLine.of(answering ? "store-regained" : "store-lost")
+                                .with("table", mState.protocol().store().configurationTable())
+                                .with("reason", reason));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -0,0 +1,136 @@
+package org.wasabilug.gateway.internal.fleet;
+
+import java.util.List;
+import java.util.Set;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.store.TableEvents;
+import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.gateway.protocol.UnreadableException;
+import org.wasabilug.internal.serving.EndpointDirectory;
+import org.wasabilug.serving.EndpointRegistration;
+
+/**
+ * Keeps the directory of endpoints like the store's table.
+ *
+ * <p>Entries may lapse while the store is away, though their endpoints live. After the store was
+ * away, a missing entry therefore has a while to come back.
+ */
+public final class EndpointWatch implements TableEvents {
+    /** Living endpoints are registered again by then. */
+    private static final long RETURN_MILLIS = 2_000;
+
+    private final GatewayState mState;
+    private long mGraceUntilMillis = Long.MIN_VALUE;
+    private boolean mAnswering = true;
+
+    /**
+     * Makes a watch.
+     *
+     * @param state what this instance knows
+     */
+    public EndpointWatch(GatewayState state) {
+        mState = state;
+    }
+
+    @Override
+    public void replaced(List<StoredRow> rows) {
+        Set<String> missing = mState.directory().names();
+        for (StoredRow row : rows) {
+            missing.remove(row.key());
+            register(row);
+        }
+        missing.forEach(this::gone);
+    }
+
+    @Override
+    public void changed(List<StoredRow> rows) {
+        for (StoredRow row : rows) {
+            if (row.removed()) {
+                gone(row.key());
+            } else {
+                register(row);
+            }
+        }
+    }
+
+    /** Removes what did not come back; to be called several times a second. */
+    public void removeLapsed() {
+        for (String name : mState.directory().removeLapsed(mState.nowMillis())) {
+            mState.log()
+                    .process(
+                            LogLine.of("endpoint-gone")
+                                    .with("endpoint", name)
+                                    .with(
+                                            "reason",
+                                            "not registered again after the store was away"));
+        }
+    }
+
+    private void register(StoredRow row) {
+        EndpointRegistration registration;
+        try {
+            registration = mState.protocol().store().readRegistration(row);
+        } catch (UnreadableException unreadable) {
+            mState.log()
+                    .process(
+                            LogLine.of("registration-unreadable")
+                                    .with("endpoint", row.key())
+                                    .with("reason", unreadable.getMessage()));
+            mState.directory().remove(row.key());
+            return;
+        }
+        EndpointDirectory.Change change =
+                mState.directory().register(registration, mState.nowMillis());
+        if (change != EndpointDirectory.Change.NONE) {
+            mState.log()
+                    .process(
+                            LogLine.of(
+                                            "endpoint-"
+                                                    + change.name()
+                                                            .toLowerCase(java.util.Locale.ROOT))
+                                    .with("endpoint", registration.name())
+                                    .with("service", registration.service())
+                                    .with("domain", registration.failureDomain())
+                                    .with(
+                                            "address",
+                                            registration.host() + ":" + registration.port())
+                                    .with("leaving", registration.leaving())
+                                    .with("cold", registration.coldMillis())
+                                    .with("version", registration.version()));
+        }
+    }
+
+    private void gone(String name) {
+        long now = mState.nowMillis();
+        boolean leaving =
+                mState.directory()
+                        .find(name)
+                        .map(endpoint -> endpoint.registration().leaving())
+                        .orElse(true);
+        if (!leaving && now < mGraceUntilMillis) {
+            mState.directory().missing(name, mGraceUntilMillis);
+            return;
+        }
+        if (mState.directory().remove(name)) {
+            mState.log()
+                    .process(
+                            LogLine.of("endpoint-gone")
+                                    .with("endpoint", name)
+                                    .with("reason", "entry removed"));
+        }
+    }
+
+    @Override
+    public void reachable(boolean answering, String reason) {
+        if (answering && !mAnswering) {
+            mGraceUntilMillis = mState.nowMillis() + RETURN_MILLIS;
+        }
+        mAnswering = answering;
+        mState.log()
+                .process(
+                        LogLine.of(answering ? "store-regained" : "store-lost")
+                                .with("table", mState.protocol().store().endpointTable())
+                                .with("reason", reason));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Following of configuration, endpoints and instances. */
+package org.wasabilug.gateway.internal.fleet;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/LogLine.java
@@ -0,0 +1,80 @@
+package org.wasabilug.gateway.internal.log;
+
+/** Builds one line of the log, as a JSON object with the event first. */
+public final class LogLine {
+    private final StringBuilder mText = new StringBuilder(160);
+    private final String mEvent;
+
+    private LogLine(String event) {
+        mEvent = event;
+        mText.append("{\"event\":\"").append(event).append('"');
+    }
+
+    /**
+     * Starts a line.
+     *
+     * @param event kind of the event, a fixed word
+     * @return the line
+     */
+    public static LogLine of(String event) {
+        return new LogLine(event);
+    }
+
+    /**
+     * Adds a text.
+     *
+     * @param name name of the field
+     * @param value its value
+     * @return this line
+     */
+    public LogLine with(String name, String value) {
+        mText.append(",\"").append(name).append("\":\"");
+        for (int index = 0; index < value.length(); index++) {
+            appendEscaped(value.charAt(index));
+        }
+        mText.append('"');
+        return this;
+    }
+
+    /**
+     * Adds a number.
+     *
+     * @param name name of the field
+     * @param value its value
+     * @return this line
+     */
+    public LogLine with(String name, long value) {
+        mText.append(",\"").append(name).append("\":").append(value);
+        return this;
+    }
+
+    /**
+     * Adds a yes or no.
+     *
+     * @param name name of the field
+     * @param value its value
+     * @return this line
+     */
+    public LogLine with(String name, boolean value) {
+        mText.append(",\"").append(name).append("\":").append(value);
+        return this;
+    }
+
+    String event() {
+        return mEvent;
+    }
+
+    String text() {
+        return mText + "}";
+    }
+
+    private void appendEscaped(char character) {
+        if (character == '"' || character == '\\') {
+            mText.append('\\').append(character);
+        } else if (character < ' ') {
+            mText.append(String.format("\\u%04x", (int) character));
+        } else {
+            mText.append(character);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines and metrics of the gateway. */
+package org.wasabilug.gateway.internal.log;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/package-info.java
@@ -0,0 +1,2 @@
+/** What the parts of one gateway process share. */
+package org.wasabilug.gateway.internal;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -0,0 +1,159 @@
+package org.wasabilug.gateway.internal.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.CallFailure;
+import org.wasabilug.gateway.internal.endpoint.CallListener;
+import org.wasabilug.gateway.internal.endpoint.EndpointCall;
+import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
+import org.wasabilug.internal.serving.EndpointLoad;
+import org.wasabilug.internal.serving.EndpointState;
+
+/** One send of a request to one endpoint, with its part in the endpoint's load and health. */
+final class Attempt implements CallListener {
+    private static final int SERVER_ERROR = 500;
+
+    private final GatewayState mState;
+    private final RequestContext mRequest;
+    private final EndpointState mEndpoint;
+    private final double mPredictedMillis;
+    private final AttemptOwner mOwner;
+    private final long mSentMillis;
+    private EndpointLoad mLoad;
+    private EndpointCall mCall;
+    private HttpResponse mHead;
+    private boolean mNotExecuted;
+    private boolean mFirstContent;
+    private boolean mOver;
+
+    Attempt(
+            GatewayState state,
+            RequestContext request,
+            EndpointState endpoint,
+            double predictedMillis,
+            AttemptOwner owner) {
+        mState = state;
+        mRequest = request;
+        mEndpoint = endpoint;
+        mPredictedMillis = predictedMillis;
+        mOwner = owner;
+        mSentMillis = state.nowMillis();
+        mLoad = request.prompt().load();
+    }
+
+    void send(HttpHeaders headers) {
+        mEndpoint.sent(mLoad, mSentMillis);
+        OutgoingRequest outgoing =
+                new OutgoingRequest(
+                        mRequest.id(),
+                        mRequest.exchange().head().method(),
+                        mRequest.exchange().head().uri(),
+                        headers,
+                        mRequest.exchange().body(),
+                        mRequest.route().idempotent());
+        mCall = mState.connections().send(mEndpoint.registration(), outgoing, this);
+    }
+
+    EndpointState endpoint() {
+        return mEndpoint;
+    }
+
+    HttpResponse head() {
+        return mHead;
+    }
+
+    /** Tells whether the endpoint said that the request did not run there. */
+    boolean notExecuted() {
+        return mNotExecuted;
+    }
+
+    boolean streaming() {
+        return mFirstContent;
+    }
+
+    long sentMillis() {
+        return mSentMillis;
+    }
+
+    void readable(boolean readable) {
+        mCall.readable(readable);
+    }
+
+    void cancel() {
+        if (!mOver) {
+            over();
+            mCall.cancel();
+        }
+    }
+
+    /** Ends an attempt that took too long, and counts that against the endpoint. */
+    void giveUp() {
+        if (!mOver) {
+            mEndpoint.health().failed(mState.nowMillis());
+            cancel();
+        }
+    }
+
+    @Override
+    public void headReceived(HttpResponse head) {
+        mHead = head;
+        mNotExecuted = mState.notExecuted(head);
+        mOwner.headReceived(this);
+    }
+
+    @Override
+    public void contentReceived(ByteBuf content) {
+        if (!mFirstContent) {
+            mFirstContent = true;
+            firstContent();
+        }
+        mOwner.contentReceived(this, content);
+    }
+
+    private void firstContent() {
+        EndpointLoad read = new EndpointLoad(0, 0, mLoad.unreadTokens());
+        mEndpoint.released(read);
+        mLoad = new EndpointLoad(mLoad.running(), mLoad.tokens(), 0);
+        if (!mNotExecuted && mHead.status().code() < SERVER_ERROR && mPredictedMillis > 1) {
+            long now = mState.nowMillis();
+            mEndpoint.health().compared((now - mSentMillis) / (mPredictedMillis + 40), now);
+        }
+    }
+
+    @Override
+    public void completed() {
+        if (mOver) {
+            return;
+        }
+        over();
+        if (!mNotExecuted) {
+            if (mHead.status().code() >= SERVER_ERROR) {
+                mEndpoint.health().failed(mState.nowMillis());
+            } else {
+                mEndpoint.health().succeeded(mState.nowMillis() - mSentMillis);
+            }
+        }
+        mOwner.completed(this);
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        if (mOver) {
+            return;
+        }
+        over();
+        if (failure == CallFailure.NOT_CONNECTED) {
+            mEndpoint.health().unreachable(mState.nowMillis());
+        } else {
+            mEndpoint.health().failed(mState.nowMillis());
+        }
+        mOwner.failed(this, failure);
+    }
+
+    private void over() {
+        mOver = true;
+        mEndpoint.released(mLoad);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/InputLocator.java
@@ -0,0 +1,50 @@
+package org.wasabilug.gateway.internal.request;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.serving.Route;
+import org.wasabilug.serving.RouteStage;
+
+/** Finds the failure domain in which most inputs of a request lie. */
+final class InputLocator {
+    /** Inputs below this size cost little to read from another failure domain. */
+    private static final double LARGE_INPUT_BYTES = 500_000;
+
+    private final GatewayState mState;
+
+    InputLocator(GatewayState state) {
+        mState = state;
+    }
+
+    /** Gives this instance's own place, for requests without inputs. */
+    Sender.InputPlace here() {
+        return new Sender.InputPlace(mState.settings().failureDomain(), false);
+    }
+
+    Sender.InputPlace placeOf(Route route, List<String> handles) {
+        if (handles.isEmpty()) {
+            return here();
+        }
+        Map<String, Integer> counts = new HashMap<>();
+        for (String handle : handles) {
+            String address = mState.protocol().stages().makerAddress(handle);
+            mState.directory()
+                    .findByAddress(address)
+                    .ifPresent(
+                            endpoint ->
+                                    counts.merge(
+                                            endpoint.registration().failureDomain(),
+                                            1,
+                                            Integer::sum));
+        }
+        Optional<String> most =
+                counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+        boolean large =
+                route.stages().stream().mapToDouble(RouteStage::resultBytes).max().orElse(0)
+                        >= LARGE_INPUT_BYTES;
+        return most.map(domain -> new Sender.InputPlace(domain, large)).orElse(here());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/OutgoingHeaders.java
@@ -0,0 +1,75 @@
+package org.wasabilug.gateway.internal.request;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.protocol.HeaderNames;
+import org.wasabilug.internal.serving.EndpointState;
+
+/** Makes the headers of requests to endpoints and of answers to callers. */
+final class OutgoingHeaders {
+    private static final Set<String> SINGLE_CONNECTION =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "http2-settings",
+                    "expect",
+                    "content-length");
+    private static final int LEAST_URGENT = 9;
+
+    private final GatewayState mState;
+
+    OutgoingHeaders(GatewayState state) {
+        mState = state;
+    }
+
+    /** Copies what an endpoint may see and adds what the gateway knows. */
+    HttpHeaders toEndpoint(RequestContext request, EndpointState endpoint, long remainingMillis) {
+        HeaderNames names = mState.protocol().headers();
+        HttpHeaders headers = withoutConnectionHeaders(request.exchange().head().headers());
+        names.reserved().forEach(headers::remove);
+        if (mState.routes().map(routes -> routes.configuration().authenticated()).orElse(true)) {
+            headers.remove(names.authorization());
+        }
+        headers.set(names.deadline(), Math.max(1, remainingMillis));
+        headers.set(names.expectedEndpoint(), endpoint.registration().name());
+        request.workspace().ifPresent(workspace -> headers.set(names.workspace(), workspace));
+        if (request.service().engine().isPresent()) {
+            headers.set(names.priority(), Math.min(LEAST_URGENT, Math.max(0, request.rank())));
+        }
+        return headers;
+    }
+
+    /** Copies what a caller may see. */
+    static HttpHeaders toCaller(HttpHeaders received) {
+        return withoutConnectionHeaders(received);
+    }
+
+    private static HttpHeaders withoutConnectionHeaders(HttpHeaders received) {
+        Set<String> named = new TreeSet<>();
+        for (String value : received.getAll("Connection")) {
+            for (String name : value.split(",")) {
+                named.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        HttpHeaders headers = new DefaultHttpHeaders();
+        for (Map.Entry<String, String> header : received) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!SINGLE_CONNECTION.contains(name) && !named.contains(name)) {
+                headers.add(header.getKey(), header.getValue());
+            }
+        }
+        return headers;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/OwnAnswers.java
@@ -0,0 +1,70 @@
+package org.wasabilug.gateway.internal.request;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.caller.CallerExchange;
+import org.wasabilug.gateway.internal.log.LogLine;
+
+/** Answers that the gateway gives itself, each with a line in the log. */
+final class OwnAnswers {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final GatewayState mState;
+
+    OwnAnswers(GatewayState state) {
+        mState = state;
+    }
+
+    /** Says that the request did not run and never will, and when to come back. */
+    void notRun(CallerExchange exchange, String reason, long retryAfterMillis) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(
+                "Retry-After",
+                String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
+        answer(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
+    }
+
+    /** Says that the request failed; it may have run. */
+    void failed(CallerExchange exchange, String reason) {
+        answer(exchange, HttpResponseStatus.BAD_GATEWAY, new DefaultHttpHeaders(), reason);
+    }
+
+    /** Says that the time is over; the request may have run. */
+    void timedOut(CallerExchange exchange, String reason) {
+        answer(exchange, HttpResponseStatus.GATEWAY_TIMEOUT, new DefaultHttpHeaders(), reason);
+    }
+
+    /** Says that the request is wrong. */
+    void rejected(CallerExchange exchange, HttpResponseStatus status, String reason) {
+        answer(exchange, status, new DefaultHttpHeaders(), reason);
+    }
+
+    private void answer(
+            CallerExchange exchange,
+            HttpResponseStatus status,
+            HttpHeaders headers,
+            String reason) {
+        String header = mState.protocol().headers().requestId();
+        String id = exchange.head().headers().get(header, "");
+        if (!id.isEmpty()) {
+            headers.set(header, id);
+        }
+        headers.set("Content-Type", "text/plain");
+        mState.log()
+                .request(
+                        LogLine.of("own-answer")
+                                .with("request", id)
+                                .with("status", status.code())
+                                .with("reason", reason)
+                                .with("millis", mState.nowMillis() - exchange.receivedMillis()));
+        if (exchange.answering()) {
+            exchange.abort();
+        } else {
+            exchange.answer(status, headers, (reason + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -0,0 +1,182 @@
+package org.wasabilug.gateway.internal.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.WeakHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.caller.CallerEvents;
+import org.wasabilug.gateway.internal.caller.CallerExchange;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.stage.StageExecutor;
+import org.wasabilug.gateway.protocol.HeaderNames;
+import org.wasabilug.internal.serving.PromptSize;
+import org.wasabilug.internal.serving.RouteTable;
+import org.wasabilug.serving.RequestKind;
+import org.wasabilug.serving.Route;
+import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.ServingConfiguration;
+import org.wasabilug.serving.WeightedService;
+import org.wasabilug.serving.WorkspaceKeys;
+
+/** Finds route and workspace of each request and starts serving it. */
+public final class RequestReceiver implements CallerEvents {
+    private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
+
+    private final GatewayState mState;
+    private final StageExecutor mStages;
+    private final OwnAnswers mOwnAnswers;
+    private final Map<CallerExchange, StreamFlow> mStreams = new WeakHashMap<>();
+
+    /**
+     * Makes a receiver.
+     *
+     * @param state what this instance knows
+     * @param stages who produces pieces
+     */
+    public RequestReceiver(GatewayState state, StageExecutor stages) {
+        mState = state;
+        mStages = stages;
+        mOwnAnswers = new OwnAnswers(state);
+    }
+
+    @Override
+    public void received(CallerExchange exchange) {
+        Optional<RouteTable> routes = mState.routes();
+        if (routes.isEmpty()) {
+            mOwnAnswers.notRun(
+                    exchange, "no configuration is known yet", NO_CONFIGURATION_RETRY_MILLIS);
+            return;
+        }
+        HttpHeaders headers = exchange.head().headers();
+        Optional<Route> route = routes.get().find(headers.get("Host", ""), exchange.head().uri());
+        if (route.isEmpty()) {
+            mOwnAnswers.rejected(exchange, HttpResponseStatus.NOT_FOUND, "no route");
+            return;
+        }
+        Optional<WorkspaceKeys> workspace = workspace(routes.get(), headers);
+        if (workspace.isEmpty() && needsKey(routes.get().configuration(), route.get())) {
+            mOwnAnswers.rejected(exchange, HttpResponseStatus.UNAUTHORIZED, "unknown key");
+            return;
+        }
+        if (headers.get(names().requestId(), "").isEmpty()) {
+            mOwnAnswers.rejected(exchange, HttpResponseStatus.BAD_REQUEST, "no request id");
+            return;
+        }
+        serve(exchange, routes.get(), route.get(), workspace);
+    }
+
+    private static boolean needsKey(ServingConfiguration configuration, Route route) {
+        return configuration.authenticated() && !route.anonymous();
+    }
+
+    private Optional<WorkspaceKeys> workspace(RouteTable routes, HttpHeaders headers) {
+        String authorization = headers.get(names().authorization());
+        if (authorization == null) {
+            return Optional.empty();
+        }
+        return mState.protocol().callerKey(authorization).flatMap(routes::workspaceOf);
+    }
+
+    private void serve(
+            CallerExchange exchange,
+            RouteTable routes,
+            Route route,
+            Optional<WorkspaceKeys> workspace) {
+        Optional<ServiceSpecification> service = chooseService(routes, route);
+        if (service.isEmpty()) {
+            mOwnAnswers.notRun(exchange, "unknown service", NO_CONFIGURATION_RETRY_MILLIS);
+            return;
+        }
+        RequestContext request = context(exchange, route, service.get(), workspace);
+        if (request.answerByMillis() <= mState.nowMillis()) {
+            mOwnAnswers.timedOut(exchange, "deadline has passed");
+        } else if (route.kind() == RequestKind.STREAM) {
+            StreamFlow flow = new StreamFlow(mState, request, mOwnAnswers, mStages);
+            mStreams.put(exchange, flow);
+            flow.start();
+        } else {
+            new PlainFlow(mState, request, mOwnAnswers).start();
+        }
+    }
+
+    private RequestContext context(
+            CallerExchange exchange,
+            Route route,
+            ServiceSpecification service,
+            Optional<WorkspaceKeys> workspace) {
+        HttpHeaders headers = exchange.head().headers();
+        long received = exchange.receivedMillis();
+        long patience = Math.min(route.timeoutMillis(), deadline(headers, route));
+        List<Integer> tokens = mState.protocol().counts(headers.get(names().tokenCounts(), ""));
+        PromptSize prompt =
+                tokens.isEmpty()
+                        ? PromptSize.NONE
+                        : PromptSize.of(
+                                tokens.getFirst(),
+                                tokens.size() > 1 ? tokens.get(1) : 0,
+                                mState.protocol()
+                                        .promptParts(headers.get(names().promptParts(), "")));
+        int rank =
+                workspace.map(WorkspaceKeys::rank).filter(each -> each >= 0).orElse(route.rank());
+        return new RequestContext(
+                headers.get(names().requestId()),
+                exchange,
+                route,
+                service,
+                workspace.map(WorkspaceKeys::workspace),
+                rank,
+                received + route.objectiveMillis(),
+                received + patience,
+                prompt,
+                mState.protocol().counts(headers.get(names().pieceCounts(), "")),
+                headers.get(names().pieceKey(), ""));
+    }
+
+    private long deadline(HttpHeaders headers, Route route) {
+        String value = headers.get(names().deadline(), "");
+        try {
+            return value.isEmpty() ? route.timeoutMillis() : (long) Double.parseDouble(value);
+        } catch (NumberFormatException notNumber) {
+            mState.log().request(LogLine.of("unreadable-deadline").with("value", value));
+            return route.timeoutMillis();
+        }
+    }
+
+    private static Optional<ServiceSpecification> chooseService(RouteTable routes, Route route) {
+        double all = route.services().stream().mapToDouble(WeightedService::weight).sum();
+        double position = ThreadLocalRandom.current().nextDouble() * all;
+        String chosen = "";
+        for (WeightedService each : route.services()) {
+            if (each.weight() <= 0) {
+                continue;
+            }
+            chosen = each.service();
+            position -= each.weight();
+            if (position < 0) {
+                break;
+            }
+        }
+        return routes.service(chosen);
+    }
+
+    private HeaderNames names() {
+        return mState.protocol().headers();
+    }
+
+    @Override
+    public void writabilityChanged(CallerExchange exchange) {
+        StreamFlow flow = mStreams.get(exchange);
+        if (flow != null) {
+            flow.writabilityChanged();
+        }
+    }
+
+    @Override
+    public void refused(HttpResponseStatus status) {
+        mState.log().request(LogLine.of("request-refused").with("status", status.code()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -0,0 +1,136 @@
+package org.wasabilug.gateway.internal.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.Selection;
+import org.wasabilug.internal.serving.SelectionRequest;
+
+/** Chooses endpoints for the attempts of one request and keeps count of them. */
+final class Sender {
+    private static final int MOST_SENDS = 4;
+
+    private final GatewayState mState;
+    private final OutgoingHeaders mHeaders;
+    private final RequestContext mRequest;
+    private final AttemptOwner mOwner;
+    private final Set<String> mExcluded = new HashSet<>();
+    private int mSends;
+    private int mRuns;
+    private long mRetryAfterMillis;
+    private String mUnavailable = "";
+
+    Sender(GatewayState state, RequestContext request, AttemptOwner owner) {
+        mState = state;
+        mHeaders = new OutgoingHeaders(state);
+        mRequest = request;
+        mOwner = owner;
+    }
+
+    /** Where inputs of a request lie. */
+    record InputPlace(String domain, boolean large) {}
+
+    /**
+     * Sends the request to the best endpoint.
+     *
+     * @return the attempt, or empty where no endpoint may take it
+     */
+    Optional<Attempt> send(InputPlace inputs, Consumer<HttpHeaders> additions) {
+        long now = mState.nowMillis();
+        switch (select(inputs, now)) {
+            case Selection.Unavailable unavailable -> {
+                mUnavailable = unavailable.reason();
+                mRetryAfterMillis = unavailable.retryAfterMillis();
+                return Optional.empty();
+            }
+            case Selection.Chosen chosen -> {
+                return Optional.of(send(chosen, additions, now));
+            }
+        }
+    }
+
+    /** Tells where the request would go now. */
+    Optional<EndpointState> preview(InputPlace inputs) {
+        return select(inputs, mState.nowMillis()) instanceof Selection.Chosen chosen
+                ? Optional.of(chosen.endpoint())
+                : Optional.empty();
+    }
+
+    private Selection select(InputPlace inputs, long now) {
+        List<EndpointState> usable = mState.directory().usable(mRequest.service().name());
+        SelectionRequest wanted =
+                new SelectionRequest(
+                        mRequest.service(),
+                        mExcluded,
+                        inputs.domain(),
+                        inputs.large(),
+                        mRequest.prompt(),
+                        mState.instances());
+        return mState.selector().choose(wanted, usable, now);
+    }
+
+    private Attempt send(Selection.Chosen chosen, Consumer<HttpHeaders> additions, long now) {
+        EndpointState endpoint = chosen.endpoint();
+        long remaining = mRequest.answerByMillis() - now;
+        HttpHeaders headers = mHeaders.toEndpoint(mRequest, endpoint, remaining);
+        additions.accept(headers);
+        if (mSends == 0) {
+            mState.retries().firstSend(mRequest.service().name(), now);
+        }
+        mSends++;
+        mRuns++;
+        mExcluded.add(endpoint.registration().name());
+        mState.log()
+                .request(
+                        LogLine.of("routed")
+                                .with("request", mRequest.id())
+                                .with("route", mRequest.route().name())
+                                .with("endpoint", endpoint.registration().name())
+                                .with("predicted", Math.round(chosen.costMillis()))
+                                .with("running", endpoint.load().running())
+                                .with("unread", endpoint.load().unreadTokens())
+                                .with("send", mSends)
+                                .with("remaining", remaining));
+        Attempt attempt = new Attempt(mState, mRequest, endpoint, chosen.costMillis(), mOwner);
+        attempt.send(headers);
+        return attempt;
+    }
+
+    /** Notes that the last send surely did not run. */
+    void lastDidNotRun() {
+        mRuns--;
+    }
+
+    /** Tells whether a run may have begun anywhere. */
+    boolean mayHaveRun() {
+        return mRuns > 0;
+    }
+
+    /** Takes the right to send once more, after a send that reached an endpoint. */
+    boolean mayRepeat() {
+        long now = mState.nowMillis();
+        return mSends < MOST_SENDS
+                && mRuns < Math.max(1, mRequest.route().maximumAttempts())
+                && now < mRequest.answerByMillis()
+                && mState.retries().tryTake(mRequest.service().name(), mState.instances(), now);
+    }
+
+    /** Tells whether to send once more, after a send that reached no endpoint. */
+    boolean mayTryAnother() {
+        return mSends < MOST_SENDS && mState.nowMillis() < mRequest.answerByMillis();
+    }
+
+    String unavailable() {
+        return mUnavailable;
+    }
+
+    long retryAfterMillis() {
+        return mRetryAfterMillis;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -0,0 +1,165 @@
+package org.wasabilug.gateway.internal.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.stage.StageExecutor;
+import org.wasabilug.internal.serving.PieceFailure;
+import org.wasabilug.internal.serving.PieceId;
+import org.wasabilug.internal.serving.PieceOutcome;
+import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.StageGraph;
+import org.wasabilug.serving.RouteStage;
+
+/** Does the stages of one request, each as soon as its inputs are there. */
+final class StagePhase {
+    /** A request whose results were lost may start over this often. */
+    private static final int MOST_RESTARTS = 1;
+
+    private final GatewayState mState;
+    private final StageExecutor mExecutor;
+    private final RequestContext mRequest;
+    private final String mDomain;
+    private final Listener mListener;
+    private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
+    private StageGraph mGraph;
+    private int mRestarts;
+    private boolean mOver;
+
+    /** Gets the end of the stages. */
+    interface Listener {
+        /** All results are there. */
+        void stagesDone();
+
+        /** The request can't be served. */
+        void stagesFailed(PieceFailure reason);
+    }
+
+    StagePhase(
+            GatewayState state,
+            StageExecutor executor,
+            RequestContext request,
+            String domain,
+            Listener listener) {
+        mState = state;
+        mExecutor = executor;
+        mRequest = request;
+        mDomain = domain;
+        mListener = listener;
+        mGraph = new StageGraph(request.route().stages(), request.pieces());
+    }
+
+    /** Tells whether there is anything to do. */
+    boolean needed() {
+        return !mGraph.complete();
+    }
+
+    void start() {
+        submitReady();
+    }
+
+    /** Gives the results that the request itself reads. */
+    List<String> inputs() {
+        return mGraph.finalHandles();
+    }
+
+    /** Starts over, where results have vanished; false where that was tried already. */
+    boolean restart() {
+        if (mRestarts >= MOST_RESTARTS) {
+            return false;
+        }
+        mRestarts++;
+        cancelOpen();
+        mExecutor.release(mGraph.allHandles());
+        mGraph = new StageGraph(mRequest.route().stages(), mRequest.pieces());
+        submitReady();
+        return true;
+    }
+
+    /** Gives up what is left to do and all results; may be called more than once. */
+    void end() {
+        if (mOver) {
+            return;
+        }
+        mOver = true;
+        cancelOpen();
+        mExecutor.release(mGraph.allHandles());
+    }
+
+    private void cancelOpen() {
+        if (!mOpen.isEmpty()) {
+            mExecutor.cancel(mRequest.id(), new ArrayList<>(mOpen.values()));
+            mOpen.clear();
+        }
+    }
+
+    private void submitReady() {
+        for (int stage : mGraph.takeReady()) {
+            for (int piece = 0; piece < mGraph.pieces(stage); piece++) {
+                submit(stage, piece);
+            }
+        }
+    }
+
+    private void submit(int stage, int piece) {
+        RouteStage specification = mRequest.route().stages().get(stage);
+        List<String> inputs = mGraph.inputs(stage);
+        PieceWork work =
+                new PieceWork(
+                        new PieceId(mRequest.id(), stage, piece),
+                        specification.service(),
+                        mRequest.pieceKey(),
+                        inputs,
+                        mRequest.objectiveMillis(),
+                        mRequest.answerByMillis(),
+                        specification.resultBytes(),
+                        mDomain,
+                        mRestarts > 0);
+        mOpen.put(work.id(), work);
+        StageGraph graph = mGraph;
+        Consumer<PieceOutcome> receiver = outcome -> settled(graph, work, outcome);
+        mExecutor.submit(work, receiver);
+    }
+
+    private void settled(StageGraph graph, PieceWork work, PieceOutcome outcome) {
+        if (mOver || graph != mGraph) {
+            if (outcome instanceof PieceOutcome.Produced produced) {
+                mExecutor.release(List.of(produced.handle()));
+            }
+            return;
+        }
+        mOpen.remove(work.id());
+        switch (outcome) {
+            case PieceOutcome.Produced produced -> produced(work, produced.handle());
+            case PieceOutcome.Failed failed -> failed(work, failed.reason());
+        }
+    }
+
+    private void produced(PieceWork work, String handle) {
+        mGraph.produced(work.id().stage(), work.id().piece(), handle);
+        if (mGraph.complete()) {
+            mListener.stagesDone();
+        } else {
+            submitReady();
+        }
+    }
+
+    private void failed(PieceWork work, PieceFailure reason) {
+        mState.log()
+                .request(
+                        LogLine.of("piece-failed")
+                                .with("request", mRequest.id())
+                                .with("service", work.service())
+                                .with("stage", work.id().stage())
+                                .with("piece", work.id().piece())
+                                .with("reason", reason.name()));
+        if (reason == PieceFailure.INPUT_GONE && restart()) {
+            return;
+        }
+        mListener.stagesFailed(reason);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -0,0 +1,166 @@
+package org.wasabilug.gateway.internal.stage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.PieceFailure;
+import org.wasabilug.internal.serving.PieceId;
+import org.wasabilug.internal.serving.PieceOutcome;
+import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.StageCall;
+import org.wasabilug.internal.serving.StageQueue;
+import org.wasabilug.serving.ServiceSpecification;
+
+/** Sends pieces to endpoints from this instance, several in a call. */
+public final class LocalStageExecutor implements StageExecutor {
+    private static final long PUMP_MILLIS = 25;
+
+    private final GatewayState mState;
+    private final ResultRegister mResults;
+    private final Map<String, StageQueue> mQueues = new HashMap<>();
+    private final Map<PieceId, Consumer<PieceOutcome>> mReceivers = new HashMap<>();
+
+    /**
+     * Makes an executor without work.
+     *
+     * @param state what this instance knows
+     */
+    public LocalStageExecutor(GatewayState state) {
+        mState = state;
+        mResults = new ResultRegister(state, this::released);
+    }
+
+    @Override
+    public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
+        mReceivers.put(work.id(), receiver);
+        queue(work.service()).add(work, mState.nowMillis());
+        // Pieces of one request come one after another and should share a call.
+        mState.loop().execute(() -> pump(work.service()));
+    }
+
+    @Override
+    public void cancel(String request, List<PieceWork> pieces) {
+        for (PieceWork work : pieces) {
+            mReceivers.remove(work.id());
+            queue(work.service()).cancel(request);
+        }
+    }
+
+    @Override
+    public void release(List<String> handles) {
+        mResults.release(handles);
+    }
+
+    private StageQueue queue(String service) {
+        return mQueues.computeIfAbsent(service, name -> new StageQueue());
+    }
+
+    private void pump(String service) {
+        StageQueue queue = queue(service);
+        long now = mState.nowMillis();
+        queue.takeLate(now).forEach(work -> fail(work, PieceFailure.LATE));
+        if (queue.size() == 0) {
+            return;
+        }
+        ServiceSpecification specification = mState.service(service).orElse(null);
+        if (specification == null || specification.stage().isEmpty()) {
+            queue.takeAll().forEach(work -> fail(work, PieceFailure.NO_ENDPOINT));
+            return;
+        }
+        List<EndpointState> usable = mState.directory().usable(service);
+        for (StageCall call : queue.takeCalls(specification.stage().get(), usable, now)) {
+            send(specification, call);
+        }
+        if (queue.size() > 0) {
+            mState.loop().schedule(() -> pump(service), PUMP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void send(ServiceSpecification service, StageCall call) {
+        new StageCallAttempt(mState, service, call, this::answered).start();
+    }
+
+    private void answered(StageCall call, StageCallResult result) {
+        String service = call.pieces().getFirst().service();
+        String endpoint = call.endpoint().registration().name();
+        StageQueue queue = queue(service);
+        queue.callEnded(endpoint);
+        for (int index = 0; index < call.pieces().size(); index++) {
+            PieceWork work = call.pieces().get(index);
+            settle(endpoint, work, result.outcome(index), result.executed());
+        }
+        pump(service);
+    }
+
+    private void settle(String endpoint, PieceWork work, PieceOutcome outcome, boolean executed) {
+        switch (outcome) {
+            case PieceOutcome.Produced produced -> {
+                mResults.produced(produced.handle(), work.service(), endpoint, work.resultBytes());
+                deliver(work, produced);
+            }
+            case PieceOutcome.Failed failed -> {
+                queue(work.service()).released(endpoint, work.resultBytes());
+                failedAt(endpoint, work, failed, executed);
+            }
+        }
+    }
+
+    private void failedAt(
+            String endpoint, PieceWork work, PieceOutcome.Failed failed, boolean executed) {
+        boolean worthRepeating =
+                failed.reason() == PieceFailure.ERROR || failed.reason() == PieceFailure.NO_ROOM;
+        long now = mState.nowMillis();
+        if (worthRepeating
+                && mReceivers.containsKey(work.id())
+                && work.deadlineMillis() > now
+                && mState.retries().tryTake(work.service(), mState.instances(), now)) {
+            mState.log()
+                    .request(
+                            LogLine.of("piece-repeated")
+                                    .with("request", work.id().request())
+                                    .with("stage", work.id().stage())
+                                    .with("piece", work.id().piece())
+                                    .with("failed_at", endpoint)
+                                    .with("executed", executed)
+                                    .with("reason", failed.reason().name()));
+            queue(work.service()).add(work.repeated(), now);
+        } else {
+            fail(work, failed.reason());
+        }
+    }
+
+    private void fail(PieceWork work, PieceFailure reason) {
+        deliver(work, new PieceOutcome.Failed(reason));
+    }
+
+    private void deliver(PieceWork work, PieceOutcome outcome) {
+        Consumer<PieceOutcome> receiver = mReceivers.remove(work.id());
+        if (receiver != null) {
+            receiver.accept(outcome);
+        } else if (outcome instanceof PieceOutcome.Produced produced) {
+            release(List.of(produced.handle()));
+        }
+    }
+
+    private void released(ResultRegister.Result result) {
+        queue(result.service()).released(result.endpoint(), result.bytes());
+        pump(result.service());
+    }
+
+    /**
+     * Gives up results that no request has given up in time.
+     *
+     * @return how many there were
+     */
+    public int forgetOld() {
+        List<String> services = new ArrayList<>(mQueues.keySet());
+        services.forEach(this::pump);
+        return mResults.forgetOld();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegister.java
@@ -0,0 +1,104 @@
+package org.wasabilug.gateway.internal.stage;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
+import org.wasabilug.internal.serving.EndpointState;
+
+/** Results that lie at endpoints, until a request gives them up or they lapse there. */
+final class ResultRegister {
+    private static final long RELEASE_BATCH_MILLIS = 60;
+    private static final long DEFAULT_LIFE_MILLIS = 4_000;
+
+    private final GatewayState mState;
+    private final Consumer<Result> mOnRelease;
+    private final Map<String, Result> mResults = new LinkedHashMap<>();
+    private final Map<String, List<String>> mToRelease = new HashMap<>();
+    private boolean mReleaseScheduled;
+
+    ResultRegister(GatewayState state, Consumer<Result> onRelease) {
+        mState = state;
+        mOnRelease = onRelease;
+    }
+
+    /** A result and the room that it takes. */
+    record Result(String service, String endpoint, double bytes, long lapsesMillis) {}
+
+    void produced(String handle, String service, String endpoint, double bytes) {
+        long life =
+                mState.service(service)
+                        .flatMap(specification -> specification.stage())
+                        .map(stage -> (long) stage.resultLifeMillis())
+                        .orElse(DEFAULT_LIFE_MILLIS);
+        mResults.put(handle, new Result(service, endpoint, bytes, mState.nowMillis() + life));
+    }
+
+    void release(List<String> handles) {
+        for (String handle : handles) {
+            Result result = mResults.remove(handle);
+            if (result != null) {
+                mOnRelease.accept(result);
+            }
+            mToRelease
+                    .computeIfAbsent(
+                            mState.protocol().stages().makerAddress(handle),
+                            address -> new ArrayList<>())
+                    .add(handle);
+        }
+        if (!mReleaseScheduled && !mToRelease.isEmpty()) {
+            mReleaseScheduled = true;
+            mState.loop().schedule(this::sendReleases, RELEASE_BATCH_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    int forgetOld() {
+        int forgotten = 0;
+        long now = mState.nowMillis();
+        Iterator<Result> iterator = mResults.values().iterator();
+        while (iterator.hasNext()) {
+            Result result = iterator.next();
+            if (result.lapsesMillis() <= now) {
+                iterator.remove();
+                mOnRelease.accept(result);
+                forgotten++;
+            }
+        }
+        return forgotten;
+    }
+
+    private void sendReleases() {
+        mReleaseScheduled = false;
+        Map<String, List<String>> batch = new HashMap<>(mToRelease);
+        mToRelease.clear();
+        batch.forEach(
+                (address, handles) ->
+                        mState.directory()
+                                .findByAddress(address)
+                                .ifPresent(endpoint -> sendRelease(endpoint, handles)));
+    }
+
+    private void sendRelease(EndpointState endpoint, List<String> handles) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Content-Type", "application/json");
+        OutgoingRequest request =
+                new OutgoingRequest(
+                        "",
+                        HttpMethod.POST,
+                        mState.protocol().stages().releaseTarget(),
+                        headers,
+                        mState.protocol().stages().releaseBody(handles),
+                        true);
+        // A release that is lost costs room until the results lapse, and nothing else.
+        mState.connections().send(endpoint.registration(), request, new IgnoredAnswer());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -0,0 +1,154 @@
+package org.wasabilug.gateway.internal.stage;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.CallFailure;
+import org.wasabilug.gateway.internal.endpoint.CallListener;
+import org.wasabilug.gateway.internal.endpoint.EndpointCall;
+import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.protocol.UnreadableException;
+import org.wasabilug.internal.serving.EndpointLoad;
+import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.StageCall;
+import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.StageCapacity;
+
+/** One call with pieces to one endpoint. */
+final class StageCallAttempt implements CallListener {
+    private static final int OK = 200;
+    private static final double TIMEOUT_FACTOR = 4;
+    private static final long TIMEOUT_MARGIN_MILLIS = 400;
+    private static final EndpointLoad CALL_LOAD = new EndpointLoad(1, 0, 0);
+
+    private final GatewayState mState;
+    private final ServiceSpecification mService;
+    private final StageCall mCall;
+    private final BiConsumer<StageCall, StageCallResult> mReceiver;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final long mSentMillis;
+    private EndpointCall mExchange;
+    private ScheduledFuture<?> mTimeout;
+    private int mStatus;
+    private boolean mNotExecuted;
+
+    StageCallAttempt(
+            GatewayState state,
+            ServiceSpecification service,
+            StageCall call,
+            BiConsumer<StageCall, StageCallResult> receiver) {
+        mState = state;
+        mService = service;
+        mCall = call;
+        mReceiver = receiver;
+        mSentMillis = state.nowMillis();
+    }
+
+    void start() {
+        for (PieceWork work : mCall.pieces()) {
+            if (!work.repeat()) {
+                mState.retries().firstSend(work.service(), mSentMillis);
+            }
+        }
+        mCall.endpoint().sent(CALL_LOAD, mSentMillis);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Content-Type", "application/json");
+        headers.set(
+                mState.protocol().headers().expectedEndpoint(),
+                mCall.endpoint().registration().name());
+        byte[] body = mState.protocol().stages().callBody(mCall.pieces(), mSentMillis);
+        OutgoingRequest request =
+                new OutgoingRequest(
+                        "",
+                        HttpMethod.POST,
+                        mState.protocol().stages().callTarget(),
+                        headers,
+                        body,
+                        true);
+        long timeout = (long) (TIMEOUT_FACTOR * expectedMillis()) + TIMEOUT_MARGIN_MILLIS;
+        mTimeout = mState.loop().schedule(this::timedOut, timeout, TimeUnit.MILLISECONDS);
+        mExchange = mState.connections().send(mCall.endpoint().registration(), request, this);
+    }
+
+    private double expectedMillis() {
+        StageCapacity capacity = mService.stage().orElseThrow();
+        return capacity.callMillis() + mCall.pieces().size() * capacity.pieceMillis();
+    }
+
+    private void timedOut() {
+        mExchange.cancel();
+        mCall.endpoint().health().compared(TIMEOUT_FACTOR, mState.nowMillis());
+        fail("timeout", true);
+    }
+
+    @Override
+    public void headReceived(HttpResponse head) {
+        mStatus = head.status().code();
+        mNotExecuted = mState.notExecuted(head);
+    }
+
+    @Override
+    public void contentReceived(ByteBuf content) {
+        byte[] bytes = new byte[content.readableBytes()];
+        content.readBytes(bytes);
+        mBody.writeBytes(bytes);
+    }
+
+    @Override
+    public void completed() {
+        if (mStatus != OK) {
+            fail("status " + mStatus, !mNotExecuted);
+            return;
+        }
+        try {
+            var outcomes =
+                    mState.protocol()
+                            .stages()
+                            .readAnswer(mBody.toByteArray(), mCall.pieces().size());
+            double took = mState.nowMillis() - mSentMillis;
+            mCall.endpoint().health().succeeded(took);
+            mCall.endpoint().health().compared(took / expectedMillis(), mState.nowMillis());
+            finish(new StageCallResult(outcomes, true), "answered");
+        } catch (UnreadableException unreadable) {
+            fail(unreadable.getMessage(), true);
+        }
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        if (failure == CallFailure.NOT_CONNECTED) {
+            mCall.endpoint().health().unreachable(mState.nowMillis());
+        }
+        fail(failure.name(), failure != CallFailure.NOT_CONNECTED);
+    }
+
+    private void fail(String reason, boolean executed) {
+        if (executed) {
+            mCall.endpoint().health().failed(mState.nowMillis());
+        }
+        finish(StageCallResult.failed(executed), reason);
+    }
+
+    private void finish(StageCallResult result, String outcome) {
+        mTimeout.cancel(false);
+        mCall.endpoint().released(CALL_LOAD);
+        mState.log()
+                .request(
+                        LogLine.of("stage-call")
+                                .with("service", mService.name())
+                                .with("endpoint", mCall.endpoint().registration().name())
+                                .with("first", mCall.pieces().getFirst().id().request())
+                                .with("pieces", mCall.pieces().size())
+                                .with("millis", mState.nowMillis() - mSentMillis)
+                                .with("outcome", outcome));
+        mReceiver.accept(mCall, result);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreAnswer.java
@@ -0,0 +1,25 @@
+package org.wasabilug.gateway.internal.store;
+
+/**
+ * Answer to a call of the store.
+ *
+ * @param status HTTP status; 0 where there was no answer
+ * @param body the answer's body
+ * @param reason why there was no answer; empty where there was one
+ */
+record StoreAnswer(int status, byte[] body, String reason) {
+    private static final int OK = 200;
+    private static final int GONE = 410;
+
+    static StoreAnswer none(String reason) {
+        return new StoreAnswer(0, new byte[0], reason);
+    }
+
+    boolean good() {
+        return status == OK;
+    }
+
+    boolean historyGone() {
+        return status == GONE;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
@@ -0,0 +1,156 @@
+package org.wasabilug.gateway.internal.store;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** One connection to the store; one call at a time, each with a timeout. */
+final class StoreConnection {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int LARGEST_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
+    private final EventLoopGroup mLoops;
+    private final InetSocketAddress mStore;
+    private Channel mChannel;
+    private Consumer<StoreAnswer> mWaiting;
+    private ScheduledFuture<?> mTimeout;
+
+    StoreConnection(EventLoopGroup loops, InetSocketAddress store) {
+        mLoops = loops;
+        mStore = store;
+    }
+
+    /** Sends a call; the answer is {@link StoreAnswer#NONE} where there is none in time. */
+    void call(
+            HttpMethod method,
+            String target,
+            byte[] body,
+            long timeoutMillis,
+            Consumer<StoreAnswer> receiver) {
+        mWaiting = receiver;
+        mTimeout =
+                mLoops.next().schedule(() -> fail("timeout"), timeoutMillis, TimeUnit.MILLISECONDS);
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, mStore.getHostString() + ":" + mStore.getPort());
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (body.length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        }
+        if (mChannel != null && mChannel.isActive()) {
+            mChannel.writeAndFlush(request);
+        } else {
+            connect(request);
+        }
+    }
+
+    private void connect(DefaultFullHttpRequest request) {
+        new Bootstrap()
+                .group(mLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES))
+                                        .addLast(new AnswerReader());
+                            }
+                        })
+                .connect(mStore)
+                .addListener(
+                        (io.netty.channel.ChannelFuture future) -> {
+                            if (!future.isSuccess()) {
+                                request.release();
+                                fail("not connected");
+                            } else if (mWaiting == null) {
+                                request.release();
+                                future.channel().close();
+                            } else {
+                                mChannel = future.channel();
+                                mChannel.writeAndFlush(request);
+                            }
+                        });
+    }
+
+    private void deliver(StoreAnswer answer) {
+        Consumer<StoreAnswer> receiver = mWaiting;
+        mWaiting = null;
+        if (mTimeout != null) {
+            mTimeout.cancel(false);
+        }
+        if (receiver != null) {
+            receiver.accept(answer);
+        }
+    }
+
+    private void fail(String reason) {
+        close();
+        deliver(StoreAnswer.none(reason));
+    }
+
+    void close() {
+        if (mChannel != null) {
+            mChannel.close();
+            mChannel = null;
+        }
+    }
+
+    /** Hands on whole answers of the channel that is in use. */
+    private final class AnswerReader extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (context.channel() != mChannel) {
+                return;
+            }
+            if (response.decoderResult().isFailure()) {
+                fail("unreadable answer");
+                return;
+            }
+            byte[] body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+            if (!HttpUtil.isKeepAlive(response)) {
+                close();
+            }
+            deliver(new StoreAnswer(response.status().code(), body, ""));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (context.channel() == mChannel) {
+                fail("connection closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (context.channel() == mChannel) {
+                fail(String.valueOf(cause.getMessage()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -0,0 +1,46 @@
+package org.wasabilug.gateway.protocol;
+
+import java.util.Set;
+
+/**
+ * Names of the headers that callers, gateway and endpoints exchange.
+ *
+ * @param requestId id of one attempt of a caller
+ * @param deadline milliseconds that the sender will wait
+ * @param expectedEndpoint name of the endpoint that alone may run the request
+ * @param notExecuted set by an endpoint that did not run the request
+ * @param seal set by an endpoint on its own answers
+ * @param workspace name of the workspace whose key the caller sent
+ * @param tokenCounts prompt tokens and most output tokens
+ * @param promptParts parts of the prompt
+ * @param priority urgency at a model engine
+ * @param pieceCounts pieces of each stage
+ * @param pieceKey content key of the request's pieces
+ * @param inputs handles of the results that a model engine reads
+ * @param lastEventId id of the last event that was received
+ * @param coldMillis time for which an endpoint stays cold
+ * @param authorization the caller's key
+ * @param reserved headers that a caller may not set, in lower case
+ */
+public record HeaderNames(
+        String requestId,
+        String deadline,
+        String expectedEndpoint,
+        String notExecuted,
+        String seal,
+        String workspace,
+        String tokenCounts,
+        String promptParts,
+        String priority,
+        String pieceCounts,
+        String pieceKey,
+        String inputs,
+        String lastEventId,
+        String coldMillis,
+        String authorization,
+        Set<String> reserved) {
+    /** Copies the set. */
+    public HeaderNames {
+        reserved = Set.copyOf(reserved);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** What the gateway needs to know of a deployment's names and formats; adapters implement it. */
+package org.wasabilug.gateway.protocol;
--- a/standin/src/main/java/org/wasabilug/standin/internal/platform/PlatformHandler.java
+++ b/standin/src/main/java/org/wasabilug/standin/internal/platform/PlatformHandler.java
@@ -14,8 +14,6 @@
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.wasabilug.platform.wire.PlatformJson;
-import org.wasabilug.platform.wire.PlatformPaths;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.ListedInstance;
@@ -24,6 +22,8 @@
 import org.wasabilug.port.TableTransaction;
 import org.wasabilug.standin.PlatformFaults;
 import org.wasabilug.standin.internal.http.Answers;
+import org.wasabilug.tableservice.wire.PlatformJson;
+import org.wasabilug.tableservice.wire.PlatformPaths;
 
 /** Answers the platform's HTTP requests. */
 public final class PlatformHandler {
--- a/standin/src/test/java/org/wasabilug/standin/ClosedConnectionTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/ClosedConnectionTest.java
@@ -15,9 +15,9 @@
 import org.wasabilug.endpoint.HttpEndpointClient;
 import org.wasabilug.internal.event.FailureKind;
 import org.wasabilug.internal.event.InstanceEvent;
-import org.wasabilug.platform.HttpPlatformClient;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.TableTransaction;
+import org.wasabilug.tableservice.HttpPlatformClient;
 
 class ClosedConnectionTest {
     private static final Duration SHORT = Duration.ofSeconds(2);
--- a/standin/src/test/java/org/wasabilug/standin/PlatformClientTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/PlatformClientTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.model.FailureDomainName;
-import org.wasabilug.platform.HttpPlatformClient;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.ListedInstance;
@@ -27,6 +26,7 @@
 import org.wasabilug.port.RowWrite;
 import org.wasabilug.port.TableRead;
 import org.wasabilug.port.TableTransaction;
+import org.wasabilug.tableservice.HttpPlatformClient;
 
 class PlatformClientTest {
     private static final RowKey KEY = new RowKey("leases", "entry-1");
--- a/standin/src/test/java/org/wasabilug/standin/PlatformLimitsTest.java
+++ b/standin/src/test/java/org/wasabilug/standin/PlatformLimitsTest.java
@@ -18,14 +18,14 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.wasabilug.platform.HttpPlatformClient;
-import org.wasabilug.platform.wire.PlatformJson;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ReadOutcome;
 import org.wasabilug.port.RowKey;
 import org.wasabilug.port.RowWrite;
 import org.wasabilug.port.TableRead;
 import org.wasabilug.port.TableTransaction;
+import org.wasabilug.tableservice.HttpPlatformClient;
+import org.wasabilug.tableservice.wire.PlatformJson;
 
 class PlatformLimitsTest {
     private static final RowKey KEY = new RowKey("ledger", "request-1");
--- a/platform/src/main/java/org/wasabilug/platform/HttpPlatformClient.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/HttpPlatformClient.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform;
+package org.wasabilug.tableservice;
 
 import java.net.URI;
 import java.net.URLEncoder;
@@ -9,20 +9,20 @@
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.wasabilug.platform.internal.http.CircuitBreaker;
-import org.wasabilug.platform.internal.http.Exchange;
-import org.wasabilug.platform.internal.http.ExchangeResult;
-import org.wasabilug.platform.internal.http.Exchanges;
-import org.wasabilug.platform.internal.http.Outcomes;
-import org.wasabilug.platform.internal.http.RequestBudget;
-import org.wasabilug.platform.wire.PlatformJson;
-import org.wasabilug.platform.wire.PlatformPaths;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.ObjectOutcome;
 import org.wasabilug.port.ReadOutcome;
 import org.wasabilug.port.TableRead;
 import org.wasabilug.port.TableTransaction;
+import org.wasabilug.tableservice.internal.http.CircuitBreaker;
+import org.wasabilug.tableservice.internal.http.Exchange;
+import org.wasabilug.tableservice.internal.http.ExchangeResult;
+import org.wasabilug.tableservice.internal.http.Exchanges;
+import org.wasabilug.tableservice.internal.http.Outcomes;
+import org.wasabilug.tableservice.internal.http.RequestBudget;
+import org.wasabilug.tableservice.wire.PlatformJson;
+import org.wasabilug.tableservice.wire.PlatformPaths;
 
 /** The platform's services over HTTP with JSON. */
 public final class HttpPlatformClient implements PlatformClient {
--- a/platform/src/main/java/org/wasabilug/platform/PlatformClient.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/PlatformClient.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform;
+package org.wasabilug.tableservice;
 
 import java.util.concurrent.CompletionStage;
 import org.wasabilug.port.CommitOutcome;
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/CircuitBreaker.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 /** Holds requests back for a while after several failures in a row, then tries one. */
 public final class CircuitBreaker {
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/Exchange.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/Exchange.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 import java.net.URI;
 import java.time.Duration;
@@ -18,7 +18,7 @@
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
-import org.wasabilug.platform.wire.PlatformPaths;
+import org.wasabilug.tableservice.wire.PlatformPaths;
 
 /**
  * Sends one request on a connection of its own.
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/ExchangeEndedException.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/ExchangeEndedException.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 import org.wasabilug.error.ErrorCode;
 import org.wasabilug.error.WasabilugException;
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/ExchangeResult.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/ExchangeResult.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 /** What came of one HTTP exchange. */
 public sealed interface ExchangeResult {
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/Exchanges.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/Exchanges.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/Outcomes.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/Outcomes.java
@@ -1,11 +1,11 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 import java.util.Optional;
-import org.wasabilug.platform.wire.PlatformJson;
 import org.wasabilug.port.CommitOutcome;
 import org.wasabilug.port.ListOutcome;
 import org.wasabilug.port.ObjectOutcome;
 import org.wasabilug.port.ReadOutcome;
+import org.wasabilug.tableservice.wire.PlatformJson;
 
 /** Reads the outcome of each service out of an exchange. */
 public final class Outcomes {
--- a/platform/src/main/java/org/wasabilug/platform/internal/http/package-info.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/internal/http/package-info.java
@@ -1,2 +1,2 @@
 /** One HTTP exchange with the platform, its budget and its circuit breaker. */
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
--- a/platform/src/main/java/org/wasabilug/platform/wire/PlatformJson.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/wire/PlatformJson.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.wire;
+package org.wasabilug.tableservice.wire;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
--- a/platform/src/main/java/org/wasabilug/platform/wire/PlatformPaths.java
+++ b/tableservice/src/main/java/org/wasabilug/tableservice/wire/PlatformPaths.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.wire;
+package org.wasabilug.tableservice.wire;
 
 /** Paths, query parameters and headers of the platform's services. */
 public final class PlatformPaths {
--- a/platform/src/test/java/org/wasabilug/platform/internal/http/RequestBudgetConcurrencyTest.java
+++ b/tableservice/src/test/java/org/wasabilug/tableservice/internal/http/RequestBudgetConcurrencyTest.java
@@ -1,4 +1,4 @@
-package org.wasabilug.platform.internal.http;
+package org.wasabilug.tableservice.internal.http;
 
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
