Gather the pieces of a service at one instance

Change: instances find each other through a table of the store, exchange heartbeats with the load they have sent, and choose by hash one live instance that sends all pieces of a service; a lost one is replaced by the next. Pieces wait a while for an endpoint of the failure domain of their inputs. Instances without the store get its rows from peers.

--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -12,7 +12,8 @@
  * @param dueMillis when its request should be answered, for the order of work
  * @param deadlineMillis when its result is of no use any more
  * @param resultBytes approximate size of its result
- * @param domain failure domain in which the result is wanted; empty where it doesn't matter
+ * @param domain failure domain in which the work saves transfers; empty where it doesn't matter
+ * @param domainPatienceMillis how much longer the piece waits for an endpoint of that domain
  * @param repeat true where the piece was produced before
  */
 public record PieceWork(
@@ -24,6 +25,7 @@
         long deadlineMillis,
         double resultBytes,
         String domain,
+        long domainPatienceMillis,
         boolean repeat) {
     /** Copies the list. */
     public PieceWork {
@@ -37,6 +39,15 @@
      */
     public PieceWork repeated() {
         return new PieceWork(
-                id, service, key, inputs, dueMillis, deadlineMillis, resultBytes, domain, true);
+                id,
+                service,
+                key,
+                inputs,
+                dueMillis,
+                deadlineMillis,
+                resultBytes,
+                domain,
+                domainPatienceMillis,
+                true);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -6,7 +6,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.wasabilug.serving.StageCapacity;
 
 /**
@@ -19,12 +22,6 @@
 public final class StageQueue {
     private static final double BYTES_PER_MEGABYTE = 1e6;
 
-    /** Results below this size cost little to read from another failure domain. */
-    private static final double LARGE_RESULT_BYTES = 500_000;
-
-    /** How much longer a large piece waits for an endpoint of its own failure domain. */
-    private static final long DOMAIN_PATIENCE_MILLIS = 150;
-
     /** Slowness from which an endpoint gets only what others can't do sooner. */
     private static final double SLOW_ENDPOINT = 2;
 
@@ -101,6 +98,10 @@
     public List<StageCall> takeCalls(
             StageCapacity capacity, List<EndpointState> endpoints, long nowMillis) {
         List<StageCall> calls = new ArrayList<>();
+        Set<String> domains =
+                endpoints.stream()
+                        .map(endpoint -> endpoint.registration().failureDomain())
+                        .collect(Collectors.toSet());
         List<EndpointState> fastestFirst = fastestFirst(endpoints, nowMillis);
         for (int index = 0; index < fastestFirst.size(); index++) {
             EndpointState endpoint = fastestFirst.get(index);
@@ -109,7 +110,7 @@
             }
             String name = endpoint.registration().name();
             while (!mWaiting.isEmpty() && calls(name) < Math.max(1, capacity.parallelCalls())) {
-                List<PieceWork> pieces = takePieces(capacity, endpoint, nowMillis);
+                List<PieceWork> pieces = takePieces(capacity, endpoint, domains, nowMillis);
                 if (pieces.isEmpty()) {
                     break;
                 }
@@ -164,7 +165,7 @@
     }
 
     private List<PieceWork> takePieces(
-            StageCapacity capacity, EndpointState endpoint, long nowMillis) {
+            StageCapacity capacity, EndpointState endpoint, Set<String> domains, long nowMillis) {
         String name = endpoint.registration().name();
         double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name);
         List<PieceWork> pieces = new ArrayList<>();
@@ -172,7 +173,10 @@
         while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
             Waiting waiting = iterator.next();
             PieceWork work = waiting.mWork;
-            if (work.resultBytes() > room || waitsForItsDomain(waiting, endpoint, nowMillis)) {
+            boolean waits =
+                    domains.contains(work.domain())
+                            && waitsForItsDomain(waiting, endpoint, nowMillis);
+            if (work.resultBytes() > room || waits) {
                 continue;
             }
             iterator.remove();
@@ -187,10 +191,8 @@
     private static boolean waitsForItsDomain(
             Waiting waiting, EndpointState endpoint, long nowMillis) {
         PieceWork work = waiting.mWork;
-        return work.resultBytes() >= LARGE_RESULT_BYTES
-                && !work.domain().isEmpty()
-                && !work.domain().equals(endpoint.registration().failureDomain())
-                && nowMillis - waiting.mSinceMillis < DOMAIN_PATIENCE_MILLIS;
+        return !work.domain().equals(endpoint.registration().failureDomain())
+                && nowMillis - waiting.mSinceMillis < work.domainPatienceMillis();
     }
 
     private int calls(String endpoint) {
@@ -201,7 +203,7 @@
         return mResultBytes.getOrDefault(endpoint, 0.0);
     }
 
-    private List<PieceWork> removeIf(java.util.function.Predicate<Waiting> condition) {
+    private List<PieceWork> removeIf(Predicate<Waiting> condition) {
         List<PieceWork> removed = new ArrayList<>();
         Iterator<Waiting> iterator = mWaiting.iterator();
         while (iterator.hasNext()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -12,24 +12,34 @@
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
 import org.wasabilug.gateway.internal.fleet.EndpointWatch;
+import org.wasabilug.gateway.internal.fleet.InstanceRegistry;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.log.MetricsText;
+import org.wasabilug.gateway.internal.peer.KnowledgeSharing;
+import org.wasabilug.gateway.internal.peer.PeerEvents;
+import org.wasabilug.gateway.internal.peer.PeerNetwork;
+import org.wasabilug.gateway.internal.peer.SharedStageExecutor;
 import org.wasabilug.gateway.internal.readiness.ReadinessServer;
 import org.wasabilug.gateway.internal.request.RequestReceiver;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.store.FollowedTable;
+import org.wasabilug.gateway.internal.store.TableEvents;
 import org.wasabilug.gateway.internal.store.TableFollower;
 import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.WireProtocol;
+import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** One gateway process: everything runs on one event loop. */
 public final class Gateway {
     private static final long HOUSEKEEPING_MILLIS = 250;
-    private static final long CONFIGURATION_WAIT_MILLIS = 4_000;
+    private static final long CONFIGURATION_WAIT_MILLIS = 2_000;
     private static final long CONFIGURATION_PAUSE_MILLIS = 20;
-    private static final long ENDPOINT_WAIT_MILLIS = 2_000;
+    private static final long ENDPOINT_WAIT_MILLIS = 1_000;
     private static final long ENDPOINT_PAUSE_MILLIS = 500;
+    private static final long INSTANCE_WAIT_MILLIS = 15_000;
+    private static final long INSTANCE_PAUSE_MILLIS = 200;
+    private static final int MOST_REMEMBERED_MAKERS = 5_000;
 
     /** Checks that find the instance not ready twice come within this time. */
     private static final long LEAVE_ROTATION_MILLIS = 2_600;
@@ -44,6 +54,9 @@
     private final CallerListener mCallers;
     private final ReadinessServer mReadiness;
     private final LocalStageExecutor mStages;
+    private final SharedStageExecutor mSharedStages;
+    private final PeerNetwork mNetwork;
+    private final KnowledgeSharing mSharing;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
     private final CountDownLatch mStopped = new CountDownLatch(1);
@@ -65,15 +78,25 @@
         DecisionLog log = new DecisionLog(mMetrics, GatewayState::clockMillis);
         mState = new GatewayState(settings, protocol, loop, connections, log);
         mStages = new LocalStageExecutor(mState);
-        RequestReceiver receiver = new RequestReceiver(mState, mStages);
+        mEndpoints = new EndpointWatch(mState);
+        mConfiguration = new ConfigurationWatch(mState);
+        mNetwork =
+                new PeerNetwork(
+                        mState,
+                        mLoops,
+                        new PeerMessages(),
+                        () -> mStoppingSinceMillis >= 0,
+                        () -> !mEndpoints.answering());
+        mState.instances(mNetwork::instances);
+        mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
+        mSharing = new KnowledgeSharing(mState, mNetwork);
+        RequestReceiver receiver = new RequestReceiver(mState, mSharedStages);
         mCallers =
                 new CallerListener(
                         mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
         mReadiness =
                 new ReadinessServer(
                         protocol.readinessPath(), this::ready, () -> MetricsText.of(mMetrics));
-        mEndpoints = new EndpointWatch(mState);
-        mConfiguration = new ConfigurationWatch(mState);
     }
 
     /**
@@ -91,6 +114,7 @@
                                 .with("store", mSettings.store().toString()));
         mCallers.listen(mSettings.callers());
         mReadiness.listen(mLoops, mSettings.readiness());
+        mNetwork.start();
         mState.loop().execute(this::follow);
         mState.loop()
                 .scheduleAtFixedRate(
@@ -102,23 +126,24 @@
 
     private void follow() {
         StoreProtocol store = mState.protocol().store();
-        new TableFollower(
-                        mLoops,
-                        mSettings.store(),
-                        store,
-                        new FollowedTable(
-                                store.configurationTable(),
-                                CONFIGURATION_WAIT_MILLIS,
-                                CONFIGURATION_PAUSE_MILLIS),
-                        mConfiguration)
-                .start();
-        new TableFollower(
-                        mLoops,
-                        mSettings.store(),
-                        store,
-                        new FollowedTable(
-                                store.endpointTable(), ENDPOINT_WAIT_MILLIS, ENDPOINT_PAUSE_MILLIS),
-                        mEndpoints)
+        follow(
+                new FollowedTable(
+                        store.configurationTable(),
+                        CONFIGURATION_WAIT_MILLIS,
+                        CONFIGURATION_PAUSE_MILLIS),
+                mSharing.share(store.configurationTable(), mConfiguration));
+        follow(
+                new FollowedTable(
+                        store.endpointTable(), ENDPOINT_WAIT_MILLIS, ENDPOINT_PAUSE_MILLIS),
+                mSharing.share(store.endpointTable(), mEndpoints));
+        follow(
+                new FollowedTable(
+                        InstanceRegistry.TABLE, INSTANCE_WAIT_MILLIS, INSTANCE_PAUSE_MILLIS),
+                new InstanceRegistry(mState, mLoops, mNetwork));
+    }
+
+    private void follow(FollowedTable table, TableEvents events) {
+        new TableFollower(mLoops, mSettings.store(), mState.protocol().store(), table, events)
                 .start();
     }
 
@@ -133,6 +158,8 @@
         mCallers.enforceTimes();
         mState.connections().closeRested();
         mStages.forgetOld();
+        mSharedStages.forgetMakers(MOST_REMEMBERED_MAKERS);
+        mSharing.shareNow();
         if (mStoppingSinceMillis >= 0) {
             continueStop();
         }
@@ -172,6 +199,7 @@
         if (mCallers.connections() == 0 || late) {
             mCallers.close();
             mReadiness.close();
+            mNetwork.close();
             mStopped.countDown();
         }
     }
@@ -180,4 +208,32 @@
     public void settingsRead() {
         mState.log().process(LogLine.of("settings-read"));
     }
+
+    /** Hands messages of peers to the parts that they concern. */
+    private final class PeerMessages implements PeerEvents {
+        @Override
+        public void received(GatewayEnvelope envelope) {
+            String peer = envelope.getSender();
+            switch (envelope.getBodyCase()) {
+                case PIECE_ORDERS -> mSharedStages.ordered(peer, envelope.getPieceOrders());
+                case PIECE_RESULTS -> mSharedStages.results(peer, envelope.getPieceResults());
+                case PIECE_CANCELLATION -> mSharedStages.cancelled(envelope.getPieceCancellation());
+                case RESULT_RELEASE -> mSharedStages.released(envelope.getResultRelease());
+                case TABLE_ROWS -> mSharing.received(envelope.getTableRows());
+                default ->
+                        mState.log()
+                                .process(
+                                        LogLine.of("message-ignored")
+                                                .with("sender", peer)
+                                                .with("body", envelope.getBodyCase().name()));
+            }
+        }
+
+        @Override
+        public void liveChanged(String name, boolean live) {
+            if (!live) {
+                mSharedStages.lost(name);
+            }
+        }
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -22,7 +22,8 @@
 
     private final GatewayState mState;
     private long mGraceUntilMillis = Long.MIN_VALUE;
-    private boolean mAnswering = true;
+    private boolean mAnswering;
+    private boolean mEverAnswered;
 
     /**
      * Makes a watch.
@@ -67,6 +68,15 @@
         }
     }
 
+    /**
+     * Tells whether the store answers.
+     *
+     * @return false before its first answer, and while it is silent
+     */
+    public boolean answering() {
+        return mAnswering;
+    }
+
     private void register(StoredRow row) {
         EndpointRegistration registration;
         try {
@@ -123,10 +133,11 @@
 
     @Override
     public void reachable(boolean answering, String reason) {
-        if (answering && !mAnswering) {
+        if (answering && !mAnswering && mEverAnswered) {
             mGraceUntilMillis = mState.nowMillis() + RETURN_MILLIS;
         }
         mAnswering = answering;
+        mEverAnswered = mEverAnswered || answering;
         mState.log()
                 .process(
                         LogLine.of(answering ? "store-regained" : "store-lost")
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/KnowledgeSharing.java
@@ -0,0 +1,144 @@
+package org.wasabilug.gateway.internal.peer;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.store.TableEvents;
+import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.messages.gateway.TableRow;
+import org.wasabilug.messages.gateway.TableRows;
+
+/**
+ * Tells peers that can't read the store what it holds.
+ *
+ * <p>Versions decide on both sides, so an older row never replaces a newer one.
+ */
+public final class KnowledgeSharing {
+    private static final long SHARE_MILLIS = 700;
+
+    private final GatewayState mState;
+    private final PeerNetwork mNetwork;
+    private final Map<String, Map<String, StoredRow>> mTables = new HashMap<>();
+    private final Map<String, TableEvents> mReceivers = new HashMap<>();
+    private final Map<String, Long> mSharedVersions = new HashMap<>();
+    private long mLastShareMillis;
+
+    /**
+     * Makes a sharing without knowledge.
+     *
+     * @param state what this instance knows
+     * @param network the other instances
+     */
+    public KnowledgeSharing(GatewayState state, PeerNetwork network) {
+        mState = state;
+        mNetwork = network;
+    }
+
+    /**
+     * Adds a table whose rows are shared.
+     *
+     * @param table its name
+     * @param receiver who gets rows from the store and from peers
+     * @return who is to get rows from the store
+     */
+    public TableEvents share(String table, TableEvents receiver) {
+        mReceivers.put(table, receiver);
+        Map<String, StoredRow> rows = new HashMap<>();
+        mTables.put(table, rows);
+        return new TableEvents() {
+            @Override
+            public void replaced(List<StoredRow> all) {
+                rows.clear();
+                all.forEach(row -> rows.put(row.key(), row));
+                receiver.replaced(all);
+            }
+
+            @Override
+            public void changed(List<StoredRow> changes) {
+                changes.forEach(row -> keep(rows, row));
+                receiver.changed(changes);
+            }
+
+            @Override
+            public void reachable(boolean answering, String reason) {
+                receiver.reachable(answering, reason);
+            }
+        };
+    }
+
+    private static void keep(Map<String, StoredRow> rows, StoredRow row) {
+        if (row.removed()) {
+            rows.remove(row.key());
+        } else {
+            rows.put(row.key(), row);
+        }
+    }
+
+    /** Sends what is new to peers that need it; to be called several times a second. */
+    public void shareNow() {
+        long now = mState.nowMillis();
+        List<String> peers = mNetwork.withoutStore();
+        if (peers.isEmpty() || now - mLastShareMillis < SHARE_MILLIS) {
+            mSharedVersions.keySet().retainAll(peers);
+            return;
+        }
+        mLastShareMillis = now;
+        mSharedVersions.keySet().retainAll(peers);
+        peers.forEach(this::shareWith);
+    }
+
+    private void shareWith(String peer) {
+        long shared = mSharedVersions.getOrDefault(peer, -1L);
+        long newest = shared;
+        for (Map.Entry<String, Map<String, StoredRow>> table : mTables.entrySet()) {
+            TableRows.Builder message = TableRows.newBuilder().setTable(table.getKey());
+            for (StoredRow row : table.getValue().values()) {
+                if (row.version() > shared) {
+                    newest = Math.max(newest, row.version());
+                    message.addRows(
+                            TableRow.newBuilder()
+                                    .setKey(row.key())
+                                    .setValue(ByteString.copyFrom(row.value()))
+                                    .setVersion(row.version()));
+                }
+            }
+            if (message.getRowsCount() > 0) {
+                mNetwork.send(peer, mNetwork.envelope().setTableRows(message).build());
+            }
+        }
+        mSharedVersions.put(peer, newest);
+    }
+
+    /**
+     * Takes rows that a peer knows.
+     *
+     * @param message the rows
+     */
+    public void received(TableRows message) {
+        Map<String, StoredRow> known = mTables.get(message.getTable());
+        if (known == null) {
+            return;
+        }
+        Collection<StoredRow> newer = new ArrayList<>();
+        for (TableRow row : message.getRowsList()) {
+            StoredRow old = known.get(row.getKey());
+            if (old == null || old.version() < row.getVersion()) {
+                StoredRow taken =
+                        new StoredRow(
+                                row.getKey(),
+                                row.getValue().toByteArray(),
+                                row.getVersion(),
+                                false);
+                known.put(row.getKey(), taken);
+                newer.add(taken);
+            }
+        }
+        if (!newer.isEmpty()) {
+            mReceivers.get(message.getTable()).changed(List.copyOf(newer));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/Peer.java
@@ -0,0 +1,101 @@
+package org.wasabilug.gateway.internal.peer;
+
+import io.netty.channel.Channel;
+import org.wasabilug.messages.gateway.GatewayEnvelope;
+import org.wasabilug.messages.gateway.GatewayHeartbeat;
+
+/** What this instance knows of another. */
+final class Peer {
+    /** Silence after which a peer is not relied on. */
+    private static final long LIVE_MILLIS = 1_200;
+
+    private static final long RECONNECT_MILLIS = 400;
+
+    private final String mName;
+    private final String mHost;
+    private GatewayHeartbeat mHeartbeat = GatewayHeartbeat.getDefaultInstance();
+    private Channel mChannel;
+    private boolean mConnecting;
+    private long mLastHeardMillis = Long.MIN_VALUE / 2;
+    private long mHeardUsMillis = Long.MIN_VALUE / 2;
+    private long mLastConnectMillis = Long.MIN_VALUE / 2;
+
+    Peer(String name, String host) {
+        mName = name;
+        mHost = host;
+    }
+
+    String name() {
+        return mName;
+    }
+
+    String host() {
+        return mHost;
+    }
+
+    GatewayHeartbeat heartbeat() {
+        return mHeartbeat;
+    }
+
+    void heard(GatewayHeartbeat heartbeat, String ownName, long nowMillis) {
+        mHeartbeat = heartbeat;
+        mLastHeardMillis = nowMillis;
+        if (heartbeat.getHeardList().contains(ownName)) {
+            mHeardUsMillis = nowMillis;
+        }
+    }
+
+    /** Tells whether it was heard a short while ago. */
+    boolean heardRecently(long nowMillis) {
+        return nowMillis - mLastHeardMillis < LIVE_MILLIS;
+    }
+
+    /** Tells whether messages pass in both directions, and the peer goes on working. */
+    boolean live(long nowMillis) {
+        return heardRecently(nowMillis)
+                && nowMillis - mHeardUsMillis < LIVE_MILLIS
+                && !mHeartbeat.getStopping()
+                && connected();
+    }
+
+    boolean connected() {
+        return mChannel != null && mChannel.isActive();
+    }
+
+    /** Tells whether a new connection should be opened now. */
+    boolean wantsConnection(long nowMillis) {
+        return !mConnecting && !connected() && nowMillis - mLastConnectMillis >= RECONNECT_MILLIS;
+    }
+
+    void connecting(long nowMillis) {
+        mConnecting = true;
+        mLastConnectMillis = nowMillis;
+    }
+
+    void connected(Channel channel) {
+        mConnecting = false;
+        mChannel = channel;
+    }
+
+    void connectFailed() {
+        mConnecting = false;
+    }
+
+    /** Closes a connection on which messages seem not to arrive. */
+    void closeSilent(long nowMillis) {
+        boolean old = nowMillis - mLastConnectMillis > 2 * LIVE_MILLIS;
+        if (connected() && old && nowMillis - mHeardUsMillis > 2 * LIVE_MILLIS) {
+            mChannel.close();
+            mChannel = null;
+        }
+    }
+
+    /** Sends a message; false where there is no connection that takes it. */
+    boolean send(GatewayEnvelope envelope) {
+        if (!connected() || !mChannel.isWritable()) {
+            return false;
+        }
+        mChannel.writeAndFlush(envelope);
+        return true;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -0,0 +1,272 @@
+package org.wasabilug.gateway.internal.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.EndpointLoad;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.messages.gateway.GatewayEnvelope;
+import org.wasabilug.messages.gateway.GatewayHeartbeat;
+import org.wasabilug.messages.gateway.SentLoad;
+
+/** Knows the other instances, hears from them, and tells them what this one does. */
+public final class PeerNetwork {
+    private static final long SHORTEST_HEARTBEAT_MILLIS = 200;
+
+    /** Keeps the messages of a process bounded while the fleet grows. */
+    private static final long HEARTBEAT_MILLIS_PER_PEER = 6;
+
+    private final GatewayState mState;
+    private final PeerTransport mTransport;
+    private final PeerEvents mEvents;
+    private final BooleanSupplier mStopping;
+    private final BooleanSupplier mStoreSilent;
+    private final Map<String, Peer> mPeers = new TreeMap<>();
+    private final Set<String> mLive = new HashSet<>();
+
+    /**
+     * Makes a network without peers.
+     *
+     * @param state what this instance knows
+     * @param loops event loop
+     * @param events who gets messages
+     * @param stopping tells whether this instance is stopping
+     * @param storeSilent tells whether the store does not answer this instance
+     */
+    public PeerNetwork(
+            GatewayState state,
+            EventLoopGroup loops,
+            PeerEvents events,
+            BooleanSupplier stopping,
+            BooleanSupplier storeSilent) {
+        mState = state;
+        mEvents = events;
+        mStopping = stopping;
+        mStoreSilent = storeSilent;
+        mTransport = new PeerTransport(loops, this::received);
+    }
+
+    /**
+     * Starts to listen and to send heartbeats.
+     *
+     * @throws InterruptedException if interrupted meanwhile
+     */
+    public void start() throws InterruptedException {
+        mTransport.listen(mState.settings().peers());
+        mState.loop().execute(this::beat);
+    }
+
+    /**
+     * Notes where an instance is.
+     *
+     * @param name its name
+     * @param host its host
+     */
+    public void known(String name, String host) {
+        Peer peer = mPeers.get(name);
+        boolean self = name.equals(mState.settings().name());
+        if (!self && (peer == null || !peer.host().equals(host))) {
+            mPeers.put(name, new Peer(name, host));
+            mState.log()
+                    .process(LogLine.of("instance-known").with("name", name).with("host", host));
+        }
+    }
+
+    /**
+     * Counts all instances, heard or not, this one included.
+     *
+     * @return at least 1
+     */
+    public int instances() {
+        return mPeers.size() + 1;
+    }
+
+    /**
+     * Lists the instances on which work can rely, this one included.
+     *
+     * @return names
+     */
+    public Set<String> live() {
+        Set<String> live = new HashSet<>(mLive);
+        if (!mStopping.getAsBoolean()) {
+            live.add(mState.settings().name());
+        }
+        return live;
+    }
+
+    /**
+     * Tells whether a peer is relied on.
+     *
+     * @param name its name
+     * @return true while messages pass in both directions
+     */
+    public boolean live(String name) {
+        return mLive.contains(name);
+    }
+
+    /**
+     * Lists live peers that can't read the store.
+     *
+     * @return names
+     */
+    public List<String> withoutStore() {
+        List<String> names = new ArrayList<>();
+        for (Peer peer : mPeers.values()) {
+            if (mLive.contains(peer.name()) && peer.heartbeat().getStoreSilent()) {
+                names.add(peer.name());
+            }
+        }
+        return names;
+    }
+
+    /**
+     * Sends a message to a peer.
+     *
+     * @param name name of the peer
+     * @param envelope the message
+     * @return false where it can't be sent
+     */
+    public boolean send(String name, GatewayEnvelope envelope) {
+        Peer peer = mPeers.get(name);
+        return peer != null && peer.send(envelope);
+    }
+
+    /**
+     * Sends a message to all live peers.
+     *
+     * @param envelope the message
+     */
+    public void broadcast(GatewayEnvelope envelope) {
+        mLive.forEach(name -> send(name, envelope));
+    }
+
+    /**
+     * Starts a message of this instance.
+     *
+     * @return a builder with the sender
+     */
+    public GatewayEnvelope.Builder envelope() {
+        return GatewayEnvelope.newBuilder().setSender(mState.settings().name());
+    }
+
+    private void beat() {
+        long now = mState.nowMillis();
+        GatewayEnvelope heartbeat = envelope().setHeartbeat(heartbeat(now)).build();
+        for (Peer peer : mPeers.values()) {
+            peer.closeSilent(now);
+            if (peer.wantsConnection(now)) {
+                connect(peer, now);
+            }
+            peer.send(heartbeat);
+            noteLive(peer, now);
+        }
+        long pause = Math.max(SHORTEST_HEARTBEAT_MILLIS, mPeers.size() * HEARTBEAT_MILLIS_PER_PEER);
+        mState.loop().schedule(this::beat, pause, TimeUnit.MILLISECONDS);
+    }
+
+    private void noteLive(Peer peer, long now) {
+        boolean live = peer.live(now);
+        boolean changed = live ? mLive.add(peer.name()) : mLive.remove(peer.name());
+        if (!changed) {
+            return;
+        }
+        mState.log()
+                .process(
+                        LogLine.of(live ? "instance-live" : "instance-lost")
+                                .with("name", peer.name())
+                                .with("connected", peer.connected())
+                                .with("stopping", peer.heartbeat().getStopping()));
+        if (!live) {
+            mState.directory().all().forEach(each -> each.peerLoad(peer.name(), EndpointLoad.NONE));
+        }
+        mEvents.liveChanged(peer.name(), live);
+    }
+
+    private GatewayHeartbeat heartbeat(long now) {
+        GatewayHeartbeat.Builder heartbeat =
+                GatewayHeartbeat.newBuilder()
+                        .setFailureDomain(mState.settings().failureDomain())
+                        .setHost(mState.settings().peers().getHostString())
+                        .setStopping(mStopping.getAsBoolean())
+                        .setStoreSilent(mStoreSilent.getAsBoolean());
+        for (Peer peer : mPeers.values()) {
+            if (peer.heardRecently(now)) {
+                heartbeat.addHeard(peer.name());
+            }
+        }
+        for (EndpointState endpoint : mState.directory().all()) {
+            EndpointLoad load = endpoint.ownLoad();
+            if (load.running() > 0) {
+                heartbeat.addLoads(
+                        SentLoad.newBuilder()
+                                .setEndpoint(endpoint.registration().name())
+                                .setRunning(load.running())
+                                .setTokens(load.tokens())
+                                .setUnreadTokens(load.unreadTokens()));
+            }
+        }
+        return heartbeat.build();
+    }
+
+    private void connect(Peer peer, long now) {
+        peer.connecting(now);
+        mTransport.connect(
+                peer.host(),
+                mState.settings().peers().getPort(),
+                channel -> connected(peer, channel),
+                peer::connectFailed);
+    }
+
+    private void connected(Peer peer, Channel channel) {
+        peer.connected(channel);
+        peer.send(envelope().setHeartbeat(heartbeat(mState.nowMillis())).build());
+    }
+
+    private void received(GatewayEnvelope envelope) {
+        String sender = envelope.getSender();
+        if (!envelope.hasHeartbeat()) {
+            mEvents.received(envelope);
+            return;
+        }
+        GatewayHeartbeat heartbeat = envelope.getHeartbeat();
+        known(sender, heartbeat.getHost());
+        Peer peer = mPeers.get(sender);
+        if (peer == null) {
+            return;
+        }
+        peer.heard(heartbeat, mState.settings().name(), mState.nowMillis());
+        takeLoads(sender, heartbeat);
+        noteLive(peer, mState.nowMillis());
+    }
+
+    private void takeLoads(String sender, GatewayHeartbeat heartbeat) {
+        Set<String> loaded = new HashSet<>();
+        for (SentLoad load : heartbeat.getLoadsList()) {
+            loaded.add(load.getEndpoint());
+            EndpointLoad sent =
+                    new EndpointLoad(load.getRunning(), load.getTokens(), load.getUnreadTokens());
+            mState.directory()
+                    .find(load.getEndpoint())
+                    .ifPresent(endpoint -> endpoint.peerLoad(sender, sent));
+        }
+        for (EndpointState endpoint : mState.directory().all()) {
+            if (!loaded.contains(endpoint.registration().name())) {
+                endpoint.peerLoad(sender, EndpointLoad.NONE);
+            }
+        }
+    }
+
+    /** Stops listening. */
+    public void close() {
+        mTransport.close();
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/InputLocator.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/InputLocator.java
@@ -25,9 +25,22 @@
     }
 
     Sender.InputPlace placeOf(Route route, List<String> handles) {
-        if (handles.isEmpty()) {
-            return here();
-        }
+        boolean large =
+                route.stages().stream().mapToDouble(RouteStage::resultBytes).max().orElse(0)
+                        >= LARGE_INPUT_BYTES;
+        return placeOf(handles).map(domain -> new Sender.InputPlace(domain, large)).orElse(here());
+    }
+
+    /** Gives the size of the largest result that a stage reads. */
+    double largestOf(Route route, int stage) {
+        return route.stages().get(stage).after().stream()
+                .mapToDouble(before -> route.stages().get(before).resultBytes())
+                .max()
+                .orElse(0);
+    }
+
+    /** Gives the failure domain in which most of the results lie. */
+    Optional<String> placeOf(List<String> handles) {
         Map<String, Integer> counts = new HashMap<>();
         for (String handle : handles) {
             String address = mState.protocol().stages().makerAddress(handle);
@@ -40,11 +53,6 @@
                                             1,
                                             Integer::sum));
         }
-        Optional<String> most =
-                counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
-        boolean large =
-                route.stages().stream().mapToDouble(RouteStage::resultBytes).max().orElse(0)
-                        >= LARGE_INPUT_BYTES;
-        return most.map(domain -> new Sender.InputPlace(domain, large)).orElse(here());
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -20,11 +20,18 @@
     /** A request whose results were lost may start over this often. */
     private static final int MOST_RESTARTS = 1;
 
+    /** Transfers below this size cost little between failure domains. */
+    private static final double LARGE_BYTES = 100_000;
+
+    private static final long INPUT_PATIENCE_MILLIS = 350;
+    private static final long RESULT_PATIENCE_MILLIS = 150;
+
     private final GatewayState mState;
     private final StageExecutor mExecutor;
     private final RequestContext mRequest;
     private final String mDomain;
     private final Listener mListener;
+    private final InputLocator mInputs;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
     private int mRestarts;
@@ -50,6 +57,7 @@
         mRequest = request;
         mDomain = domain;
         mListener = listener;
+        mInputs = new InputLocator(state);
         mGraph = new StageGraph(request.route().stages(), request.pieces());
     }
 
@@ -108,6 +116,7 @@
     private void submit(int stage, int piece) {
         RouteStage specification = mRequest.route().stages().get(stage);
         List<String> inputs = mGraph.inputs(stage);
+        PiecePlace place = place(stage, inputs);
         PieceWork work =
                 new PieceWork(
                         new PieceId(mRequest.id(), stage, piece),
@@ -117,7 +126,8 @@
                         mRequest.objectiveMillis(),
                         mRequest.answerByMillis(),
                         specification.resultBytes(),
-                        mDomain,
+                        place.domain(),
+                        place.patienceMillis(),
                         mRestarts > 0);
         mOpen.put(work.id(), work);
         StageGraph graph = mGraph;
@@ -125,6 +135,19 @@
         mExecutor.submit(work, receiver);
     }
 
+    /** Where a piece saves transfers, and how long that is worth waiting for. */
+    private record PiecePlace(String domain, long patienceMillis) {}
+
+    private PiecePlace place(int stage, List<String> inputs) {
+        if (!inputs.isEmpty()) {
+            double bytes = inputs.size() * mInputs.largestOf(mRequest.route(), stage);
+            String domain = mInputs.placeOf(inputs).orElse("");
+            return new PiecePlace(domain, bytes >= LARGE_BYTES ? INPUT_PATIENCE_MILLIS : 0);
+        }
+        boolean large = mRequest.route().stages().get(stage).resultBytes() >= LARGE_BYTES;
+        return new PiecePlace(mDomain, large ? RESULT_PATIENCE_MILLIS : 0);
+    }
+
     private void settled(StageGraph graph, PieceWork work, PieceOutcome outcome) {
         if (mOver || graph != mGraph) {
             if (outcome instanceof PieceOutcome.Produced produced) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.stage;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,10 +22,16 @@
 public final class LocalStageExecutor implements StageExecutor {
     private static final long PUMP_MILLIS = 25;
 
+    /** One instance in each part of a fleet that is cut in pieces sends to a service. */
+    private static final int SENDERS_OF_A_SERVICE = 3;
+
     private final GatewayState mState;
     private final ResultRegister mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
-    private final Map<PieceId, Consumer<PieceOutcome>> mReceivers = new HashMap<>();
+    private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
+
+    /** Who waits for a piece. */
+    private record Receiver(String service, Consumer<PieceOutcome> outcomes) {}
 
     /**
      * Makes an executor without work.
@@ -38,7 +45,7 @@
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
-        mReceivers.put(work.id(), receiver);
+        mReceivers.put(work.id(), new Receiver(work.service(), receiver));
         queue(work.service()).add(work, mState.nowMillis());
         // Pieces of one request come one after another and should share a call.
         mState.loop().execute(() -> pump(work.service()));
@@ -52,6 +59,22 @@
         }
     }
 
+    /**
+     * Gives up the pieces of a request at some services.
+     *
+     * @param request id of the request
+     * @param services names of the services
+     */
+    public void cancelServices(String request, Collection<String> services) {
+        mReceivers
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                entry.getKey().request().equals(request)
+                                        && services.contains(entry.getValue().service()));
+        services.forEach(service -> queue(service).cancel(request));
+    }
+
     @Override
     public void release(List<String> handles) {
         mResults.release(handles);
@@ -119,7 +142,7 @@
         if (worthRepeating
                 && mReceivers.containsKey(work.id())
                 && work.deadlineMillis() > now
-                && mState.retries().tryTake(work.service(), mState.instances(), now)) {
+                && mState.retries().tryTake(work.service(), SENDERS_OF_A_SERVICE, now)) {
             mState.log()
                     .request(
                             LogLine.of("piece-repeated")
@@ -140,9 +163,9 @@
     }
 
     private void deliver(PieceWork work, PieceOutcome outcome) {
-        Consumer<PieceOutcome> receiver = mReceivers.remove(work.id());
+        Receiver receiver = mReceivers.remove(work.id());
         if (receiver != null) {
-            receiver.accept(outcome);
+            receiver.outcomes().accept(outcome);
         } else if (outcome instanceof PieceOutcome.Produced produced) {
             release(List.of(produced.handle()));
         }
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/RowWriter.java
@@ -0,0 +1,68 @@
+package org.wasabilug.gateway.internal.store;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.wasabilug.gateway.protocol.StoreProtocol;
+
+/** Writes single rows, again and again until the store has taken them. */
+public final class RowWriter {
+    private static final long WRITE_TIMEOUT_MILLIS = 2_500;
+    private static final long SHORTEST_RETRY_MILLIS = 300;
+    private static final long LONGEST_RETRY_MILLIS = 5_000;
+
+    private final EventLoopGroup mLoops;
+    private final StoreConnection mConnection;
+    private final StoreProtocol mProtocol;
+
+    /**
+     * Makes a writer.
+     *
+     * @param loops event loop
+     * @param store address of the store
+     * @param protocol formats of the store
+     */
+    public RowWriter(EventLoopGroup loops, InetSocketAddress store, StoreProtocol protocol) {
+        mLoops = loops;
+        mConnection = new StoreConnection(loops, store);
+        mProtocol = protocol;
+    }
+
+    /**
+     * Writes a row. A lost answer leads to a second write of the same content, which does no harm.
+     *
+     * @param table its table
+     * @param key its key
+     * @param value its content
+     * @param written called once the store has it
+     */
+    public void write(String table, String key, byte[] value, Runnable written) {
+        byte[] body = mProtocol.writeBody(table, key, value);
+        attempt(body, SHORTEST_RETRY_MILLIS, written);
+    }
+
+    private void attempt(byte[] body, long retryMillis, Runnable written) {
+        mConnection.call(
+                HttpMethod.POST,
+                mProtocol.writeTarget(),
+                body,
+                WRITE_TIMEOUT_MILLIS,
+                answer -> {
+                    if (answer.good()) {
+                        mConnection.close();
+                        written.run();
+                        return;
+                    }
+                    long delay =
+                            retryMillis / 2 + ThreadLocalRandom.current().nextLong(retryMillis);
+                    long next = Math.min(2 * retryMillis, LONGEST_RETRY_MILLIS);
+                    mLoops.next()
+                            .schedule(
+                                    () -> attempt(body, next, written),
+                                    delay,
+                                    TimeUnit.MILLISECONDS);
+                });
+    }
+}
