--- a/core/src/main/java/org/wasabilug/internal/serving/StageGraph.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageGraph.java
@@ -11,6 +11,7 @@
     private final List<RouteStage> mStages;
     private final String[][] mHandles;
     private final boolean[] mStarted;
+    private final boolean[] mTaken;
 
     /**
      * Starts at the beginning.
@@ -21,6 +22,7 @@
     public StageGraph(List<RouteStage> stages, List<Integer> pieces) {
         mStages = stages;
         mStarted = new boolean[stages.size()];
+        mTaken = new boolean[stages.size()];
         mHandles = new String[stages.size()][];
         for (int stage = 0; stage < stages.size(); stage++) {
             int count = stage < pieces.size() ? pieces.get(stage) : 0;
@@ -119,15 +121,45 @@
     }
 
     /**
-     * Lists all results made so far.
+     * Takes the results that only stages have read that are complete now; each is taken once.
+     *
+     * @return handles that are no longer needed
+     */
+    public List<String> takeFinished() {
+        List<String> finished = new ArrayList<>();
+        for (int stage = 0; stage < mHandles.length; stage++) {
+            if (!mTaken[stage] && mHandles[stage].length > 0 && allReadersComplete(stage)) {
+                mTaken[stage] = true;
+                finished.addAll(List.of(mHandles[stage]));
+            }
+        }
+        return finished;
+    }
+
+    private boolean allReadersComplete(int stage) {
+        boolean read = false;
+        for (int reader = 0; reader < mHandles.length; reader++) {
+            if (mStages.get(reader).after().contains(stage)) {
+                // A stage that is left out passes its inputs on, so its readers count instead.
+                if (mHandles[reader].length == 0 || !ownComplete(reader)) {
+                    return false;
+                }
+                read = true;
+            }
+        }
+        return read;
+    }
+
+    /**
+     * Lists all results made so far that were not taken as finished.
      *
      * @return handles
      */
     public List<String> allHandles() {
         List<String> handles = new ArrayList<>();
-        for (String[] stage : mHandles) {
-            for (String handle : stage) {
-                if (handle != null) {
+        for (int stage = 0; stage < mHandles.length; stage++) {
+            for (String handle : mHandles[stage]) {
+                if (handle != null && !mTaken[stage]) {
                     handles.add(handle);
                 }
             }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -164,6 +164,7 @@
 
     private void produced(PieceWork work, String handle) {
         mGraph.produced(work.id().stage(), work.id().piece(), handle);
+        mExecutor.release(mGraph.takeFinished());
         if (mGraph.complete()) {
             mListener.stagesDone();
         } else {
