--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -33,8 +33,12 @@
     private final Map<PieceId, Waiting> mById = new HashMap<>();
     private final Map<String, Integer> mCalls = new HashMap<>();
     private final Map<String, Double> mResultBytes = new HashMap<>();
+    private final List<Occupied> mOccupied = new ArrayList<>();
     private long mNextOrder;
 
+    /** Room that is taken for a known time. */
+    private record Occupied(String endpoint, double bytes, long untilMillis) {}
+
     /**
      * Adds a piece; one that waits already is not added again.
      *
@@ -141,6 +145,17 @@
                 endpoint, (name, held) -> held - bytes > 1 ? held - bytes : null);
     }
 
+    /**
+     * Notes room that is taken by results that nobody can give up.
+     *
+     * @param endpoint name of the endpoint
+     * @param bytes their size
+     * @param untilMillis when they lapse
+     */
+    public void occupied(String endpoint, double bytes, long untilMillis) {
+        mOccupied.add(new Occupied(endpoint, bytes, untilMillis));
+    }
+
     private static List<EndpointState> fastestFirst(List<EndpointState> endpoints, long nowMillis) {
         List<EndpointState> healthy =
                 endpoints.stream().filter(each -> !each.health().ejected(nowMillis)).toList();
@@ -167,7 +182,7 @@
     private List<PieceWork> takePieces(
             StageCapacity capacity, EndpointState endpoint, Set<String> domains, long nowMillis) {
         String name = endpoint.registration().name();
-        double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name);
+        double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name, nowMillis);
         List<PieceWork> pieces = new ArrayList<>();
         Iterator<Waiting> iterator = mWaiting.iterator();
         while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
@@ -199,8 +214,14 @@
         return mCalls.getOrDefault(endpoint, 0);
     }
 
-    private double held(String endpoint) {
-        return mResultBytes.getOrDefault(endpoint, 0.0);
+    private double held(String endpoint, long nowMillis) {
+        mOccupied.removeIf(each -> each.untilMillis() <= nowMillis);
+        double occupied =
+                mOccupied.stream()
+                        .filter(each -> each.endpoint().equals(endpoint))
+                        .mapToDouble(Occupied::bytes)
+                        .sum();
+        return mResultBytes.getOrDefault(endpoint, 0.0) + occupied;
     }
 
     private List<PieceWork> removeIf(Predicate<Waiting> condition) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -22,6 +22,9 @@
 public final class LocalStageExecutor implements StageExecutor {
     private static final long PUMP_MILLIS = 25;
 
+    /** How long an endpoint that had no room is taken to be as full as it was. */
+    private static final long NO_ROOM_MILLIS = 400;
+
     /** One instance in each part of a fleet that is cut in pieces sends to a service. */
     private static final int SENDERS_OF_A_SERVICE = 3;
 
@@ -114,6 +117,7 @@
         String endpoint = call.endpoint().registration().name();
         StageQueue queue = queue(service);
         queue.callEnded(endpoint);
+        noteUnseenResults(service, call, result);
         for (int index = 0; index < call.pieces().size(); index++) {
             PieceWork work = call.pieces().get(index);
             settle(endpoint, work, result.outcome(index), result.executed());
@@ -121,6 +125,27 @@
         pump(service);
     }
 
+    /** Notes room that is taken though no result came back. */
+    private void noteUnseenResults(String service, StageCall call, StageCallResult result) {
+        String endpoint = call.endpoint().registration().name();
+        long now = mState.nowMillis();
+        if (result.outcomes().isEmpty() && result.executed()) {
+            double bytes = call.pieces().stream().mapToDouble(PieceWork::resultBytes).sum();
+            queue(service).occupied(endpoint, bytes, now + mResults.lifeMillis(service));
+            return;
+        }
+        double refusedBytes = 0;
+        for (int index = 0; index < call.pieces().size(); index++) {
+            if (result.outcome(index) instanceof PieceOutcome.Failed failed
+                    && failed.reason() == PieceFailure.NO_ROOM) {
+                refusedBytes += call.pieces().get(index).resultBytes();
+            }
+        }
+        if (refusedBytes > 0) {
+            queue(service).occupied(endpoint, refusedBytes, now + NO_ROOM_MILLIS);
+        }
+    }
+
     private void settle(String endpoint, PieceWork work, PieceOutcome outcome, boolean executed) {
         switch (outcome) {
             case PieceOutcome.Produced produced -> {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/IgnoredAnswer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ReleaseAnswer.java
@@ -5,8 +5,14 @@
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 
-/** Takes the answer of a call on which nothing depends. */
-final class IgnoredAnswer implements CallListener {
+/** Waits until an endpoint has given up results; a lost call leaves them there until they lapse. */
+final class ReleaseAnswer implements CallListener {
+    private final Runnable mReleased;
+
+    ReleaseAnswer(Runnable released) {
+        mReleased = released;
+    }
+
     @Override
     public void headReceived(HttpResponse head) {}
 
@@ -14,7 +20,9 @@
     public void contentReceived(ByteBuf content) {}
 
     @Override
-    public void completed() {}
+    public void completed() {
+        mReleased.run();
+    }
 
     @Override
     public void failed(CallFailure failure) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegister.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegister.java
@@ -17,7 +17,7 @@
 
 /** Results that lie at endpoints, until a request gives them up or they lapse there. */
 final class ResultRegister {
-    private static final long RELEASE_BATCH_MILLIS = 60;
+    private static final long RELEASE_BATCH_MILLIS = 10;
     private static final long DEFAULT_LIFE_MILLIS = 4_000;
 
     private final GatewayState mState;
@@ -35,20 +35,20 @@
     record Result(String service, String endpoint, double bytes, long lapsesMillis) {}
 
     void produced(String handle, String service, String endpoint, double bytes) {
-        long life =
-                mState.service(service)
-                        .flatMap(specification -> specification.stage())
-                        .map(stage -> (long) stage.resultLifeMillis())
-                        .orElse(DEFAULT_LIFE_MILLIS);
-        mResults.put(handle, new Result(service, endpoint, bytes, mState.nowMillis() + life));
+        long lapses = mState.nowMillis() + lifeMillis(service);
+        mResults.put(handle, new Result(service, endpoint, bytes, lapses));
+    }
+
+    /** Gives the time for which a result is kept that nobody gives up. */
+    long lifeMillis(String service) {
+        return mState.service(service)
+                .flatMap(specification -> specification.stage())
+                .map(stage -> (long) stage.resultLifeMillis())
+                .orElse(DEFAULT_LIFE_MILLIS);
     }
 
     void release(List<String> handles) {
         for (String handle : handles) {
-            Result result = mResults.remove(handle);
-            if (result != null) {
-                mOnRelease.accept(result);
-            }
             mToRelease
                     .computeIfAbsent(
                             mState.protocol().stages().makerAddress(handle),
@@ -98,7 +98,17 @@
                         headers,
                         mState.protocol().stages().releaseBody(handles),
                         true);
-        // A release that is lost costs room until the results lapse, and nothing else.
-        mState.connections().send(endpoint.registration(), request, new IgnoredAnswer());
+        mState.connections()
+                .send(
+                        endpoint.registration(),
+                        request,
+                        new ReleaseAnswer(() -> handles.forEach(this::released)));
+    }
+
+    private void released(String handle) {
+        Result result = mResults.remove(handle);
+        if (result != null) {
+            mOnRelease.accept(result);
+        }
     }
 }
