Estimate prompt caches from the sends of all instances

Cause: the engine that ranks first for a prefix was taken to have it and all others not, and inputs in another failure domain weighed as much as a whole prompt, so parts were read again elsewhere. Change: PrefixMemory follows what each engine was sent, peers tell what they sent.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -16,8 +16,12 @@
     private static final double PROMPT_TOKENS_PER_MILLISECOND = 25;
     private static final double FAILURE_MILLIS = 1_500;
     private static final double COLD_MILLIS = 300;
-    private static final double REMOTE_INPUTS_MILLIS = 250;
+    private static final double REMOTE_INPUTS_MILLIS = 40;
     private static final double REMOTE_DOMAIN_MILLIS = 3;
+
+    /** Keeps first readers of a part at the engine that all instances choose. */
+    private static final double AFFINITY_MILLIS = 25;
+
     private static final double FULL_MILLIS = 2_000;
     private static final double MEMORY_IN_USE_SHARE = 0.85;
     private static final double RUNNING_REQUEST_MILLIS = 2;
@@ -28,14 +32,17 @@
     private static final int WARM_RATE_FACTOR = 2;
 
     private final ColdLimits mColdLimits;
+    private final PrefixMemory mPrefixes;
 
     /**
      * Makes a selector.
      *
      * @param coldLimits limits of cold endpoints
+     * @param prefixes what engines keep of prompts
      */
-    public EndpointSelector(ColdLimits coldLimits) {
+    public EndpointSelector(ColdLimits coldLimits, PrefixMemory prefixes) {
         mColdLimits = coldLimits;
+        mPrefixes = prefixes;
     }
 
     /**
@@ -91,11 +98,11 @@
         return endpoint.sendsInLastSecond(nowMillis) < limit;
     }
 
-    private static double cost(
-            EndpointState endpoint, boolean cached, SelectionRequest request, long nowMillis) {
+    private double cost(
+            EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
         double work =
                 request.service().engine().isPresent()
-                        ? engineMillis(endpoint, cached, request, nowMillis)
+                        ? engineMillis(endpoint, owner, request, nowMillis)
                         : callMillis(endpoint);
         double penalty = endpoint.health().failureShare() * FAILURE_MILLIS;
         if (endpoint.cold(nowMillis)) {
@@ -107,13 +114,15 @@
         return work + penalty;
     }
 
-    private static double engineMillis(
-            EndpointState endpoint, boolean cached, SelectionRequest request, long nowMillis) {
+    private double engineMillis(
+            EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
         EngineCapacity capacity = request.service().engine().orElseThrow();
         EndpointLoad load = endpoint.load();
         PromptSize prompt = request.prompt();
-        int uncached = prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
+        int kept = mPrefixes.keptTokens(endpoint.registration().name(), prompt.parts());
+        int uncached = Math.max(0, prompt.promptTokens() - kept);
         double millis = (load.unreadTokens() + uncached) / PROMPT_TOKENS_PER_MILLISECOND;
+        millis += owner ? 0 : AFFINITY_MILLIS;
         millis += load.running() * RUNNING_REQUEST_MILLIS;
         double room = MEMORY_IN_USE_SHARE * capacity.tokens();
         double needed = load.tokens() + prompt.load().tokens();
--- a/core/src/main/java/org/wasabilug/internal/serving/PromptSize.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PromptSize.java
@@ -9,11 +9,17 @@
  * @param promptTokens tokens to read
  * @param outputTokens most tokens to write
  * @param affinityKey id of the longest part that other requests may share; empty where none is
- * @param sharedTokens tokens up to the end of that part
+ * @param parts its parts in order
  */
-public record PromptSize(int promptTokens, int outputTokens, String affinityKey, int sharedTokens) {
+public record PromptSize(
+        int promptTokens, int outputTokens, String affinityKey, List<PromptPart> parts) {
+    /** Copies the list. */
+    public PromptSize {
+        parts = List.copyOf(parts);
+    }
+
     /** Size of a request that has no prompt. */
-    public static final PromptSize NONE = new PromptSize(0, 0, "", 0);
+    public static final PromptSize NONE = new PromptSize(0, 0, "", List.of());
 
     /**
      * Sums up a prompt; its last part belongs to the request alone.
@@ -25,11 +31,10 @@
      */
     public static PromptSize of(int promptTokens, int outputTokens, List<PromptPart> parts) {
         if (parts.isEmpty()) {
-            return new PromptSize(promptTokens, outputTokens, "", 0);
+            return new PromptSize(promptTokens, outputTokens, "", List.of());
         }
         int sharedParts = Math.max(1, parts.size() - 1);
-        int shared = parts.subList(0, sharedParts).stream().mapToInt(PromptPart::tokens).sum();
-        return new PromptSize(promptTokens, outputTokens, parts.get(sharedParts - 1).id(), shared);
+        return new PromptSize(promptTokens, outputTokens, parts.get(sharedParts - 1).id(), parts);
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
@@ -10,9 +12,11 @@
 import org.wasabilug.gateway.protocol.WireProtocol;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
+import org.wasabilug.internal.serving.PrefixMemory;
 import org.wasabilug.internal.serving.RetryAllowance;
 import org.wasabilug.internal.serving.RouteTable;
 import org.wasabilug.serving.CallerLimits;
+import org.wasabilug.serving.PromptPart;
 import org.wasabilug.serving.ServiceSpecification;
 
 /** What one gateway process knows and uses; owned by its event loop. */
@@ -26,10 +30,12 @@
     private final EndpointConnections mConnections;
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
+    private final PrefixMemory mPrefixes = new PrefixMemory();
     private final RetryAllowance mRetries;
     private final EndpointSelector mSelector;
     private IntSupplier mInstances = () -> 1;
     private RouteTable mRoutes;
+    private final List<PromptRead> mPromptsToTell = new ArrayList<>();
 
     /**
      * Makes a state that knows no configuration and no endpoint.
@@ -52,7 +58,7 @@
         mConnections = connections;
         mLog = log;
         mRetries = new RetryAllowance(settings.retryLimits());
-        mSelector = new EndpointSelector(settings.coldLimits());
+        mSelector = new EndpointSelector(settings.coldLimits(), mPrefixes);
     }
 
     /**
@@ -136,6 +142,46 @@
         return mRetries;
     }
 
+    /**
+     * Gives what engines keep of prompts.
+     *
+     * @return the estimate
+     */
+    public PrefixMemory prefixes() {
+        return mPrefixes;
+    }
+
+    /**
+     * Notes a request that reads its prompt at an engine, for this instance and for its peers.
+     *
+     * @param engine name of the engine
+     * @param parts parts of the prompt
+     * @param capacityTokens tokens that the engine keeps at most
+     */
+    public void promptSent(String engine, List<PromptPart> parts, long capacityTokens) {
+        mPrefixes.read(engine, parts, capacityTokens);
+        mPromptsToTell.add(new PromptRead(engine, parts));
+    }
+
+    /**
+     * Takes the prompts of which peers were not told.
+     *
+     * @return the prompts
+     */
+    public List<PromptRead> takePromptsToTell() {
+        List<PromptRead> prompts = List.copyOf(mPromptsToTell);
+        mPromptsToTell.clear();
+        return prompts;
+    }
+
+    /**
+     * A prompt that an engine reads.
+     *
+     * @param engine name of the engine
+     * @param parts parts of the prompt
+     */
+    public record PromptRead(String engine, List<PromptPart> parts) {}
+
     /**
      * Gives the chooser of endpoints.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -122,6 +122,7 @@
             mState.directory().missing(name, mGraceUntilMillis);
             return;
         }
+        mState.prefixes().forget(name);
         if (mState.directory().remove(name)) {
             mState.log()
                     .process(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -16,7 +16,9 @@
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
+import org.wasabilug.messages.gateway.PromptRead;
 import org.wasabilug.messages.gateway.SentLoad;
+import org.wasabilug.serving.PromptPart;
 
 /** Knows the other instances, hears from them, and tells them what this one does. */
 public final class PeerNetwork {
@@ -160,7 +162,9 @@
 
     private void beat() {
         long now = mState.nowMillis();
-        GatewayEnvelope heartbeat = envelope().setHeartbeat(heartbeat(now)).build();
+        GatewayHeartbeat.Builder body = heartbeat(now).toBuilder();
+        mState.takePromptsToTell().forEach(prompt -> body.addPrompts(promptRead(prompt)));
+        GatewayEnvelope heartbeat = envelope().setHeartbeat(body).build();
         for (Peer peer : mPeers.values()) {
             peer.closeSilent(now);
             if (peer.wantsConnection(now)) {
@@ -217,6 +221,29 @@
         return heartbeat.build();
     }
 
+    private static PromptRead promptRead(GatewayState.PromptRead prompt) {
+        PromptRead.Builder read = PromptRead.newBuilder().setEndpoint(prompt.engine());
+        for (PromptPart part : prompt.parts()) {
+            read.addPartIds(part.id()).addPartTokens(part.tokens());
+        }
+        return read.build();
+    }
+
+    private void takePrompt(PromptRead read) {
+        List<PromptPart> parts = new ArrayList<>();
+        int count = Math.min(read.getPartIdsCount(), read.getPartTokensCount());
+        for (int index = 0; index < count; index++) {
+            parts.add(new PromptPart(read.getPartIds(index), read.getPartTokens(index)));
+        }
+        mState.directory()
+                .find(read.getEndpoint())
+                .flatMap(endpoint -> mState.service(endpoint.registration().service()))
+                .flatMap(service -> service.engine())
+                .ifPresent(
+                        engine ->
+                                mState.prefixes().read(read.getEndpoint(), parts, engine.tokens()));
+    }
+
     private void connect(Peer peer, long now) {
         peer.connecting(now);
         mTransport.connect(
@@ -245,6 +272,7 @@
         }
         peer.heard(heartbeat, mState.settings().name(), mState.nowMillis());
         takeLoads(sender, heartbeat);
+        heartbeat.getPromptsList().forEach(this::takePrompt);
         noteLive(peer, mState.nowMillis());
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -99,6 +99,14 @@
                                 .with("remaining", remaining));
         Attempt attempt = new Attempt(mState, mRequest, endpoint, chosen.costMillis(), mOwner);
         attempt.send(headers);
+        mRequest.service()
+                .engine()
+                .ifPresent(
+                        engine ->
+                                mState.promptSent(
+                                        endpoint.registration().name(),
+                                        mRequest.prompt().parts(),
+                                        engine.tokens()));
         return attempt;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -35,6 +35,7 @@
     private final EventSplitter mEvents = new EventSplitter();
     private ByteArrayOutputStream mFailureBody = new ByteArrayOutputStream();
     private Attempt mAttempt;
+    private long mFirstEventMillis = -1;
     private ScheduledFuture<?> mTimeout;
 
     StreamFlow(
@@ -125,6 +126,9 @@
             mFailureBody.writeBytes(bytes);
             return;
         }
+        if (mFirstEventMillis < 0) {
+            mFirstEventMillis = mState.nowMillis();
+        }
         // The endpoint has read its inputs once it writes events.
         mStages.end();
         ByteBuf events = mEvents.take(content);
@@ -223,6 +227,7 @@
                                 .with("endpoint", attempt.endpoint().registration().name())
                                 .with("status", attempt.head().status().code())
                                 .with("sent", attempt.sentMillis() - mExchange.receivedMillis())
+                                .with("first", mFirstEventMillis - mExchange.receivedMillis())
                                 .with("millis", now - mExchange.receivedMillis()));
     }
 
