--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -9,7 +9,8 @@
  * @param service service that produces it
  * @param key content key of the request; read where there are no inputs
  * @param inputs handles of the results that it reads
- * @param dueMillis when its request should be answered, for the order of work
+ * @param startByMillis when it must start so that its request is on time
+ * @param rank urgency of its request, 0 first
  * @param deadlineMillis when its result is of no use any more
  * @param resultBytes approximate size of its result
  * @param domain failure domain in which the work saves transfers; empty where it doesn't matter
@@ -21,7 +22,8 @@
         String service,
         String key,
         List<String> inputs,
-        long dueMillis,
+        long startByMillis,
+        int rank,
         long deadlineMillis,
         double resultBytes,
         String domain,
@@ -43,7 +45,8 @@
                 service,
                 key,
                 inputs,
-                dueMillis,
+                startByMillis,
+                rank,
                 deadlineMillis,
                 resultBytes,
                 domain,
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -25,12 +26,22 @@
     /** Slowness from which an endpoint gets only what others can't do sooner. */
     private static final double SLOW_ENDPOINT = 2;
 
+    /** How much earlier a request goes than one that is one rank less urgent. */
+    private static final long RANK_MILLIS = 250;
+
+    /** Waiting after which a piece that can't be on time makes room for others. */
+    private static final long LATE_PATIENCE_MILLIS = 1_500;
+
     private static final Comparator<Waiting> URGENT_FIRST =
-            Comparator.comparingLong((Waiting waiting) -> waiting.mWork.dueMillis())
+            Comparator.comparingLong(Waiting::key).thenComparingLong(waiting -> waiting.mOrder);
+
+    private static final Comparator<Waiting> LEAST_LATE_FIRST =
+            Comparator.comparingLong((Waiting waiting) -> -waiting.mWork.startByMillis())
                     .thenComparingLong(waiting -> waiting.mOrder);
 
     private final TreeSet<Waiting> mWaiting = new TreeSet<>(URGENT_FIRST);
-    private final Map<PieceId, Waiting> mById = new HashMap<>();
+    private final TreeSet<Waiting> mLate = new TreeSet<>(LEAST_LATE_FIRST);
+    private final Map<PieceId, Waiting> mById = new LinkedHashMap<>();
     private final Map<String, Integer> mCalls = new HashMap<>();
     private final Map<String, Double> mResultBytes = new HashMap<>();
     private final List<Occupied> mOccupied = new ArrayList<>();
@@ -70,7 +81,12 @@
      * @return the pieces
      */
     public List<PieceWork> takeLate(long nowMillis) {
-        return removeIf(waiting -> waiting.mWork.deadlineMillis() <= nowMillis);
+        moveLate(nowMillis);
+        long oldest = nowMillis - LATE_PATIENCE_MILLIS;
+        return removeIf(
+                waiting ->
+                        waiting.mWork.deadlineMillis() <= nowMillis
+                                || mLate.contains(waiting) && waiting.mSinceMillis <= oldest);
     }
 
     /**
@@ -88,7 +104,19 @@
      * @return their number
      */
     public int size() {
-        return mWaiting.size();
+        return mWaiting.size() + mLate.size();
+    }
+
+    /** Pieces that can't be on time any more wait for what the others leave. */
+    private void moveLate(long nowMillis) {
+        Iterator<Waiting> iterator = mWaiting.iterator();
+        while (iterator.hasNext()) {
+            Waiting waiting = iterator.next();
+            if (waiting.mWork.startByMillis() < nowMillis) {
+                iterator.remove();
+                mLate.add(waiting);
+            }
+        }
     }
 
     /**
@@ -113,7 +141,7 @@
                 break;
             }
             String name = endpoint.registration().name();
-            while (!mWaiting.isEmpty() && calls(name) < Math.max(1, capacity.parallelCalls())) {
+            while (size() > 0 && calls(name) < Math.max(1, capacity.parallelCalls())) {
                 List<PieceWork> pieces = takePieces(capacity, endpoint, domains, nowMillis);
                 if (pieces.isEmpty()) {
                     break;
@@ -174,8 +202,7 @@
         if (slowness < SLOW_ENDPOINT) {
             return false;
         }
-        double roundsOfFaster =
-                Math.ceil((double) mWaiting.size() / (capacity.piecesPerCall() * faster));
+        double roundsOfFaster = Math.ceil((double) size() / (capacity.piecesPerCall() * faster));
         return roundsOfFaster + 1 < slowness;
     }
 
@@ -184,21 +211,22 @@
         String name = endpoint.registration().name();
         double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name, nowMillis);
         List<PieceWork> pieces = new ArrayList<>();
-        Iterator<Waiting> iterator = mWaiting.iterator();
-        while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
-            Waiting waiting = iterator.next();
-            PieceWork work = waiting.mWork;
-            boolean waits =
-                    domains.contains(work.domain())
-                            && waitsForItsDomain(waiting, endpoint, nowMillis);
-            if (work.resultBytes() > room || waits) {
-                continue;
+        for (TreeSet<Waiting> waitingPieces : List.of(mWaiting, mLate)) {
+            Iterator<Waiting> iterator = waitingPieces.iterator();
+            while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
+                Waiting waiting = iterator.next();
+                PieceWork work = waiting.mWork;
+                boolean waits =
+                        domains.contains(work.domain())
+                                && waitsForItsDomain(waiting, endpoint, nowMillis);
+                if (work.resultBytes() <= room && !waits) {
+                    iterator.remove();
+                    mById.remove(work.id());
+                    room -= work.resultBytes();
+                    mResultBytes.merge(name, work.resultBytes(), Double::sum);
+                    pieces.add(work);
+                }
             }
-            iterator.remove();
-            mById.remove(work.id());
-            room -= work.resultBytes();
-            mResultBytes.merge(name, work.resultBytes(), Double::sum);
-            pieces.add(work);
         }
         return pieces;
     }
@@ -226,11 +254,10 @@
 
     private List<PieceWork> removeIf(Predicate<Waiting> condition) {
         List<PieceWork> removed = new ArrayList<>();
-        Iterator<Waiting> iterator = mWaiting.iterator();
-        while (iterator.hasNext()) {
-            Waiting waiting = iterator.next();
+        for (Waiting waiting : new ArrayList<>(mById.values())) {
             if (condition.test(waiting)) {
-                iterator.remove();
+                mWaiting.remove(waiting);
+                mLate.remove(waiting);
                 mById.remove(waiting.mWork.id());
                 removed.add(waiting.mWork);
             }
@@ -249,5 +276,9 @@
             mSinceMillis = sinceMillis;
             mOrder = order;
         }
+
+        long key() {
+            return mWork.startByMillis() + mWork.rank() * RANK_MILLIS;
+        }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -15,6 +15,7 @@
 import org.wasabilug.internal.serving.PrefixMemory;
 import org.wasabilug.internal.serving.RetryAllowance;
 import org.wasabilug.internal.serving.RouteTable;
+import org.wasabilug.internal.serving.StageTimes;
 import org.wasabilug.serving.CallerLimits;
 import org.wasabilug.serving.PromptPart;
 import org.wasabilug.serving.ServiceSpecification;
@@ -30,6 +31,7 @@
     private final EndpointConnections mConnections;
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
+    private final StageTimes mStageTimes = new StageTimes();
     private final PrefixMemory mPrefixes = new PrefixMemory();
     private final RetryAllowance mRetries;
     private final EndpointSelector mSelector;
@@ -142,6 +144,15 @@
         return mRetries;
     }
 
+    /**
+     * Gives how long the steps of requests take.
+     *
+     * @return what was learned
+     */
+    public StageTimes stageTimes() {
+        return mStageTimes;
+    }
+
     /**
      * Gives what engines keep of prompts.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
@@ -19,7 +19,8 @@
                 .setService(work.service())
                 .setKey(work.key())
                 .addAllInputs(work.inputs())
-                .setDueMilliseconds(work.dueMillis() - nowMillis)
+                .setStartByMilliseconds(work.startByMillis() - nowMillis)
+                .setRank(work.rank())
                 .setDeadlineMilliseconds(work.deadlineMillis() - nowMillis)
                 .setResultBytes(work.resultBytes())
                 .setDomain(work.domain())
@@ -34,7 +35,8 @@
                 order.getService(),
                 order.getKey(),
                 order.getInputsList(),
-                nowMillis + order.getDueMilliseconds(),
+                nowMillis + order.getStartByMilliseconds(),
+                order.getRank(),
                 nowMillis + order.getDeadlineMilliseconds(),
                 order.getResultBytes(),
                 order.getDomain(),
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -13,7 +13,9 @@
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.StageGraph;
+import org.wasabilug.internal.serving.StageTimes;
 import org.wasabilug.serving.RouteStage;
+import org.wasabilug.serving.StageCapacity;
 
 /** Does the stages of one request, each as soon as its inputs are there. */
 final class StagePhase {
@@ -123,7 +125,8 @@
                         specification.service(),
                         mRequest.pieceKey(),
                         inputs,
-                        mRequest.objectiveMillis(),
+                        startByMillis(stage),
+                        mRequest.rank(),
                         mRequest.answerByMillis(),
                         specification.resultBytes(),
                         place.domain(),
@@ -131,10 +134,30 @@
                         mRestarts > 0);
         mOpen.put(work.id(), work);
         StageGraph graph = mGraph;
-        Consumer<PieceOutcome> receiver = outcome -> settled(graph, work, outcome);
+        long ordered = mState.nowMillis();
+        Consumer<PieceOutcome> receiver = outcome -> settled(graph, work, ordered, outcome);
         mExecutor.submit(work, receiver);
     }
 
+    private long startByMillis(int stage) {
+        StageTimes times = mState.stageTimes();
+        double after =
+                times.remainingMillis(
+                        mRequest.route(), stage, mRequest.pieces(), mRequest.service().name());
+        String service = mRequest.route().stages().get(stage).service();
+        double own =
+                mState.service(service)
+                        .flatMap(specification -> specification.stage())
+                        .map(capacity -> callMillis(capacity, mGraph.pieces(stage)))
+                        .orElse(0.0);
+        return mRequest.objectiveMillis() - (long) (own + after);
+    }
+
+    private static double callMillis(StageCapacity capacity, int pieces) {
+        return capacity.callMillis()
+                + Math.min(pieces, capacity.piecesPerCall()) * capacity.pieceMillis();
+    }
+
     /** Where a piece saves transfers, and how long that is worth waiting for. */
     private record PiecePlace(String domain, long patienceMillis) {}
 
@@ -148,7 +171,8 @@
         return new PiecePlace(mDomain, large ? RESULT_PATIENCE_MILLIS : 0);
     }
 
-    private void settled(StageGraph graph, PieceWork work, PieceOutcome outcome) {
+    private void settled(
+            StageGraph graph, PieceWork work, long orderedMillis, PieceOutcome outcome) {
         if (mOver || graph != mGraph) {
             if (outcome instanceof PieceOutcome.Produced produced) {
                 mExecutor.release(List.of(produced.handle()));
@@ -157,7 +181,10 @@
         }
         mOpen.remove(work.id());
         switch (outcome) {
-            case PieceOutcome.Produced produced -> produced(work, produced.handle());
+            case PieceOutcome.Produced produced -> {
+                mState.stageTimes().took(work.service(), mState.nowMillis() - orderedMillis);
+                produced(work, produced.handle());
+            }
             case PieceOutcome.Failed failed -> failed(work, failed.reason());
         }
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -128,6 +128,8 @@
         }
         if (mFirstEventMillis < 0) {
             mFirstEventMillis = mState.nowMillis();
+            mState.stageTimes()
+                    .took(mRequest.service().name(), mFirstEventMillis - attempt.sentMillis());
         }
         // The endpoint has read its inputs once it writes events.
         mStages.end();
