Order crowded stages by rank and refuse early what they would make late

Cause: with one estimate for all requests, a crowded stage made all of them late by turns. Change: strict order by rank, times learned for each rank and forgotten within a second, refusal at arrival where a crowded stage makes a request late, late pieces that hold room give up after 0.4 s.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -26,17 +26,20 @@
     /** Slowness from which an endpoint gets only what others can't do sooner. */
     private static final double SLOW_ENDPOINT = 2;
 
-    /** How much earlier a request goes than one that is one rank less urgent. */
-    private static final long RANK_MILLIS = 250;
-
-    /** Waiting after which a piece that can't be on time makes room for others. */
+    /** Waiting after which a late piece without inputs makes room for others. */
     private static final long LATE_PATIENCE_MILLIS = 1_500;
 
+    /** The same for a piece whose inputs take room at the stage before. */
+    private static final long LATE_INPUT_PATIENCE_MILLIS = 400;
+
     private static final Comparator<Waiting> URGENT_FIRST =
-            Comparator.comparingLong(Waiting::key).thenComparingLong(waiting -> waiting.mOrder);
+            Comparator.comparingInt((Waiting waiting) -> waiting.mWork.rank())
+                    .thenComparingLong(waiting -> waiting.mWork.startByMillis())
+                    .thenComparingLong(waiting -> waiting.mOrder);
 
     private static final Comparator<Waiting> LEAST_LATE_FIRST =
-            Comparator.comparingLong((Waiting waiting) -> -waiting.mWork.startByMillis())
+            Comparator.comparingInt((Waiting waiting) -> waiting.mWork.rank())
+                    .thenComparingLong(waiting -> -waiting.mWork.startByMillis())
                     .thenComparingLong(waiting -> waiting.mOrder);
 
     private final TreeSet<Waiting> mWaiting = new TreeSet<>(URGENT_FIRST);
@@ -82,11 +85,10 @@
      */
     public List<PieceWork> takeLate(long nowMillis) {
         moveLate(nowMillis);
-        long oldest = nowMillis - LATE_PATIENCE_MILLIS;
         return removeIf(
                 waiting ->
                         waiting.mWork.deadlineMillis() <= nowMillis
-                                || mLate.contains(waiting) && waiting.mSinceMillis <= oldest);
+                                || mLate.contains(waiting) && waiting.overdue(nowMillis));
     }
 
     /**
@@ -277,8 +279,10 @@
             mOrder = order;
         }
 
-        long key() {
-            return mWork.startByMillis() + mWork.rank() * RANK_MILLIS;
+        boolean overdue(long nowMillis) {
+            boolean holdsRoom = !mWork.inputs().isEmpty();
+            long patience = holdsRoom ? LATE_INPUT_PATIENCE_MILLIS : LATE_PATIENCE_MILLIS;
+            return nowMillis - mSinceMillis >= patience;
         }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.store.TableEvents;
@@ -85,9 +86,16 @@
                                 .with("before", known)
                                 .with("routes", configuration.routes().size())
                                 .with("services", configuration.services().size())
+                                .with("ranks", ranks(configuration))
                                 .with("workspaces", configuration.workspaces().size()));
     }
 
+    private static String ranks(ServingConfiguration configuration) {
+        return configuration.workspaces().stream()
+                .map(workspace -> Integer.toString(workspace.rank()))
+                .collect(Collectors.joining(","));
+    }
+
     @Override
     public void reachable(boolean answering, String reason) {
         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -25,6 +25,10 @@
     /** Transfers below this size cost little between failure domains. */
     private static final double LARGE_BYTES = 100_000;
 
+    /** Time of a stage, waiting included, that only a crowded one takes. */
+    private static final double CROWDED_MILLIS = 550;
+
+    private static final long LATE_TOLERANCE_MILLIS = 150;
     private static final long INPUT_PATIENCE_MILLIS = 350;
     private static final long RESULT_PATIENCE_MILLIS = 150;
 
@@ -69,7 +73,27 @@
     }
 
     void start() {
-        submitReady();
+        if (tooLate()) {
+            failed(PieceFailure.LATE);
+        } else {
+            submitReady();
+        }
+    }
+
+    /** Tells whether a stage is so crowded that the request can't be on time. */
+    private boolean tooLate() {
+        long now = mState.nowMillis();
+        boolean crowded = false;
+        boolean late = false;
+        for (int stage = 0; stage < mRequest.route().stages().size(); stage++) {
+            if (mGraph.pieces(stage) > 0) {
+                String service = mRequest.route().stages().get(stage).service();
+                double expected = mState.stageTimes().expectedMillis(service, mRequest.rank(), now);
+                crowded = crowded || expected > CROWDED_MILLIS;
+                late = late || startByMillis(stage) + LATE_TOLERANCE_MILLIS < now;
+            }
+        }
+        return crowded && late;
     }
 
     /** Gives the results that the request itself reads. */
@@ -140,10 +164,13 @@
     }
 
     private long startByMillis(int stage) {
-        StageTimes times = mState.stageTimes();
-        double after =
-                times.remainingMillis(
-                        mRequest.route(), stage, mRequest.pieces(), mRequest.service().name());
+        StageTimes.Journey journey =
+                new StageTimes.Journey(
+                        mRequest.route(),
+                        mRequest.pieces(),
+                        mRequest.service().name(),
+                        mRequest.rank());
+        double after = mState.stageTimes().remainingMillis(journey, stage, mState.nowMillis());
         String service = mRequest.route().stages().get(stage).service();
         double own =
                 mState.service(service)
@@ -182,7 +209,8 @@
         mOpen.remove(work.id());
         switch (outcome) {
             case PieceOutcome.Produced produced -> {
-                mState.stageTimes().took(work.service(), mState.nowMillis() - orderedMillis);
+                long now = mState.nowMillis();
+                mState.stageTimes().took(work.service(), work.rank(), now - orderedMillis, now);
                 produced(work, produced.handle());
             }
             case PieceOutcome.Failed failed -> failed(work, failed.reason());
@@ -211,6 +239,10 @@
         if (reason == PieceFailure.INPUT_GONE && restart()) {
             return;
         }
+        failed(reason);
+    }
+
+    private void failed(PieceFailure reason) {
         mListener.stagesFailed(reason);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -25,6 +25,9 @@
     private static final int CONFLICT = 409;
     private static final long BUSY_RETRY_MILLIS = 400;
 
+    /** A crowd at a stage lasts some seconds, so an early return would meet it again. */
+    private static final long CROWDED_RETRY_MILLIS = 1_500;
+
     private final GatewayState mState;
     private final RequestContext mRequest;
     private final CallerExchange mExchange;
@@ -84,7 +87,11 @@
     @Override
     public void stagesFailed(PieceFailure reason) {
         end();
-        giveNotRunOrFailed("stage failed: " + reason);
+        if (reason == PieceFailure.LATE && !mSender.mayHaveRun()) {
+            mOwnAnswers.notRun(mExchange, "stages are crowded", CROWDED_RETRY_MILLIS);
+        } else {
+            giveNotRunOrFailed("stage failed: " + reason);
+        }
     }
 
     private void send() {
@@ -129,7 +136,11 @@
         if (mFirstEventMillis < 0) {
             mFirstEventMillis = mState.nowMillis();
             mState.stageTimes()
-                    .took(mRequest.service().name(), mFirstEventMillis - attempt.sentMillis());
+                    .took(
+                            mRequest.service().name(),
+                            mRequest.rank(),
+                            mFirstEventMillis - attempt.sentMillis(),
+                            mFirstEventMillis);
         }
         // The endpoint has read its inputs once it writes events.
         mStages.end();
