Rank requests by route and workspace together

Cause: three of five workspaces share a rank of their own, which replaced that of the route, so drafts and summaries were equals at a crowded stage. Change: the rank is the sum of both.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -120,8 +120,10 @@
                                 tokens.size() > 1 ? tokens.get(1) : 0,
                                 mState.protocol()
                                         .promptParts(headers.get(names().promptParts(), "")));
+        // Workspaces go before routes among requests of one kind, routes among one workspace.
         int rank =
-                workspace.map(WorkspaceKeys::rank).filter(each -> each >= 0).orElse(route.rank());
+                route.rank()
+                        + workspace.map(WorkspaceKeys::rank).filter(each -> each >= 0).orElse(0);
         return new RequestContext(
                 headers.get(names().requestId()),
                 exchange,
