--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -138,6 +138,27 @@
                 .toList();
     }
 
+    /**
+     * Lists the endpoints of a service that may get requests and can be reached.
+     *
+     * @param service name of the service
+     * @param reachability what is known of failure domains
+     * @param nowMillis now
+     * @return in order of their names; those of all domains where no domain seems reachable
+     */
+    public List<EndpointState> usable(
+            String service, DomainReachability reachability, long nowMillis) {
+        List<EndpointState> all = usable(service);
+        List<EndpointState> reachable =
+                all.stream()
+                        .filter(
+                                each ->
+                                        !reachability.cutOff(
+                                                each.registration().failureDomain(), nowMillis))
+                        .toList();
+        return reachable.isEmpty() ? all : reachable;
+    }
+
     /**
      * Tells whether an endpoint may get requests at this moment.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -9,9 +9,13 @@
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.log.DecisionLog;
+import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
+import org.wasabilug.internal.serving.CrashRegister;
+import org.wasabilug.internal.serving.DomainReachability;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
+import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.PrefixMemory;
 import org.wasabilug.internal.serving.RetryAllowance;
 import org.wasabilug.internal.serving.RouteTable;
@@ -31,6 +35,8 @@
     private final EndpointConnections mConnections;
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
+    private final DomainReachability mReachability = new DomainReachability();
+    private final CrashRegister mCrashes = new CrashRegister();
     private final StageTimes mStageTimes = new StageTimes();
     private final PrefixMemory mPrefixes = new PrefixMemory();
     private final RetryAllowance mRetries;
@@ -144,6 +150,46 @@
         return mRetries;
     }
 
+    /**
+     * Lists the endpoints of a service that may get requests and can be reached.
+     *
+     * @param service name of the service
+     * @return in order of their names
+     */
+    public List<EndpointState> usable(String service) {
+        return mDirectory.usable(service, mReachability, nowMillis());
+    }
+
+    /**
+     * Notes that an endpoint gave no sign of life.
+     *
+     * @param endpoint the endpoint
+     */
+    public void silent(EndpointState endpoint) {
+        String domain = endpoint.registration().failureDomain();
+        if (mReachability.silent(domain, nowMillis())) {
+            mLog.process(LogLine.of("domain-cut-off").with("domain", domain));
+        }
+    }
+
+    /**
+     * Gives what is known of failure domains.
+     *
+     * @return the reachability
+     */
+    public DomainReachability reachability() {
+        return mReachability;
+    }
+
+    /**
+     * Gives the contents that crash endpoints.
+     *
+     * @return the register
+     */
+    public CrashRegister crashes() {
+        return mCrashes;
+    }
+
     /**
      * Gives how long the steps of requests take.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -6,7 +6,6 @@
     private final OutgoingRequest mRequest;
     private EndpointConnection mConnection;
     private boolean mEnded;
-    private boolean mSent;
 
     EndpointCall(OutgoingRequest request, CallListener listener) {
         mRequest = request;
@@ -49,7 +48,6 @@
 
     void sentOn(EndpointConnection connection) {
         mConnection = connection;
-        mSent = true;
     }
 
     void end() {
@@ -59,7 +57,7 @@
     void fail(CallFailure failure) {
         if (!mEnded) {
             mEnded = true;
-            mListener.failed(mSent ? failure : CallFailure.NOT_CONNECTED);
+            mListener.failed(failure);
         }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -1,9 +1,11 @@
 package org.wasabilug.gateway.internal.endpoint;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -20,7 +22,7 @@
 
 /** Keeps connections to endpoints and opens new ones where none is idle. */
 public final class EndpointConnections {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int LARGEST_CHUNK_BYTES = 65_536;
     private static final int LARGEST_LINE_BYTES = 8_192;
     private static final int LARGEST_HEAD_BYTES = 65_536;
@@ -156,19 +158,39 @@
                             }
                         })
                 .connect(endpoint.host(), endpoint.port())
+                .addListener((ChannelFuture future) -> opened(future, connection, call));
+    }
+
+    /**
+     * Finds out whether an address takes connections.
+     *
+     * @param endpoint the address
+     * @param refused called where it refuses
+     */
+    public void probe(EndpointRegistration endpoint, Runnable refused) {
+        mBootstrap
+                .clone()
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(endpoint.host(), endpoint.port())
                 .addListener(
-                        (io.netty.channel.ChannelFuture future) ->
-                                opened(future.isSuccess(), future.channel(), connection, call));
+                        (ChannelFuture future) -> {
+                            if (future.isSuccess()) {
+                                future.channel().close();
+                            } else if (!(future.cause() instanceof ConnectTimeoutException)) {
+                                refused.run();
+                            }
+                        });
     }
 
     private static void opened(
-            boolean success, Channel channel, EndpointConnection connection, EndpointCall call) {
-        if (!success) {
-            call.fail(CallFailure.NOT_CONNECTED);
+            ChannelFuture future, EndpointConnection connection, EndpointCall call) {
+        if (!future.isSuccess()) {
+            boolean silent = future.cause() instanceof ConnectTimeoutException;
+            call.fail(silent ? CallFailure.SILENT : CallFailure.NOT_CONNECTED);
         } else if (call.ended()) {
-            channel.close();
+            future.channel().close();
         } else {
-            connection.send(call, channel);
+            connection.send(call, future.channel());
         }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -191,10 +191,21 @@
                                 .with("stopping", peer.heartbeat().getStopping()));
         if (!live) {
             mState.directory().all().forEach(each -> each.peerLoad(peer.name(), EndpointLoad.NONE));
+            noteLostDomain(peer.heartbeat().getFailureDomain());
         }
         mEvents.liveChanged(peer.name(), live);
     }
 
+    private void noteLostDomain(String domain) {
+        boolean heard =
+                mPeers.values().stream()
+                        .filter(peer -> mLive.contains(peer.name()))
+                        .anyMatch(peer -> peer.heartbeat().getFailureDomain().equals(domain));
+        if (!heard && !domain.equals(mState.settings().failureDomain())) {
+            mState.reachability().peersLost(domain);
+        }
+    }
+
     private GatewayHeartbeat heartbeat(long now) {
         GatewayHeartbeat.Builder heartbeat =
                 GatewayHeartbeat.newBuilder()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -27,6 +27,7 @@
     private boolean mNotExecuted;
     private boolean mFirstContent;
     private boolean mOver;
+    private long mLastProgressMillis;
 
     Attempt(
             GatewayState state,
@@ -40,6 +41,7 @@
         mPredictedMillis = predictedMillis;
         mOwner = owner;
         mSentMillis = state.nowMillis();
+        mLastProgressMillis = mSentMillis;
         mLoad = request.prompt().load();
     }
 
@@ -73,6 +75,19 @@
         return mFirstContent;
     }
 
+    boolean over() {
+        return mOver;
+    }
+
+    double predictedMillis() {
+        return mPredictedMillis;
+    }
+
+    /** Tells when anything of the answer's body came last, or when the request was sent. */
+    long lastProgressMillis() {
+        return mLastProgressMillis;
+    }
+
     long sentMillis() {
         return mSentMillis;
     }
@@ -83,7 +98,7 @@
 
     void cancel() {
         if (!mOver) {
-            over();
+            end();
             mCall.cancel();
         }
     }
@@ -92,6 +107,9 @@
     void giveUp() {
         if (!mOver) {
             mEndpoint.health().failed(mState.nowMillis());
+            if (mHead == null) {
+                mState.silent(mEndpoint);
+            }
             cancel();
         }
     }
@@ -99,12 +117,14 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
+        mState.reachability().answered(mEndpoint.registration().failureDomain());
         mNotExecuted = mState.notExecuted(head);
         mOwner.headReceived(this);
     }
 
     @Override
     public void contentReceived(ByteBuf content) {
+        mLastProgressMillis = mState.nowMillis();
         if (!mFirstContent) {
             mFirstContent = true;
             firstContent();
@@ -127,7 +147,7 @@
         if (mOver) {
             return;
         }
-        over();
+        end();
         if (!mNotExecuted) {
             if (mHead.status().code() >= SERVER_ERROR) {
                 mEndpoint.health().failed(mState.nowMillis());
@@ -143,16 +163,19 @@
         if (mOver) {
             return;
         }
-        over();
-        if (failure == CallFailure.NOT_CONNECTED) {
+        end();
+        if (failure.nothingSent()) {
             mEndpoint.health().unreachable(mState.nowMillis());
         } else {
             mEndpoint.health().failed(mState.nowMillis());
         }
+        if (failure == CallFailure.SILENT) {
+            mState.silent(mEndpoint);
+        }
         mOwner.failed(this, failure);
     }
 
-    private void over() {
+    private void end() {
         mOver = true;
         mEndpoint.released(mLoad);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
@@ -22,6 +22,8 @@
  */
 final class PlainFlow implements AttemptOwner {
     private static final long BUSY_RETRY_MILLIS = 300;
+    private static final long SHORTEST_PATIENCE_MILLIS = 150;
+    private static final double PATIENCE_FACTOR = 4;
 
     private final GatewayState mState;
     private final RequestContext mRequest;
@@ -53,6 +55,7 @@
         Optional<Attempt> attempt = mSender.send(here, headers -> {});
         if (attempt.isPresent()) {
             mAttempt = attempt.get();
+            watch(mAttempt);
         } else if (mSender.mayHaveRun()) {
             end();
             mOwnAnswers.failed(mExchange, "attempts failed and " + mSender.unavailable());
@@ -62,6 +65,22 @@
         }
     }
 
+    /** A repeatable request goes to a second endpoint where the first takes too long. */
+    private void watch(Attempt attempt) {
+        if (mRequest.route().idempotent()) {
+            double usual = attempt.endpoint().health().latencyMillis();
+            long patience = Math.max(SHORTEST_PATIENCE_MILLIS, (long) (PATIENCE_FACTOR * usual));
+            mState.loop().schedule(() -> checkSlow(attempt), patience, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkSlow(Attempt attempt) {
+        if (attempt == mAttempt && !attempt.over() && mExchange.open() && mSender.mayRepeat()) {
+            attempt.giveUp();
+            send();
+        }
+    }
+
     @Override
     public void headReceived(Attempt attempt) {}
 
@@ -89,7 +108,7 @@
 
     @Override
     public void failed(Attempt attempt, CallFailure failure) {
-        if (failure == CallFailure.NOT_CONNECTED) {
+        if (failure.nothingSent()) {
             mSender.lastDidNotRun();
             if (mSender.mayTryAnother()) {
                 send();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -63,7 +63,7 @@
     }
 
     private Selection select(InputPlace inputs, long now) {
-        List<EndpointState> usable = mState.directory().usable(mRequest.service().name());
+        List<EndpointState> usable = mState.usable(mRequest.service().name());
         SelectionRequest wanted =
                 new SelectionRequest(
                         mRequest.service(),
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -23,6 +23,10 @@
  */
 final class StreamFlow implements AttemptOwner, StagePhase.Listener {
     private static final int CONFLICT = 409;
+    private static final long STALL_MILLIS = 900;
+    private static final long FIRST_EVENT_MILLIS = 900;
+    private static final double FIRST_EVENT_FACTOR = 3;
+    private static final long MINIMUM_CHECK_MILLIS = 50;
     private static final long BUSY_RETRY_MILLIS = 400;
 
     /** A crowd at a stage lasts some seconds, so an early return would meet it again. */
@@ -100,6 +104,8 @@
         Optional<Attempt> attempt = mSender.send(inputs, this::addStreamHeaders);
         if (attempt.isPresent()) {
             mAttempt = attempt.get();
+            double slowest = FIRST_EVENT_FACTOR * mAttempt.predictedMillis();
+            watch(mAttempt, Math.max(FIRST_EVENT_MILLIS, (long) slowest));
         } else {
             end();
             giveNotRunOrFailed(mSender.unavailable());
@@ -115,6 +121,45 @@
         }
     }
 
+    /** Watches an attempt that may be given up for another. */
+    private void watch(Attempt attempt, long patienceMillis) {
+        if (mRequest.route().idempotent()) {
+            mState.loop()
+                    .schedule(
+                            () -> checkProgress(attempt, patienceMillis),
+                            patienceMillis,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkProgress(Attempt attempt, long patienceMillis) {
+        if (attempt != mAttempt || attempt.over() || !mExchange.open()) {
+            return;
+        }
+        long quiet = mState.nowMillis() - attempt.lastProgressMillis();
+        long patience = attempt.streaming() ? STALL_MILLIS : patienceMillis;
+        if (quiet < patience) {
+            watch(attempt, Math.max(MINIMUM_CHECK_MILLIS, patience - quiet));
+        } else if (mSender.mayRepeat()) {
+            logStall(attempt, quiet);
+            attempt.giveUp();
+            mEvents.dropPartial();
+            send();
+        } else {
+            watch(attempt, patience);
+        }
+    }
+
+    private void logStall(Attempt attempt, long quietMillis) {
+        mState.log()
+                .request(
+                        LogLine.of("attempt-stalled")
+                                .with("request", mRequest.id())
+                                .with("endpoint", attempt.endpoint().registration().name())
+                                .with("streaming", attempt.streaming())
+                                .with("quiet", quietMillis));
+    }
+
     @Override
     public void headReceived(Attempt attempt) {
         if (streams(attempt) && !mExchange.answering()) {
@@ -186,7 +231,7 @@
 
     @Override
     public void failed(Attempt attempt, CallFailure failure) {
-        if (failure == CallFailure.NOT_CONNECTED) {
+        if (failure.nothingSent()) {
             mSender.lastDidNotRun();
             if (mSender.mayTryAnother()) {
                 send();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -99,7 +99,7 @@
             queue.takeAll().forEach(work -> fail(work, PieceFailure.NO_ENDPOINT));
             return;
         }
-        List<EndpointState> usable = mState.directory().usable(service);
+        List<EndpointState> usable = mState.usable(service);
         for (StageCall call : queue.takeCalls(specification.stage().get(), usable, now)) {
             send(specification, call);
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -86,11 +86,13 @@
     private void timedOut() {
         mExchange.cancel();
         mCall.endpoint().health().compared(TIMEOUT_FACTOR, mState.nowMillis());
+        mState.silent(mCall.endpoint());
         fail("timeout", true);
     }
 
     @Override
     public void headReceived(HttpResponse head) {
+        mState.reachability().answered(mCall.endpoint().registration().failureDomain());
         mStatus = head.status().code();
         mNotExecuted = mState.notExecuted(head);
     }
@@ -124,10 +126,13 @@
 
     @Override
     public void failed(CallFailure failure) {
-        if (failure == CallFailure.NOT_CONNECTED) {
+        if (failure.nothingSent()) {
             mCall.endpoint().health().unreachable(mState.nowMillis());
         }
-        fail(failure.name(), failure != CallFailure.NOT_CONNECTED);
+        if (failure == CallFailure.SILENT) {
+            mState.silent(mCall.endpoint());
+        }
+        fail(failure.name(), !failure.nothingSent());
     }
 
     private void fail(String reason, boolean executed) {
