Refuse contents that crashed three endpoints

Cause: a request that crashes its endpoint comes again with another id at any instance. Change: a broken answer whose endpoint then refuses connections counts against the content; peers are told; the third crash refuses it at once.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.wasabilug.gateway.internal.store.TableFollower;
 import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.WireProtocol;
+import org.wasabilug.messages.gateway.CrashReport;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** One gateway process: everything runs on one event loop. */
@@ -88,6 +89,7 @@
                         () -> mStoppingSinceMillis >= 0,
                         () -> !mEndpoints.answering());
         mState.instances(mNetwork::instances);
+        mState.crashTeller(this::tellCrash);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mSharing = new KnowledgeSharing(mState, mNetwork);
         RequestReceiver receiver = new RequestReceiver(mState, mSharedStages);
@@ -147,6 +149,12 @@
                 .start();
     }
 
+    private void tellCrash(long fingerprint, String endpoint) {
+        CrashReport.Builder report =
+                CrashReport.newBuilder().setFingerprint(fingerprint).setEndpoint(endpoint);
+        mNetwork.broadcast(mNetwork.envelope().setCrashReport(report).build());
+    }
+
     private boolean ready() {
         return mStoppingSinceMillis < 0
                 && mState.routes().isPresent()
@@ -219,6 +227,10 @@
                 case PIECE_RESULTS -> mSharedStages.results(peer, envelope.getPieceResults());
                 case PIECE_CANCELLATION -> mSharedStages.cancelled(envelope.getPieceCancellation());
                 case RESULT_RELEASE -> mSharedStages.released(envelope.getResultRelease());
+                case CRASH_REPORT -> {
+                    CrashReport report = envelope.getCrashReport();
+                    mState.crashes().crashed(report.getFingerprint(), report.getEndpoint());
+                }
                 case TABLE_ROWS -> mSharing.received(envelope.getTableRows());
                 default ->
                         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
@@ -42,6 +43,7 @@
     private final RetryAllowance mRetries;
     private final EndpointSelector mSelector;
     private IntSupplier mInstances = () -> 1;
+    private BiConsumer<Long, String> mCrashTeller = (fingerprint, endpoint) -> {};
     private RouteTable mRoutes;
     private final List<PromptRead> mPromptsToTell = new ArrayList<>();
 
@@ -190,6 +192,32 @@
         return mCrashes;
     }
 
+    /**
+     * Notes that an endpoint crashed while a content ran on it, and tells peers.
+     *
+     * @param fingerprint hash of the content
+     * @param endpoint name of the endpoint
+     */
+    public void crashed(long fingerprint, String endpoint) {
+        if (mCrashes.crashed(fingerprint, endpoint)) {
+            mLog.process(
+                    LogLine.of("endpoint-crashed")
+                            .with("endpoint", endpoint)
+                            .with("content", Long.toHexString(fingerprint))
+                            .with("taken_for_cause", mCrashes.causesCrashes(fingerprint)));
+            mCrashTeller.accept(fingerprint, endpoint);
+        }
+    }
+
+    /**
+     * Sets how peers are told of crashes.
+     *
+     * @param teller gets the hash of the content and the name of the endpoint
+     */
+    public void crashTeller(BiConsumer<Long, String> teller) {
+        mCrashTeller = teller;
+    }
+
     /**
      * Gives how long the steps of requests take.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
@@ -14,6 +15,7 @@
 /** One send of a request to one endpoint, with its part in the endpoint's load and health. */
 final class Attempt implements CallListener {
     private static final int SERVER_ERROR = 500;
+    private static final long CRASH_CHECK_MILLIS = 40;
 
     private final GatewayState mState;
     private final RequestContext mRequest;
@@ -172,9 +174,21 @@
         if (failure == CallFailure.SILENT) {
             mState.silent(mEndpoint);
         }
+        if (failure == CallFailure.BROKEN) {
+            mState.loop().schedule(this::checkCrash, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
         mOwner.failed(this, failure);
     }
 
+    /** An endpoint that takes no connections right after a broken answer has crashed. */
+    private void checkCrash() {
+        String endpoint = mEndpoint.registration().name();
+        mState.connections()
+                .probe(
+                        mEndpoint.registration(),
+                        () -> mState.crashed(ContentFingerprint.of(mRequest), endpoint));
+    }
+
     private void end() {
         mOver = true;
         mEndpoint.released(mLoad);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -24,6 +24,7 @@
 
 /** Finds route and workspace of each request and starts serving it. */
 public final class RequestReceiver implements CallerEvents {
+    private static final long CRASHING_RETRY_MILLIS = 5_000;
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
     private final GatewayState mState;
@@ -92,7 +93,9 @@
             return;
         }
         RequestContext request = context(exchange, route, service.get(), workspace);
-        if (request.answerByMillis() <= mState.nowMillis()) {
+        if (mState.crashes().causesCrashes(ContentFingerprint.of(request))) {
+            mOwnAnswers.notRun(exchange, "this content crashes endpoints", CRASHING_RETRY_MILLIS);
+        } else if (request.answerByMillis() <= mState.nowMillis()) {
             mOwnAnswers.timedOut(exchange, "deadline has passed");
         } else if (route.kind() == RequestKind.STREAM) {
             StreamFlow flow = new StreamFlow(mState, request, mOwnAnswers, mStages);
