--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointChoiceTest.java
@@ -0,0 +1,86 @@
+package org.wasabilug.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class EndpointChoiceTest {
+    private final PrefixMemory mPrefixes = new PrefixMemory();
+    private final EndpointSelector mSelector =
+            new EndpointSelector(new ColdLimits(1.5, 5), mPrefixes);
+    private final EndpointState mFirst = ServingFixtures.endpoint("first", "rennes");
+    private final EndpointState mSecond = ServingFixtures.endpoint("second", "rennes");
+
+    private EndpointState choose(PromptSize prompt, Set<String> excluded) {
+        SelectionRequest request =
+                new SelectionRequest(
+                        ServingFixtures.engines(0), excluded, "rennes", false, prompt, 1);
+        return switch (mSelector.choose(request, List.of(mFirst, mSecond), 0)) {
+            case Selection.Chosen chosen -> chosen.endpoint();
+            case Selection.Unavailable unavailable -> null;
+        };
+    }
+
+    @Test
+    void promptsGoWhereTheirSharedPartIsKept() {
+        PromptSize prompt = ServingFixtures.prompt("part");
+        mPrefixes.read("second", prompt.parts(), 100_000);
+
+        assertThat(choose(prompt, Set.of())).isSameAs(mSecond);
+    }
+
+    @Test
+    void aLongQueueOutweighsAKeptPrompt() {
+        PromptSize prompt = ServingFixtures.prompt("part");
+        mPrefixes.read("second", prompt.parts(), 100_000);
+        mSecond.sent(new EndpointLoad(5, 15_000, 15_000), 0);
+
+        assertThat(choose(prompt, Set.of())).isSameAs(mFirst);
+    }
+
+    @Test
+    void loadThatPeersReportCountsToo() {
+        mSecond.peerLoad("peer", new EndpointLoad(5, 15_000, 15_000));
+        mFirst.peerLoad("peer", EndpointLoad.NONE);
+
+        assertThat(choose(ServingFixtures.prompt("any"), Set.of())).isSameAs(mFirst);
+    }
+
+    @Test
+    void anEndpointThatWasTriedIsNotChosenAgain() {
+        assertThat(choose(PromptSize.NONE, Set.of("first"))).isSameAs(mSecond);
+        assertThat(choose(PromptSize.NONE, Set.of("first", "second"))).isNull();
+    }
+
+    @Test
+    void anEndpointThatKeepsFailingIsPassedOver() {
+        for (int failure = 0; failure < 5; failure++) {
+            mFirst.health().failed(0);
+        }
+
+        assertThat(mFirst.health().ejected(0)).isTrue();
+        assertThat(choose(PromptSize.NONE, Set.of())).isSameAs(mSecond);
+    }
+
+    @Test
+    void allFailingEndpointsAreBetterThanNone() {
+        for (int failure = 0; failure < 5; failure++) {
+            mFirst.health().failed(0);
+            mSecond.health().failed(0);
+        }
+
+        assertThat(choose(PromptSize.NONE, Set.of())).isNotNull();
+    }
+
+    @Test
+    void anEngineForgetsTheLeastRecentlyUsedPartsFirst() {
+        mPrefixes.read("first", ServingFixtures.prompt("old").parts(), 5_000);
+        mPrefixes.read("first", ServingFixtures.prompt("new").parts(), 5_000);
+
+        assertThat(mPrefixes.keptTokens("first", ServingFixtures.prompt("new").parts()))
+                .isEqualTo(3_000);
+        assertThat(mPrefixes.keptTokens("first", ServingFixtures.prompt("old").parts())).isZero();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -0,0 +1,77 @@
+package org.wasabilug.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class SharedLimitsTest {
+    private static final RetryLimits RETRIES = new RetryLimits(0.2, 52, 10_000);
+
+    @Property(tries = 200)
+    void instancesThatCannotHearEachOtherKeepTheCommonRetryLimit(
+            @ForAll @IntRange(min = 1, max = 70) int instances,
+            @ForAll @IntRange(min = 0, max = 400) int requests) {
+        int repeats = 0;
+        for (int instance = 0; instance < instances; instance++) {
+            RetryAllowance allowance = new RetryAllowance(RETRIES);
+            for (int request = 0; request < requests; request++) {
+                allowance.firstSend("service", request);
+            }
+            while (allowance.tryTake("service", instances, 500)) {
+                repeats++;
+            }
+        }
+        assertThat((double) repeats).isLessThanOrEqualTo(0.2 * requests * instances + 52);
+    }
+
+    @Test
+    void retriesComeBackAsTheWindowMovesOn() {
+        RetryAllowance allowance = new RetryAllowance(new RetryLimits(0, 2, 1_000));
+
+        assertThat(allowance.tryTake("service", 1, 0)).isTrue();
+        assertThat(allowance.tryTake("service", 1, 500)).isFalse();
+        assertThat(allowance.tryTake("service", 1, 1_001)).isTrue();
+    }
+
+    @Property(tries = 200)
+    void sharesOfAColdEndpointAddUpToAtMostItsLimit(
+            @ForAll @IntRange(min = 1, max = 17) int instances) {
+        ColdLimits limits = new ColdLimits(1.5, 5);
+
+        assertThat(instances * limits.share(8.2, instances)).isLessThanOrEqualTo(17);
+    }
+
+    @Test
+    void aColdEndpointGetsNoMoreThanTheShareInAnySecond() {
+        EndpointSelector selector =
+                new EndpointSelector(new ColdLimits(1.5, 5), new PrefixMemory());
+        EndpointState cold = ServingFixtures.endpoint("cold", "rennes");
+        cold.noteCold(5_000, 0);
+        SelectionRequest request =
+                new SelectionRequest(
+                        ServingFixtures.engines(8.2),
+                        java.util.Set.of(),
+                        "rennes",
+                        false,
+                        PromptSize.NONE,
+                        6);
+        List<Long> sends = new ArrayList<>();
+        for (long now = 0; now < 4_000; now += 10) {
+            if (selector.choose(request, List.of(cold), now) instanceof Selection.Chosen) {
+                cold.sent(EndpointLoad.NONE, now);
+                sends.add(now);
+            }
+        }
+
+        for (long start : sends) {
+            long inSecond =
+                    sends.stream().filter(each -> each >= start && each < start + 1_000).count();
+            assertThat(inSecond).isLessThanOrEqualTo(2);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageTimesTest.java
@@ -0,0 +1,67 @@
+package org.wasabilug.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.serving.RequestKind;
+import org.wasabilug.serving.Route;
+import org.wasabilug.serving.RouteStage;
+import org.wasabilug.serving.WeightedService;
+
+class StageTimesTest {
+    private final StageTimes mTimes = new StageTimes();
+
+    private static Route route() {
+        return new Route(
+                "route",
+                "host",
+                "/",
+                RequestKind.STREAM,
+                6_000,
+                2_000,
+                400,
+                0,
+                List.of(new WeightedService("engines", 1)),
+                1,
+                List.of(
+                        new RouteStage("first", List.of(), 10),
+                        new RouteStage("second", List.of(0), 10)),
+                false,
+                false);
+    }
+
+    @Test
+    void theTimesOfAllFollowingStepsAddUp() {
+        StageTimes.Journey journey = new StageTimes.Journey(route(), List.of(1, 1), "engines", 0);
+
+        assertThat(mTimes.remainingMillis(journey, 0, 0)).isEqualTo(500);
+        assertThat(mTimes.remainingMillis(journey, 1, 0)).isEqualTo(250);
+    }
+
+    @Test
+    void aStageWithoutPiecesTakesNoTime() {
+        StageTimes.Journey journey = new StageTimes.Journey(route(), List.of(1, 0), "engines", 0);
+
+        assertThat(mTimes.remainingMillis(journey, 0, 0)).isEqualTo(250);
+    }
+
+    @Test
+    void onlyTheRankThatWaitsIsPredictedToWait() {
+        for (int sample = 0; sample < 50; sample++) {
+            mTimes.took("second", 1, 2_000, 0);
+        }
+
+        assertThat(mTimes.expectedMillis("second", 1, 0)).isGreaterThan(1_500);
+        assertThat(mTimes.expectedMillis("second", 0, 0)).isEqualTo(250);
+    }
+
+    @Test
+    void whatIsNoLongerSeenIsForgotten() {
+        for (int sample = 0; sample < 50; sample++) {
+            mTimes.took("second", 1, 2_000, 0);
+        }
+
+        assertThat(mTimes.expectedMillis("second", 1, 5_000)).isLessThan(275);
+    }
+}
