--- a/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
@@ -1,7 +1,6 @@
 package org.wasabilug.gateway;
 
 import java.net.InetSocketAddress;
-import java.util.List;
 import org.wasabilug.internal.serving.ColdLimits;
 import org.wasabilug.internal.serving.RetryLimits;
 
@@ -13,7 +12,6 @@
  * @param callers address for callers
  * @param readiness address for readiness checks and metrics
  * @param peers address for other instances; the port is the same at all of them
- * @param seeds hosts of other instances that may be known at the start
  * @param store address of the store
  * @param retryLimits limits of repeated sends
  * @param coldLimits limits of cold endpoints
@@ -25,13 +23,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peers,
-        List<String> seeds,
         InetSocketAddress store,
         RetryLimits retryLimits,
         ColdLimits coldLimits,
-        long stopMillis) {
-    /** Copies the list. */
-    public GatewaySettings {
-        seeds = List.copyOf(seeds);
-    }
-}
+        long stopMillis) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
@@ -38,8 +38,9 @@
      * Writes a line about a request, unless this second has had enough of them.
      *
      * @param line the line
+     * @return false where it was left out
      */
-    public void request(LogLine line) {
+    public boolean request(LogLine line) {
         mMetrics.counter("decisions." + line.event()).inc();
         long second = mClockMillis.getAsLong() / SECOND_MILLIS;
         if (second != mSecond) {
@@ -47,10 +48,11 @@
         }
         if (mLines >= REQUEST_LINES_PER_SECOND) {
             mLeftOut++;
-            return;
+            return false;
         }
         mLines++;
         mLogger.info(line.text());
+        return true;
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestContext.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestContext.java
@@ -33,9 +33,4 @@
         long answerByMillis,
         PromptSize prompt,
         List<Integer> pieces,
-        String pieceKey) {
-    /** Tells whether the caller goes on with a stream that broke off. */
-    boolean resumes(String lastEventIdHeader) {
-        return exchange.head().headers().contains(lastEventIdHeader);
-    }
-}
+        String pieceKey) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -18,7 +18,6 @@
  * @param pieceKey content key of the request's pieces
  * @param inputs handles of the results that a model engine reads
  * @param lastEventId id of the last event that was received
- * @param coldMillis time for which an endpoint stays cold
  * @param authorization the caller's key
  * @param reserved headers that a caller may not set, in lower case
  */
@@ -36,7 +35,6 @@
         String pieceKey,
         String inputs,
         String lastEventId,
-        String coldMillis,
         String authorization,
         Set<String> reserved) {
     /** Copies the set. */
