Keep a cut domain out until a probe reaches it, and move its calls at once

Cause: a domain that was cut off was tried with real work every 1.5 s, and stage calls that ran there waited for their timeouts (up to 1.5 s). Each look at a stage's queue started a further series of looks. Change: probes decide when a domain is back; calls that ran there are repeated at once; a look at a queue is scheduled once; a peer counts as lost after 0.9 s.

--- a/core/src/main/java/org/wasabilug/internal/serving/DomainReachability.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/DomainReachability.java
@@ -2,43 +2,29 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Tells which failure domains this instance seems to be cut off from.
  *
  * <p>Several endpoints of a domain that give no sign of life, with none that answers between, are
- * taken for a cut. After a while the domain is tried again.
+ * taken for a cut. It lasts until an endpoint of the domain answers, if only a probe.
  */
 public final class DomainReachability {
     private static final int SILENCES_OF_A_CUT = 3;
     private static final int SILENCES_WITHOUT_PEERS = 2;
-    private static final long CUT_MILLIS = 1_500;
 
-    private final Map<String, State> mDomains = new HashMap<>();
-
-    /** Silences since the last answer, and until when the domain is passed over. */
-    private static final class State {
-        private int mSilences;
-        private long mCutUntilMillis = Long.MIN_VALUE;
-    }
+    private final Map<String, Integer> mSilences = new HashMap<>();
 
     /**
      * Notes that an endpoint gave no sign of life.
      *
      * @param domain its failure domain
-     * @param nowMillis now
-     * @return true where the domain is now taken to be cut off
+     * @return true where the domain is taken to be cut off from now on
      */
-    public boolean silent(String domain, long nowMillis) {
-        State state = mDomains.computeIfAbsent(domain, name -> new State());
-        state.mSilences++;
-        if (state.mSilences < SILENCES_OF_A_CUT) {
-            return false;
-        }
-        boolean wasCut = nowMillis < state.mCutUntilMillis;
-        state.mCutUntilMillis = nowMillis + CUT_MILLIS;
-        state.mSilences = SILENCES_WITHOUT_PEERS;
-        return !wasCut;
+    public boolean silent(String domain) {
+        return mSilences.merge(domain, 1, Integer::sum) == SILENCES_OF_A_CUT;
     }
 
     /**
@@ -47,28 +33,38 @@
      * @param domain the failure domain
      */
     public void peersLost(String domain) {
-        State state = mDomains.computeIfAbsent(domain, name -> new State());
-        state.mSilences = Math.max(state.mSilences, SILENCES_WITHOUT_PEERS);
+        mSilences.merge(domain, SILENCES_WITHOUT_PEERS, Math::max);
     }
 
     /**
      * Notes that an endpoint answered.
      *
      * @param domain its failure domain
+     * @return true where the domain was taken to be cut off
      */
-    public void answered(String domain) {
-        mDomains.remove(domain);
+    public boolean answered(String domain) {
+        Integer silences = mSilences.remove(domain);
+        return silences != null && silences >= SILENCES_OF_A_CUT;
     }
 
     /**
      * Tells whether a domain should be passed over.
      *
      * @param domain the failure domain
-     * @param nowMillis now
      * @return true while it seems to be cut off
      */
-    public boolean cutOff(String domain, long nowMillis) {
-        State state = mDomains.get(domain);
-        return state != null && nowMillis < state.mCutUntilMillis;
+    public boolean cutOff(String domain) {
+        return mSilences.getOrDefault(domain, 0) >= SILENCES_OF_A_CUT;
+    }
+
+    /**
+     * Lists the domains that seem to be cut off.
+     *
+     * @return their names
+     */
+    public Set<String> domainsCutOff() {
+        Set<String> domains = new TreeSet<>(mSilences.keySet());
+        domains.removeIf(domain -> !cutOff(domain));
+        return domains;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -143,18 +143,13 @@
      *
      * @param service name of the service
      * @param reachability what is known of failure domains
-     * @param nowMillis now
      * @return in order of their names; those of all domains where no domain seems reachable
      */
-    public List<EndpointState> usable(
-            String service, DomainReachability reachability, long nowMillis) {
+    public List<EndpointState> usable(String service, DomainReachability reachability) {
         List<EndpointState> all = usable(service);
         List<EndpointState> reachable =
                 all.stream()
-                        .filter(
-                                each ->
-                                        !reachability.cutOff(
-                                                each.registration().failureDomain(), nowMillis))
+                        .filter(each -> !reachability.cutOff(each.registration().failureDomain()))
                         .toList();
         return reachable.isEmpty() ? all : reachable;
     }
@@ -192,6 +187,18 @@
         return Optional.ofNullable(mByAddress.get(address));
     }
 
+    /**
+     * Finds any endpoint of a failure domain.
+     *
+     * @param domain the failure domain
+     * @return one that is registered there, or empty
+     */
+    public Optional<EndpointState> anyOf(String domain) {
+        return mEndpoints.values().stream()
+                .filter(endpoint -> endpoint.registration().failureDomain().equals(domain))
+                .findAny();
+    }
+
     /**
      * Lists all endpoints.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.endpoint.ProbeResult;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
@@ -44,6 +46,7 @@
     private final EndpointSelector mSelector;
     private IntSupplier mInstances = () -> 1;
     private BiConsumer<Long, String> mCrashTeller = (fingerprint, endpoint) -> {};
+    private Consumer<String> mCutListener = domain -> {};
     private RouteTable mRoutes;
     private final List<PromptRead> mPromptsToTell = new ArrayList<>();
 
@@ -159,7 +162,7 @@
      * @return in order of their names
      */
     public List<EndpointState> usable(String service) {
-        return mDirectory.usable(service, mReachability, nowMillis());
+        return mDirectory.usable(service, mReachability);
     }
 
     /**
@@ -169,11 +172,51 @@
      */
     public void silent(EndpointState endpoint) {
         String domain = endpoint.registration().failureDomain();
-        if (mReachability.silent(domain, nowMillis())) {
+        if (mReachability.silent(domain)) {
             mLog.process(LogLine.of("domain-cut-off").with("domain", domain));
+            mCutListener.accept(domain);
         }
     }
 
+    /**
+     * Notes that an endpoint gave a sign of life.
+     *
+     * @param endpoint the endpoint
+     */
+    public void answered(EndpointState endpoint) {
+        String domain = endpoint.registration().failureDomain();
+        if (mReachability.answered(domain)) {
+            mLog.process(LogLine.of("domain-reached-again").with("domain", domain));
+        }
+    }
+
+    /** Tries the domains that seem to be cut off; to be called several times a second. */
+    public void probeCutDomains() {
+        for (String domain : mReachability.domainsCutOff()) {
+            Optional<EndpointState> endpoint = mDirectory.anyOf(domain);
+            if (endpoint.isEmpty()) {
+                mReachability.answered(domain);
+            } else {
+                mConnections.probe(
+                        endpoint.get().registration(),
+                        result -> {
+                            if (result != ProbeResult.SILENT) {
+                                answered(endpoint.get());
+                            }
+                        });
+            }
+        }
+    }
+
+    /**
+     * Sets who is told when a failure domain seems to be cut off.
+     *
+     * @param listener gets the domain
+     */
+    public void cutListener(Consumer<String> listener) {
+        mCutListener = listener;
+    }
+
     /**
      * Gives what is known of failure domains.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import jdk.net.ExtendedSocketOptions;
 import org.wasabilug.serving.EndpointRegistration;
@@ -165,9 +166,9 @@
      * Finds out whether an address takes connections.
      *
      * @param endpoint the address
-     * @param refused called where it refuses
+     * @param receiver gets the result
      */
-    public void probe(EndpointRegistration endpoint, Runnable refused) {
+    public void probe(EndpointRegistration endpoint, Consumer<ProbeResult> receiver) {
         mBootstrap
                 .clone()
                 .handler(new ChannelInboundHandlerAdapter())
@@ -176,8 +177,10 @@
                         (ChannelFuture future) -> {
                             if (future.isSuccess()) {
                                 future.channel().close();
-                            } else if (!(future.cause() instanceof ConnectTimeoutException)) {
-                                refused.run();
+                                receiver.accept(ProbeResult.OPEN);
+                            } else {
+                                boolean silent = future.cause() instanceof ConnectTimeoutException;
+                                receiver.accept(silent ? ProbeResult.SILENT : ProbeResult.REFUSED);
                             }
                         });
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/Peer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/Peer.java
@@ -7,7 +7,7 @@
 /** What this instance knows of another. */
 final class Peer {
     /** Silence after which a peer is not relied on. */
-    private static final long LIVE_MILLIS = 1_200;
+    private static final long LIVE_MILLIS = 900;
 
     private static final long RECONNECT_MILLIS = 400;
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -9,6 +9,7 @@
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
+import org.wasabilug.gateway.internal.endpoint.ProbeResult;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 
@@ -119,7 +120,7 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
-        mState.reachability().answered(mEndpoint.registration().failureDomain());
+        mState.answered(mEndpoint);
         mNotExecuted = mState.notExecuted(head);
         mOwner.headReceived(this);
     }
@@ -186,7 +187,11 @@
         mState.connections()
                 .probe(
                         mEndpoint.registration(),
-                        () -> mState.crashed(ContentFingerprint.of(mRequest), endpoint));
+                        result -> {
+                            if (result == ProbeResult.REFUSED) {
+                                mState.crashed(ContentFingerprint.of(mRequest), endpoint);
+                            }
+                        });
     }
 
     private void end() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,8 @@
     private final GatewayState mState;
     private final ResultRegister mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
+    private final Map<StageCall, StageCallAttempt> mRunning = new IdentityHashMap<>();
+    private final Map<String, Long> mPumpsDue = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
 
     /** Who waits for a piece. */
@@ -44,6 +47,7 @@
     public LocalStageExecutor(GatewayState state) {
         mState = state;
         mResults = new ResultRegister(state, this::released);
+        state.cutListener(this::domainCutOff);
     }
 
     @Override
@@ -51,7 +55,7 @@
         mReceivers.put(work.id(), new Receiver(work.service(), receiver));
         queue(work.service()).add(work, mState.nowMillis());
         // Pieces of one request come one after another and should share a call.
-        mState.loop().execute(() -> pump(work.service()));
+        schedulePump(work.service(), 0);
     }
 
     @Override
@@ -104,15 +108,50 @@
             send(specification, call);
         }
         if (queue.size() > 0) {
-            mState.loop().schedule(() -> pump(service), PUMP_MILLIS, TimeUnit.MILLISECONDS);
+            schedulePump(service, PUMP_MILLIS);
+        }
+    }
+
+    /** Looks at a queue again soon; a look that is due already is not scheduled twice. */
+    private void schedulePump(String service, long delayMillis) {
+        long due = mState.nowMillis() + delayMillis;
+        Long known = mPumpsDue.get(service);
+        if (known == null || due < known) {
+            mPumpsDue.put(service, due);
+            mState.loop()
+                    .schedule(
+                            () -> {
+                                mPumpsDue.remove(service);
+                                pump(service);
+                            },
+                            delayMillis,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     private void send(ServiceSpecification service, StageCall call) {
-        new StageCallAttempt(mState, service, call, this::answered).start();
+        StageCallAttempt attempt = new StageCallAttempt(mState, service, call, this::answered);
+        mRunning.put(call, attempt);
+        attempt.start();
+    }
+
+    /** Repeats elsewhere what runs in a failure domain that seems to be cut off. */
+    private void domainCutOff(String domain) {
+        List<StageCallAttempt> lost =
+                mRunning.values().stream()
+                        .filter(
+                                attempt ->
+                                        attempt.call()
+                                                .endpoint()
+                                                .registration()
+                                                .failureDomain()
+                                                .equals(domain))
+                        .toList();
+        lost.forEach(StageCallAttempt::abandon);
     }
 
     private void answered(StageCall call, StageCallResult result) {
+        mRunning.remove(call);
         String service = call.pieces().getFirst().service();
         String endpoint = call.endpoint().registration().name();
         StageQueue queue = queue(service);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -39,6 +39,7 @@
     private ScheduledFuture<?> mTimeout;
     private int mStatus;
     private boolean mNotExecuted;
+    private boolean mFinished;
 
     StageCallAttempt(
             GatewayState state,
@@ -83,6 +84,16 @@
         return capacity.callMillis() + mCall.pieces().size() * capacity.pieceMillis();
     }
 
+    /** Ends a call whose answer can't be expected any more. */
+    void abandon() {
+        mExchange.cancel();
+        fail("domain cut off", true);
+    }
+
+    StageCall call() {
+        return mCall;
+    }
+
     private void timedOut() {
         mExchange.cancel();
         mCall.endpoint().health().compared(TIMEOUT_FACTOR, mState.nowMillis());
@@ -92,7 +103,7 @@
 
     @Override
     public void headReceived(HttpResponse head) {
-        mState.reachability().answered(mCall.endpoint().registration().failureDomain());
+        mState.answered(mCall.endpoint());
         mStatus = head.status().code();
         mNotExecuted = mState.notExecuted(head);
     }
@@ -143,6 +154,10 @@
     }
 
     private void finish(StageCallResult result, String outcome) {
+        if (mFinished) {
+            return;
+        }
+        mFinished = true;
         mTimeout.cancel(false);
         mCall.endpoint().released(CALL_LOAD);
         mState.log()
