--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -46,7 +46,7 @@
     private static final long LEAVE_ROTATION_MILLIS = 2_600;
 
     /** Time at the end of a stop for closing what is left. */
-    private static final long STOP_MARGIN_MILLIS = 900;
+    private static final long STOP_MARGIN_MILLIS = 1_500;
 
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -107,13 +107,18 @@
             return false;
         }
         mRestarts++;
-        cancelOpen();
-        mExecutor.release(mGraph.allHandles());
+        end();
+        mOver = false;
         mGraph = new StageGraph(mRequest.route().stages(), mRequest.pieces());
         submitReady();
         return true;
     }
 
+    /** Tells whether results were there and have been given up. */
+    boolean gaveResultsUp() {
+        return mOver && !mGraph.finalHandles().isEmpty();
+    }
+
     /** Gives up what is left to do and all results; may be called more than once. */
     void end() {
         if (mOver) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -143,8 +143,7 @@
         } else if (mSender.mayRepeat()) {
             logStall(attempt, quiet);
             attempt.giveUp();
-            mEvents.dropPartial();
-            send();
+            sendAgain();
         } else {
             watch(attempt, patience);
         }
@@ -255,14 +254,24 @@
 
     private void sendAgainOr(Runnable otherwise) {
         if (mSender.mayRepeat()) {
-            mEvents.dropPartial();
-            send();
+            sendAgain();
         } else {
             end();
             otherwise.run();
         }
     }
 
+    /** The inputs were given up with the first event, so a stream that goes on needs them anew. */
+    private void sendAgain() {
+        mEvents.dropPartial();
+        if (!mStages.gaveResultsUp()) {
+            send();
+        } else if (!mStages.restart()) {
+            end();
+            mOwnAnswers.failed(mExchange, "inputs of the stream are gone");
+        }
+    }
+
     private void deliverFailure(Attempt attempt) {
         if (mExchange.answering()) {
             mExchange.abort();
