Give cut domains a class of their own

Cause: the gateway's shared state had grown to 387 lines with a job of its own inside. Change: CutDomains follows and probes them; GatewayState holds it.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -168,7 +168,7 @@
         mStages.forgetOld();
         mSharedStages.forgetMakers(MOST_REMEMBERED_MAKERS);
         mSharing.shareNow();
-        mState.probeCutDomains();
+        mState.cutDomains().probe();
         if (mStoppingSinceMillis >= 0) {
             continueStop();
         }
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/CutDomains.java
@@ -0,0 +1,87 @@
+package org.wasabilug.gateway.internal;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.endpoint.ProbeResult;
+import org.wasabilug.gateway.internal.log.DecisionLog;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.DomainReachability;
+import org.wasabilug.internal.serving.EndpointDirectory;
+import org.wasabilug.internal.serving.EndpointState;
+
+/** Follows which failure domains are cut off from this instance, and probes these. */
+public final class CutDomains {
+    private final DomainReachability mReachability = new DomainReachability();
+    private final EndpointDirectory mDirectory;
+    private final EndpointConnections mConnections;
+    private final DecisionLog mLog;
+    private Consumer<String> mCutListener = domain -> {};
+
+    CutDomains(EndpointDirectory directory, EndpointConnections connections, DecisionLog log) {
+        mDirectory = directory;
+        mConnections = connections;
+        mLog = log;
+    }
+
+    /**
+     * Gives the judgement.
+     *
+     * @return the reachability of domains
+     */
+    public DomainReachability reachability() {
+        return mReachability;
+    }
+
+    /**
+     * Notes that an endpoint gave no sign of life.
+     *
+     * @param endpoint the endpoint
+     */
+    public void silent(EndpointState endpoint) {
+        String domain = endpoint.registration().failureDomain();
+        if (mReachability.silent(domain)) {
+            mLog.process(LogLine.of("domain-cut-off").with("domain", domain));
+            mCutListener.accept(domain);
+        }
+    }
+
+    /**
+     * Notes that an endpoint gave a sign of life.
+     *
+     * @param endpoint the endpoint
+     */
+    public void answered(EndpointState endpoint) {
+        String domain = endpoint.registration().failureDomain();
+        if (mReachability.answered(domain)) {
+            mLog.process(LogLine.of("domain-reached-again").with("domain", domain));
+        }
+    }
+
+    /** Tries the domains that seem to be cut off; to be called several times a second. */
+    public void probe() {
+        for (String domain : mReachability.domainsCutOff()) {
+            Optional<EndpointState> endpoint = mDirectory.anyOf(domain);
+            if (endpoint.isEmpty()) {
+                mReachability.answered(domain);
+            } else {
+                mConnections.probe(
+                        endpoint.get().registration(),
+                        result -> {
+                            if (result != ProbeResult.SILENT) {
+                                answered(endpoint.get());
+                            }
+                        });
+            }
+        }
+    }
+
+    /**
+     * Sets who is told when a failure domain seems to be cut off.
+     *
+     * @param listener gets the domain
+     */
+    public void listener(Consumer<String> listener) {
+        mCutListener = listener;
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -6,16 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
-import org.wasabilug.gateway.internal.endpoint.ProbeResult;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
 import org.wasabilug.internal.serving.CrashRegister;
-import org.wasabilug.internal.serving.DomainReachability;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
 import org.wasabilug.internal.serving.EndpointState;
@@ -38,7 +35,7 @@
     private final EndpointConnections mConnections;
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
-    private final DomainReachability mReachability = new DomainReachability();
+    private final CutDomains mCutDomains;
     private final CrashRegister mCrashes = new CrashRegister();
     private final StageTimes mStageTimes = new StageTimes();
     private final PrefixMemory mPrefixes = new PrefixMemory();
@@ -46,7 +43,6 @@
     private final EndpointSelector mSelector;
     private IntSupplier mInstances = () -> 1;
     private BiConsumer<Long, String> mCrashTeller = (fingerprint, endpoint) -> {};
-    private Consumer<String> mCutListener = domain -> {};
     private RouteTable mRoutes;
     private final List<PromptRead> mPromptsToTell = new ArrayList<>();
 
@@ -70,6 +66,7 @@
         mLoop = loop;
         mConnections = connections;
         mLog = log;
+        mCutDomains = new CutDomains(mDirectory, connections, log);
         mRetries = new RetryAllowance(settings.retryLimits());
         mSelector = new EndpointSelector(settings.coldLimits(), mPrefixes);
     }
@@ -162,68 +159,16 @@
      * @return in order of their names
      */
     public List<EndpointState> usable(String service) {
-        return mDirectory.usable(service, mReachability);
+        return mDirectory.usable(service, mCutDomains.reachability());
     }
 
     /**
-     * Notes that an endpoint gave no sign of life.
+     * Gives what is known of failure domains that are cut off.
      *
-     * @param endpoint the endpoint
+     * @return the domains
      */
-    public void silent(EndpointState endpoint) {
-        String domain = endpoint.registration().failureDomain();
-        if (mReachability.silent(domain)) {
-            mLog.process(LogLine.of("domain-cut-off").with("domain", domain));
-            mCutListener.accept(domain);
-        }
-    }
-
-    /**
-     * Notes that an endpoint gave a sign of life.
-     *
-     * @param endpoint the endpoint
-     */
-    public void answered(EndpointState endpoint) {
-        String domain = endpoint.registration().failureDomain();
-        if (mReachability.answered(domain)) {
-            mLog.process(LogLine.of("domain-reached-again").with("domain", domain));
-        }
-    }
-
-    /** Tries the domains that seem to be cut off; to be called several times a second. */
-    public void probeCutDomains() {
-        for (String domain : mReachability.domainsCutOff()) {
-            Optional<EndpointState> endpoint = mDirectory.anyOf(domain);
-            if (endpoint.isEmpty()) {
-                mReachability.answered(domain);
-            } else {
-                mConnections.probe(
-                        endpoint.get().registration(),
-                        result -> {
-                            if (result != ProbeResult.SILENT) {
-                                answered(endpoint.get());
-                            }
-                        });
-            }
-        }
-    }
-
-    /**
-     * Sets who is told when a failure domain seems to be cut off.
-     *
-     * @param listener gets the domain
-     */
-    public void cutListener(Consumer<String> listener) {
-        mCutListener = listener;
-    }
-
-    /**
-     * Gives what is known of failure domains.
-     *
-     * @return the reachability
-     */
-    public DomainReachability reachability() {
-        return mReachability;
+    public CutDomains cutDomains() {
+        return mCutDomains;
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -202,7 +202,7 @@
                         .filter(peer -> mLive.contains(peer.name()))
                         .anyMatch(peer -> peer.heartbeat().getFailureDomain().equals(domain));
         if (!heard && !domain.equals(mState.settings().failureDomain())) {
-            mState.reachability().peersLost(domain);
+            mState.cutDomains().reachability().peersLost(domain);
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -111,7 +111,7 @@
         if (!mOver) {
             mEndpoint.health().failed(mState.nowMillis());
             if (mHead == null) {
-                mState.silent(mEndpoint);
+                mState.cutDomains().silent(mEndpoint);
             }
             cancel();
         }
@@ -120,7 +120,7 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
-        mState.answered(mEndpoint);
+        mState.cutDomains().answered(mEndpoint);
         mNotExecuted = mState.notExecuted(head);
         mOwner.headReceived(this);
     }
@@ -173,7 +173,7 @@
             mEndpoint.health().failed(mState.nowMillis());
         }
         if (failure == CallFailure.SILENT) {
-            mState.silent(mEndpoint);
+            mState.cutDomains().silent(mEndpoint);
         }
         if (failure == CallFailure.BROKEN) {
             mState.loop().schedule(this::checkCrash, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -47,7 +47,7 @@
     public LocalStageExecutor(GatewayState state) {
         mState = state;
         mResults = new ResultRegister(state, this::released);
-        state.cutListener(this::domainCutOff);
+        state.cutDomains().listener(this::domainCutOff);
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -97,13 +97,13 @@
     private void timedOut() {
         mExchange.cancel();
         mCall.endpoint().health().compared(TIMEOUT_FACTOR, mState.nowMillis());
-        mState.silent(mCall.endpoint());
+        mState.cutDomains().silent(mCall.endpoint());
         fail("timeout", true);
     }
 
     @Override
     public void headReceived(HttpResponse head) {
-        mState.answered(mCall.endpoint());
+        mState.cutDomains().answered(mCall.endpoint());
         mStatus = head.status().code();
         mNotExecuted = mState.notExecuted(head);
     }
@@ -141,7 +141,7 @@
             mCall.endpoint().health().unreachable(mState.nowMillis());
         }
         if (failure == CallFailure.SILENT) {
-            mState.silent(mCall.endpoint());
+            mState.cutDomains().silent(mCall.endpoint());
         }
         fail(failure.name(), !failure.nothingSent());
     }
