Serve latencies beside the counters

Cause: the metrics text had counters only. Change: time to a stream's first event and to a whole answer, as histograms. Measured: tests of gateway and platform pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.log;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -55,6 +56,16 @@
         return true;
     }
 
+    /**
+     * Notes how long a step of a request took.
+     *
+     * @param step name of the step
+     * @param millis its time
+     */
+    public void latency(String step, long millis) {
+        mMetrics.timer("latency." + step).update(millis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Writes a line about the process.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
@@ -143,6 +143,7 @@
         HttpResponse head = attempt.head();
         HttpHeaders headers = OutgoingHeaders.toCaller(head.headers());
         long now = mState.nowMillis();
+        mState.log().latency("whole-answer", now - mExchange.receivedMillis());
         mState.log()
                 .request(
                         LogLine.of("answered")
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -179,6 +179,7 @@
         }
         if (mFirstEventMillis < 0) {
             mFirstEventMillis = mState.nowMillis();
+            mState.log().latency("first-event", mFirstEventMillis - mExchange.receivedMillis());
             mState.stageTimes()
                     .took(
                             mRequest.service().name(),
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/log/DecisionLogTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/log/DecisionLogTest.java
@@ -23,6 +23,17 @@
         assertThat(mLog.request(LogLine.of("own-answer"))).isTrue();
     }
 
+    @Test
+    void countsAndLatenciesAreServedAsText() {
+        mLog.request(LogLine.of("answered"));
+        mLog.latency("first-event", 250);
+
+        assertThat(MetricsText.of(mMetrics))
+                .contains("decisions.answered 1\n")
+                .contains("latency.first-event.count 1\n")
+                .contains("latency.first-event.p50 250.0\n");
+    }
+
     @Test
     void aLineIsAnObjectWhateverItsTextsHold() {
         String line = LogLine.of("event").with("text", "a\"b\\c\n").with("number", 5).text();
