Hash a request's content only once a crash is known

Cause: each request's whole body was hashed on arrival to look it up in a register that is nearly always empty. Change: the look-up asks first whether any crash is known. Measured: no behaviour changes; the serving tests of core and all tests of gateway and platform pass, formatter and linter too.

--- a/core/src/main/java/org/wasabilug/internal/serving/CrashRegister.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashRegister.java
@@ -38,6 +38,15 @@
                 .add(endpoint);
     }
 
+    /**
+     * Tells whether no crash is known, so that no content need be hashed.
+     *
+     * @return true before the first crash
+     */
+    public boolean isEmpty() {
+        return mCrashedEndpoints.isEmpty();
+    }
+
     /**
      * Tells whether a content is taken for the cause of crashes.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -93,7 +93,7 @@
             return;
         }
         RequestContext request = context(exchange, route, service.get(), workspace);
-        if (mState.crashes().causesCrashes(ContentFingerprint.of(request))) {
+        if (causesCrashes(request)) {
             mOwnAnswers.notRun(exchange, "this content crashes endpoints", CRASHING_RETRY_MILLIS);
         } else if (request.answerByMillis() <= mState.nowMillis()) {
             mOwnAnswers.timedOut(exchange, "deadline has passed");
@@ -106,6 +106,11 @@
         }
     }
 
+    private boolean causesCrashes(RequestContext request) {
+        return !mState.crashes().isEmpty()
+                && mState.crashes().causesCrashes(ContentFingerprint.of(request));
+    }
+
     private RequestContext context(
             CallerExchange exchange,
             Route route,
