Say 'not run' only where no attempt can have run

Cause: PlainFlow answered 503 'endpoint refused' to a repeatable request whose last endpoint refused, even where an earlier attempt may have run. Change: what follows a failed attempt is decided in one class, RequestFlow, for plain requests and streams; both had a copy of it. The answer 'not run' goes through one check there.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
@@ -7,75 +7,65 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
-import org.wasabilug.gateway.internal.caller.CallerExchange;
-import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.log.LogLine;
 
-/**
- * Serves a request whose answer is taken whole before the caller gets any of it.
- *
- * <p>A request that may run once goes to a second endpoint only where the first surely did not run
- * it.
- */
-final class PlainFlow implements AttemptOwner {
+/** Serves a request whose answer is taken whole before the caller gets any of it. */
+final class PlainFlow extends RequestFlow {
     private static final long BUSY_RETRY_MILLIS = 300;
     private static final long SHORTEST_PATIENCE_MILLIS = 150;
     private static final double PATIENCE_FACTOR = 4;
 
-    private final GatewayState mState;
-    private final RequestContext mRequest;
-    private final CallerExchange mExchange;
-    private final OwnAnswers mOwnAnswers;
-    private final Sender mSender;
     private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-    private Attempt mAttempt;
-    private ScheduledFuture<?> mTimeout;
 
     PlainFlow(GatewayState state, RequestContext request, OwnAnswers ownAnswers) {
-        mState = state;
-        mRequest = request;
-        mExchange = request.exchange();
-        mOwnAnswers = ownAnswers;
-        mSender = new Sender(state, request, this);
+        super(state, request, ownAnswers);
     }
 
-    void start() {
-        long remaining = mRequest.answerByMillis() - mState.nowMillis();
-        mTimeout = mState.loop().schedule(this::timedOut, remaining, TimeUnit.MILLISECONDS);
-        mExchange.onClose(this::callerLeft);
+    @Override
+    void begin() {
+        send();
+    }
+
+    @Override
+    void sendAgain() {
         send();
     }
 
-    private void send() {
+    @Override
+    void releaseResources() {}
+
+    @Override
+    long busyRetryMillis() {
+        return BUSY_RETRY_MILLIS;
+    }
+
+    @Override
+    void send() {
         mBody = new ByteArrayOutputStream();
-        Sender.InputPlace here = new Sender.InputPlace(mState.settings().failureDomain(), false);
-        Optional<Attempt> attempt = mSender.send(here, headers -> {});
+        Sender.InputPlace here = new Sender.InputPlace(state().settings().failureDomain(), false);
+        Optional<Attempt> attempt = sender().send(here, headers -> {});
         if (attempt.isPresent()) {
-            mAttempt = attempt.get();
-            watch(mAttempt);
-        } else if (mSender.mayHaveRun()) {
-            end();
-            mOwnAnswers.failed(mExchange, "attempts failed and " + mSender.unavailable());
+            began(attempt.get());
+            watch(attempt.get());
         } else {
             end();
-            mOwnAnswers.notRun(mExchange, mSender.unavailable(), mSender.retryAfterMillis());
+            giveNotRunOrFailed(sender().unavailable());
         }
     }
 
     /** A repeatable request goes to a second endpoint where the first takes too long. */
     private void watch(Attempt attempt) {
-        if (mRequest.route().idempotent()) {
+        if (request().route().idempotent()) {
             double usual = attempt.endpoint().health().latencyMillis();
             long patience = Math.max(SHORTEST_PATIENCE_MILLIS, (long) (PATIENCE_FACTOR * usual));
-            mState.loop().schedule(() -> checkSlow(attempt), patience, TimeUnit.MILLISECONDS);
+            state().loop().schedule(() -> checkSlow(attempt), patience, TimeUnit.MILLISECONDS);
         }
     }
 
     private void checkSlow(Attempt attempt) {
-        if (attempt == mAttempt && !attempt.over() && mExchange.open() && mSender.mayRepeat()) {
+        if (awaits(attempt) && sender().mayRepeat()) {
             attempt.giveUp();
             send();
         }
@@ -94,10 +84,10 @@
     @Override
     public void completed(Attempt attempt) {
         if (attempt.notExecuted()) {
-            mSender.lastDidNotRun();
-            sendAgainOr(() -> mOwnAnswers.notRun(mExchange, "endpoint refused", BUSY_RETRY_MILLIS));
-        } else if (!AnswerCheck.genuine(mState, attempt.head())) {
-            sendAgainIfIdempotentOr(() -> mOwnAnswers.failed(mExchange, "answer without seal"));
+            sender().lastDidNotRun();
+            sendAgainOr(() -> giveNotRunOrFailed("endpoint refused"));
+        } else if (!AnswerCheck.genuine(state(), attempt.head())) {
+            sendAgainIfIdempotentOr(() -> giveFailed("answer without seal"));
         } else if (attempt.head().status().codeClass() == HttpStatusClass.SERVER_ERROR) {
             sendAgainIfIdempotentOr(() -> deliver(attempt));
         } else {
@@ -106,81 +96,23 @@
         }
     }
 
-    @Override
-    public void failed(Attempt attempt, CallFailure failure) {
-        if (failure.nothingSent()) {
-            mSender.lastDidNotRun();
-            if (mSender.mayTryAnother()) {
-                send();
-            } else {
-                end();
-                giveNotRunOrFailed("no endpoint reached");
-            }
-            return;
-        }
-        sendAgainIfIdempotentOr(() -> mOwnAnswers.failed(mExchange, "endpoint " + failure));
-    }
-
-    private void sendAgainIfIdempotentOr(Runnable otherwise) {
-        if (mRequest.route().idempotent()) {
-            sendAgainOr(otherwise);
-        } else {
-            end();
-            otherwise.run();
-        }
-    }
-
-    private void sendAgainOr(Runnable otherwise) {
-        if (mSender.mayRepeat()) {
-            send();
-        } else {
-            end();
-            otherwise.run();
-        }
-    }
-
     private void deliver(Attempt attempt) {
         HttpResponse head = attempt.head();
         HttpHeaders headers = OutgoingHeaders.toCaller(head.headers());
-        long now = mState.nowMillis();
-        mState.log().latency("whole-answer", now - mExchange.receivedMillis());
-        mState.log()
+        long now = state().nowMillis();
+        state().log().latency("whole-answer", now - exchange().receivedMillis());
+        state().log()
                 .request(
                         LogLine.of("answered")
-                                .with("request", mRequest.id())
+                                .with("request", request().id())
                                 .with("endpoint", attempt.endpoint().registration().name())
                                 .with("status", head.status().code())
-                                .with("millis", now - mExchange.receivedMillis()));
-        mExchange.answer(
-                HttpResponseStatus.valueOf(head.status().code(), head.status().reasonPhrase()),
-                headers,
-                mBody.toByteArray());
-    }
-
-    private void timedOut() {
-        if (mAttempt != null) {
-            mAttempt.giveUp();
-        }
-        mOwnAnswers.timedOut(mExchange, "no answer in time");
-    }
-
-    private void giveNotRunOrFailed(String reason) {
-        if (mSender.mayHaveRun()) {
-            mOwnAnswers.failed(mExchange, reason);
-        } else {
-            mOwnAnswers.notRun(mExchange, reason, BUSY_RETRY_MILLIS);
-        }
-    }
-
-    private void callerLeft() {
-        end();
-        if (mAttempt != null) {
-            mAttempt.cancel();
-        }
-        mState.log().request(LogLine.of("caller-left").with("request", mRequest.id()));
-    }
-
-    private void end() {
-        mTimeout.cancel(false);
+                                .with("millis", now - exchange().receivedMillis()));
+        exchange()
+                .answer(
+                        HttpResponseStatus.valueOf(
+                                head.status().code(), head.status().reasonPhrase()),
+                        headers,
+                        mBody.toByteArray());
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -0,0 +1,161 @@
+package org.wasabilug.gateway.internal.request;
+
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.caller.CallerExchange;
+import org.wasabilug.gateway.internal.endpoint.CallFailure;
+import org.wasabilug.gateway.internal.log.LogLine;
+
+/**
+ * Serves one request: attempts, one after another, until the caller has one final answer.
+ *
+ * <p>What follows a failed attempt is decided here. A request that may run once goes to a second
+ * endpoint only where the first surely did not run it, and the caller is told that the request did
+ * not run only where that holds for every attempt.
+ */
+abstract sealed class RequestFlow implements AttemptOwner permits PlainFlow, StreamFlow {
+    private final GatewayState mState;
+    private final RequestContext mRequest;
+    private final CallerExchange mExchange;
+    private final OwnAnswers mOwnAnswers;
+    private final Sender mSender;
+    private Attempt mAttempt;
+    private ScheduledFuture<?> mTimeout;
+
+    RequestFlow(GatewayState state, RequestContext request, OwnAnswers ownAnswers) {
+        mState = state;
+        mRequest = request;
+        mExchange = request.exchange();
+        mOwnAnswers = ownAnswers;
+        mSender = new Sender(state, request, this);
+    }
+
+    /** Begins to serve the request. */
+    final void start() {
+        long remaining = mRequest.answerByMillis() - mState.nowMillis();
+        mTimeout = mState.loop().schedule(this::timedOut, remaining, TimeUnit.MILLISECONDS);
+        mExchange.onClose(this::callerLeft);
+        begin();
+    }
+
+    /** Takes the first step. */
+    abstract void begin();
+
+    /** Sends the request to an endpoint that has not had it yet. */
+    abstract void send();
+
+    /** Sends the request once more after an attempt that failed at an endpoint. */
+    abstract void sendAgain();
+
+    /** Gives up what is held for the request besides its attempts. */
+    abstract void releaseResources();
+
+    /** Tells how long a caller should wait after an endpoint had no room, in milliseconds. */
+    abstract long busyRetryMillis();
+
+    final GatewayState state() {
+        return mState;
+    }
+
+    final RequestContext request() {
+        return mRequest;
+    }
+
+    final CallerExchange exchange() {
+        return mExchange;
+    }
+
+    final Sender sender() {
+        return mSender;
+    }
+
+    /** Gives the attempt under way or, where there is none, the last one. */
+    final Optional<Attempt> attempt() {
+        return Optional.ofNullable(mAttempt);
+    }
+
+    /** Tells whether an attempt is the one that the caller still waits for. */
+    final boolean awaits(Attempt attempt) {
+        return attempt == mAttempt && !attempt.over() && mExchange.open();
+    }
+
+    final void began(Attempt attempt) {
+        mAttempt = attempt;
+    }
+
+    /** Sends the request once more where that is allowed, or ends with something else. */
+    final void sendAgainOr(Runnable otherwise) {
+        if (mSender.mayRepeat()) {
+            sendAgain();
+        } else {
+            end();
+            otherwise.run();
+        }
+    }
+
+    /** The same after an attempt that may have run. */
+    final void sendAgainIfIdempotentOr(Runnable otherwise) {
+        if (mRequest.route().idempotent()) {
+            sendAgainOr(otherwise);
+        } else {
+            end();
+            otherwise.run();
+        }
+    }
+
+    /** Says that the request did not run where no attempt can have run it, else that it failed. */
+    final void giveNotRunOrFailed(String reason) {
+        giveNotRunOrFailed(reason, Math.max(busyRetryMillis(), mSender.retryAfterMillis()));
+    }
+
+    final void giveNotRunOrFailed(String reason, long retryAfterMillis) {
+        if (mSender.mayHaveRun()) {
+            giveFailed(reason);
+        } else {
+            mOwnAnswers.notRun(mExchange, reason, retryAfterMillis);
+        }
+    }
+
+    final void giveFailed(String reason) {
+        mOwnAnswers.failed(mExchange, reason);
+    }
+
+    @Override
+    public final void failed(Attempt attempt, CallFailure failure) {
+        if (!failure.nothingSent()) {
+            sendAgainIfIdempotentOr(() -> giveFailed("endpoint " + failure));
+            return;
+        }
+        mSender.lastDidNotRun();
+        if (mSender.mayTryAnother()) {
+            send();
+        } else {
+            end();
+            giveNotRunOrFailed("no endpoint reached");
+        }
+    }
+
+    private void timedOut() {
+        attempt().ifPresent(Attempt::giveUp);
+        releaseResources();
+        if (mSender.mayHaveRun()) {
+            mOwnAnswers.timedOut(mExchange, "no complete answer in time");
+        } else {
+            mOwnAnswers.notRun(mExchange, "no endpoint in time", busyRetryMillis());
+        }
+    }
+
+    private void callerLeft() {
+        end();
+        attempt().ifPresent(Attempt::cancel);
+        mState.log().request(LogLine.of("caller-left").with("request", mRequest.id()));
+    }
+
+    /** Ends the wait for an answer; may be called more than once. */
+    final void end() {
+        mTimeout.cancel(false);
+        releaseResources();
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -7,11 +7,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
-import org.wasabilug.gateway.internal.caller.CallerExchange;
-import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
 import org.wasabilug.internal.serving.PieceFailure;
@@ -21,7 +18,7 @@
  *
  * <p>A resumable stream that breaks off goes on at another endpoint after its last whole event.
  */
-final class StreamFlow implements AttemptOwner, StagePhase.Listener {
+final class StreamFlow extends RequestFlow implements StagePhase.Listener {
     private static final int CONFLICT = 409;
     private static final long STALL_MILLIS = 900;
     private static final long FIRST_EVENT_MILLIS = 900;
@@ -32,43 +29,30 @@
     /** A crowd at a stage lasts some seconds, so an early return would meet it again. */
     private static final long CROWDED_RETRY_MILLIS = 1_500;
 
-    private final GatewayState mState;
-    private final RequestContext mRequest;
-    private final CallerExchange mExchange;
-    private final OwnAnswers mOwnAnswers;
-    private final Sender mSender;
     private final StagePhase mStages;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
     private ByteArrayOutputStream mFailureBody = new ByteArrayOutputStream();
-    private Attempt mAttempt;
     private long mFirstEventMillis = -1;
-    private ScheduledFuture<?> mTimeout;
 
     StreamFlow(
             GatewayState state,
             RequestContext request,
             OwnAnswers ownAnswers,
             StageExecutor executor) {
-        mState = state;
-        mRequest = request;
-        mExchange = request.exchange();
-        mOwnAnswers = ownAnswers;
-        mSender = new Sender(state, request, this);
+        super(state, request, ownAnswers);
         mInputs = new InputLocator(state);
         mStages = new StagePhase(state, executor, request, expectedDomain(), this);
     }
 
     private String expectedDomain() {
-        return mSender.preview(mInputs.here())
+        return sender().preview(mInputs.here())
                 .map(endpoint -> endpoint.registration().failureDomain())
                 .orElse("");
     }
 
-    void start() {
-        long remaining = mRequest.answerByMillis() - mState.nowMillis();
-        mTimeout = mState.loop().schedule(this::timedOut, remaining, TimeUnit.MILLISECONDS);
-        mExchange.onClose(this::callerLeft);
+    @Override
+    void begin() {
         if (mStages.needed()) {
             mStages.start();
         } else {
@@ -78,9 +62,7 @@
 
     /** Called when the caller became able, or unable, to take more. */
     void writabilityChanged() {
-        if (mAttempt != null) {
-            mAttempt.readable(mExchange.writable());
-        }
+        attempt().ifPresent(attempt -> attempt.readable(exchange().writable()));
     }
 
     @Override
@@ -91,40 +73,41 @@
     @Override
     public void stagesFailed(PieceFailure reason) {
         end();
-        if (reason == PieceFailure.LATE && !mSender.mayHaveRun()) {
-            mOwnAnswers.notRun(mExchange, "stages are crowded", CROWDED_RETRY_MILLIS);
+        if (reason == PieceFailure.LATE) {
+            giveNotRunOrFailed("stages are crowded", CROWDED_RETRY_MILLIS);
         } else {
             giveNotRunOrFailed("stage failed: " + reason);
         }
     }
 
-    private void send() {
+    @Override
+    void send() {
         mFailureBody = new ByteArrayOutputStream();
-        Sender.InputPlace inputs = mInputs.placeOf(mRequest.route(), mStages.inputs());
-        Optional<Attempt> attempt = mSender.send(inputs, this::addStreamHeaders);
+        Sender.InputPlace inputs = mInputs.placeOf(request().route(), mStages.inputs());
+        Optional<Attempt> attempt = sender().send(inputs, this::addStreamHeaders);
         if (attempt.isPresent()) {
-            mAttempt = attempt.get();
-            double slowest = FIRST_EVENT_FACTOR * mAttempt.predictedMillis();
-            watch(mAttempt, Math.max(FIRST_EVENT_MILLIS, (long) slowest));
+            began(attempt.get());
+            double slowest = FIRST_EVENT_FACTOR * attempt.get().predictedMillis();
+            watch(attempt.get(), Math.max(FIRST_EVENT_MILLIS, (long) slowest));
         } else {
             end();
-            giveNotRunOrFailed(mSender.unavailable());
+            giveNotRunOrFailed(sender().unavailable());
         }
     }
 
     private void addStreamHeaders(HttpHeaders headers) {
         if (!mStages.inputs().isEmpty()) {
-            headers.set(mState.protocol().headers().inputs(), String.join(",", mStages.inputs()));
+            headers.set(state().protocol().headers().inputs(), String.join(",", mStages.inputs()));
         }
         if (!mEvents.lastEventId().isEmpty()) {
-            headers.set(mState.protocol().headers().lastEventId(), mEvents.lastEventId());
+            headers.set(state().protocol().headers().lastEventId(), mEvents.lastEventId());
         }
     }
 
     /** Watches an attempt that may be given up for another. */
     private void watch(Attempt attempt, long patienceMillis) {
-        if (mRequest.route().idempotent()) {
-            mState.loop()
+        if (request().route().idempotent()) {
+            state().loop()
                     .schedule(
                             () -> checkProgress(attempt, patienceMillis),
                             patienceMillis,
@@ -133,14 +116,14 @@
     }
 
     private void checkProgress(Attempt attempt, long patienceMillis) {
-        if (attempt != mAttempt || attempt.over() || !mExchange.open()) {
+        if (!awaits(attempt)) {
             return;
         }
-        long quiet = mState.nowMillis() - attempt.lastProgressMillis();
+        long quiet = state().nowMillis() - attempt.lastProgressMillis();
         long patience = attempt.streaming() ? STALL_MILLIS : patienceMillis;
         if (quiet < patience) {
             watch(attempt, Math.max(MINIMUM_CHECK_MILLIS, patience - quiet));
-        } else if (mSender.mayRepeat()) {
+        } else if (sender().mayRepeat()) {
             logStall(attempt, quiet);
             attempt.giveUp();
             sendAgain();
@@ -150,10 +133,10 @@
     }
 
     private void logStall(Attempt attempt, long quietMillis) {
-        mState.log()
+        state().log()
                 .request(
                         LogLine.of("attempt-stalled")
-                                .with("request", mRequest.id())
+                                .with("request", request().id())
                                 .with("endpoint", attempt.endpoint().registration().name())
                                 .with("streaming", attempt.streaming())
                                 .with("quiet", quietMillis));
@@ -161,11 +144,13 @@
 
     @Override
     public void headReceived(Attempt attempt) {
-        if (streams(attempt) && !mExchange.answering()) {
+        if (streams(attempt) && !exchange().answering()) {
             HttpResponse head = attempt.head();
-            mExchange.startStream(
-                    HttpResponseStatus.valueOf(head.status().code(), head.status().reasonPhrase()),
-                    OutgoingHeaders.toCaller(head.headers()));
+            exchange()
+                    .startStream(
+                            HttpResponseStatus.valueOf(
+                                    head.status().code(), head.status().reasonPhrase()),
+                            OutgoingHeaders.toCaller(head.headers()));
         }
     }
 
@@ -178,12 +163,12 @@
             return;
         }
         if (mFirstEventMillis < 0) {
-            mFirstEventMillis = mState.nowMillis();
-            mState.log().latency("first-event", mFirstEventMillis - mExchange.receivedMillis());
-            mState.stageTimes()
+            mFirstEventMillis = state().nowMillis();
+            state().log().latency("first-event", mFirstEventMillis - exchange().receivedMillis());
+            state().stageTimes()
                     .took(
-                            mRequest.service().name(),
-                            mRequest.rank(),
+                            request().service().name(),
+                            request().rank(),
                             mFirstEventMillis - attempt.sentMillis(),
                             mFirstEventMillis);
         }
@@ -191,7 +176,7 @@
         mStages.end();
         ByteBuf events = mEvents.take(content);
         if (events.isReadable()) {
-            mExchange.write(events);
+            exchange().write(events);
         }
     }
 
@@ -202,7 +187,7 @@
         } else if (attempt.notExecuted()) {
             notExecuted(attempt);
         } else if (attempt.head().status().codeClass() == HttpStatusClass.SUCCESS) {
-            sendAgainIfIdempotentOr(() -> mOwnAnswers.failed(mExchange, "answer without seal"));
+            sendAgainIfIdempotentOr(() -> giveFailed("answer without seal"));
         } else {
             sendAgainIfIdempotentOr(() -> deliverFailure(attempt));
         }
@@ -212,16 +197,16 @@
         end();
         ByteBuf rest = mEvents.rest();
         if (rest.isReadable()) {
-            mExchange.write(rest);
+            exchange().write(rest);
         } else {
             rest.release();
         }
-        mExchange.finish();
+        exchange().finish();
         logAnswer(attempt);
     }
 
     private void notExecuted(Attempt attempt) {
-        mSender.lastDidNotRun();
+        sender().lastDidNotRun();
         boolean inputsGone = attempt.head().status().code() == CONFLICT;
         if (inputsGone && mStages.restart()) {
             return;
@@ -229,112 +214,58 @@
         sendAgainOr(() -> giveNotRunOrFailed("endpoint refused"));
     }
 
-    @Override
-    public void failed(Attempt attempt, CallFailure failure) {
-        if (failure.nothingSent()) {
-            mSender.lastDidNotRun();
-            if (mSender.mayTryAnother()) {
-                send();
-            } else {
-                end();
-                giveNotRunOrFailed("no endpoint reached");
-            }
-            return;
-        }
-        sendAgainIfIdempotentOr(() -> mOwnAnswers.failed(mExchange, "endpoint " + failure));
-    }
-
-    private void sendAgainIfIdempotentOr(Runnable otherwise) {
-        if (mRequest.route().idempotent()) {
-            sendAgainOr(otherwise);
-        } else {
-            end();
-            otherwise.run();
-        }
-    }
-
-    private void sendAgainOr(Runnable otherwise) {
-        if (mSender.mayRepeat()) {
-            sendAgain();
-        } else {
-            end();
-            otherwise.run();
-        }
-    }
-
     /** The inputs were given up with the first event, so a stream that goes on needs them anew. */
-    private void sendAgain() {
+    @Override
+    void sendAgain() {
         mEvents.dropPartial();
         if (!mStages.gaveResultsUp()) {
             send();
         } else if (!mStages.restart()) {
             end();
-            mOwnAnswers.failed(mExchange, "inputs of the stream are gone");
+            giveFailed("inputs of the stream are gone");
         }
     }
 
     private void deliverFailure(Attempt attempt) {
-        if (mExchange.answering()) {
-            mExchange.abort();
+        if (exchange().answering()) {
+            exchange().abort();
             return;
         }
         HttpResponse head = attempt.head();
-        mExchange.answer(
-                HttpResponseStatus.valueOf(head.status().code(), head.status().reasonPhrase()),
-                OutgoingHeaders.toCaller(head.headers()),
-                mFailureBody.toByteArray());
+        exchange()
+                .answer(
+                        HttpResponseStatus.valueOf(
+                                head.status().code(), head.status().reasonPhrase()),
+                        OutgoingHeaders.toCaller(head.headers()),
+                        mFailureBody.toByteArray());
         logAnswer(attempt);
     }
 
     private void logAnswer(Attempt attempt) {
-        long now = mState.nowMillis();
-        mState.log()
+        long now = state().nowMillis();
+        state().log()
                 .request(
                         LogLine.of("answered")
-                                .with("request", mRequest.id())
+                                .with("request", request().id())
                                 .with("endpoint", attempt.endpoint().registration().name())
                                 .with("status", attempt.head().status().code())
-                                .with("sent", attempt.sentMillis() - mExchange.receivedMillis())
-                                .with("first", mFirstEventMillis - mExchange.receivedMillis())
-                                .with("millis", now - mExchange.receivedMillis()));
-    }
-
-    private void giveNotRunOrFailed(String reason) {
-        if (mSender.mayHaveRun()) {
-            mOwnAnswers.failed(mExchange, reason);
-        } else {
-            mOwnAnswers.notRun(
-                    mExchange, reason, Math.max(BUSY_RETRY_MILLIS, mSender.retryAfterMillis()));
-        }
+                                .with("sent", attempt.sentMillis() - exchange().receivedMillis())
+                                .with("first", mFirstEventMillis - exchange().receivedMillis())
+                                .with("millis", now - exchange().receivedMillis()));
     }
 
     private boolean streams(Attempt attempt) {
         return attempt.head().status().codeClass() == HttpStatusClass.SUCCESS
-                && AnswerCheck.genuine(mState, attempt.head());
+                && AnswerCheck.genuine(state(), attempt.head());
     }
 
-    private void timedOut() {
-        if (mAttempt != null) {
-            mAttempt.giveUp();
-        }
+    @Override
+    void releaseResources() {
         mStages.end();
-        if (mSender.mayHaveRun()) {
-            mOwnAnswers.timedOut(mExchange, "no complete answer in time");
-        } else {
-            mOwnAnswers.notRun(mExchange, "no endpoint in time", BUSY_RETRY_MILLIS);
-        }
-    }
-
-    private void callerLeft() {
-        end();
-        if (mAttempt != null) {
-            mAttempt.cancel();
-        }
-        mState.log().request(LogLine.of("caller-left").with("request", mRequest.id()));
     }
 
-    private void end() {
-        mTimeout.cancel(false);
-        mStages.end();
+    @Override
+    long busyRetryMillis() {
+        return BUSY_RETRY_MILLIS;
     }
 }
