Let a stopping instance finish the pieces that it has

Cause: an instance that got a stop signal was taken for lost at its next heartbeat. Change: a peer that stops gets no new pieces and keeps those it has; it is lost only once it can't be reached. It stays until its pieces are done. The last instance of a domain that stops doesn't make the domain suspect.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -205,7 +205,8 @@
         }
         mCallers.closeResting();
         boolean late = since > mSettings.stopMillis() - STOP_MARGIN_MILLIS;
-        if (mCallers.connections() == 0 || late) {
+        boolean done = mCallers.connections() == 0 && mStages.idle();
+        if (done || late) {
             mCallers.close();
             mReadiness.close();
             mNetwork.close();
@@ -243,10 +244,8 @@
         }
 
         @Override
-        public void liveChanged(String name, boolean live) {
-            if (!live) {
-                mSharedStages.lost(name);
-            }
+        public void lost(String name) {
+            mSharedStages.lost(name);
         }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/Peer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/Peer.java
@@ -50,12 +50,14 @@
         return nowMillis - mLastHeardMillis < LIVE_MILLIS;
     }
 
-    /** Tells whether messages pass in both directions, and the peer goes on working. */
+    /** Tells whether messages pass in both directions. */
+    boolean reachable(long nowMillis) {
+        return heardRecently(nowMillis) && nowMillis - mHeardUsMillis < LIVE_MILLIS && connected();
+    }
+
+    /** Tells whether the peer is reachable and takes new work. */
     boolean live(long nowMillis) {
-        return heardRecently(nowMillis)
-                && nowMillis - mHeardUsMillis < LIVE_MILLIS
-                && !mHeartbeat.getStopping()
-                && connected();
+        return reachable(nowMillis) && !mHeartbeat.getStopping();
     }
 
     boolean connected() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
@@ -12,10 +12,10 @@
     void received(GatewayEnvelope envelope);
 
     /**
-     * A peer is not relied on any more, or again.
+     * A peer can't be reached any more; what it had under way is lost. A peer that stops in an
+     * orderly way first finishes its work.
      *
      * @param name its name
-     * @param live true where it is
      */
-    void liveChanged(String name, boolean live);
+    void lost(String name);
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -33,6 +33,7 @@
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mStoreSilent;
     private final Map<String, Peer> mPeers = new TreeMap<>();
+    private final Set<String> mReachable = new HashSet<>();
     private final Set<String> mLive = new HashSet<>();
 
     /**
@@ -171,37 +172,45 @@
                 connect(peer, now);
             }
             peer.send(heartbeat);
-            noteLive(peer, now);
+            noteState(peer, now);
         }
         long pause = Math.max(SHORTEST_HEARTBEAT_MILLIS, mPeers.size() * HEARTBEAT_MILLIS_PER_PEER);
         mState.loop().schedule(this::beat, pause, TimeUnit.MILLISECONDS);
     }
 
+    private void noteState(Peer peer, long now) {
+        noteLive(peer, now);
+        boolean reachable = peer.reachable(now);
+        boolean changed = reachable ? mReachable.add(peer.name()) : mReachable.remove(peer.name());
+        if (changed && !reachable) {
+            mState.directory().all().forEach(each -> each.peerLoad(peer.name(), EndpointLoad.NONE));
+            noteLostDomain(peer.heartbeat());
+            mEvents.lost(peer.name());
+        }
+    }
+
     private void noteLive(Peer peer, long now) {
         boolean live = peer.live(now);
         boolean changed = live ? mLive.add(peer.name()) : mLive.remove(peer.name());
-        if (!changed) {
-            return;
-        }
-        mState.log()
-                .process(
-                        LogLine.of(live ? "instance-live" : "instance-lost")
-                                .with("name", peer.name())
-                                .with("connected", peer.connected())
-                                .with("stopping", peer.heartbeat().getStopping()));
-        if (!live) {
-            mState.directory().all().forEach(each -> each.peerLoad(peer.name(), EndpointLoad.NONE));
-            noteLostDomain(peer.heartbeat().getFailureDomain());
+        if (changed) {
+            mState.log()
+                    .process(
+                            LogLine.of(live ? "instance-live" : "instance-lost")
+                                    .with("name", peer.name())
+                                    .with("connected", peer.connected())
+                                    .with("stopping", peer.heartbeat().getStopping()));
         }
-        mEvents.liveChanged(peer.name(), live);
     }
 
-    private void noteLostDomain(String domain) {
+    /** A domain from which nobody is heard may be cut off, unless its last instance has stopped. */
+    private void noteLostDomain(GatewayHeartbeat last) {
+        String domain = last.getFailureDomain();
         boolean heard =
                 mPeers.values().stream()
-                        .filter(peer -> mLive.contains(peer.name()))
+                        .filter(peer -> mReachable.contains(peer.name()))
                         .anyMatch(peer -> peer.heartbeat().getFailureDomain().equals(domain));
-        if (!heard && !domain.equals(mState.settings().failureDomain())) {
+        boolean own = domain.equals(mState.settings().failureDomain());
+        if (!heard && !own && !last.getStopping()) {
             mState.cutDomains().reachability().peersLost(domain);
         }
     }
@@ -284,7 +293,7 @@
         peer.heard(heartbeat, mState.settings().name(), mState.nowMillis());
         takeLoads(sender, heartbeat);
         heartbeat.getPromptsList().forEach(this::takePrompt);
-        noteLive(peer, mState.nowMillis());
+        noteState(peer, mState.nowMillis());
     }
 
     private void takeLoads(String sender, GatewayHeartbeat heartbeat) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -3,6 +3,9 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -72,20 +75,28 @@
     }
 
     private String chosenFor(String service) {
-        String own = mState.settings().name();
-        String chosen = own;
-        long highest = Long.MIN_VALUE;
-        for (String name : new TreeSet<>(mNetwork.live())) {
-            long rank =
-                    Hashing.murmur3_128()
-                            .hashString(service + "/" + name, StandardCharsets.UTF_8)
-                            .asLong();
-            if (rank > highest) {
-                highest = rank;
-                chosen = name;
-            }
-        }
-        return chosen;
+        Set<String> live = mNetwork.live();
+        return live.isEmpty() ? mState.settings().name() : senderOf(service, live);
+    }
+
+    /**
+     * Chooses who sends the pieces of a service.
+     *
+     * @param service name of the service
+     * @param instances names of instances, at least one
+     * @return the same name for the same instances, in whatever order
+     */
+    public static String senderOf(String service, Collection<String> instances) {
+        return Collections.max(
+                instances,
+                Comparator.<String>comparingLong(name -> weight(service, name))
+                        .thenComparing(Comparator.naturalOrder()));
+    }
+
+    private static long weight(String service, String instance) {
+        return Hashing.murmur3_128()
+                .hashString(service + "/" + instance, StandardCharsets.UTF_8)
+                .asLong();
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -60,10 +60,11 @@
 
     @Override
     public void cancel(String request, List<PieceWork> pieces) {
-        for (PieceWork work : pieces) {
-            mReceivers.remove(work.id());
-            queue(work.service()).cancel(request);
-        }
+        pieces.forEach(work -> mReceivers.remove(work.id()));
+        pieces.stream()
+                .map(PieceWork::service)
+                .distinct()
+                .forEach(service -> queue(service).cancel(request));
     }
 
     /**
@@ -82,6 +83,15 @@
         services.forEach(service -> queue(service).cancel(request));
     }
 
+    /**
+     * Tells whether nobody waits for a piece, neither a request of this instance nor a peer.
+     *
+     * @return true where no piece is under way
+     */
+    public boolean idle() {
+        return mReceivers.isEmpty();
+    }
+
     @Override
     public void release(List<String> handles) {
         mResults.release(handles);
