--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,8 @@
 cp platform/target/platform-0.1.0-SNAPSHOT.jar target/gateway/wasabilug.jar
 
 # A short run without a store records the classes that every start loads. Without the archive the
-# program starts more slowly and is otherwise the same.
+# program starts more slowly and is otherwise the same. The options are those of deploy/system.toml:
+# an archive made with others is used only in part.
 cat > target/gateway/rehearsal.toml <<'SETTINGS'
 node_name = "rehearsal"
 zone = "zone"
@@ -32,6 +33,7 @@
 SETTINGS
 WASABILUG_SETTINGS=target/gateway/rehearsal.toml \
     java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+    --sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED \
     -XX:ArchiveClassesAtExit=target/gateway/classes.jsa \
     -jar target/gateway/wasabilug.jar > target/gateway/rehearsal.log 2>&1 &
 REHEARSAL=$!
