--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -186,25 +186,6 @@
         mOccupied.add(new Occupied(endpoint, bytes, untilMillis));
     }
 
-    /**
-     * Notes that an endpoint said it had no room, though it should have had some.
-     *
-     * @param endpoint name of the endpoint
-     * @param capacity what an endpoint can do
-     * @param nowMillis now
-     * @param untilMillis how long to believe it where no result is given up meanwhile
-     */
-    public void full(String endpoint, StageCapacity capacity, long nowMillis, long untilMillis) {
-        double room = room(endpoint, capacity, nowMillis);
-        if (room > 0) {
-            mOccupied.add(new Occupied(endpoint, room, untilMillis));
-        }
-    }
-
-    private double room(String endpoint, StageCapacity capacity, long nowMillis) {
-        return capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(endpoint, nowMillis);
-    }
-
     private static List<EndpointState> fastestFirst(List<EndpointState> endpoints, long nowMillis) {
         List<EndpointState> healthy =
                 endpoints.stream().filter(each -> !each.health().ejected(nowMillis)).toList();
@@ -230,7 +211,7 @@
     private List<PieceWork> takePieces(
             StageCapacity capacity, EndpointState endpoint, Set<String> domains, long nowMillis) {
         String name = endpoint.registration().name();
-        double room = room(name, capacity, nowMillis);
+        double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name, nowMillis);
         List<PieceWork> pieces = new ArrayList<>();
         for (TreeSet<Waiting> waitingPieces : List.of(mWaiting, mLate)) {
             Iterator<Waiting> iterator = waitingPieces.iterator();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -17,6 +17,7 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
+import org.wasabilug.internal.serving.PieceFailure;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
@@ -226,7 +227,7 @@
         }
         for (Ordered ordered : open) {
             mOrdered.remove(ordered.work().id());
-            submit(ordered.work().repeated(), ordered.receiver());
+            orderAgain(ordered);
         }
         mOrdersToSend.remove(peer);
         if (!open.isEmpty()) {
@@ -238,6 +239,15 @@
         }
     }
 
+    private void orderAgain(Ordered ordered) {
+        String service = ordered.work().service();
+        if (mState.retries().tryTake(service, mState.instances(), mState.nowMillis())) {
+            submit(ordered.work().repeated(), ordered.receiver());
+        } else {
+            ordered.receiver().accept(new PieceOutcome.Failed(PieceFailure.ERROR));
+        }
+    }
+
     /** Pieces of one moment share a message. */
     private void scheduleFlush() {
         if (!mFlushScheduled) {
