Refuse late pieces soon, and learn from them

What was refused didn't count in the learned times of a stage, only what got through. Change: a late piece without inputs that has waited 250 ms is refused; its waiting counts as a time of its stage. Room for results has a class of its own (ResultRoom); late pieces are found by due time, not by a look at all.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,13 +22,11 @@
  * capacity of full calls; at rest a piece leaves at once.
  */
 public final class StageQueue {
-    private static final double BYTES_PER_MEGABYTE = 1e6;
-
     /** Slowness from which an endpoint gets only what others can't do sooner. */
     private static final double SLOW_ENDPOINT = 2;
 
     /** Waiting after which a late piece without inputs makes room for others. */
-    private static final long LATE_PATIENCE_MILLIS = 1_500;
+    private static final long LATE_PATIENCE_MILLIS = 250;
 
     /** The same for a piece whose inputs take room at the stage before. */
     private static final long LATE_INPUT_PATIENCE_MILLIS = 400;
@@ -37,22 +36,23 @@
                     .thenComparingLong(waiting -> waiting.mWork.startByMillis())
                     .thenComparingLong(waiting -> waiting.mOrder);
 
+    private static final Comparator<Waiting> DUE_FIRST =
+            Comparator.comparingLong((Waiting waiting) -> waiting.mWork.startByMillis())
+                    .thenComparingLong(waiting -> waiting.mOrder);
+
     private static final Comparator<Waiting> LEAST_LATE_FIRST =
             Comparator.comparingInt((Waiting waiting) -> waiting.mWork.rank())
                     .thenComparingLong(waiting -> -waiting.mWork.startByMillis())
                     .thenComparingLong(waiting -> waiting.mOrder);
 
     private final TreeSet<Waiting> mWaiting = new TreeSet<>(URGENT_FIRST);
+    private final TreeSet<Waiting> mDue = new TreeSet<>(DUE_FIRST);
     private final TreeSet<Waiting> mLate = new TreeSet<>(LEAST_LATE_FIRST);
     private final Map<PieceId, Waiting> mById = new LinkedHashMap<>();
     private final Map<String, Integer> mCalls = new HashMap<>();
-    private final Map<String, Double> mResultBytes = new HashMap<>();
-    private final List<Occupied> mOccupied = new ArrayList<>();
+    private final ResultRoom mRoom = new ResultRoom();
     private long mNextOrder;
 
-    /** Room that is taken for a known time. */
-    private record Occupied(String endpoint, double bytes, long untilMillis) {}
-
     /**
      * Adds a piece; one that waits already is not added again.
      *
@@ -66,6 +66,7 @@
         Waiting waiting = new Waiting(work, nowMillis, mNextOrder++);
         mById.put(work.id(), waiting);
         mWaiting.add(waiting);
+        mDue.add(waiting);
     }
 
     /**
@@ -111,13 +112,10 @@
 
     /** Pieces that can't be on time any more wait for what the others leave. */
     private void moveLate(long nowMillis) {
-        Iterator<Waiting> iterator = mWaiting.iterator();
-        while (iterator.hasNext()) {
-            Waiting waiting = iterator.next();
-            if (waiting.mWork.startByMillis() < nowMillis) {
-                iterator.remove();
-                mLate.add(waiting);
-            }
+        while (!mDue.isEmpty() && mDue.first().mWork.startByMillis() < nowMillis) {
+            Waiting late = mDue.removeFirst();
+            mWaiting.remove(late);
+            mLate.add(late);
         }
     }
 
@@ -171,8 +169,7 @@
      * @param bytes their size
      */
     public void released(String endpoint, double bytes) {
-        mResultBytes.computeIfPresent(
-                endpoint, (name, held) -> held - bytes > 1 ? held - bytes : null);
+        mRoom.release(endpoint, bytes);
     }
 
     /**
@@ -183,7 +180,7 @@
      * @param untilMillis when they lapse
      */
     public void occupied(String endpoint, double bytes, long untilMillis) {
-        mOccupied.add(new Occupied(endpoint, bytes, untilMillis));
+        mRoom.occupy(endpoint, bytes, untilMillis);
     }
 
     private static List<EndpointState> fastestFirst(List<EndpointState> endpoints, long nowMillis) {
@@ -210,27 +207,19 @@
 
     private List<PieceWork> takePieces(
             StageCapacity capacity, EndpointState endpoint, Set<String> domains, long nowMillis) {
-        String name = endpoint.registration().name();
-        double room = capacity.resultMegabytes() * BYTES_PER_MEGABYTE - held(name, nowMillis);
-        List<PieceWork> pieces = new ArrayList<>();
-        for (TreeSet<Waiting> waitingPieces : List.of(mWaiting, mLate)) {
-            Iterator<Waiting> iterator = waitingPieces.iterator();
-            while (iterator.hasNext() && pieces.size() < capacity.piecesPerCall()) {
-                Waiting waiting = iterator.next();
-                PieceWork work = waiting.mWork;
-                boolean waits =
-                        domains.contains(work.domain())
-                                && waitsForItsDomain(waiting, endpoint, nowMillis);
-                if (work.resultBytes() <= room && !waits) {
-                    iterator.remove();
-                    mById.remove(work.id());
-                    room -= work.resultBytes();
-                    mResultBytes.merge(name, work.resultBytes(), Double::sum);
-                    pieces.add(work);
-                }
-            }
-        }
-        return pieces;
+        NextCall call = new NextCall(endpoint, domains, capacity, nowMillis);
+        int most = capacity.piecesPerCall();
+        call.fill(mWaiting, most);
+        call.fill(mLate, most);
+        call.mPieces.forEach(this::forget);
+        return call.mPieces.stream().map(waiting -> waiting.mWork).toList();
+    }
+
+    private void forget(Waiting waiting) {
+        mWaiting.remove(waiting);
+        mDue.remove(waiting);
+        mLate.remove(waiting);
+        mById.remove(waiting.mWork.id());
     }
 
     private static boolean waitsForItsDomain(
@@ -244,29 +233,59 @@
         return mCalls.getOrDefault(endpoint, 0);
     }
 
-    private double held(String endpoint, long nowMillis) {
-        mOccupied.removeIf(each -> each.untilMillis() <= nowMillis);
-        double occupied =
-                mOccupied.stream()
-                        .filter(each -> each.endpoint().equals(endpoint))
-                        .mapToDouble(Occupied::bytes)
-                        .sum();
-        return mResultBytes.getOrDefault(endpoint, 0.0) + occupied;
-    }
-
     private List<PieceWork> removeIf(Predicate<Waiting> condition) {
         List<PieceWork> removed = new ArrayList<>();
         for (Waiting waiting : new ArrayList<>(mById.values())) {
             if (condition.test(waiting)) {
-                mWaiting.remove(waiting);
-                mLate.remove(waiting);
-                mById.remove(waiting.mWork.id());
+                forget(waiting);
                 removed.add(waiting.mWork);
             }
         }
         return removed;
     }
 
+    /** Pieces chosen for one call. */
+    private final class NextCall {
+        private final EndpointState mEndpoint;
+        private final String mName;
+        private final Set<String> mDomains;
+        private final long mNowMillis;
+        private final Set<Waiting> mPieces = new LinkedHashSet<>();
+        private double mFreeBytes;
+
+        NextCall(
+                EndpointState endpoint,
+                Set<String> domains,
+                StageCapacity capacity,
+                long nowMillis) {
+            mEndpoint = endpoint;
+            mName = endpoint.registration().name();
+            mDomains = domains;
+            mNowMillis = nowMillis;
+            mFreeBytes = mRoom.free(mName, capacity, nowMillis);
+        }
+
+        /** Adds pieces in their order until the call has a number of them. */
+        void fill(Iterable<Waiting> inOrder, int most) {
+            Iterator<Waiting> iterator = inOrder.iterator();
+            while (mPieces.size() < most && iterator.hasNext()) {
+                Waiting waiting = iterator.next();
+                if (!mPieces.contains(waiting) && fits(waiting)) {
+                    mPieces.add(waiting);
+                    mFreeBytes -= waiting.mWork.resultBytes();
+                    mRoom.take(mName, waiting.mWork.resultBytes());
+                }
+            }
+        }
+
+        private boolean fits(Waiting waiting) {
+            boolean waits =
+                    mDomains.contains(waiting.mWork.domain())
+                            && waitsForItsDomain(waiting, mEndpoint, mNowMillis);
+            return waiting.mWork.resultBytes() <= mFreeBytes && !waits;
+        }
+    }
+
     /** A piece and when it came. */
     private static final class Waiting {
         private final PieceWork mWork;
--- a/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
@@ -69,8 +69,8 @@
     void aLatePieceIsGivenBackAfterItsPatience() {
         mQueue.add(ServingFixtures.piece("late", 0, 50, 0), 0);
 
-        assertThat(mQueue.takeLate(1_499)).isEmpty();
-        assertThat(mQueue.takeLate(1_500)).hasSize(1);
+        assertThat(mQueue.takeLate(249)).isEmpty();
+        assertThat(mQueue.takeLate(250)).hasSize(1);
         assertThat(mQueue.size()).isZero();
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -212,13 +212,19 @@
             return;
         }
         mOpen.remove(work.id());
+        long now = mState.nowMillis();
         switch (outcome) {
             case PieceOutcome.Produced produced -> {
-                long now = mState.nowMillis();
                 mState.stageTimes().took(work.service(), work.rank(), now - orderedMillis, now);
                 produced(work, produced.handle());
             }
-            case PieceOutcome.Failed failed -> failed(work, failed.reason());
+            case PieceOutcome.Failed failed -> {
+                if (failed.reason() == PieceFailure.LATE) {
+                    // It would have taken at least as long, which those that come next should know.
+                    mState.stageTimes().took(work.service(), work.rank(), now - orderedMillis, now);
+                }
+                failed(work, failed.reason());
+            }
         }
     }
 
