--- a/core/src/main/java/org/wasabilug/internal/membership/Membership.java
+++ b/core/src/main/java/org/wasabilug/internal/membership/Membership.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.LongUnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wasabilug.internal.configuration.ConfigurationState;
 import org.wasabilug.internal.event.InstanceAction;
@@ -52,7 +51,7 @@
     private int mReminders;
     private int mReplies;
 
-    private Membership(Builder builder) {
+    Membership(MembershipBuilder builder) {
         mFailureDomain = builder.mFailureDomain;
         mIncarnation = builder.mIncarnation;
         mState = builder.mState;
@@ -71,8 +70,8 @@
      *
      * @return a builder without values
      */
-    public static Builder builder() {
-        return new Builder();
+    public static MembershipBuilder builder() {
+        return new MembershipBuilder();
     }
 
     /**
@@ -329,116 +328,4 @@
                                         peer.feedSequence()))
                 .toList();
     }
-
-    /** Builds a {@link Membership}. */
-    public static final class Builder {
-        private InstanceName mName;
-        private FailureDomainName mFailureDomain;
-        private long mIncarnation = 1;
-        private List<String> mSeeds = List.of();
-        private ConfigurationState mState;
-        private LongSupplier mFeedSequence = () -> 0;
-        private LongUnaryOperator mConfigurationAge = nowNanos -> -1;
-        private UniformRandomProvider mRandom;
-
-        private Builder() {}
-
-        /**
-         * Sets the name of this instance.
-         *
-         * @param value the name
-         * @return this builder
-         */
-        public Builder name(InstanceName value) {
-            mName = value;
-            return this;
-        }
-
-        /**
-         * Sets the failure domain that holds this instance.
-         *
-         * @param value its name
-         * @return this builder
-         */
-        public Builder failureDomain(FailureDomainName value) {
-            mFailureDomain = value;
-            return this;
-        }
-
-        /**
-         * Sets the number of this process's life.
-         *
-         * @param value grows with each restart of the instance
-         * @return this builder
-         */
-        public Builder incarnation(long value) {
-            mIncarnation = value;
-            return this;
-        }
-
-        /**
-         * Sets addresses that are tried while the platform's list is not there.
-         *
-         * @param value IP numbers with ports
-         * @return this builder
-         */
-        public Builder seeds(List<String> value) {
-            mSeeds = value;
-            return this;
-        }
-
-        /**
-         * Sets the configuration in force at this instance.
-         *
-         * @param value shared with the feed
-         * @return this builder
-         */
-        public Builder state(ConfigurationState value) {
-            mState = value;
-            return this;
-        }
-
-        /**
-         * Sets the source of the last applied feed entry.
-         *
-         * @param value returns the sequence
-         * @return this builder
-         */
-        public Builder feedSequence(LongSupplier value) {
-            mFeedSequence = value;
-            return this;
-        }
-
-        /**
-         * Sets the source of the age of the feed's configuration.
-         *
-         * @param value turns monotonic time into the age, both in nanoseconds; -1 where it is not
-         *     known
-         * @return this builder
-         */
-        public Builder configurationAge(LongUnaryOperator value) {
-            mConfigurationAge = value;
-            return this;
-        }
-
-        /**
-         * Sets the source of jitter.
-         *
-         * @param value seeded source
-         * @return this builder
-         */
-        public Builder random(UniformRandomProvider value) {
-            mRandom = value;
-            return this;
-        }
-
-        /**
-         * Builds the membership.
-         *
-         * @return a membership that knows no peer yet
-         */
-        public Membership build() {
-            return new Membership(this);
-        }
-    }
 }
