Tell peers without store from two instances only

Change: two instances tell each peer that can't read the store, of its own failure domain where there are any, else any that read the store, else any that are heard. They are chosen by RendezvousChoice, which the owners of stages use too. Failed trial: a pause between reads of endpoints that grows with the fleet (0.5 s to 1.5 s).

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/KnowledgeSharing.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/KnowledgeSharing.java
@@ -81,7 +81,7 @@
     /** Sends what is new to peers that need it; to be called several times a second. */
     public void shareNow() {
         long now = mState.nowMillis();
-        List<String> peers = mNetwork.withoutStore();
+        List<String> peers = mNetwork.peersToTell();
         if (peers.isEmpty() || now - mLastShareMillis < SHARE_MILLIS) {
             mSharedVersions.keySet().retainAll(peers);
             return;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -10,15 +10,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
-import org.wasabilug.internal.serving.EndpointLoad;
-import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.RendezvousChoice;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
-import org.wasabilug.messages.gateway.PromptRead;
-import org.wasabilug.messages.gateway.SentLoad;
-import org.wasabilug.serving.PromptPart;
 
 /** Knows the other instances, hears from them, and tells them what this one does. */
 public final class PeerNetwork {
@@ -27,7 +24,11 @@
     /** Keeps the messages of a process bounded while the fleet grows. */
     private static final long HEARTBEAT_MILLIS_PER_PEER = 6;
 
+    /** Enough for one of them to fail unnoticed; more would fill the links of a large fleet. */
+    private static final int TELLERS = 2;
+
     private final GatewayState mState;
+    private final SharedLoads mSharedLoads;
     private final PeerTransport mTransport;
     private final PeerEvents mEvents;
     private final BooleanSupplier mStopping;
@@ -52,6 +53,7 @@
             BooleanSupplier stopping,
             BooleanSupplier storeSilent) {
         mState = state;
+        mSharedLoads = new SharedLoads(state);
         mEvents = events;
         mStopping = stopping;
         mStoreSilent = storeSilent;
@@ -117,20 +119,53 @@
     }
 
     /**
-     * Lists live peers that can't read the store.
+     * Lists live peers that can't read the store and that this instance is to tell what it holds.
+     *
+     * <p>A few instances tell each of them, of its own failure domain where there are any.
      *
      * @return names
      */
-    public List<String> withoutStore() {
+    public List<String> peersToTell() {
+        String own = mState.settings().name();
         List<String> names = new ArrayList<>();
         for (Peer peer : mPeers.values()) {
-            if (mLive.contains(peer.name()) && peer.heartbeat().getStoreSilent()) {
+            if (mLive.contains(peer.name())
+                    && peer.heartbeat().getStoreSilent()
+                    && tellersOf(peer).contains(own)) {
                 names.add(peer.name());
             }
         }
         return names;
     }
 
+    private List<String> tellersOf(Peer peer) {
+        String domain = peer.heartbeat().getFailureDomain();
+        Set<String> all = live();
+        all.remove(peer.name());
+        List<String> reading =
+                all.stream().filter(name -> !stateOf(name).getStoreSilent()).toList();
+        List<String> near =
+                reading.stream()
+                        .filter(name -> stateOf(name).getFailureDomain().equals(domain))
+                        .toList();
+        return Stream.of(near, reading, all)
+                .filter(candidates -> !candidates.isEmpty())
+                .findFirst()
+                .map(candidates -> RendezvousChoice.of(peer.name(), candidates, TELLERS))
+                .orElse(List.of());
+    }
+
+    private GatewayHeartbeat stateOf(String name) {
+        return name.equals(mState.settings().name()) ? ownState() : mPeers.get(name).heartbeat();
+    }
+
+    private GatewayHeartbeat ownState() {
+        return GatewayHeartbeat.newBuilder()
+                .setFailureDomain(mState.settings().failureDomain())
+                .setStoreSilent(mStoreSilent.getAsBoolean())
+                .build();
+    }
+
     /**
      * Sends a message to a peer.
      *
@@ -164,7 +199,7 @@
     private void beat() {
         long now = mState.nowMillis();
         GatewayHeartbeat.Builder body = heartbeat(now).toBuilder();
-        mState.takePromptsToTell().forEach(prompt -> body.addPrompts(promptRead(prompt)));
+        mSharedLoads.addPrompts(body);
         GatewayEnvelope heartbeat = envelope().setHeartbeat(body).build();
         for (Peer peer : mPeers.values()) {
             peer.closeSilent(now);
@@ -183,7 +218,7 @@
         boolean reachable = peer.reachable(now);
         boolean changed = reachable ? mReachable.add(peer.name()) : mReachable.remove(peer.name());
         if (changed && !reachable) {
-            mState.directory().all().forEach(each -> each.peerLoad(peer.name(), EndpointLoad.NONE));
+            mSharedLoads.forget(peer.name());
             noteLostDomain(peer.heartbeat());
             mEvents.lost(peer.name());
         }
@@ -227,43 +262,10 @@
                 heartbeat.addHeard(peer.name());
             }
         }
-        for (EndpointState endpoint : mState.directory().all()) {
-            EndpointLoad load = endpoint.ownLoad();
-            if (load.running() > 0) {
-                heartbeat.addLoads(
-                        SentLoad.newBuilder()
-                                .setEndpoint(endpoint.registration().name())
-                                .setRunning(load.running())
-                                .setTokens(load.tokens())
-                                .setUnreadTokens(load.unreadTokens()));
-            }
-        }
+        mSharedLoads.addLoads(heartbeat);
         return heartbeat.build();
     }
 
-    private static PromptRead promptRead(GatewayState.PromptRead prompt) {
-        PromptRead.Builder read = PromptRead.newBuilder().setEndpoint(prompt.engine());
-        for (PromptPart part : prompt.parts()) {
-            read.addPartIds(part.id()).addPartTokens(part.tokens());
-        }
-        return read.build();
-    }
-
-    private void takePrompt(PromptRead read) {
-        List<PromptPart> parts = new ArrayList<>();
-        int count = Math.min(read.getPartIdsCount(), read.getPartTokensCount());
-        for (int index = 0; index < count; index++) {
-            parts.add(new PromptPart(read.getPartIds(index), read.getPartTokens(index)));
-        }
-        mState.directory()
-                .find(read.getEndpoint())
-                .flatMap(endpoint -> mState.service(endpoint.registration().service()))
-                .flatMap(service -> service.engine())
-                .ifPresent(
-                        engine ->
-                                mState.prefixes().read(read.getEndpoint(), parts, engine.tokens()));
-    }
-
     private void connect(Peer peer, long now) {
         peer.connecting(now);
         mTransport.connect(
@@ -291,28 +293,10 @@
             return;
         }
         peer.heard(heartbeat, mState.settings().name(), mState.nowMillis());
-        takeLoads(sender, heartbeat);
-        heartbeat.getPromptsList().forEach(this::takePrompt);
+        mSharedLoads.take(sender, heartbeat);
         noteState(peer, mState.nowMillis());
     }
 
-    private void takeLoads(String sender, GatewayHeartbeat heartbeat) {
-        Set<String> loaded = new HashSet<>();
-        for (SentLoad load : heartbeat.getLoadsList()) {
-            loaded.add(load.getEndpoint());
-            EndpointLoad sent =
-                    new EndpointLoad(load.getRunning(), load.getTokens(), load.getUnreadTokens());
-            mState.directory()
-                    .find(load.getEndpoint())
-                    .ifPresent(endpoint -> endpoint.peerLoad(sender, sent));
-        }
-        for (EndpointState endpoint : mState.directory().all()) {
-            if (!loaded.contains(endpoint.registration().name())) {
-                endpoint.peerLoad(sender, EndpointLoad.NONE);
-            }
-        }
-    }
-
     /** Stops listening. */
     public void close() {
         mTransport.close();
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -0,0 +1,93 @@
+package org.wasabilug.gateway.internal.peer;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.internal.serving.EndpointLoad;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.messages.gateway.GatewayHeartbeat;
+import org.wasabilug.messages.gateway.PromptRead;
+import org.wasabilug.messages.gateway.SentLoad;
+import org.wasabilug.serving.PromptPart;
+
+/** What instances tell each other of endpoints in heartbeats: load sent, and prompts read. */
+final class SharedLoads {
+    private final GatewayState mState;
+
+    SharedLoads(GatewayState state) {
+        mState = state;
+    }
+
+    /** Adds the load that this instance has at endpoints. */
+    void addLoads(GatewayHeartbeat.Builder heartbeat) {
+        for (EndpointState endpoint : mState.directory().all()) {
+            EndpointLoad load = endpoint.ownLoad();
+            if (load.running() > 0) {
+                heartbeat.addLoads(
+                        SentLoad.newBuilder()
+                                .setEndpoint(endpoint.registration().name())
+                                .setRunning(load.running())
+                                .setTokens(load.tokens())
+                                .setUnreadTokens(load.unreadTokens()));
+            }
+        }
+    }
+
+    /** Adds the prompts that were sent since the last heartbeat. */
+    void addPrompts(GatewayHeartbeat.Builder heartbeat) {
+        mState.takePromptsToTell().forEach(prompt -> heartbeat.addPrompts(promptRead(prompt)));
+    }
+
+    /** Takes what a peer tells. */
+    void take(String sender, GatewayHeartbeat heartbeat) {
+        takeLoads(sender, heartbeat);
+        heartbeat.getPromptsList().forEach(this::takePrompt);
+    }
+
+    /** Forgets the load of a peer that is lost. */
+    void forget(String sender) {
+        mState.directory().all().forEach(each -> each.peerLoad(sender, EndpointLoad.NONE));
+    }
+
+    private static PromptRead promptRead(GatewayState.PromptRead prompt) {
+        PromptRead.Builder read = PromptRead.newBuilder().setEndpoint(prompt.engine());
+        for (PromptPart part : prompt.parts()) {
+            read.addPartIds(part.id()).addPartTokens(part.tokens());
+        }
+        return read.build();
+    }
+
+    private void takePrompt(PromptRead read) {
+        List<PromptPart> parts = new ArrayList<>();
+        int count = Math.min(read.getPartIdsCount(), read.getPartTokensCount());
+        for (int index = 0; index < count; index++) {
+            parts.add(new PromptPart(read.getPartIds(index), read.getPartTokens(index)));
+        }
+        mState.directory()
+                .find(read.getEndpoint())
+                .flatMap(endpoint -> mState.service(endpoint.registration().service()))
+                .flatMap(service -> service.engine())
+                .ifPresent(
+                        engine ->
+                                mState.prefixes().read(read.getEndpoint(), parts, engine.tokens()));
+    }
+
+    private void takeLoads(String sender, GatewayHeartbeat heartbeat) {
+        Set<String> loaded = new HashSet<>();
+        for (SentLoad load : heartbeat.getLoadsList()) {
+            loaded.add(load.getEndpoint());
+            EndpointLoad sent =
+                    new EndpointLoad(load.getRunning(), load.getTokens(), load.getUnreadTokens());
+            mState.directory()
+                    .find(load.getEndpoint())
+                    .ifPresent(endpoint -> endpoint.peerLoad(sender, sent));
+        }
+        for (EndpointState endpoint : mState.directory().all()) {
+            if (!loaded.contains(endpoint.registration().name())) {
+                endpoint.peerLoad(sender, EndpointLoad.NONE);
+            }
+        }
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -1,11 +1,6 @@
 package org.wasabilug.gateway.internal.peer;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +16,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.RendezvousChoice;
 import org.wasabilug.messages.gateway.PieceCancellation;
 import org.wasabilug.messages.gateway.PieceOrder;
 import org.wasabilug.messages.gateway.PieceOrders;
@@ -76,27 +72,9 @@
 
     private String chosenFor(String service) {
         Set<String> live = mNetwork.live();
-        return live.isEmpty() ? mState.settings().name() : senderOf(service, live);
-    }
-
-    /**
-     * Chooses who sends the pieces of a service.
-     *
-     * @param service name of the service
-     * @param instances names of instances, at least one
-     * @return the same name for the same instances, in whatever order
-     */
-    public static String senderOf(String service, Collection<String> instances) {
-        return Collections.max(
-                instances,
-                Comparator.<String>comparingLong(name -> weight(service, name))
-                        .thenComparing(Comparator.naturalOrder()));
-    }
-
-    private static long weight(String service, String instance) {
-        return Hashing.murmur3_128()
-                .hashString(service + "/" + instance, StandardCharsets.UTF_8)
-                .asLong();
+        return live.isEmpty()
+                ? mState.settings().name()
+                : RendezvousChoice.of(service, live, 1).getFirst();
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -212,19 +212,21 @@
             return;
         }
         mOpen.remove(work.id());
-        long now = mState.nowMillis();
+        learn(work, outcome, mState.nowMillis() - orderedMillis);
         switch (outcome) {
-            case PieceOutcome.Produced produced -> {
-                mState.stageTimes().took(work.service(), work.rank(), now - orderedMillis, now);
-                produced(work, produced.handle());
-            }
-            case PieceOutcome.Failed failed -> {
-                if (failed.reason() == PieceFailure.LATE) {
-                    // It would have taken at least as long, which those that come next should know.
-                    mState.stageTimes().took(work.service(), work.rank(), now - orderedMillis, now);
-                }
-                failed(work, failed.reason());
-            }
+            case PieceOutcome.Produced produced -> produced(work, produced.handle());
+            case PieceOutcome.Failed failed -> failed(work, failed.reason());
+        }
+    }
+
+    /** A piece that was given up as late would have taken at least as long as it waited. */
+    private void learn(PieceWork work, PieceOutcome outcome, long millis) {
+        boolean late =
+                outcome instanceof PieceOutcome.Failed failed
+                        && failed.reason() == PieceFailure.LATE;
+        if (late || outcome instanceof PieceOutcome.Produced) {
+            long now = mState.nowMillis();
+            mState.stageTimes().took(work.service(), work.rank(), millis, now);
         }
     }
 
