--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -198,15 +198,15 @@
 
     private void beat() {
         long now = mState.nowMillis();
-        GatewayHeartbeat.Builder body = heartbeat(now).toBuilder();
+        GatewayHeartbeat.Builder body = heartbeat();
         mSharedLoads.addPrompts(body);
-        GatewayEnvelope heartbeat = envelope().setHeartbeat(body).build();
+        GatewayHeartbeat heartbeat = body.build();
         for (Peer peer : mPeers.values()) {
             peer.closeSilent(now);
             if (peer.wantsConnection(now)) {
                 connect(peer, now);
             }
-            peer.send(heartbeat);
+            peer.send(heartbeatTo(peer, heartbeat, now));
             noteState(peer, now);
         }
         long pause = Math.max(SHORTEST_HEARTBEAT_MILLIS, mPeers.size() * HEARTBEAT_MILLIS_PER_PEER);
@@ -250,20 +250,24 @@
         }
     }
 
-    private GatewayHeartbeat heartbeat(long now) {
+    private GatewayHeartbeat.Builder heartbeat() {
         GatewayHeartbeat.Builder heartbeat =
                 GatewayHeartbeat.newBuilder()
                         .setFailureDomain(mState.settings().failureDomain())
                         .setHost(mState.settings().peers().getHostString())
                         .setStopping(mStopping.getAsBoolean())
                         .setStoreSilent(mStoreSilent.getAsBoolean());
-        for (Peer peer : mPeers.values()) {
-            if (peer.heardRecently(now)) {
-                heartbeat.addHeard(peer.name());
-            }
-        }
         mSharedLoads.addLoads(heartbeat);
-        return heartbeat.build();
+        return heartbeat;
+    }
+
+    /** Tells a peer whether it is heard; the names of all others would fill the message. */
+    private GatewayEnvelope heartbeatTo(Peer peer, GatewayHeartbeat heartbeat, long now) {
+        GatewayHeartbeat.Builder addressed = heartbeat.toBuilder();
+        if (peer.heardRecently(now)) {
+            addressed.addHeard(peer.name());
+        }
+        return envelope().setHeartbeat(addressed).build();
     }
 
     private void connect(Peer peer, long now) {
@@ -277,7 +281,7 @@
 
     private void connected(Peer peer, Channel channel) {
         peer.connected(channel);
-        peer.send(envelope().setHeartbeat(heartbeat(mState.nowMillis())).build());
+        peer.send(heartbeatTo(peer, heartbeat().build(), mState.nowMillis()));
     }
 
     private void received(GatewayEnvelope envelope) {
