Keep and deliver whole answers in one place

Change: RequestFlow keeps and delivers; ByteBufUtil copies; Attempt notes once whether its answer is genuine; StagePhase works out a stage once. Behaviour stays as it is.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.caller;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -183,12 +184,7 @@
     }
 
     void receive(ByteBuf content) {
-        int length = content.readableBytes();
-        if (length > 0) {
-            byte[] bytes = new byte[length];
-            content.readBytes(bytes);
-            mReceiving.writeBytes(bytes);
-        }
+        mReceiving.writeBytes(ByteBufUtil.getBytes(content));
     }
 
     int receivedBytes() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -28,6 +28,7 @@
     private EndpointCall mCall;
     private HttpResponse mHead;
     private boolean mNotExecuted;
+    private boolean mGenuine;
     private boolean mFirstContent;
     private boolean mOver;
     private long mLastProgressMillis;
@@ -74,6 +75,11 @@
         return mNotExecuted;
     }
 
+    /** Tells whether the answer may be handed to the caller. */
+    boolean genuine() {
+        return mGenuine;
+    }
+
     boolean streaming() {
         return mFirstContent;
     }
@@ -122,6 +128,7 @@
         mHead = head;
         mState.cutDomains().answered(mEndpoint);
         mNotExecuted = mState.notExecuted(head);
+        mGenuine = AnswerCheck.genuine(mState, head);
         mOwner.headReceived(this);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/PlainFlow.java
@@ -1,15 +1,10 @@
 package org.wasabilug.gateway.internal.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
-import org.wasabilug.gateway.internal.log.LogLine;
 
 /** Serves a request whose answer is taken whole before the caller gets any of it. */
 final class PlainFlow extends RequestFlow {
@@ -17,10 +12,8 @@
     private static final long SHORTEST_PATIENCE_MILLIS = 150;
     private static final double PATIENCE_FACTOR = 4;
 
-    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-
     PlainFlow(GatewayState state, RequestContext request, OwnAnswers ownAnswers) {
-        super(state, request, ownAnswers);
+        super(state, request, ownAnswers, BUSY_RETRY_MILLIS);
     }
 
     @Override
@@ -36,14 +29,8 @@
     @Override
     void releaseResources() {}
 
-    @Override
-    long busyRetryMillis() {
-        return BUSY_RETRY_MILLIS;
-    }
-
     @Override
     void send() {
-        mBody = new ByteArrayOutputStream();
         Sender.InputPlace here = new Sender.InputPlace(state().settings().failureDomain(), false);
         Optional<Attempt> attempt = sender().send(here, headers -> {});
         if (attempt.isPresent()) {
@@ -76,9 +63,7 @@
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
-        byte[] bytes = new byte[content.readableBytes()];
-        content.readBytes(bytes);
-        mBody.writeBytes(bytes);
+        keep(content);
     }
 
     @Override
@@ -86,7 +71,7 @@
         if (attempt.notExecuted()) {
             sender().lastDidNotRun();
             sendAgainOr(() -> giveNotRunOrFailed("endpoint refused"));
-        } else if (!AnswerCheck.genuine(state(), attempt.head())) {
+        } else if (!attempt.genuine()) {
             sendAgainIfIdempotentOr(() -> giveFailed("answer without seal"));
         } else if (attempt.head().status().codeClass() == HttpStatusClass.SERVER_ERROR) {
             sendAgainIfIdempotentOr(() -> deliver(attempt));
@@ -97,22 +82,9 @@
     }
 
     private void deliver(Attempt attempt) {
-        HttpResponse head = attempt.head();
-        HttpHeaders headers = OutgoingHeaders.toCaller(head.headers());
-        long now = state().nowMillis();
-        state().log().latency("whole-answer", now - exchange().receivedMillis());
-        state().log()
-                .request(
-                        LogLine.of("answered")
-                                .with("request", request().id())
-                                .with("endpoint", attempt.endpoint().registration().name())
-                                .with("status", head.status().code())
-                                .with("millis", now - exchange().receivedMillis()));
-        exchange()
-                .answer(
-                        HttpResponseStatus.valueOf(
-                                head.status().code(), head.status().reasonPhrase()),
-                        headers,
-                        mBody.toByteArray());
+        long millis = state().nowMillis() - exchange().receivedMillis();
+        state().log().latency("whole-answer", millis);
+        state().log().request(answeredBy(attempt).with("millis", millis));
+        deliverWhole(attempt);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -1,5 +1,9 @@
 package org.wasabilug.gateway.internal.request;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -21,15 +25,27 @@
     private final CallerExchange mExchange;
     private final OwnAnswers mOwnAnswers;
     private final Sender mSender;
+    private final long mBusyRetryMillis;
+    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Attempt mAttempt;
     private ScheduledFuture<?> mTimeout;
 
-    RequestFlow(GatewayState state, RequestContext request, OwnAnswers ownAnswers) {
+    /**
+     * Makes a flow that has not begun.
+     *
+     * @param busyRetryMillis how long a caller should wait after an endpoint had no room
+     */
+    RequestFlow(
+            GatewayState state,
+            RequestContext request,
+            OwnAnswers ownAnswers,
+            long busyRetryMillis) {
         mState = state;
         mRequest = request;
         mExchange = request.exchange();
         mOwnAnswers = ownAnswers;
         mSender = new Sender(state, request, this);
+        mBusyRetryMillis = busyRetryMillis;
     }
 
     /** Begins to serve the request. */
@@ -52,9 +68,6 @@
     /** Gives up what is held for the request besides its attempts. */
     abstract void releaseResources();
 
-    /** Tells how long a caller should wait after an endpoint had no room, in milliseconds. */
-    abstract long busyRetryMillis();
-
     final GatewayState state() {
         return mState;
     }
@@ -83,6 +96,27 @@
 
     final void began(Attempt attempt) {
         mAttempt = attempt;
+        mBody = new ByteArrayOutputStream();
+    }
+
+    /** Keeps content of an answer that is delivered whole. */
+    final void keep(ByteBuf content) {
+        mBody.writeBytes(ByteBufUtil.getBytes(content));
+    }
+
+    /** Delivers an answer whose content was kept. */
+    final void deliverWhole(Attempt attempt) {
+        HttpResponse head = attempt.head();
+        mExchange.answer(
+                head.status(), OutgoingHeaders.toCaller(head.headers()), mBody.toByteArray());
+    }
+
+    /** Begins the log line of an answer that was delivered. */
+    final LogLine answeredBy(Attempt attempt) {
+        return LogLine.of("answered")
+                .with("request", mRequest.id())
+                .with("endpoint", attempt.endpoint().registration().name())
+                .with("status", attempt.head().status().code());
     }
 
     /** Sends the request once more where that is allowed, or ends with something else. */
@@ -107,7 +141,7 @@
 
     /** Says that the request did not run where no attempt can have run it, else that it failed. */
     final void giveNotRunOrFailed(String reason) {
-        giveNotRunOrFailed(reason, Math.max(busyRetryMillis(), mSender.retryAfterMillis()));
+        giveNotRunOrFailed(reason, Math.max(mBusyRetryMillis, mSender.retryAfterMillis()));
     }
 
     final void giveNotRunOrFailed(String reason, long retryAfterMillis) {
@@ -143,7 +177,7 @@
         if (mSender.mayHaveRun()) {
             mOwnAnswers.timedOut(mExchange, "no complete answer in time");
         } else {
-            mOwnAnswers.notRun(mExchange, "no endpoint in time", busyRetryMillis());
+            mOwnAnswers.notRun(mExchange, "no endpoint in time", mBusyRetryMillis);
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -35,11 +35,11 @@
     private final GatewayState mState;
     private final StageExecutor mExecutor;
     private final RequestContext mRequest;
-    private final String mDomain;
     private final Listener mListener;
     private final InputLocator mInputs;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
+    private String mDomain = "";
     private int mRestarts;
     private boolean mOver;
 
@@ -53,15 +53,10 @@
     }
 
     StagePhase(
-            GatewayState state,
-            StageExecutor executor,
-            RequestContext request,
-            String domain,
-            Listener listener) {
+            GatewayState state, StageExecutor executor, RequestContext request, Listener listener) {
         mState = state;
         mExecutor = executor;
         mRequest = request;
-        mDomain = domain;
         mListener = listener;
         mInputs = new InputLocator(state);
         mGraph = new StageGraph(request.route().stages(), request.pieces());
@@ -72,7 +67,13 @@
         return !mGraph.complete();
     }
 
-    void start() {
+    /**
+     * Starts.
+     *
+     * @param domain failure domain where the request itself is expected to run; may be empty
+     */
+    void start(String domain) {
+        mDomain = domain;
         if (tooLate()) {
             failed(PieceFailure.LATE);
         } else {
@@ -137,30 +138,32 @@
     }
 
     private void submitReady() {
-        for (int stage : mGraph.takeReady()) {
-            for (int piece = 0; piece < mGraph.pieces(stage); piece++) {
-                submit(stage, piece);
-            }
-        }
+        mGraph.takeReady().forEach(this::submit);
     }
 
-    private void submit(int stage, int piece) {
+    private void submit(int stage) {
         RouteStage specification = mRequest.route().stages().get(stage);
         List<String> inputs = mGraph.inputs(stage);
         PiecePlace place = place(stage, inputs);
-        PieceWork work =
-                new PieceWork(
-                        new PieceId(mRequest.id(), stage, piece),
-                        specification.service(),
-                        mRequest.pieceKey(),
-                        inputs,
-                        startByMillis(stage),
-                        mRequest.rank(),
-                        mRequest.answerByMillis(),
-                        specification.resultBytes(),
-                        place.domain(),
-                        place.patienceMillis(),
-                        mRestarts > 0);
+        long startBy = startByMillis(stage);
+        for (int piece = 0; piece < mGraph.pieces(stage); piece++) {
+            submit(
+                    new PieceWork(
+                            new PieceId(mRequest.id(), stage, piece),
+                            specification.service(),
+                            mRequest.pieceKey(),
+                            inputs,
+                            startBy,
+                            mRequest.rank(),
+                            mRequest.answerByMillis(),
+                            specification.resultBytes(),
+                            place.domain(),
+                            place.patienceMillis(),
+                            mRestarts > 0));
+        }
+    }
+
+    private void submit(PieceWork work) {
         mOpen.put(work.id(), work);
         StageGraph graph = mGraph;
         long ordered = mState.nowMillis();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -3,9 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
@@ -32,7 +30,6 @@
     private final StagePhase mStages;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
-    private ByteArrayOutputStream mFailureBody = new ByteArrayOutputStream();
     private long mFirstEventMillis = -1;
 
     StreamFlow(
@@ -40,26 +37,26 @@
             RequestContext request,
             OwnAnswers ownAnswers,
             StageExecutor executor) {
-        super(state, request, ownAnswers);
+        super(state, request, ownAnswers, BUSY_RETRY_MILLIS);
         mInputs = new InputLocator(state);
-        mStages = new StagePhase(state, executor, request, expectedDomain(), this);
-    }
-
-    private String expectedDomain() {
-        return sender().preview(mInputs.here())
-                .map(endpoint -> endpoint.registration().failureDomain())
-                .orElse("");
+        mStages = new StagePhase(state, executor, request, this);
     }
 
     @Override
     void begin() {
         if (mStages.needed()) {
-            mStages.start();
+            mStages.start(expectedDomain());
         } else {
             send();
         }
     }
 
+    private String expectedDomain() {
+        return sender().preview(mInputs.here())
+                .map(endpoint -> endpoint.registration().failureDomain())
+                .orElse("");
+    }
+
     /** Called when the caller became able, or unable, to take more. */
     void writabilityChanged() {
         attempt().ifPresent(attempt -> attempt.readable(exchange().writable()));
@@ -82,7 +79,6 @@
 
     @Override
     void send() {
-        mFailureBody = new ByteArrayOutputStream();
         Sender.InputPlace inputs = mInputs.placeOf(request().route(), mStages.inputs());
         Optional<Attempt> attempt = sender().send(inputs, this::addStreamHeaders);
         if (attempt.isPresent()) {
@@ -146,20 +142,14 @@
     public void headReceived(Attempt attempt) {
         if (streams(attempt) && !exchange().answering()) {
             HttpResponse head = attempt.head();
-            exchange()
-                    .startStream(
-                            HttpResponseStatus.valueOf(
-                                    head.status().code(), head.status().reasonPhrase()),
-                            OutgoingHeaders.toCaller(head.headers()));
+            exchange().startStream(head.status(), OutgoingHeaders.toCaller(head.headers()));
         }
     }
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
         if (!streams(attempt)) {
-            byte[] bytes = new byte[content.readableBytes()];
-            content.readBytes(bytes);
-            mFailureBody.writeBytes(bytes);
+            keep(content);
             return;
         }
         if (mFirstEventMillis < 0) {
@@ -231,13 +221,7 @@
             exchange().abort();
             return;
         }
-        HttpResponse head = attempt.head();
-        exchange()
-                .answer(
-                        HttpResponseStatus.valueOf(
-                                head.status().code(), head.status().reasonPhrase()),
-                        OutgoingHeaders.toCaller(head.headers()),
-                        mFailureBody.toByteArray());
+        deliverWhole(attempt);
         logAnswer(attempt);
     }
 
@@ -245,27 +229,18 @@
         long now = state().nowMillis();
         state().log()
                 .request(
-                        LogLine.of("answered")
-                                .with("request", request().id())
-                                .with("endpoint", attempt.endpoint().registration().name())
-                                .with("status", attempt.head().status().code())
+                        answeredBy(attempt)
                                 .with("sent", attempt.sentMillis() - exchange().receivedMillis())
                                 .with("first", mFirstEventMillis - exchange().receivedMillis())
                                 .with("millis", now - exchange().receivedMillis()));
     }
 
     private boolean streams(Attempt attempt) {
-        return attempt.head().status().codeClass() == HttpStatusClass.SUCCESS
-                && AnswerCheck.genuine(state(), attempt.head());
+        return attempt.head().status().codeClass() == HttpStatusClass.SUCCESS && attempt.genuine();
     }
 
     @Override
     void releaseResources() {
         mStages.end();
     }
-
-    @Override
-    long busyRetryMillis() {
-        return BUSY_RETRY_MILLIS;
-    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.stage;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -110,9 +111,7 @@
 
     @Override
     public void contentReceived(ByteBuf content) {
-        byte[] bytes = new byte[content.readableBytes()];
-        content.readBytes(bytes);
-        mBody.writeBytes(bytes);
+        mBody.writeBytes(ByteBufUtil.getBytes(content));
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.store;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -131,8 +132,7 @@
                 fail("unreadable answer");
                 return;
             }
-            byte[] body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
+            byte[] body = ByteBufUtil.getBytes(response.content());
             if (!HttpUtil.isKeepAlive(response)) {
                 close();
             }
