--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/KnowledgeSharing.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/KnowledgeSharing.java
@@ -82,13 +82,11 @@
     public void shareNow() {
         long now = mState.nowMillis();
         List<String> peers = mNetwork.peersToTell();
-        if (peers.isEmpty() || now - mLastShareMillis < SHARE_MILLIS) {
-            mSharedVersions.keySet().retainAll(peers);
-            return;
-        }
-        mLastShareMillis = now;
         mSharedVersions.keySet().retainAll(peers);
-        peers.forEach(this::shareWith);
+        if (!peers.isEmpty() && now - mLastShareMillis >= SHARE_MILLIS) {
+            mLastShareMillis = now;
+            peers.forEach(this::shareWith);
+        }
     }
 
     private void shareWith(String peer) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,10 +9,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
-import org.wasabilug.internal.serving.RendezvousChoice;
+import org.wasabilug.internal.serving.StoreTellers;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 
@@ -24,9 +22,6 @@
     /** Keeps the messages of a process bounded while the fleet grows. */
     private static final long HEARTBEAT_MILLIS_PER_PEER = 6;
 
-    /** Enough for one of them to fail unnoticed; more would fill the links of a large fleet. */
-    private static final int TELLERS = 2;
-
     private final GatewayState mState;
     private final SharedLoads mSharedLoads;
     private final PeerTransport mTransport;
@@ -108,62 +103,34 @@
         return live;
     }
 
-    /**
-     * Tells whether a peer is relied on.
-     *
-     * @param name its name
-     * @return true while messages pass in both directions
-     */
-    public boolean live(String name) {
-        return mLive.contains(name);
-    }
-
     /**
      * Lists live peers that can't read the store and that this instance is to tell what it holds.
      *
-     * <p>A few instances tell each of them, of its own failure domain where there are any.
-     *
      * @return names
      */
     public List<String> peersToTell() {
         String own = mState.settings().name();
-        List<String> names = new ArrayList<>();
-        for (Peer peer : mPeers.values()) {
-            if (mLive.contains(peer.name())
-                    && peer.heartbeat().getStoreSilent()
-                    && tellersOf(peer).contains(own)) {
-                names.add(peer.name());
-            }
-        }
-        return names;
+        List<StoreTellers.Candidate> heard = live().stream().map(this::candidate).toList();
+        return mPeers.values().stream()
+                .filter(peer -> mLive.contains(peer.name()))
+                .filter(peer -> peer.heartbeat().getStoreSilent())
+                .filter(peer -> tellersOf(peer, heard).contains(own))
+                .map(Peer::name)
+                .toList();
     }
 
-    private List<String> tellersOf(Peer peer) {
-        String domain = peer.heartbeat().getFailureDomain();
-        Set<String> all = live();
-        all.remove(peer.name());
-        List<String> reading =
-                all.stream().filter(name -> !stateOf(name).getStoreSilent()).toList();
-        List<String> near =
-                reading.stream()
-                        .filter(name -> stateOf(name).getFailureDomain().equals(domain))
-                        .toList();
-        return Stream.of(near, reading, all)
-                .filter(candidates -> !candidates.isEmpty())
-                .findFirst()
-                .map(candidates -> RendezvousChoice.of(peer.name(), candidates, TELLERS))
-                .orElse(List.of());
+    private static List<String> tellersOf(Peer peer, List<StoreTellers.Candidate> heard) {
+        return StoreTellers.of(peer.name(), peer.heartbeat().getFailureDomain(), heard);
     }
 
-    private GatewayHeartbeat stateOf(String name) {
-        return name.equals(mState.settings().name()) ? ownState() : mPeers.get(name).heartbeat();
-    }
-
-    private GatewayHeartbeat ownState() {
-        return GatewayHeartbeat.newBuilder()
-                .setFailureDomain(mState.settings().failureDomain())
-                .setStoreSilent(mStoreSilent.getAsBoolean())
-                .build();
+    private StoreTellers.Candidate candidate(String name) {
+        if (name.equals(mState.settings().name())) {
+            String domain = mState.settings().failureDomain();
+            return new StoreTellers.Candidate(name, domain, !mStoreSilent.getAsBoolean());
+        }
+        GatewayHeartbeat heartbeat = mPeers.get(name).heartbeat();
+        return new StoreTellers.Candidate(
+                name, heartbeat.getFailureDomain(), !heartbeat.getStoreSilent());
     }
 
     /**
