--- a/core/src/main/java/org/wasabilug/internal/serving/SlidingWindow.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SlidingWindow.java
@@ -37,14 +37,4 @@
         }
         return mTimes.size();
     }
-
-    /**
-     * Tells when the oldest event leaves the window.
-     *
-     * @param nowMillis now
-     * @return milliseconds until then; 0 where the window is empty
-     */
-    public long millisUntilOldestLeaves(long nowMillis) {
-        return count(nowMillis) == 0 ? 0 : mTimes.peekFirst() + mLengthMillis - nowMillis;
-    }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -211,15 +210,17 @@
         int most = capacity.piecesPerCall();
         call.fill(mWaiting, most);
         call.fill(mLate, most);
-        call.mPieces.forEach(this::forget);
-        return call.mPieces.stream().map(waiting -> waiting.mWork).toList();
+        return take(call.mPieces);
     }
 
-    private void forget(Waiting waiting) {
-        mWaiting.remove(waiting);
-        mDue.remove(waiting);
-        mLate.remove(waiting);
-        mById.remove(waiting.mWork.id());
+    private List<PieceWork> take(List<Waiting> pieces) {
+        for (Waiting waiting : pieces) {
+            mWaiting.remove(waiting);
+            mDue.remove(waiting);
+            mLate.remove(waiting);
+            mById.remove(waiting.mWork.id());
+        }
+        return pieces.stream().map(waiting -> waiting.mWork).toList();
     }
 
     private static boolean waitsForItsDomain(
@@ -234,14 +235,7 @@
     }
 
     private List<PieceWork> removeIf(Predicate<Waiting> condition) {
-        List<PieceWork> removed = new ArrayList<>();
-        for (Waiting waiting : new ArrayList<>(mById.values())) {
-            if (condition.test(waiting)) {
-                forget(waiting);
-                removed.add(waiting.mWork);
-            }
-        }
-        return removed;
+        return take(mById.values().stream().filter(condition).toList());
     }
 
     /** Pieces chosen for one call. */
@@ -250,7 +244,7 @@
         private final String mName;
         private final Set<String> mDomains;
         private final long mNowMillis;
-        private final Set<Waiting> mPieces = new LinkedHashSet<>();
+        private final List<Waiting> mPieces = new ArrayList<>();
         private double mFreeBytes;
 
         NextCall(
@@ -270,7 +264,7 @@
             Iterator<Waiting> iterator = inOrder.iterator();
             while (mPieces.size() < most && iterator.hasNext()) {
                 Waiting waiting = iterator.next();
-                if (!mPieces.contains(waiting) && fits(waiting)) {
+                if (fits(waiting)) {
                     mPieces.add(waiting);
                     mFreeBytes -= waiting.mWork.resultBytes();
                     mRoom.take(mName, waiting.mWork.resultBytes());
--- a/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
@@ -74,38 +74,28 @@
         assertThat(mQueue.size()).isZero();
     }
 
+    /** A piece whose result takes most of the room of an endpoint. */
+    private static PieceWork large(String request) {
+        return new PieceWork(
+                new PieceId(request, 0, 0),
+                "service",
+                "key",
+                List.of(),
+                1_000,
+                0,
+                10_000,
+                800_000,
+                "",
+                0,
+                false);
+    }
+
     @Test
     void resultsTakeRoomUntilTheyAreReleased() {
-        PieceWork large =
-                new PieceWork(
-                        new PieceId("a", 0, 0),
-                        "service",
-                        "key",
-                        List.of(),
-                        1_000,
-                        0,
-                        10_000,
-                        800_000,
-                        "",
-                        0,
-                        false);
-        mQueue.add(large, 0);
+        mQueue.add(large("a"), 0);
         take(0, NEAR);
         mQueue.callEnded("near");
-        mQueue.add(
-                new PieceWork(
-                        new PieceId("b", 0, 0),
-                        "service",
-                        "key",
-                        List.of(),
-                        1_000,
-                        0,
-                        10_000,
-                        800_000,
-                        "",
-                        0,
-                        false),
-                0);
+        mQueue.add(large("b"), 0);
 
         assertThat(take(10, NEAR)).isEmpty();
         mQueue.released("near", 800_000);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.fleet;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
@@ -95,10 +96,7 @@
         if (change != EndpointDirectory.Change.NONE) {
             mState.log()
                     .process(
-                            LogLine.of(
-                                            "endpoint-"
-                                                    + change.name()
-                                                            .toLowerCase(java.util.Locale.ROOT))
+                            LogLine.of("endpoint-" + change.name().toLowerCase(Locale.ROOT))
                                     .with("endpoint", registration.name())
                                     .with("service", registration.service())
                                     .with("domain", registration.failureDomain())
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -181,17 +181,6 @@
         if (result.outcomes().isEmpty() && result.executed()) {
             double bytes = call.pieces().stream().mapToDouble(PieceWork::resultBytes).sum();
             queue(service).occupied(endpoint, bytes, now + mResults.lifeMillis(service));
-            return;
-        }
-        double refusedBytes = 0;
-        for (int index = 0; index < call.pieces().size(); index++) {
-            if (result.outcome(index) instanceof PieceOutcome.Failed failed
-                    && failed.reason() == PieceFailure.NO_ROOM) {
-                refusedBytes += call.pieces().get(index).resultBytes();
-            }
-        }
-        if (refusedBytes > 0) {
-            queue(service).occupied(endpoint, refusedBytes, now + NO_ROOM_MILLIS);
         }
     }
 
@@ -203,6 +192,10 @@
             }
             case PieceOutcome.Failed failed -> {
                 queue(work.service()).released(endpoint, work.resultBytes());
+                if (failed.reason() == PieceFailure.NO_ROOM) {
+                    long until = mState.nowMillis() + NO_ROOM_MILLIS;
+                    queue(work.service()).occupied(endpoint, work.resultBytes(), until);
+                }
                 failedAt(endpoint, work, failed, executed);
             }
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/RowWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/RowWriter.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.protocol.StoreProtocol;
 
@@ -40,10 +39,10 @@
      */
     public void write(String table, String key, byte[] value, Runnable written) {
         byte[] body = mProtocol.writeBody(table, key, value);
-        attempt(body, SHORTEST_RETRY_MILLIS, written);
+        attempt(body, new RetryPause(SHORTEST_RETRY_MILLIS, LONGEST_RETRY_MILLIS), written);
     }
 
-    private void attempt(byte[] body, long retryMillis, Runnable written) {
+    private void attempt(byte[] body, RetryPause pause, Runnable written) {
         mConnection.call(
                 HttpMethod.POST,
                 mProtocol.writeTarget(),
@@ -55,13 +54,10 @@
                         written.run();
                         return;
                     }
-                    long delay =
-                            retryMillis / 2 + ThreadLocalRandom.current().nextLong(retryMillis);
-                    long next = Math.min(2 * retryMillis, LONGEST_RETRY_MILLIS);
                     mLoops.next()
                             .schedule(
-                                    () -> attempt(body, next, written),
-                                    delay,
+                                    () -> attempt(body, pause, written),
+                                    pause.next(),
                                     TimeUnit.MILLISECONDS);
                 });
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.protocol.StorePage;
 import org.wasabilug.gateway.protocol.StoreProtocol;
@@ -28,9 +27,10 @@
     private final StoreProtocol mProtocol;
     private final FollowedTable mTable;
     private final TableEvents mEvents;
+    private final RetryPause mRetryPause =
+            new RetryPause(SHORTEST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
     private final List<StoredRow> mPages = new ArrayList<>();
     private long mVersion = -1;
-    private long mRetryMillis = SHORTEST_RETRY_MILLIS;
     private boolean mAnswering;
     private boolean mEverReported;
 
@@ -135,7 +135,7 @@
     }
 
     private void answering() {
-        mRetryMillis = SHORTEST_RETRY_MILLIS;
+        mRetryPause.reset();
         report(true, "answered");
     }
 
@@ -152,8 +152,6 @@
     }
 
     private void retry(Runnable step) {
-        long delay = mRetryMillis / 2 + ThreadLocalRandom.current().nextLong(mRetryMillis);
-        mRetryMillis = Math.min(2 * mRetryMillis, LONGEST_RETRY_MILLIS);
-        mLoops.next().schedule(step, delay, TimeUnit.MILLISECONDS);
+        mLoops.next().schedule(step, mRetryPause.next(), TimeUnit.MILLISECONDS);
     }
 }
