Log where a staged request waits and what peers could not be told

A request whose first event comes late, or that ends at its caller's deadline, left one line with its total time. The stage it waited for, the time that this instance expected of the stage and messages between instances that no connection took were not logged, so a crowded stage, a sender that runs late and a lost result could not be told apart.

Each stage of a request now logs its order and its end, the instance that sends for a service logs its queue once a second while pieces wait, and results or orders that reach no peer and delays of the event loop have a line of their own. No decision changes.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageGraph.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageGraph.java
@@ -188,7 +188,12 @@
                 && mStages.get(stage).after().stream().allMatch(this::isComplete);
     }
 
-    private boolean isStageComplete(int stage) {
+    /**
+     * Returns whether all results of a stage are available; true if it has no pieces.
+     *
+     * @param stage index of the stage
+     */
+    public boolean isStageComplete(int stage) {
         for (String handle : mHandles[stage]) {
             if (handle == null) {
                 return false;
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -114,6 +114,16 @@
         return mWaiting.size() + mLate.size();
     }
 
+    /** Returns the number of waiting pieces that are past their latest start time. */
+    public int lateSize() {
+        return mLate.size();
+    }
+
+    /** Returns the number of calls in progress. */
+    public int runningCalls() {
+        return mRunningCalls.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     /** Moves pieces that are past their latest start time to the queue that is served last. */
     private void moveLatePieces(long nowMillis) {
         while (!mByLatestStart.isEmpty()
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -35,6 +35,7 @@
 /** One gateway process; all its parts run on one event loop. */
 public final class Gateway {
     private static final long HOUSEKEEPING_MILLIS = 250;
+    private static final long LOOP_DELAY_TO_LOG_MILLIS = 100;
     private static final long CONFIGURATION_WAIT_MILLIS = 2_000;
     private static final long CONFIGURATION_PAUSE_MILLIS = 20;
     private static final long ENDPOINT_WAIT_MILLIS = 1_000;
@@ -56,6 +57,7 @@
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
     private final CountDownLatch mStopped = new CountDownLatch(1);
+    private long mHousekeepingDueMillis = Long.MAX_VALUE;
 
     /**
      * Creates a gateway that is not running yet.
@@ -156,6 +158,7 @@
     }
 
     private void runHousekeeping() {
+        logLoopDelay();
         mEndpoints.removeExpired();
         mCallers.enforceTimeouts();
         mState.connections().closeExpired();
@@ -166,6 +169,16 @@
         mState.stop().ifPresent(this::continueStop);
     }
 
+    /** Logs when the event loop runs late, which delays every request of this instance. */
+    private void logLoopDelay() {
+        long now = mState.nowMillis();
+        long delay = now - mHousekeepingDueMillis;
+        mHousekeepingDueMillis = now + HOUSEKEEPING_MILLIS;
+        if (delay > LOOP_DELAY_TO_LOG_MILLIS) {
+            mState.log().process(LogLine.of("event-loop-delayed").with("millis", delay));
+        }
+    }
+
     /**
      * Stops gracefully: completes accepted requests. Returns when the stop is complete or timed
      * out.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -240,17 +240,26 @@
         Map<String, List<PieceOrder>> orders = new HashMap<>(mOrdersToSend);
         mOrdersToSend.clear();
         orders.forEach(this::sendOrders);
-        mResultsToSend.forEach(
-                (peer, results) ->
-                        mNetwork.send(
-                                peer,
-                                mNetwork.envelope()
-                                        .setPieceResults(
-                                                PieceResults.newBuilder().addAllResults(results))
-                                        .build()));
+        mResultsToSend.forEach(this::sendResults);
         mResultsToSend.clear();
     }
 
+    private void sendResults(String peer, List<PieceResult> results) {
+        boolean sent =
+                mNetwork.send(
+                        peer,
+                        mNetwork.envelope()
+                                .setPieceResults(PieceResults.newBuilder().addAllResults(results))
+                                .build());
+        if (!sent) {
+            logNotSent("results-not-sent", peer, results.size());
+        }
+    }
+
+    private void logNotSent(String event, String peer, int count) {
+        mState.log().process(LogLine.of(event).with("peer", peer).with("count", count));
+    }
+
     private void sendOrders(String peer, List<PieceOrder> orders) {
         boolean sent =
                 mNetwork.send(
@@ -261,6 +270,7 @@
         if (sent) {
             return;
         }
+        logNotSent("orders-not-sent", peer, orders.size());
         for (PieceOrder order : orders) {
             PieceWork work = PieceMessages.work(order, mState.nowMillis());
             RemotePiece piece = mRemotePieces.remove(work.id());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -39,6 +39,7 @@
     private final InputLocator mInputs;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
+    private final long[] mSubmittedMillis;
     private String mDomain = "";
     private int mRestarts;
     private boolean mEnded;
@@ -60,6 +61,7 @@
         mListener = listener;
         mInputs = new InputLocator(state);
         mGraph = new StageGraph(request.route().stages(), request.pieces());
+        mSubmittedMillis = new long[request.route().stages().size()];
     }
 
     /** Returns whether any stage remains to be run. */
@@ -135,11 +137,32 @@
 
     private void cancelOpen() {
         if (!mOpen.isEmpty()) {
+            logCancelled(mOpen.values().iterator().next());
             mExecutor.cancel(mRequest.id(), new ArrayList<>(mOpen.values()));
             mOpen.clear();
         }
     }
 
+    /** Logs which stage the request was waiting for when its stages ended. */
+    private void logCancelled(PieceWork oldest) {
+        mState.log()
+                .request(
+                        stageLine("pieces-cancelled", oldest.id().stage())
+                                .with("open", mOpen.size())
+                                .with("millis", millisInStage(oldest.id().stage())));
+    }
+
+    private LogLine stageLine(String event, int stage) {
+        return LogLine.of(event)
+                .with("request", mRequest.id())
+                .with("stage", stage)
+                .with("service", mRequest.route().stages().get(stage).service());
+    }
+
+    private long millisInStage(int stage) {
+        return mState.nowMillis() - mSubmittedMillis[stage];
+    }
+
     private void submitReady() {
         mGraph.pollReadyStages().forEach(this::submit);
     }
@@ -149,6 +172,8 @@
         List<String> inputs = mGraph.inputs(stage);
         PiecePlacement place = placement(stage, inputs);
         long startBy = startByMillis(stage);
+        mSubmittedMillis[stage] = mState.nowMillis();
+        logSubmitted(stage, startBy);
         for (int piece = 0; piece < mGraph.pieceCount(stage); piece++) {
             submit(
                     new PieceWork(
@@ -166,6 +191,20 @@
         }
     }
 
+    private void logSubmitted(int stage, long startByMillis) {
+        long now = mState.nowMillis();
+        String service = mRequest.route().stages().get(stage).service();
+        double expected = mState.stageTimes().expectedMillis(service, mRequest.rank(), now);
+        mState.log()
+                .request(
+                        stageLine("stage-submitted", stage)
+                                .with("rank", mRequest.rank())
+                                .with("pieces", mGraph.pieceCount(stage))
+                                .with("expected", Math.round(expected))
+                                .with("slack", startByMillis - now)
+                                .with("restarts", mRestarts));
+    }
+
     private void submit(PieceWork work) {
         mOpen.put(work.id(), work);
         StageGraph graph = mGraph;
@@ -242,6 +281,9 @@
     private void produced(PieceWork work, String handle) {
         mGraph.recordResult(work.id().stage(), work.id().piece(), handle);
         mExecutor.release(mGraph.pollConsumedHandles());
+        if (mGraph.isStageComplete(work.id().stage())) {
+            logCompleted(work.id().stage());
+        }
         if (mGraph.isComplete()) {
             mListener.stagesDone();
         } else {
@@ -249,6 +291,11 @@
         }
     }
 
+    private void logCompleted(int stage) {
+        mState.log()
+                .request(stageLine("stage-completed", stage).with("millis", millisInStage(stage)));
+    }
+
     private void failed(PieceWork work, PieceFailure reason) {
         mState.log()
                 .request(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -32,12 +32,15 @@
      */
     private static final int SENDERS_PER_SERVICE = 3;
 
+    private static final long QUEUE_LOG_INTERVAL_MILLIS = 1_000;
+
     private final GatewayState mState;
     private final ResultRegistry mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<StageCall, StageCallAttempt> mRunning = new IdentityHashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
+    private long mNextQueueLogMillis = Long.MIN_VALUE;
 
     /** Receiver of the outcome of a piece. */
     private record Receiver(String service, Consumer<PieceOutcome> outcomes) {}
@@ -251,6 +254,29 @@
     public int evictExpired() {
         List<String> services = new ArrayList<>(mQueues.keySet());
         services.forEach(this::dispatch);
+        logQueues();
         return mResults.evictExpired();
     }
+
+    /** Logs the queues that are not empty, at a limited rate. */
+    private void logQueues() {
+        long now = mState.nowMillis();
+        if (now < mNextQueueLogMillis) {
+            return;
+        }
+        mNextQueueLogMillis = now + QUEUE_LOG_INTERVAL_MILLIS;
+        mQueues.forEach(
+                (service, queue) -> {
+                    if (queue.size() > 0) {
+                        mState.log()
+                                .process(
+                                        LogLine.of("stage-queue")
+                                                .with("service", service)
+                                                .with("waiting", queue.size())
+                                                .with("late", queue.lateSize())
+                                                .with("calls", queue.runningCalls())
+                                                .with("endpoints", mState.usable(service).size()));
+                    }
+                });
+    }
 }
