Keep one pending dispatch per stage queue

Cause: a dispatch at once, for a piece that arrives, replaced the entry of the repeated dispatch but not its timer. Both timers then scheduled their successors, so each piece that arrived while others waited added one more chain of dispatches every 25 ms, for as long as pieces waited. A dispatch goes through all waiting pieces, and the instance that sends for a service may have 0.36 of a core. Each released result cost a dispatch, too.

Fix: a timer whose entry was replaced does nothing, and results released together share one dispatch.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
@@ -56,6 +56,15 @@
         return true;
     }
 
+    /**
+     * Counts an event that is too frequent to be logged.
+     *
+     * @param event name of the event
+     */
+    public void count(String event) {
+        mMetrics.counter("count." + event).inc();
+    }
+
     /**
      * Records the duration of a step of a request.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -104,6 +104,7 @@
     }
 
     private void dispatch(String service) {
+        mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
         long now = mState.nowMillis();
         queue.removeExpired(now).forEach(work -> fail(work, PieceFailure.LATE));
@@ -132,12 +133,14 @@
             mNextDispatchMillis.put(service, due);
             mState.loop()
                     .schedule(
-                            () -> {
-                                mNextDispatchMillis.remove(service);
-                                dispatch(service);
-                            },
-                            delayMillis,
-                            TimeUnit.MILLISECONDS);
+                            () -> dispatchIfDue(service, due), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Dispatches a queue unless an earlier dispatch has replaced the one that was due. */
+    private void dispatchIfDue(String service, long dueMillis) {
+        if (mNextDispatchMillis.remove(service, dueMillis)) {
+            dispatch(service);
         }
     }
 
@@ -243,7 +246,8 @@
 
     private void released(ResultRegistry.Result result) {
         queue(result.service()).releaseCapacity(result.endpoint(), result.bytes());
-        dispatch(result.service());
+        // Results are released several at a time.
+        scheduleDispatch(result.service(), 0);
     }
 
     /**
