Let instances with enough processor time send the pieces of a service

Cause: the sender of a service was chosen by hash among all instances.

Fix: heartbeats tell the processor share, and the hash chooses among live instances with at least half of the largest. A fleet of equal instances chooses as before; weak instances send where no stronger one is live.

--- a/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param store address of the store
  * @param retryLimits limits of retries
  * @param coldLimits limits of cold endpoints
+ * @param processorShare processor time available to the process, in cores
  * @param stopMillis time in milliseconds between the stop signal and the forced end of the process
  */
 public record GatewaySettings(
@@ -26,4 +27,5 @@
         InetSocketAddress store,
         RetryLimits retryLimits,
         ColdLimits coldLimits,
+        double processorShare,
         long stopMillis) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -22,6 +22,9 @@
     /** Bounds the message rate of a process as the fleet grows. */
     private static final long HEARTBEAT_INTERVAL_MILLIS_PER_PEER = 6;
 
+    /** Assumed of peers of a version that does not report it. */
+    private static final double DEFAULT_PROCESSOR_SHARE = 1;
+
     private final GatewayState mState;
     private final SharedLoads mSharedLoads;
     private final PeerTransport mTransport;
@@ -98,6 +101,26 @@
         return live;
     }
 
+    /** Returns the processor share, in cores, of each instance that accepts new work. */
+    public Map<String, Double> liveProcessorShares() {
+        Map<String, Double> shares = new TreeMap<>();
+        for (String name : live()) {
+            boolean self = name.equals(mState.settings().name());
+            shares.put(
+                    name,
+                    self
+                            ? mState.settings().processorShare()
+                            : processorShare(mPeers.get(name).heartbeat()));
+        }
+        return shares;
+    }
+
+    private static double processorShare(GatewayHeartbeat heartbeat) {
+        return heartbeat.hasProcessorShare()
+                ? heartbeat.getProcessorShare()
+                : DEFAULT_PROCESSOR_SHARE;
+    }
+
     /**
      * Returns the names of the live peers that can't read the store and that this instance relays
      * it to.
@@ -219,6 +242,7 @@
                         .setFailureDomain(mState.settings().failureDomain())
                         .setHost(mState.settings().peers().getHostString())
                         .setStopping(mStopping.getAsBoolean())
+                        .setProcessorShare(mState.settings().processorShare())
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
         mSharedLoads.addLoads(heartbeat);
         return heartbeat;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -16,7 +16,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
-import org.wasabilug.internal.serving.RendezvousHashing;
+import org.wasabilug.internal.serving.StageSenders;
 import org.wasabilug.messages.gateway.PieceCancellation;
 import org.wasabilug.messages.gateway.PieceOrder;
 import org.wasabilug.messages.gateway.PieceOrders;
@@ -27,8 +27,8 @@
 /**
  * Routes all pieces of a service through one instance, so that calls batch pieces of many requests.
  *
- * <p>All instances that reach each other choose the same sender, by rendezvous hashing. If it is
- * lost, the pieces go to the next one; an instance without reachable peers sends its pieces itself.
+ * <p>All instances that reach each other choose the same sender. If it is lost, the pieces go to
+ * the next one; an instance without reachable peers sends its pieces itself.
  */
 public final class SharedStageExecutor implements StageExecutor {
     private final GatewayState mState;
@@ -71,10 +71,8 @@
     }
 
     private String chooseSender(String service) {
-        Set<String> live = mNetwork.live();
-        return live.isEmpty()
-                ? mState.settings().name()
-                : RendezvousHashing.choose(service, live, 1).getFirst();
+        Map<String, Double> live = mNetwork.liveProcessorShares();
+        return live.isEmpty() ? mState.settings().name() : StageSenders.choose(service, live);
     }
 
     @Override
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatchTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatchTest.java
@@ -35,6 +35,7 @@
                             UNUSED_ADDRESS,
                             new RetryLimits(0.2, 50, 10_000),
                             new ColdLimits(1.5, 5),
+                            1,
                             8_000),
                     null,
                     mLoops.next(),
