Refuse by the queue of the sender instead of by an instance's own requests

Cause: an instance expected of a stage what its own last requests took, and 250 ms without recent ones. One of 62 instances has a request of a class every two seconds and the estimate halves in 0.7 s, so each of them expected about 250 ms whatever the stage's queue was. Class of fault: a state of the whole fleet estimated from one instance's share of it, worse the larger the fleet.

Fix: the instance that sends for a service knows its queue. It predicts the time of a piece of each rank from the pieces ahead, the throughput and the more urgent arrivals, and its heartbeats carry the prediction; instances prefer it to their own samples for 1.5 s. An instance without reports, one cut off from the sender, judges by its own samples as before.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -114,6 +114,13 @@
         return mWaiting.size() + mLate.size();
     }
 
+    /** Returns the number of waiting pieces of each rank that can still start in time. */
+    public Map<Integer, Integer> waitingByRank() {
+        Map<Integer, Integer> counts = new HashMap<>();
+        mWaiting.forEach(waiting -> counts.merge(waiting.mWork.rank(), 1, Integer::sum));
+        return counts;
+    }
+
     /** Returns the number of waiting pieces that are past their latest start time. */
     public int lateSize() {
         return mLate.size();
--- a/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
@@ -12,13 +12,20 @@
  * <p>When a stage is overloaded only less urgent ranks wait, so only their requests are predicted
  * to miss their deadlines. Without new samples an estimate decays to the default, so that no rank
  * is refused permanently.
+ *
+ * <p>In a large fleet one instance has too few requests to estimate a stage from them. What the
+ * instance that sends for a service reports of its queue precedes the local samples.
  */
 public final class StageTimes {
     private static final double SAMPLE_WEIGHT = 0.1;
     private static final double DEFAULT_STEP_MILLIS = 250;
     private static final double HALF_LIFE_MILLIS = 700;
 
+    /** Several intervals between the heartbeats that carry reports. */
+    private static final long REPORT_LIFETIME_MILLIS = 1_500;
+
     private final Map<Step, Estimate> mSteps = new HashMap<>();
+    private final Map<Step, Estimate> mReports = new HashMap<>();
 
     /** A service and the rank of the requests that it runs. */
     private record Step(String service, int rank) {}
@@ -36,11 +43,23 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordTime(String service, int rank, double millis, long nowMillis) {
-        double old = expectedMillis(service, rank, nowMillis);
+        double old = sampledMillis(service, rank, nowMillis);
         double mean = old + SAMPLE_WEIGHT * (millis - old);
         mSteps.put(new Step(service, rank), new Estimate(mean, nowMillis));
     }
 
+    /**
+     * Records the time that the instance which sends for a service predicts of its queue.
+     *
+     * @param service service that runs the step
+     * @param rank priority class of the request; 0 is the most urgent
+     * @param millis predicted time from sending the work to its result, in milliseconds
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordReport(String service, int rank, double millis, long nowMillis) {
+        mReports.put(new Step(service, rank), new Estimate(millis, nowMillis));
+    }
+
     /**
      * Returns the expected time of a step, in milliseconds.
      *
@@ -49,6 +68,13 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public double expectedMillis(String service, int rank, long nowMillis) {
+        Estimate report = mReports.get(new Step(service, rank));
+        return report != null && nowMillis - report.atMillis() < REPORT_LIFETIME_MILLIS
+                ? report.millis()
+                : sampledMillis(service, rank, nowMillis);
+    }
+
+    private double sampledMillis(String service, int rank, long nowMillis) {
         Estimate estimate = mSteps.get(new Step(service, rank));
         if (estimate == null) {
             return DEFAULT_STEP_MILLIS;
--- a/core/src/test/java/org/wasabilug/internal/serving/StageTimesTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageTimesTest.java
@@ -66,4 +66,13 @@
 
         assertThat(mTimes.expectedMillis("second", 1, 5_000)).isLessThan(275);
     }
+
+    @Test
+    void aReportOfTheSenderPrecedesLocalSamplesUntilItExpires() {
+        mTimes.recordReport("second", 1, 1_400, 0);
+        mTimes.recordTime("second", 1, 300, 0);
+
+        assertThat(mTimes.expectedMillis("second", 1, 1_000)).isEqualTo(1_400);
+        assertThat(mTimes.expectedMillis("second", 1, 5_000)).isLessThan(300);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -83,7 +83,8 @@
                         mLoops,
                         new PeerMessages(),
                         () -> mState.stop().isPresent(),
-                        () -> !mEndpoints.storeReachable());
+                        () -> !mEndpoints.storeReachable(),
+                        mStages::predictWaits);
         mState.instances(mNetwork::instances);
         mState.crashNotifier(this::broadcastCrash);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -9,8 +9,10 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.internal.serving.StoreRelays;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
@@ -31,6 +33,7 @@
     private final PeerEvents mEvents;
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mStoreUnreachable;
+    private final Supplier<Map<String, List<QueueWaits.Wait>>> mStageWaits;
     private final Map<String, Peer> mPeers = new TreeMap<>();
     private final Set<String> mReachable = new HashSet<>();
     private final Set<String> mLive = new HashSet<>();
@@ -43,18 +46,21 @@
      * @param events receives messages
      * @param stopping whether this instance is stopping
      * @param storeUnreachable whether the store does not respond to this instance
+     * @param stageWaits predicted times of the pieces that this instance sends, by service
      */
     public PeerNetwork(
             GatewayState state,
             EventLoopGroup loops,
             PeerEvents events,
             BooleanSupplier stopping,
-            BooleanSupplier storeUnreachable) {
+            BooleanSupplier storeUnreachable,
+            Supplier<Map<String, List<QueueWaits.Wait>>> stageWaits) {
         mState = state;
         mSharedLoads = new SharedLoads(state);
         mEvents = events;
         mStopping = stopping;
         mStoreUnreachable = storeUnreachable;
+        mStageWaits = stageWaits;
         mTransport = new PeerTransport(loops, this::received);
     }
 
@@ -180,6 +186,7 @@
         long now = mState.nowMillis();
         GatewayHeartbeat.Builder body = heartbeat();
         mSharedLoads.addPrompts(body);
+        mSharedLoads.addStageWaits(body, mStageWaits.get());
         GatewayHeartbeat heartbeat = body.build();
         for (Peer peer : mPeers.values()) {
             peer.closeStalled(now);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -3,16 +3,22 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 import org.wasabilug.messages.gateway.PromptRead;
 import org.wasabilug.messages.gateway.SentLoad;
+import org.wasabilug.messages.gateway.StageWait;
 import org.wasabilug.serving.PromptPart;
 
-/** Endpoint observations that instances exchange in heartbeats: load sent and prompts read. */
+/**
+ * Observations that instances exchange in heartbeats: load sent, prompts read and predicted times
+ * of stages.
+ */
 final class SharedLoads {
     private final GatewayState mState;
 
@@ -40,9 +46,36 @@
         mState.takeUnsentPrompts().forEach(prompt -> heartbeat.addPrompts(promptRead(prompt)));
     }
 
+    /** Adds predicted times of the stages that this instance sends for, and applies them here. */
+    void addStageWaits(
+            GatewayHeartbeat.Builder heartbeat, Map<String, List<QueueWaits.Wait>> predictions) {
+        predictions.forEach(
+                (service, waits) ->
+                        waits.forEach(wait -> heartbeat.addStageWaits(stageWait(service, wait))));
+        heartbeat.getStageWaitsList().forEach(this::applyStageWait);
+    }
+
+    private static StageWait stageWait(String service, QueueWaits.Wait wait) {
+        return StageWait.newBuilder()
+                .setService(service)
+                .setRank(wait.rank())
+                .setMilliseconds(wait.millis())
+                .build();
+    }
+
+    private void applyStageWait(StageWait wait) {
+        mState.stageTimes()
+                .recordReport(
+                        wait.getService(),
+                        wait.getRank(),
+                        wait.getMilliseconds(),
+                        mState.nowMillis());
+    }
+
     /** Applies the observations of a peer. */
     void apply(String sender, GatewayHeartbeat heartbeat) {
         applyLoads(sender, heartbeat);
+        heartbeat.getStageWaitsList().forEach(this::applyStageWait);
         heartbeat.getPromptsList().forEach(this::applyPrompt);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -15,6 +15,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
@@ -37,6 +38,7 @@
     private final GatewayState mState;
     private final ResultRegistry mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
+    private final Map<String, QueueWaits> mWaits = new HashMap<>();
     private final Map<StageCall, StageCallAttempt> mRunning = new IdentityHashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
@@ -59,7 +61,9 @@
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
         mReceivers.put(work.id(), new Receiver(work.service(), receiver));
-        queue(work.service()).add(work, mState.nowMillis());
+        long now = mState.nowMillis();
+        queue(work.service()).add(work, now);
+        waits(work.service()).recordArrival(work.rank(), now);
         // Pieces of one request are submitted one after another and should share a call.
         scheduleDispatch(work.service(), 0);
     }
@@ -103,12 +107,36 @@
         return mQueues.computeIfAbsent(service, name -> new StageQueue());
     }
 
+    private QueueWaits waits(String service) {
+        return mWaits.computeIfAbsent(service, name -> new QueueWaits());
+    }
+
+    /** Predicts the times of the pieces of each service that this instance sends for. */
+    public Map<String, List<QueueWaits.Wait>> predictWaits() {
+        Map<String, List<QueueWaits.Wait>> predictions = new HashMap<>();
+        mWaits.forEach(
+                (service, waits) ->
+                        mState.service(service)
+                                .flatMap(ServiceSpecification::stage)
+                                .ifPresent(
+                                        capacity ->
+                                                predictions.put(
+                                                        service,
+                                                        waits.predict(
+                                                                queue(service).waitingByRank(),
+                                                                capacity,
+                                                                mState.usable(service).size(),
+                                                                mState.nowMillis()))));
+        return predictions;
+    }
+
     private void dispatch(String service) {
         mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
         long now = mState.nowMillis();
         queue.removeExpired(now).forEach(work -> fail(work, PieceFailure.LATE));
         if (queue.size() == 0) {
+            waits(service).recordWaiting(false, now);
             return;
         }
         ServiceSpecification specification = mState.service(service).orElse(null);
@@ -120,6 +148,7 @@
         for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
             send(specification, call);
         }
+        waits(service).recordWaiting(queue.size() > 0, now);
         if (queue.size() > 0) {
             scheduleDispatch(service, DISPATCH_INTERVAL_MILLIS);
         }
@@ -193,6 +222,7 @@
     private void complete(String endpoint, PieceWork work, PieceOutcome outcome, boolean executed) {
         switch (outcome) {
             case PieceOutcome.Produced produced -> {
+                waits(work.service()).recordResult(mState.nowMillis());
                 mResults.produced(produced.handle(), work.service(), endpoint, work.resultBytes());
                 deliver(work, produced);
             }
