Refuse a staged request on arrival unless its predicted wait leaves a margin

Cause: a request was let in if its latest start was at most 150 ms past. Waiting pieces are dropped at their latest start, so under lasting overload the queue is just as long as that rule allows: each request is predicted to be just in time, waits to its latest start and is dropped with even odds. The wait for the first stage was left out of the prediction. Refused callers were told to return after 1.5 s, when none of them can be in time.

Fix: StagePlan, in the core, holds the plan of a request's stages. It adds the wait of every stage and a quarter of the predicted waiting as a margin, for what other instances admit until the next report, and lets a refused caller return when half of its spare time has passed. StagePlanTest fails with the former rule.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -0,0 +1,125 @@
+package org.wasabilug.internal.serving;
+
+import java.util.List;
+import org.wasabilug.serving.RouteStage;
+import org.wasabilug.serving.StageCapacity;
+
+/** Times at which the stages of one request must start, and whether it can still be in time. */
+public final class StagePlan {
+    /** Stage time, including queueing, that only a congested stage exceeds. */
+    private static final double CONGESTED_STAGE_MILLIS = 550;
+
+    /**
+     * Part of the predicted waiting by which it may turn out longer: predictions are some hundred
+     * milliseconds old, and all instances admit requests meanwhile.
+     */
+    private static final double PREDICTION_ERROR = 0.25;
+
+    /** Congestion of a stage lasts some seconds, so a late request gains nothing by hurrying. */
+    private static final long LATE_RETRY_MILLIS = 1_500;
+
+    private static final long MIN_RETRY_MILLIS = 250;
+
+    private final StageTimes mTimes;
+    private final StageTimes.RequestPlan mPlan;
+    private final List<StageCapacity> mCapacities;
+    private final long mObjectiveMillis;
+
+    /**
+     * Creates a plan.
+     *
+     * @param times expected times of the stages
+     * @param plan steps of the request
+     * @param capacities capacity of one endpoint of each stage
+     * @param objectiveMillis monotonic time, in milliseconds, by which the first event should be
+     *     delivered
+     */
+    public StagePlan(
+            StageTimes times,
+            StageTimes.RequestPlan plan,
+            List<StageCapacity> capacities,
+            long objectiveMillis) {
+        mTimes = times;
+        mPlan = plan;
+        mCapacities = List.copyOf(capacities);
+        mObjectiveMillis = objectiveMillis;
+    }
+
+    /**
+     * Returns the latest start of a stage with which the request meets its objective.
+     *
+     * @param stage index of the stage
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public long startByMillis(int stage, long nowMillis) {
+        return mObjectiveMillis
+                - (long) (callMillis(stage) + mTimes.remainingMillis(mPlan, stage, nowMillis));
+    }
+
+    /**
+     * Returns whether some stage is congested and the predicted times leave too little for the
+     * request to meet its objective.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public boolean cannotMeetObjective(long nowMillis) {
+        boolean congested = false;
+        double longest = 0;
+        for (int stage = 0; stage < stages().size(); stage++) {
+            if (pieces(stage) > 0) {
+                double expected = expectedMillis(stage, nowMillis);
+                congested = congested || expected > CONGESTED_STAGE_MILLIS;
+                double remaining = mTimes.remainingMillis(mPlan, stage, nowMillis);
+                longest = Math.max(longest, expected + remaining);
+            }
+        }
+        double waiting = Math.max(0, longest - idleMillis());
+        return congested && nowMillis + longest + PREDICTION_ERROR * waiting > mObjectiveMillis;
+    }
+
+    private double expectedMillis(int stage, long nowMillis) {
+        return mTimes.expectedMillis(stages().get(stage).service(), mPlan.rank(), nowMillis);
+    }
+
+    /**
+     * Returns after how many milliseconds a refused request may return: when half of its spare time
+     * has passed, so that it can still be in time then, and later if it can't be in time any more.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public long retryAfterMillis(long nowMillis) {
+        double spare = mObjectiveMillis - nowMillis - idleMillis();
+        return spare / 2 < MIN_RETRY_MILLIS
+                ? LATE_RETRY_MILLIS
+                : Math.min(LATE_RETRY_MILLIS, (long) spare / 2);
+    }
+
+    /** Returns the time to the first event if the request waits nowhere. */
+    private double idleMillis() {
+        double longest = 0;
+        double[] ends = new double[stages().size()];
+        for (int stage = 0; stage < ends.length; stage++) {
+            double start = 0;
+            for (int before : stages().get(stage).after()) {
+                start = Math.max(start, ends[before]);
+            }
+            ends[stage] = start + (pieces(stage) > 0 ? callMillis(stage) : 0);
+            longest = Math.max(longest, ends[stage]);
+        }
+        return longest + StageTimes.DEFAULT_STEP_MILLIS;
+    }
+
+    private double callMillis(int stage) {
+        StageCapacity capacity = mCapacities.get(stage);
+        return capacity.callMillis()
+                + Math.min(pieces(stage), capacity.piecesPerCall()) * capacity.pieceMillis();
+    }
+
+    private int pieces(int stage) {
+        return stage < mPlan.pieces().size() ? mPlan.pieces().get(stage) : 0;
+    }
+
+    private List<RouteStage> stages() {
+        return mPlan.route().stages();
+    }
+}
--- a/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
@@ -18,7 +18,10 @@
  */
 public final class StageTimes {
     private static final double SAMPLE_WEIGHT = 0.1;
-    private static final double DEFAULT_STEP_MILLIS = 250;
+
+    /** Expected time of a step without recent samples, in milliseconds. */
+    static final double DEFAULT_STEP_MILLIS = 250;
+
     private static final double HALF_LIFE_MILLIS = 700;
 
     /** Several intervals between the heartbeats that carry reports. */
--- a/core/src/main/java/org/wasabilug/serving/StageCapacity.java
+++ b/core/src/main/java/org/wasabilug/serving/StageCapacity.java
@@ -18,4 +18,7 @@
         double callMillis,
         double pieceMillis,
         double resultMegabytes,
-        double resultLifetimeMillis) {}
+        double resultLifetimeMillis) {
+    /** Capacity of a service that is not configured. */
+    public static final StageCapacity NONE = new StageCapacity(0, 0, 0, 0, 0, 0, 0);
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/serving/StagePlanTest.java
@@ -0,0 +1,83 @@
+package org.wasabilug.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.serving.RequestKind;
+import org.wasabilug.serving.Route;
+import org.wasabilug.serving.RouteStage;
+import org.wasabilug.serving.WeightedService;
+
+class StagePlanTest {
+    private static final int OBJECTIVE_MILLIS = 2_000;
+    private static final int RANK = 1;
+
+    /** Two calls of one piece each, and the default time of the engine. */
+    private static final int IDLE_MILLIS = 2 * 160 + 250;
+
+    private final StageTimes mTimes = new StageTimes();
+    private final StagePlan mPlan =
+            new StagePlan(
+                    mTimes,
+                    new StageTimes.RequestPlan(route(), List.of(1, 1), "engines", RANK),
+                    List.of(ServingFixtures.STAGE, ServingFixtures.STAGE),
+                    OBJECTIVE_MILLIS);
+
+    private static Route route() {
+        return new Route(
+                "route",
+                "host",
+                "/",
+                RequestKind.STREAM,
+                6_000,
+                OBJECTIVE_MILLIS,
+                400,
+                RANK,
+                List.of(new WeightedService("engines", 1)),
+                1,
+                List.of(
+                        new RouteStage("first", List.of(), 10),
+                        new RouteStage("second", List.of(0), 10)),
+                false,
+                false);
+    }
+
+    @Test
+    void aRequestIsRefusedOnArrivalIfThePredictedTimesLeaveNoMargin() {
+        mTimes.recordReport("second", RANK, 1_350, 0);
+
+        assertThat(mPlan.cannotMeetObjective(0)).isTrue();
+    }
+
+    @Test
+    void theWaitForTheFirstStageCountsToo() {
+        mTimes.recordReport("first", RANK, 1_350, 0);
+
+        assertThat(mPlan.cannotMeetObjective(0)).isTrue();
+    }
+
+    @Test
+    void aRequestIsAdmittedWhileThePredictedTimesLeaveAMargin() {
+        mTimes.recordReport("second", RANK, 1_200, 0);
+
+        assertThat(mPlan.cannotMeetObjective(0)).isFalse();
+    }
+
+    @Test
+    void aLateRequestIsAdmittedWhileNoStageIsCongested() {
+        assertThat(mPlan.cannotMeetObjective(OBJECTIVE_MILLIS)).isFalse();
+    }
+
+    @Test
+    void aRefusedRequestReturnsWhileItCanStillBeInTime() {
+        long retryAfter = mPlan.retryAfterMillis(0);
+
+        assertThat(retryAfter).isPositive().isLessThan(OBJECTIVE_MILLIS - IDLE_MILLIS);
+    }
+
+    @Test
+    void aRefusedRequestThatCannotBeInTimeReturnsAfterTheCongestion() {
+        assertThat(mPlan.retryAfterMillis(OBJECTIVE_MILLIS - IDLE_MILLIS)).isEqualTo(1_500);
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -13,8 +13,10 @@
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.StageGraph;
+import org.wasabilug.internal.serving.StagePlan;
 import org.wasabilug.internal.serving.StageTimes;
 import org.wasabilug.serving.RouteStage;
+import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
 
 /** Runs the stages of one request, each as soon as its inputs are available. */
@@ -25,10 +27,6 @@
     /** Smaller transfers between failure domains cost little. */
     private static final double LARGE_TRANSFER_BYTES = 100_000;
 
-    /** Stage time, including queueing, that only a congested stage exceeds. */
-    private static final double CONGESTED_STAGE_MILLIS = 550;
-
-    private static final long LATE_TOLERANCE_MILLIS = 150;
     private static final long INPUT_LOCALITY_WAIT_MILLIS = 350;
     private static final long RESULT_LOCALITY_WAIT_MILLIS = 150;
 
@@ -37,6 +35,7 @@
     private final RequestContext mRequest;
     private final Listener mListener;
     private final InputLocator mInputs;
+    private final StagePlan mPlan;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
     private final long[] mSubmittedMillis;
@@ -62,6 +61,27 @@
         mInputs = new InputLocator(state);
         mGraph = new StageGraph(request.route().stages(), request.pieces());
         mSubmittedMillis = new long[request.route().stages().size()];
+        mPlan = plan(state, request);
+    }
+
+    private static StagePlan plan(GatewayState state, RequestContext request) {
+        StageTimes.RequestPlan steps =
+                new StageTimes.RequestPlan(
+                        request.route(),
+                        request.pieces(),
+                        request.service().name(),
+                        request.rank());
+        List<StageCapacity> capacities =
+                request.route().stages().stream()
+                        .map(stage -> capacity(state, stage.service()))
+                        .toList();
+        return new StagePlan(state.stageTimes(), steps, capacities, request.objectiveMillis());
+    }
+
+    private static StageCapacity capacity(GatewayState state, String service) {
+        return state.service(service)
+                .flatMap(ServiceSpecification::stage)
+                .orElse(StageCapacity.NONE);
     }
 
     /** Returns whether any stage remains to be run. */
@@ -76,30 +96,16 @@
      */
     void start(String domain) {
         mDomain = domain;
-        if (cannotMeetObjective()) {
+        if (mPlan.cannotMeetObjective(mState.nowMillis())) {
             failed(PieceFailure.LATE);
         } else {
             submitReady();
         }
     }
 
-    /**
-     * Returns whether some stage is congested and some stage would start too late for the request
-     * to meet its objective.
-     */
-    private boolean cannotMeetObjective() {
-        long now = mState.nowMillis();
-        boolean congested = false;
-        boolean late = false;
-        for (int stage = 0; stage < mRequest.route().stages().size(); stage++) {
-            if (mGraph.pieceCount(stage) > 0) {
-                String service = mRequest.route().stages().get(stage).service();
-                double expected = mState.stageTimes().expectedMillis(service, mRequest.rank(), now);
-                congested = congested || expected > CONGESTED_STAGE_MILLIS;
-                late = late || startByMillis(stage) + LATE_TOLERANCE_MILLIS < now;
-            }
-        }
-        return congested && late;
+    /** Returns after how many milliseconds a request that was refused as late may return. */
+    long retryAfterMillis() {
+        return mPlan.retryAfterMillis(mState.nowMillis());
     }
 
     /** Returns the handles of the results that the request itself reads. */
@@ -171,7 +177,7 @@
         RouteStage specification = mRequest.route().stages().get(stage);
         List<String> inputs = mGraph.inputs(stage);
         PiecePlacement place = placement(stage, inputs);
-        long startBy = startByMillis(stage);
+        long startBy = mPlan.startByMillis(stage, mState.nowMillis());
         mSubmittedMillis[stage] = mState.nowMillis();
         logSubmitted(stage, startBy);
         for (int piece = 0; piece < mGraph.pieceCount(stage); piece++) {
@@ -213,28 +219,6 @@
         mExecutor.submit(work, receiver);
     }
 
-    private long startByMillis(int stage) {
-        StageTimes.RequestPlan plan =
-                new StageTimes.RequestPlan(
-                        mRequest.route(),
-                        mRequest.pieces(),
-                        mRequest.service().name(),
-                        mRequest.rank());
-        double after = mState.stageTimes().remainingMillis(plan, stage, mState.nowMillis());
-        String service = mRequest.route().stages().get(stage).service();
-        double stageMillis =
-                mState.service(service)
-                        .flatMap(specification -> specification.stage())
-                        .map(capacity -> callMillis(capacity, mGraph.pieceCount(stage)))
-                        .orElse(0.0);
-        return mRequest.objectiveMillis() - (long) (stageMillis + after);
-    }
-
-    private static double callMillis(StageCapacity capacity, int pieces) {
-        return capacity.callMillis()
-                + Math.min(pieces, capacity.piecesPerCall()) * capacity.pieceMillis();
-    }
-
     /**
      * Failure domain in which a piece saves transfers, and how long it waits for an endpoint there.
      */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -24,9 +24,6 @@
     private static final long MIN_CHECK_MILLIS = 50;
     private static final long BUSY_RETRY_MILLIS = 400;
 
-    /** Congestion of a stage lasts some seconds, so an earlier retry would meet it again. */
-    private static final long CONGESTED_RETRY_MILLIS = 1_500;
-
     private final StagePhase mStages;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
@@ -71,7 +68,7 @@
     public void stagesFailed(PieceFailure reason) {
         end();
         if (reason == PieceFailure.LATE) {
-            respondNotRunOrFailed("stages are congested", CONGESTED_RETRY_MILLIS);
+            respondNotRunOrFailed("stages are congested", mStages.retryAfterMillis());
         } else {
             respondNotRunOrFailed("stage failed: " + reason);
         }
