Let an instance's own samples precede the sender's report

Cause: the prediction holds for strict priorities and a known throughput; with room for results binding, it is too pessimistic for the ranks that are served last. An instance with enough requests of its own knows better.

The early return of refused callers stays.

--- a/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -9,11 +9,7 @@
     /** Stage time, including queueing, that only a congested stage exceeds. */
     private static final double CONGESTED_STAGE_MILLIS = 550;
 
-    /**
-     * Part of the predicted waiting by which it may turn out longer: predictions are some hundred
-     * milliseconds old, and all instances admit requests meanwhile.
-     */
-    private static final double PREDICTION_ERROR = 0.25;
+    private static final long LATE_TOLERANCE_MILLIS = 150;
 
     /** Congestion of a stage lasts some seconds, so a late request gains nothing by hurrying. */
     private static final long LATE_RETRY_MILLIS = 1_500;
@@ -57,24 +53,21 @@
     }
 
     /**
-     * Returns whether some stage is congested and the predicted times leave too little for the
-     * request to meet its objective.
+     * Returns whether some stage is congested and some stage would start too late for the request
+     * to meet its objective.
      *
      * @param nowMillis current monotonic time, in milliseconds
      */
     public boolean cannotMeetObjective(long nowMillis) {
         boolean congested = false;
-        double longest = 0;
+        boolean late = false;
         for (int stage = 0; stage < stages().size(); stage++) {
             if (pieces(stage) > 0) {
-                double expected = expectedMillis(stage, nowMillis);
-                congested = congested || expected > CONGESTED_STAGE_MILLIS;
-                double remaining = mTimes.remainingMillis(mPlan, stage, nowMillis);
-                longest = Math.max(longest, expected + remaining);
+                congested = congested || expectedMillis(stage, nowMillis) > CONGESTED_STAGE_MILLIS;
+                late = late || startByMillis(stage, nowMillis) + LATE_TOLERANCE_MILLIS < nowMillis;
             }
         }
-        double waiting = Math.max(0, longest - idleMillis());
-        return congested && nowMillis + longest + PREDICTION_ERROR * waiting > mObjectiveMillis;
+        return congested && late;
     }
 
     private double expectedMillis(int stage, long nowMillis) {
--- a/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageTimes.java
@@ -10,11 +10,11 @@
  * Estimates how long the steps of requests take, including waiting, separately for each rank.
  *
  * <p>When a stage is overloaded only less urgent ranks wait, so only their requests are predicted
- * to miss their deadlines. Without new samples an estimate decays to the default, so that no rank
- * is refused permanently.
+ * to miss their deadlines.
  *
- * <p>In a large fleet one instance has too few requests to estimate a stage from them. What the
- * instance that sends for a service reports of its queue precedes the local samples.
+ * <p>In a large fleet one instance has too few requests to estimate a stage from them. Without new
+ * samples an estimate therefore decays to what the instance that sends for the service predicts
+ * from its queue, and without such a report to a default, so that no rank is refused permanently.
  */
 public final class StageTimes {
     private static final double SAMPLE_WEIGHT = 0.1;
@@ -46,7 +46,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordTime(String service, int rank, double millis, long nowMillis) {
-        double old = sampledMillis(service, rank, nowMillis);
+        double old = expectedMillis(service, rank, nowMillis);
         double mean = old + SAMPLE_WEIGHT * (millis - old);
         mSteps.put(new Step(service, rank), new Estimate(mean, nowMillis));
     }
@@ -71,19 +71,21 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public double expectedMillis(String service, int rank, long nowMillis) {
-        Estimate report = mReports.get(new Step(service, rank));
-        return report != null && nowMillis - report.atMillis() < REPORT_LIFETIME_MILLIS
-                ? report.millis()
-                : sampledMillis(service, rank, nowMillis);
+        Step step = new Step(service, rank);
+        double reported = reportedMillis(step, nowMillis);
+        Estimate sampled = mSteps.get(step);
+        if (sampled == null) {
+            return reported;
+        }
+        double weight = Math.pow(0.5, (nowMillis - sampled.atMillis()) / HALF_LIFE_MILLIS);
+        return reported + weight * (sampled.millis() - reported);
     }
 
-    private double sampledMillis(String service, int rank, long nowMillis) {
-        Estimate estimate = mSteps.get(new Step(service, rank));
-        if (estimate == null) {
-            return DEFAULT_STEP_MILLIS;
-        }
-        double weight = Math.pow(0.5, (nowMillis - estimate.atMillis()) / HALF_LIFE_MILLIS);
-        return DEFAULT_STEP_MILLIS + weight * (estimate.millis() - DEFAULT_STEP_MILLIS);
+    private double reportedMillis(Step step, long nowMillis) {
+        Estimate report = mReports.get(step);
+        return report != null && nowMillis - report.atMillis() < REPORT_LIFETIME_MILLIS
+                ? report.millis()
+                : DEFAULT_STEP_MILLIS;
     }
 
     /**
