Drop expired events of a sliding window when one is added

Callers saw nothing yet: memory grew. Windows were cleaned only when counted. The retry budget counts the first attempts of a service only when something is to be repeated, and the predicted waits count results only while a stage is saturated, so a calm process kept an entry for every request or result.

Found while reading the new code. SlidingWindowTest kept 10,000 events of a window that holds 100; it passes now.

--- a/core/src/main/java/org/wasabilug/internal/serving/SlidingWindow.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SlidingWindow.java
@@ -22,6 +22,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void add(long nowMillis) {
+        removeExpired(nowMillis);
         mTimes.addLast(nowMillis);
     }
 
@@ -31,9 +32,18 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public int count(long nowMillis) {
+        removeExpired(nowMillis);
+        return mTimes.size();
+    }
+
+    /** Returns the number of events in memory. */
+    int retained() {
+        return mTimes.size();
+    }
+
+    private void removeExpired(long nowMillis) {
         while (!mTimes.isEmpty() && mTimes.peekFirst() <= nowMillis - mLengthMillis) {
             mTimes.removeFirst();
         }
-        return mTimes.size();
     }
 }
