--- a/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
@@ -11,8 +11,9 @@
  * each rank.
  *
  * <p>A piece waits for all pieces of its own and of more urgent ranks, and for the more urgent ones
- * that arrive meanwhile: with {@code n} pieces ahead, throughput {@code m} and more urgent arrivals
- * {@code a}, it waits {@code n / (m - a)}, the mean wait in a queue with strict priorities.
+ * that arrive meanwhile. With {@code n} pieces ahead, a throughput of {@code m} and more urgent
+ * arrivals of {@code a} per second it waits {@code n / (m - a)} seconds, the fluid approximation of
+ * a queue with strict priorities.
  */
 public final class QueueWaits {
     private static final long WINDOW_MILLIS = 1_000;
