Log how a stream's end was marked and whether it fell inside an event

The log says that the gateway took them for complete, but not why: a response may have ended with its connection or with a proper mark inside an event. No decision changes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -125,10 +124,8 @@
         if (mIgnoringResponse) {
             return;
         }
-        boolean delimitedByClose =
-                !HttpUtil.isTransferEncodingChunked(head)
-                        && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        mReusable = mReusable && HttpUtil.isKeepAlive(head) && !delimitedByClose;
+        boolean staysOpen = ResponseFraming.of(head) != ResponseFraming.CLOSE;
+        mReusable = mReusable && HttpUtil.isKeepAlive(head) && staysOpen;
         applyKeepAliveTimeout(head.headers().get("Keep-Alive"));
         if (!mCall.ended()) {
             mCall.listener().headReceived(head);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
@@ -45,6 +45,11 @@
         return cut(mPending.writerIndex());
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int partialBytes() {
+        return mPending.writerIndex();
+    }
+
     /** Returns the id of the last complete event that has one; empty before the first. */
     String lastEventId() {
         return mLastEventId;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/GatewayResponses.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/GatewayResponses.java
@@ -60,6 +60,7 @@
                                 .with("request", id)
                                 .with("status", status.code())
                                 .with("reason", reason)
+                                .with("aborted", exchange.responseStarted())
                                 .with("millis", mState.nowMillis() - exchange.receivedMillis()));
         if (exchange.responseStarted()) {
             exchange.abort();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
 import org.wasabilug.internal.serving.PieceFailure;
@@ -182,6 +183,7 @@
 
     private void completeStream(Attempt attempt) {
         end();
+        logResponse(attempt);
         ByteBuf remainder = mEvents.remainder();
         if (remainder.isReadable()) {
             exchange().write(remainder);
@@ -189,7 +191,6 @@
             remainder.release();
         }
         exchange().finish();
-        logResponse(attempt);
     }
 
     private void notExecuted(Attempt attempt) {
@@ -231,6 +232,8 @@
                         answeredLine(attempt)
                                 .with("sent", attempt.sentMillis() - exchange().receivedMillis())
                                 .with("first", mFirstEventMillis - exchange().receivedMillis())
+                                .with("framing", ResponseFraming.of(attempt.head()).name())
+                                .with("partial", mEvents.partialBytes())
                                 .with("millis", now - exchange().receivedMillis()));
     }
 
