Treat a stream that ends inside an event as broken off

Cause: the gateway took any end of a response for its completion. A response without length and chunks ends with its connection, so the crash ended it "properly"; what followed the last whole event was written, then the last chunk. The same happened to a length or a last chunk inside an event.

Whether a response is whole is now asked of the flow that reads it. One that isn't fails its attempt as CUT_SHORT: the same path as a broken connection, so a resumable stream goes on elsewhere, any other is aborted, and the endpoint's health counts a failure. That holds for every framing, as the events decide and not the mark.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -11,6 +11,8 @@
     SILENT,
     /** The connection ended after the request may have been sent. */
     BROKEN,
+    /** The response ended properly, but its content is not whole. */
+    CUT_SHORT,
     /** The received bytes are not a valid HTTP response. */
     GARBLED;
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -159,6 +159,10 @@
         if (mEnded) {
             return;
         }
+        if (!mOwner.whole(this)) {
+            failed(CallFailure.CUT_SHORT);
+            return;
+        }
         end();
         if (!mNotExecuted) {
             if (mHead.status().code() >= SERVER_ERROR) {
@@ -184,7 +188,7 @@
         if (failure == CallFailure.SILENT) {
             mState.domainMonitor().recordNoResponse(mEndpoint);
         }
-        if (failure == CallFailure.BROKEN) {
+        if (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT) {
             mState.loop().schedule(this::checkCrash, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
         mOwner.failed(this, failure);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/AttemptOwner.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/AttemptOwner.java
@@ -11,5 +11,8 @@
 
     void completed(Attempt attempt);
 
+    /** Returns whether a response that has ended is whole. */
+    boolean whole(Attempt attempt);
+
     void failed(Attempt attempt, CallFailure failure);
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -70,6 +70,11 @@
         buffer(content);
     }
 
+    @Override
+    public boolean whole(Attempt attempt) {
+        return true;
+    }
+
     @Override
     public void completed(Attempt attempt) {
         if (attempt.notExecuted()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
@@ -40,11 +40,6 @@
         return cut(complete);
     }
 
-    /** Returns the bytes after the last complete event. */
-    ByteBuf remainder() {
-        return cut(mPending.writerIndex());
-    }
-
     /** Returns the number of bytes after the last complete event. */
     int partialBytes() {
         return mPending.writerIndex();
@@ -57,7 +52,7 @@
 
     /** Discards an incomplete event before the stream resumes at another endpoint. */
     void discardPartial() {
-        cut(mPending.writerIndex());
+        cut(mPending.writerIndex()).release();
         mEventId = "";
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -168,6 +168,11 @@
         }
     }
 
+    @Override
+    public boolean whole(Attempt attempt) {
+        return !streams(attempt) || mEvents.partialBytes() == 0;
+    }
+
     @Override
     public void completed(Attempt attempt) {
         if (streams(attempt)) {
@@ -183,14 +188,8 @@
 
     private void completeStream(Attempt attempt) {
         end();
-        logResponse(attempt);
-        ByteBuf remainder = mEvents.remainder();
-        if (remainder.isReadable()) {
-            exchange().write(remainder);
-        } else {
-            remainder.release();
-        }
         exchange().finish();
+        logResponse(attempt);
     }
 
     private void notExecuted(Attempt attempt) {
@@ -233,7 +232,6 @@
                                 .with("sent", attempt.sentMillis() - exchange().receivedMillis())
                                 .with("first", mFirstEventMillis - exchange().receivedMillis())
                                 .with("framing", ResponseFraming.of(attempt.head()).name())
-                                .with("partial", mEvents.partialBytes())
                                 .with("millis", now - exchange().receivedMillis()));
     }
 
