Start the response of a stream with its first whole event

A stream that broke before its first event ended with a closed connection instead of a 502, because the head had been passed on already, although not flushed. A stream that resumed elsewhere before its first event also kept the head of an endpoint that had brought nothing.

The head is now sent together with the first whole event and is the one of the endpoint that brought it, or at the end of a stream without events. StreamEndTest.aStreamCutBeforeItsFirstEventIsAnsweredAsFailed failed before (empty response) and passes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -137,12 +137,7 @@
     }
 
     @Override
-    public void headReceived(Attempt attempt) {
-        if (streams(attempt) && !exchange().responseStarted()) {
-            HttpResponse head = attempt.head();
-            exchange().startStream(head.status(), OutgoingHeaders.toCaller(head.headers()));
-        }
-    }
+    public void headReceived(Attempt attempt) {}
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
@@ -164,10 +159,21 @@
         mStages.end();
         ByteBuf events = mEvents.append(content);
         if (events.isReadable()) {
+            startResponse(attempt);
             exchange().write(events);
         }
     }
 
+    /**
+     * Sends the head of the endpoint that brings the first event, unless a head was sent before.
+     */
+    private void startResponse(Attempt attempt) {
+        if (!exchange().responseStarted()) {
+            HttpResponse head = attempt.head();
+            exchange().startStream(head.status(), OutgoingHeaders.toCaller(head.headers()));
+        }
+    }
+
     @Override
     public boolean whole(Attempt attempt) {
         return !streams(attempt) || mEvents.partialBytes() == 0;
@@ -188,6 +194,7 @@
 
     private void completeStream(Attempt attempt) {
         end();
+        startResponse(attempt);
         exchange().finish();
         logResponse(attempt);
     }
