Take a stream without events for cut if only the close marks its end

A response without length and chunks that is cut right after its head looked like a complete stream of no events: the same class of fault as a cut inside an event, an end that isn't the end. Without any event of the attempt an unmarked end is no completion; a last chunk or a length still is.

StreamEndTest.aStreamWithoutAnyEventHasFailedIfOnlyTheCloseMarksItsEnd failed before and passes, as does the case of a marked end.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -30,6 +30,9 @@
     private final EventSplitter mEvents = new EventSplitter();
     private long mFirstEventMillis = -1;
 
+    /** Whether the current attempt brought an event. */
+    private boolean mAttemptDelivered;
+
     StreamFlow(
             GatewayState state,
             RequestContext request,
@@ -80,6 +83,7 @@
         Sender.InputLocation inputs = mInputs.locate(request().route(), mStages.inputs());
         Optional<Attempt> attempt = sender().send(inputs, this::addStreamHeaders);
         if (attempt.isPresent()) {
+            mAttemptDelivered = false;
             started(attempt.get());
             double timeout = FIRST_EVENT_FACTOR * attempt.get().predictedMillis();
             watch(attempt.get(), Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
@@ -159,6 +163,7 @@
         mStages.end();
         ByteBuf events = mEvents.append(content);
         if (events.isReadable()) {
+            mAttemptDelivered = true;
             startResponse(attempt);
             exchange().write(events);
         }
@@ -176,7 +181,11 @@
 
     @Override
     public boolean whole(Attempt attempt) {
-        return !streams(attempt) || mEvents.partialBytes() == 0;
+        if (!streams(attempt)) {
+            return true;
+        }
+        boolean endMarked = ResponseFraming.of(attempt.head()) != ResponseFraming.CLOSE;
+        return mEvents.partialBytes() == 0 && (endMarked || mAttemptDelivered);
     }
 
     @Override
