End a broken stream with a reset for callers that read until the close

A caller of HTTP/1.0 gets a stream without chunks, so the close of its connection is the mark of the end. The gateway closed the connection of a stream that had broken off like any other, and the caller took the cut answer for complete.

While such a response is under way its connection is set to end with a reset, which also holds when the process is killed; the last byte of a complete response takes that back. A caller of HTTP/1.1 still sees a missing last chunk and keeps the events that were sent.

CallerReadingUntilCloseTest.aStreamThatIsBrokenOffEndsWithAReset failed before (no error was raised) and passes; a whole stream still ends with a close.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -23,6 +24,7 @@
 /** One request of a caller and its response. */
 public final class CallerExchange {
     private static final byte[] NO_BODY = {};
+    private static final int LINGER_DISABLED = -1;
 
     private final CallerConnection mConnection;
     private final HttpRequest mHead;
@@ -122,6 +124,7 @@
             setConnectionHeaders(response);
         } else {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            resetOnClose(true);
         }
         mConnection.channel().write(response);
     }
@@ -145,10 +148,22 @@
             return;
         }
         boolean keep = mChunked && mConnection.keepsAlive(mHead);
+        if (!mChunked) {
+            resetOnClose(false);
+        }
         end();
         mConnection.write(LastHttpContent.EMPTY_LAST_CONTENT, keep);
     }
 
+    /**
+     * Sets whether the connection ends with a reset, also if this process ends. A caller takes any
+     * other close for the end of a body without length and chunks.
+     */
+    private void resetOnClose(boolean reset) {
+        ((SocketChannelConfig) mConnection.channel().config())
+                .setSoLinger(reset ? 0 : LINGER_DISABLED);
+    }
+
     /** Closes the connection, so that the response can't be mistaken for complete. */
     public void abort() {
         if (!mEnded) {
