Bound the bytes of an endpoint that are no response

An endpoint in trouble may send bytes without end, in a head or a body. The gateway read on until the deadline of the caller: a response to another id, interim heads and blank lines were skipped without a bound, and a body or an event grew in memory.

- A connection that brings 1 MiB of which nothing belongs to the response is closed, and its call fails as GARBLED.
- A response that is used as a whole may take 8 MiB and an event 1 MiB, all together 24 MiB; each may take 64 KiB in any case, so that large ones can't displace small ones.
Beyond that the attempt fails as TOO_LARGE, its connection is closed and the endpoint's health counts a failure.
- The call that releases results ends after 2 s.

The endpoint clients of the entry daemon already bound events, bodies and time.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
@@ -42,6 +43,7 @@
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
     private final RetryBudget mRetryBudget;
     private final EndpointSelector mSelector;
+    private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
     private BiConsumer<Long, String> mCrashNotifier = (fingerprint, endpoint) -> {};
     private Optional<ShutdownSchedule> mStop = Optional.empty();
@@ -117,6 +119,11 @@
         return mConnections;
     }
 
+    /** Returns the limit of the memory that responses of endpoints take. */
+    public ResponseMemory responseMemory() {
+        return mResponseMemory;
+    }
+
     /** Returns the log. */
     public DecisionLog log() {
         return mLog;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -13,6 +13,8 @@
     BROKEN,
     /** The response ended properly, but its content is not whole. */
     CUT_SHORT,
+    /** The response exceeds a limit of its size. */
+    TOO_LARGE,
     /** The received bytes are not a valid HTTP response. */
     GARBLED;
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -18,11 +18,13 @@
  * One connection to an endpoint; it carries one call at a time.
  *
  * <p>A response whose request id differs from that of the call belongs to an earlier call and is
- * ignored. Bytes that arrive while no call is in progress close the connection.
+ * ignored. Bytes that arrive while no call is in progress close the connection, and so do too many
+ * bytes of which none belongs to the response.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final long DEFAULT_MAX_IDLE_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 500;
+    private static final int MAX_UNUSABLE_BYTES = 1 << 20;
 
     private final EndpointConnections mOwner;
     private final String mEndpoint;
@@ -35,6 +37,9 @@
     private long mMaxIdleMillis = DEFAULT_MAX_IDLE_MILLIS;
     private long mIdleSinceMillis;
 
+    /** Bytes received since the last that belonged to a response to a call. */
+    private int mUnusableBytes;
+
     EndpointConnection(EndpointConnections owner, String endpoint, String requestIdHeader) {
         mOwner = owner;
         mEndpoint = endpoint;
@@ -116,6 +121,15 @@
         }
     }
 
+    /** Counts bytes before they are decoded; closes the connection if none has been of use. */
+    void bytesReceived(int bytes) {
+        mUnusableBytes += bytes;
+        if (mUnusableBytes > MAX_UNUSABLE_BYTES) {
+            failCall(CallFailure.GARBLED);
+            close();
+        }
+    }
+
     private void headReceived(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         String id = mCall.request().id();
@@ -124,6 +138,7 @@
         if (mIgnoringResponse) {
             return;
         }
+        mUnusableBytes = 0;
         boolean staysOpen = ResponseFraming.of(head) != ResponseFraming.CLOSE;
         mReusable = mReusable && HttpUtil.isKeepAlive(head) && staysOpen;
         applyKeepAliveTimeout(head.headers().get("Keep-Alive"));
@@ -138,6 +153,7 @@
             mIgnoringResponse = !last;
             return;
         }
+        mUnusableBytes = 0;
         EndpointCall call = mCall;
         if (!call.ended() && content.content().isReadable()) {
             call.listener().contentReceived(content.content());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -155,6 +155,7 @@
                             @Override
                             protected void initChannel(SocketChannel channel) {
                                 channel.pipeline()
+                                        .addLast(new ReceivedBytesMeter(connection))
                                         .addLast(
                                                 new HttpClientCodec(
                                                         MAX_LINE_BYTES,
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -123,6 +123,12 @@
         }
     }
 
+    /** Gives up a response that can't be used and records a failure for the endpoint. */
+    void reject(CallFailure failure) {
+        mCall.cancel();
+        failed(failure);
+    }
+
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -67,7 +67,7 @@
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
-        buffer(content);
+        buffer(attempt, content);
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -1,15 +1,14 @@
 package org.wasabilug.gateway.internal.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.caller.CallerExchange;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
+import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.log.LogLine;
 
 /**
@@ -26,7 +25,7 @@
     private final GatewayResponses mGatewayResponses;
     private final Sender mSender;
     private final long mBusyRetryMillis;
-    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private ResponseBuffer mBody;
     private Attempt mAttempt;
     private ScheduledFuture<?> mTimeout;
 
@@ -46,6 +45,7 @@
         mGatewayResponses = gatewayResponses;
         mSender = new Sender(state, request, this);
         mBusyRetryMillis = busyRetryMillis;
+        mBody = new ResponseBuffer(state.responseMemory());
     }
 
     /** Starts to serve the request. */
@@ -96,12 +96,15 @@
 
     final void started(Attempt attempt) {
         mAttempt = attempt;
-        mBody = new ByteArrayOutputStream();
+        mBody.release();
+        mBody = new ResponseBuffer(mState.responseMemory());
     }
 
     /** Buffers content of a response that is delivered as a whole. */
-    final void buffer(ByteBuf content) {
-        mBody.writeBytes(ByteBufUtil.getBytes(content));
+    final void buffer(Attempt attempt, ByteBuf content) {
+        if (!mBody.append(content)) {
+            attempt.reject(CallFailure.TOO_LARGE);
+        }
     }
 
     /** Delivers a response whose content was buffered. */
@@ -176,7 +179,7 @@
 
     private void timedOut() {
         attempt().ifPresent(Attempt::abandon);
-        releaseResources();
+        end();
         if (mSender.mayHaveRun()) {
             mGatewayResponses.timedOut(mExchange, "no complete response before the deadline");
         } else {
@@ -194,6 +197,7 @@
     /** Stops waiting for a response; may be called more than once. */
     final void end() {
         mTimeout.cancel(false);
+        mBody.release();
         releaseResources();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
+import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
 import org.wasabilug.internal.serving.PieceFailure;
@@ -19,6 +21,7 @@
  */
 final class StreamFlow extends RequestFlow implements StagePhase.Listener {
     private static final int CONFLICT = 409;
+    private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final long STALL_TIMEOUT_MILLIS = 900;
     private static final long MIN_FIRST_EVENT_TIMEOUT_MILLIS = 900;
     private static final double FIRST_EVENT_FACTOR = 3;
@@ -28,6 +31,7 @@
     private final StagePhase mStages;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
+    private final ResponseMemory.Account mEventMemory;
     private long mFirstEventMillis = -1;
 
     /** Whether the current attempt brought an event. */
@@ -39,6 +43,7 @@
             GatewayResponses gatewayResponses,
             StageExecutor executor) {
         super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
+        mEventMemory = state.responseMemory().open(MAX_EVENT_BYTES);
         mInputs = new InputLocator(state);
         mStages = new StagePhase(state, executor, request, this);
     }
@@ -146,7 +151,7 @@
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
         if (!streams(attempt)) {
-            buffer(content);
+            buffer(attempt, content);
             return;
         }
         if (mFirstEventMillis < 0) {
@@ -167,6 +172,9 @@
             startResponse(attempt);
             exchange().write(events);
         }
+        if (!mEventMemory.resize(mEvents.partialBytes())) {
+            attempt.reject(CallFailure.TOO_LARGE);
+        }
     }
 
     /**
@@ -223,6 +231,7 @@
     @Override
     void retry() {
         mEvents.discardPartial();
+        mEventMemory.release();
         if (!mStages.resultsReleased()) {
             send();
         } else if (!mStages.restart()) {
@@ -258,6 +267,7 @@
 
     @Override
     void releaseResources() {
+        mEventMemory.release();
         mStages.end();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegistry.java
@@ -12,12 +12,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.internal.serving.EndpointState;
 
 /** Results held by endpoints until a request releases them or they expire. */
 final class ResultRegistry {
     private static final long RELEASE_BATCH_MILLIS = 10;
+    private static final long RELEASE_TIMEOUT_MILLIS = 2_000;
     private static final long DEFAULT_RETENTION_MILLIS = 4_000;
 
     private final GatewayState mState;
@@ -98,11 +100,13 @@
                         headers,
                         mState.protocol().stages().releaseBody(handles),
                         true);
-        mState.connections()
-                .send(
-                        endpoint.registration(),
-                        request,
-                        new ReleaseListener(() -> handles.forEach(this::released)));
+        EndpointCall call =
+                mState.connections()
+                        .send(
+                                endpoint.registration(),
+                                request,
+                                new ReleaseListener(() -> handles.forEach(this::released)));
+        mState.loop().schedule(call::cancel, RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void released(String handle) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -1,12 +1,10 @@
 package org.wasabilug.gateway.internal.stage;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -15,6 +13,7 @@
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
+import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.UnreadableException;
 import org.wasabilug.internal.serving.EndpointLoad;
@@ -34,7 +33,7 @@
     private final ServiceSpecification mService;
     private final StageCall mCall;
     private final BiConsumer<StageCall, StageCallResult> mReceiver;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final ResponseBuffer mBody;
     private final long mSentMillis;
     private EndpointCall mExchange;
     private ScheduledFuture<?> mTimeout;
@@ -51,6 +50,7 @@
         mService = service;
         mCall = call;
         mReceiver = receiver;
+        mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
     }
 
@@ -111,7 +111,10 @@
 
     @Override
     public void contentReceived(ByteBuf content) {
-        mBody.writeBytes(ByteBufUtil.getBytes(content));
+        if (!mBody.append(content)) {
+            mExchange.cancel();
+            failed(CallFailure.TOO_LARGE);
+        }
     }
 
     @Override
@@ -160,6 +163,7 @@
         }
         mFinished = true;
         mTimeout.cancel(false);
+        mBody.release();
         mCall.endpoint().releaseLoad(CALL_LOAD);
         mState.log()
                 .request(
