Judge the progress of a stream by whole events

An endpoint that sends bytes of an event which never ends counted as progressing with each byte, so a resumable stream waited for it until the caller's deadline. Progress is now a whole event, as the caller gets nothing else. BytesWithoutEndTest.aStreamWhoseEventNeverEndsResumesElsewhere failed before (the second event never came) and passes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -31,7 +31,6 @@
     private boolean mDeliverable;
     private boolean mContentReceived;
     private boolean mEnded;
-    private long mLastProgressMillis;
 
     Attempt(
             GatewayState state,
@@ -45,7 +44,6 @@
         mPredictedMillis = predictedMillis;
         mOwner = owner;
         mSentMillis = state.nowMillis();
-        mLastProgressMillis = mSentMillis;
         mLoad = request.prompt().load();
     }
 
@@ -80,10 +78,6 @@
         return mDeliverable;
     }
 
-    boolean streaming() {
-        return mContentReceived;
-    }
-
     boolean ended() {
         return mEnded;
     }
@@ -92,11 +86,6 @@
         return mPredictedMillis;
     }
 
-    /** Returns when body content last arrived; the send time before the first content. */
-    long lastProgressMillis() {
-        return mLastProgressMillis;
-    }
-
     long sentMillis() {
         return mSentMillis;
     }
@@ -140,7 +129,6 @@
 
     @Override
     public void contentReceived(ByteBuf content) {
-        mLastProgressMillis = mState.nowMillis();
         if (!mContentReceived) {
             mContentReceived = true;
             firstContent();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -37,6 +37,9 @@
     /** Whether the current attempt brought an event. */
     private boolean mAttemptDelivered;
 
+    /** When the current attempt was sent or last brought a whole event. */
+    private long mLastProgressMillis;
+
     StreamFlow(
             GatewayState state,
             RequestContext request,
@@ -89,6 +92,7 @@
         Optional<Attempt> attempt = sender().send(inputs, this::addStreamHeaders);
         if (attempt.isPresent()) {
             mAttemptDelivered = false;
+            mLastProgressMillis = attempt.get().sentMillis();
             started(attempt.get());
             double timeout = FIRST_EVENT_FACTOR * attempt.get().predictedMillis();
             watch(attempt.get(), Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
@@ -122,8 +126,8 @@
         if (!isPending(attempt)) {
             return;
         }
-        long idleMillis = state().nowMillis() - attempt.lastProgressMillis();
-        long timeout = attempt.streaming() ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
+        long idleMillis = state().nowMillis() - mLastProgressMillis;
+        long timeout = mAttemptDelivered ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
         if (idleMillis < timeout) {
             watch(attempt, Math.max(MIN_CHECK_MILLIS, timeout - idleMillis));
         } else if (sender().tryAcquireRetry()) {
@@ -141,7 +145,7 @@
                         LogLine.of("attempt-stalled")
                                 .with("request", request().id())
                                 .with("endpoint", attempt.endpoint().registration().name())
-                                .with("streaming", attempt.streaming())
+                                .with("streaming", mAttemptDelivered)
                                 .with("quiet", idleMillis));
     }
 
@@ -169,6 +173,7 @@
         ByteBuf events = mEvents.append(content);
         if (events.isReadable()) {
             mAttemptDelivered = true;
+            mLastProgressMillis = state().nowMillis();
             startResponse(attempt);
             exchange().write(events);
         }
