Never begin a stream again whose events bear no id

A resumable stream that broke after events without ids was sent again from its beginning within the same answer, so the caller got its events twice: two runs joined in one stream. Without an id there is nothing to resume after, so the answer is aborted.

StreamEndTest.aStreamThatBreaksAfterEventsWithoutIdsIsNotBegunAgain failed before (the event came twice) and passes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -237,7 +237,10 @@
     void retry() {
         mEvents.discardPartial();
         mEventMemory.release();
-        if (!mStages.resultsReleased()) {
+        if (exchange().responseStarted() && mEvents.lastEventId().isEmpty()) {
+            end();
+            respondFailed("events without ids can't be resumed");
+        } else if (!mStages.resultsReleased()) {
             send();
         } else if (!mStages.restart()) {
             end();
