Continue a stream only at the software version that began it

Cause: no code read the software version of an endpoint.

The first whole event binds the stream to its endpoint's version. The instance tells it to five peers, chosen by the hash of the attempt's id, and whoever gets the caller's next try knows whom to ask. A stream that nobody knows goes on only while its service has had a single version lately; else it is refused at once as not run. EndpointRegistration names the software version and calls the row's version its revision, so that neither is taken for the other.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -48,7 +48,7 @@
             return Change.ADDED;
         }
         EndpointRegistration old = known.registration();
-        if (registration.version() < old.version()) {
+        if (registration.revision() < old.revision()) {
             return Change.NONE;
         }
         known.update(registration, nowMillis);
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -57,10 +57,7 @@
      * @return the selection
      */
     public Selection choose(SelectionRequest request, List<EndpointState> usable, long nowMillis) {
-        List<EndpointState> allowed =
-                usable.stream()
-                        .filter(each -> !request.excluded().contains(each.registration().name()))
-                        .toList();
+        List<EndpointState> allowed = usable.stream().filter(request::allows).toList();
         if (allowed.isEmpty()) {
             return new Selection.Unavailable("no-endpoint", NO_ENDPOINT_RETRY_MILLIS);
         }
--- a/core/src/main/java/org/wasabilug/internal/serving/RendezvousHashing.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RendezvousHashing.java
@@ -13,8 +13,13 @@
  * an instance is lost, only its own tasks move.
  */
 public final class RendezvousHashing {
+    private static final Comparator<Candidate> HIGHEST_FIRST =
+            Comparator.comparingLong(Candidate::weight).thenComparing(Candidate::name).reversed();
+
     private RendezvousHashing() {}
 
+    private record Candidate(String name, long weight) {}
+
     /**
      * Chooses the instances for a task.
      *
@@ -26,11 +31,10 @@
     public static List<String> choose(String task, Collection<String> instances, int count) {
         return instances.stream()
                 .distinct()
-                .sorted(
-                        Comparator.<String>comparingLong(name -> weight(task, name))
-                                .thenComparing(Comparator.naturalOrder())
-                                .reversed())
+                .map(name -> new Candidate(name, weight(task, name)))
+                .sorted(HIGHEST_FIRST)
                 .limit(count)
+                .map(Candidate::name)
                 .toList();
     }
 
--- a/core/src/main/java/org/wasabilug/serving/EndpointRegistration.java
+++ b/core/src/main/java/org/wasabilug/serving/EndpointRegistration.java
@@ -12,7 +12,9 @@
  * @param leaving true if the endpoint accepts no further requests
  * @param coldMillis remaining cold time, in milliseconds, when the registration was written
  * @param startedAtMillis wall-clock start time, in milliseconds since the epoch; 0 if unknown
- * @param version revision of the store at which the registration was written
+ * @param softwareVersion version of the endpoint's software, in no order; unlike the version of its
+ *     weights it decides which endpoints may continue a stream of another
+ * @param revision revision of the store at which the registration was written
  */
 public record EndpointRegistration(
         String name,
@@ -24,4 +26,5 @@
         boolean leaving,
         long coldMillis,
         long startedAtMillis,
-        long version) {}
+        String softwareVersion,
+        long revision) {}
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
@@ -12,7 +12,7 @@
     private static EndpointRegistration registered(
             String name, boolean leaving, long startedAt, long version) {
         return new EndpointRegistration(
-                name, "service", "10.0.0.1", 80, "rennes", 1, leaving, 0, startedAt, version);
+                name, "service", "10.0.0.1", 80, "rennes", 1, leaving, 0, startedAt, "v1", version);
     }
 
     @Test
@@ -71,7 +71,7 @@
         mDirectory.register(registered("near", false, 0, 1), 0);
         mDirectory.register(
                 new EndpointRegistration(
-                        "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, 2),
+                        "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2),
                 0);
         DomainReachability reachability = new DomainReachability();
         reachability.recordPeersLost("brest");
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointSelectorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointSelectorTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -16,7 +17,13 @@
     private EndpointState choose(PromptSize prompt, Set<String> excluded) {
         SelectionRequest request =
                 new SelectionRequest(
-                        ServingFixtures.engines(0), excluded, "rennes", false, prompt, 1);
+                        ServingFixtures.engines(0),
+                        excluded,
+                        Optional.empty(),
+                        "rennes",
+                        false,
+                        prompt,
+                        1);
         return switch (mSelector.choose(request, List.of(mFirst, mSecond), 0)) {
             case Selection.Chosen chosen -> chosen.endpoint();
             case Selection.Unavailable unavailable -> null;
--- a/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
@@ -15,7 +15,8 @@
     private ServingFixtures() {}
 
     static EndpointRegistration registration(String name, String domain) {
-        return new EndpointRegistration(name, "service", "10.0.0.1", 80, domain, 2, false, 0, 0, 1);
+        return new EndpointRegistration(
+                name, "service", "10.0.0.1", 80, domain, 2, false, 0, 0, "v1", 1);
     }
 
     static EndpointState endpoint(String name, String domain) {
--- a/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -56,6 +56,7 @@
                 new SelectionRequest(
                         ServingFixtures.engines(8.2),
                         java.util.Set.of(),
+                        java.util.Optional.empty(),
                         "rennes",
                         false,
                         PromptSize.NONE,
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.wasabilug.gateway.internal.peer.PeerEvents;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
 import org.wasabilug.gateway.internal.peer.SharedStageExecutor;
+import org.wasabilug.gateway.internal.peer.SharedStreamOrigins;
 import org.wasabilug.gateway.internal.peer.StoreRelay;
 import org.wasabilug.gateway.internal.readiness.ReadinessServer;
 import org.wasabilug.gateway.internal.request.RequestReceiver;
@@ -53,6 +54,7 @@
     private final LocalStageExecutor mStages;
     private final SharedStageExecutor mSharedStages;
     private final PeerNetwork mNetwork;
+    private final SharedStreamOrigins mStreamOrigins;
     private final StoreRelay mStoreRelay;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
@@ -89,7 +91,8 @@
         mState.crashNotifier(this::broadcastCrash);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mStoreRelay = new StoreRelay(mState, mNetwork);
-        RequestReceiver receiver = new RequestReceiver(mState, mSharedStages);
+        mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
+        RequestReceiver receiver = new RequestReceiver(mState, mSharedStages, mStreamOrigins);
         mCallers =
                 new CallerListener(
                         mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
@@ -165,6 +168,7 @@
         mState.connections().closeExpired();
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
+        mStreamOrigins.removeExpired();
         mStoreRelay.relayChanges();
         mState.domainMonitor().probe();
         mState.stop().ifPresent(this::continueStop);
@@ -241,6 +245,12 @@
                     CrashReport report = envelope.getCrashReport();
                     mState.crashes().recordCrash(report.getFingerprint(), report.getEndpoint());
                 }
+                case STREAM_ORIGIN_REPORT ->
+                        mStreamOrigins.reportReceived(envelope.getStreamOriginReport());
+                case STREAM_ORIGIN_QUERY ->
+                        mStreamOrigins.queryReceived(peer, envelope.getStreamOriginQuery());
+                case STREAM_ORIGIN_REPLY ->
+                        mStreamOrigins.replyReceived(peer, envelope.getStreamOriginReply());
                 case TABLE_ROWS -> mStoreRelay.received(envelope.getTableRows());
                 default ->
                         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -21,6 +21,7 @@
 import org.wasabilug.internal.serving.RetryBudget;
 import org.wasabilug.internal.serving.RouteTable;
 import org.wasabilug.internal.serving.ShutdownSchedule;
+import org.wasabilug.internal.serving.SoftwareVersions;
 import org.wasabilug.internal.serving.StageTimes;
 import org.wasabilug.serving.CallerLimits;
 import org.wasabilug.serving.PromptPart;
@@ -40,6 +41,7 @@
     private final DomainMonitor mDomainMonitor;
     private final CrashRegister mCrashes = new CrashRegister();
     private final StageTimes mStageTimes = new StageTimes();
+    private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
     private final RetryBudget mRetryBudget;
     private final EndpointSelector mSelector;
@@ -185,6 +187,11 @@
         mCrashNotifier = notifier;
     }
 
+    /** Returns the software versions of the services' endpoints. */
+    public SoftwareVersions softwareVersions() {
+        return mSoftwareVersions;
+    }
+
     /** Returns the observed times of stages and requests. */
     public StageTimes stageTimes() {
         return mStageTimes;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -87,8 +87,9 @@
             mState.directory().remove(row.key());
             return;
         }
-        EndpointDirectory.Change change =
-                mState.directory().register(registration, mState.nowMillis());
+        long now = mState.nowMillis();
+        mState.softwareVersions().record(registration, now);
+        EndpointDirectory.Change change = mState.directory().register(registration, now);
         if (change != EndpointDirectory.Change.NONE) {
             mState.log()
                     .process(
@@ -101,7 +102,8 @@
                                             registration.host() + ":" + registration.port())
                                     .with("leaving", registration.leaving())
                                     .with("cold", registration.coldMillis())
-                                    .with("version", registration.version()));
+                                    .with("software", registration.softwareVersion())
+                                    .with("revision", registration.revision()));
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -107,6 +107,11 @@
         return live;
     }
 
+    /** Returns the names of the peers that messages reach, including those that are stopping. */
+    public Set<String> reachable() {
+        return Set.copyOf(mReachable);
+    }
+
     /** Returns the processor share, in cores, of each instance that accepts new work. */
     public Map<String, Double> liveProcessorShares() {
         Map<String, Double> shares = new TreeMap<>();
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
@@ -0,0 +1,222 @@
+package org.wasabilug.gateway.internal.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.request.StreamOriginRegistry;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.RendezvousHashing;
+import org.wasabilug.internal.serving.StreamOrigins;
+import org.wasabilug.messages.gateway.GatewayEnvelope;
+import org.wasabilug.messages.gateway.StreamOriginQuery;
+import org.wasabilug.messages.gateway.StreamOriginReply;
+import org.wasabilug.messages.gateway.StreamOriginReport;
+import org.wasabilug.serving.EndpointRegistration;
+
+/**
+ * Exchanges the origins of streams with peers.
+ *
+ * <p>An instance tells a few peers where a stream began as soon as its first event is sent. The
+ * hash of the attempt's id chooses them, so that any other instance knows whom to ask. If no one
+ * knows the stream, it may go on only if its service has had a single software version lately.
+ */
+public final class SharedStreamOrigins implements StreamOriginRegistry {
+    private static final int REPORTED_PEERS = 5;
+
+    /** More than were told, as two instances may know different peers. */
+    private static final int ASKED_PEERS = 2 * REPORTED_PEERS;
+
+    private static final long REPLY_TIMEOUT_MILLIS = 150;
+
+    private final GatewayState mState;
+    private final PeerNetwork mNetwork;
+    private final StreamOrigins mOrigins = new StreamOrigins();
+    private final Map<String, Search> mSearches = new HashMap<>();
+
+    /**
+     * Creates a registry without streams.
+     *
+     * @param state state of this process
+     * @param network the other instances
+     */
+    public SharedStreamOrigins(GatewayState state, PeerNetwork network) {
+        mState = state;
+        mNetwork = network;
+    }
+
+    @Override
+    public void began(String attempt, String softwareVersion, long untilMillis) {
+        mOrigins.record(attempt, softwareVersion, untilMillis);
+        GatewayEnvelope report =
+                mNetwork.envelope()
+                        .setStreamOriginReport(
+                                StreamOriginReport.newBuilder()
+                                        .setAttempt(attempt)
+                                        .setSoftwareVersion(softwareVersion)
+                                        .setRemainingMilliseconds(untilMillis - mState.nowMillis()))
+                        .build();
+        peersFor(attempt, REPORTED_PEERS).forEach(peer -> mNetwork.send(peer, report));
+    }
+
+    @Override
+    public void find(String attempt, String service, Consumer<Optional<String>> receiver) {
+        Optional<String> known = mOrigins.find(attempt);
+        if (known.isPresent()) {
+            logFound(attempt, known, "own");
+            receiver.accept(known);
+            return;
+        }
+        Search search = mSearches.get(attempt);
+        if (search == null) {
+            search = new Search(attempt, service);
+            mSearches.put(attempt, search);
+            search.mReceivers.add(receiver);
+            search.start();
+        } else {
+            search.mReceivers.add(receiver);
+        }
+    }
+
+    private List<String> peersFor(String attempt, int count) {
+        return RendezvousHashing.choose(attempt, mNetwork.reachable(), count);
+    }
+
+    private void logFound(String attempt, Optional<String> softwareVersion, String source) {
+        mState.log()
+                .request(
+                        LogLine.of("stream-origin")
+                                .with("attempt", attempt)
+                                .with("software", softwareVersion.orElse(""))
+                                .with("source", source));
+    }
+
+    /**
+     * Records the origin of a peer's stream.
+     *
+     * @param report the origin
+     */
+    public void reportReceived(StreamOriginReport report) {
+        mOrigins.record(
+                report.getAttempt(),
+                report.getSoftwareVersion(),
+                mState.nowMillis() + report.getRemainingMilliseconds());
+    }
+
+    /**
+     * Replies to a peer that has to resume a stream.
+     *
+     * @param peer name of the peer
+     * @param query the query
+     */
+    public void queryReceived(String peer, StreamOriginQuery query) {
+        StreamOriginReply.Builder reply =
+                StreamOriginReply.newBuilder()
+                        .setAttempt(query.getAttempt())
+                        .addAllRecentVersions(recentVersions(query.getService()));
+        mOrigins.find(query.getAttempt()).ifPresent(reply::setSoftwareVersion);
+        mNetwork.send(peer, mNetwork.envelope().setStreamOriginReply(reply).build());
+    }
+
+    /** Returns the versions of a service that are registered, or were lately. */
+    private Set<String> recentVersions(String service) {
+        Set<String> versions = mState.softwareVersions().recent(service, mState.nowMillis());
+        mState.directory().all().stream()
+                .map(EndpointState::registration)
+                .filter(registration -> registration.service().equals(service))
+                .map(EndpointRegistration::softwareVersion)
+                .forEach(versions::add);
+        return versions;
+    }
+
+    /**
+     * Applies the reply of a peer.
+     *
+     * @param peer name of the peer
+     * @param reply the reply
+     */
+    public void replyReceived(String peer, StreamOriginReply reply) {
+        Search search = mSearches.get(reply.getAttempt());
+        if (search != null) {
+            search.replyReceived(peer, reply);
+        }
+    }
+
+    /** Forgets streams that can't be resumed any more; to be called several times a second. */
+    public void removeExpired() {
+        mOrigins.removeExpired(mState.nowMillis());
+    }
+
+    /** Asks peers for one stream. */
+    private final class Search {
+        private final String mAttempt;
+        private final String mService;
+        private final List<Consumer<Optional<String>>> mReceivers = new ArrayList<>();
+        private final Set<String> mUnanswered = new HashSet<>();
+        private final Set<String> mRecentVersions;
+        private ScheduledFuture<?> mTimeout;
+
+        private Search(String attempt, String service) {
+            mAttempt = attempt;
+            mService = service;
+            mRecentVersions = recentVersions(service);
+        }
+
+        private void start() {
+            GatewayEnvelope query =
+                    mNetwork.envelope()
+                            .setStreamOriginQuery(
+                                    StreamOriginQuery.newBuilder()
+                                            .setAttempt(mAttempt)
+                                            .setService(mService))
+                            .build();
+            if (!mAttempt.isEmpty()) {
+                peersFor(mAttempt, ASKED_PEERS).stream()
+                        .filter(peer -> mNetwork.send(peer, query))
+                        .forEach(mUnanswered::add);
+            }
+            if (mUnanswered.isEmpty()) {
+                endUnknown();
+                return;
+            }
+            mTimeout =
+                    mState.loop()
+                            .schedule(
+                                    this::endUnknown, REPLY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void replyReceived(String peer, StreamOriginReply reply) {
+            mRecentVersions.addAll(reply.getRecentVersionsList());
+            if (reply.hasSoftwareVersion()) {
+                end(Optional.of(reply.getSoftwareVersion()), "peer " + peer);
+            } else if (mUnanswered.remove(peer) && mUnanswered.isEmpty()) {
+                endUnknown();
+            }
+        }
+
+        private void endUnknown() {
+            Optional<String> only =
+                    mRecentVersions.size() == 1
+                            ? mRecentVersions.stream().findFirst()
+                            : Optional.empty();
+            end(only, only.isPresent() ? "only version" : "unknown");
+        }
+
+        private void end(Optional<String> softwareVersion, String source) {
+            mSearches.remove(mAttempt);
+            if (mTimeout != null) {
+                mTimeout.cancel(false);
+            }
+            logFound(mAttempt, softwareVersion, source);
+            mReceivers.forEach(receiver -> receiver.accept(softwareVersion));
+        }
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -21,6 +21,7 @@
     private final GatewayState mState;
     private final RequestContext mRequest;
     private final EndpointState mEndpoint;
+    private final String mSoftwareVersion;
     private final double mPredictedMillis;
     private final AttemptOwner mOwner;
     private final long mSentMillis;
@@ -41,6 +42,7 @@
         mState = state;
         mRequest = request;
         mEndpoint = endpoint;
+        mSoftwareVersion = endpoint.registration().softwareVersion();
         mPredictedMillis = predictedMillis;
         mOwner = owner;
         mSentMillis = state.nowMillis();
@@ -64,6 +66,11 @@
         return mEndpoint;
     }
 
+    /** Returns the software version that the endpoint was registered with when this was sent. */
+    String softwareVersion() {
+        return mSoftwareVersion;
+    }
+
     HttpResponse head() {
         return mHead;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -33,6 +33,7 @@
 
     private final GatewayState mState;
     private final StageExecutor mStages;
+    private final StreamOriginRegistry mOrigins;
     private final GatewayResponses mGatewayResponses;
     private final Map<CallerExchange, StreamFlow> mStreams = new WeakHashMap<>();
 
@@ -41,10 +42,12 @@
      *
      * @param state state of this process
      * @param stages executes the stages of requests
+     * @param origins knows where streams began that callers resume
      */
-    public RequestReceiver(GatewayState state, StageExecutor stages) {
+    public RequestReceiver(GatewayState state, StageExecutor stages, StreamOriginRegistry origins) {
         mState = state;
         mStages = stages;
+        mOrigins = origins;
         mGatewayResponses = new GatewayResponses(state);
     }
 
@@ -111,7 +114,7 @@
         } else if (!mayBegin(request)) {
             mGatewayResponses.notRun(exchange, "this instance is stopping", STOPPING_RETRY_MILLIS);
         } else if (route.kind() == RequestKind.STREAM) {
-            StreamFlow flow = new StreamFlow(mState, request, mGatewayResponses, mStages);
+            StreamFlow flow = new StreamFlow(mState, request, mGatewayResponses, mStages, mOrigins);
             mStreams.put(exchange, flow);
             flow.start();
         } else {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -21,6 +21,7 @@
     private final RequestContext mRequest;
     private final AttemptOwner mOwner;
     private final Set<String> mExcluded = new HashSet<>();
+    private Optional<String> mSoftwareVersion = Optional.empty();
     private int mSends;
 
     /** Sends that may have run; excludes those that certainly did not. */
@@ -66,16 +67,32 @@
     }
 
     private Selection select(InputLocation inputs, long now) {
-        List<EndpointState> usable = mState.usable(mRequest.service().name());
-        SelectionRequest request =
-                new SelectionRequest(
-                        mRequest.service(),
-                        mExcluded,
-                        inputs.domain(),
-                        inputs.large(),
-                        mRequest.prompt(),
-                        mState.instances());
-        return mState.selector().choose(request, usable, now);
+        return mState.selector().choose(selectionRequest(inputs), usable(), now);
+    }
+
+    private SelectionRequest selectionRequest(InputLocation inputs) {
+        return new SelectionRequest(
+                mRequest.service(),
+                mExcluded,
+                mSoftwareVersion,
+                inputs.domain(),
+                inputs.large(),
+                mRequest.prompt(),
+                mState.instances());
+    }
+
+    private List<EndpointState> usable() {
+        return mState.usable(mRequest.service().name());
+    }
+
+    /** Sends to endpoints of one software version only from now on. */
+    void restrictTo(String softwareVersion) {
+        mSoftwareVersion = Optional.of(softwareVersion);
+    }
+
+    /** Returns whether there is an endpoint left that may receive the request, if not busy. */
+    boolean hasEndpoint(InputLocation inputs) {
+        return usable().stream().anyMatch(selectionRequest(inputs)::allows);
     }
 
     private Attempt send(Selection.Chosen chosen, Consumer<HttpHeaders> additions, long now) {
@@ -95,6 +112,7 @@
                                 .with("request", mRequest.id())
                                 .with("route", mRequest.route().name())
                                 .with("endpoint", endpoint.registration().name())
+                                .with("software", endpoint.registration().softwareVersion())
                                 .with("predicted", Math.round(chosen.costMillis()))
                                 .with("running", endpoint.load().running())
                                 .with("unread", endpoint.load().unreadTokens())
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -12,6 +12,7 @@
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
+import org.wasabilug.gateway.protocol.HeaderNames;
 import org.wasabilug.internal.serving.PieceFailure;
 
 /**
@@ -28,7 +29,14 @@
     private static final long MIN_CHECK_MILLIS = 50;
     private static final long BUSY_RETRY_MILLIS = 400;
 
+    /** Soon, as another instance may know the stream. */
+    private static final long RESUME_RETRY_MILLIS = 200;
+
+    /** Time after the caller's deadline within which its last attempt may still arrive. */
+    private static final long ORIGIN_MARGIN_MILLIS = 5_000;
+
     private final StagePhase mStages;
+    private final StreamOriginRegistry mOrigins;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
     private final ResponseMemory.Account mEventMemory;
@@ -37,6 +45,9 @@
     /** Whether the current attempt brought an event. */
     private boolean mAttemptDelivered;
 
+    /** Whether any attempt brought an event. */
+    private boolean mBegan;
+
     /** When the current attempt was sent or last brought a whole event. */
     private long mLastProgressMillis;
 
@@ -44,8 +55,10 @@
             GatewayState state,
             RequestContext request,
             GatewayResponses gatewayResponses,
-            StageExecutor executor) {
+            StageExecutor executor,
+            StreamOriginRegistry origins) {
         super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
+        mOrigins = origins;
         mEventMemory = state.responseMemory().open(MAX_EVENT_BYTES);
         mInputs = new InputLocator(state);
         mStages = new StagePhase(state, executor, request, this);
@@ -53,6 +66,35 @@
 
     @Override
     void begin() {
+        HeaderNames names = state().protocol().headers();
+        HttpHeaders headers = exchange().head().headers();
+        String began = headers.get(names.resumes(), "");
+        if (began.isEmpty() && !headers.contains(names.lastEventId())) {
+            beginStages();
+        } else {
+            mOrigins.find(began, request().service().name(), this::resume);
+        }
+    }
+
+    /** Continues a stream that its caller takes up, if the software version is known. */
+    private void resume(Optional<String> softwareVersion) {
+        if (!exchange().open()) {
+            return;
+        }
+        softwareVersion.ifPresent(sender()::restrictTo);
+        if (softwareVersion.isPresent() && sender().hasEndpoint(mInputs.localLocation())) {
+            beginStages();
+            return;
+        }
+        end();
+        String reason =
+                softwareVersion.isPresent()
+                        ? "no endpoint of the stream's software version"
+                        : "software version of the stream is not known";
+        respondNotRunOrFailed(reason, RESUME_RETRY_MILLIS);
+    }
+
+    private void beginStages() {
         if (mStages.needed()) {
             mStages.start(expectedDomain());
         } else {
@@ -175,6 +217,7 @@
             mAttemptDelivered = true;
             mLastProgressMillis = state().nowMillis();
             startResponse(attempt);
+            began(attempt);
             exchange().write(events);
         }
         if (!mEventMemory.resize(mEvents.partialBytes())) {
@@ -182,6 +225,21 @@
         }
     }
 
+    /** Binds the stream to the software version that wrote its first event. */
+    private void began(Attempt attempt) {
+        if (mBegan) {
+            return;
+        }
+        mBegan = true;
+        sender().restrictTo(attempt.softwareVersion());
+        if (request().route().idempotent()) {
+            mOrigins.began(
+                    request().id(),
+                    attempt.softwareVersion(),
+                    request().deadlineMillis() + ORIGIN_MARGIN_MILLIS);
+        }
+    }
+
     /**
      * Sends the head of the endpoint that brings the first event, unless a head was sent before.
      */
@@ -240,6 +298,9 @@
         if (exchange().responseStarted() && mEvents.lastEventId().isEmpty()) {
             end();
             respondFailed("events without ids can't be resumed");
+        } else if (!sender().hasEndpoint(mInputs.localLocation())) {
+            end();
+            respondNotRunOrFailed("no other endpoint may go on with the request");
         } else if (!mStages.resultsReleased()) {
             send();
         } else if (!mStages.restart()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -18,6 +18,7 @@
  * @param pieceKey content key of the request's pieces
  * @param inputs handles of the results that a model engine reads
  * @param lastEventId id of the last event that was received
+ * @param resumes id of the attempt that brought the first event of a stream that is resumed
  * @param authorization key of the caller
  * @param reserved headers that a caller may not set, in lower case
  */
@@ -35,6 +36,7 @@
         String pieceKey,
         String inputs,
         String lastEventId,
+        String resumes,
         String authorization,
         Set<String> reserved) {
     /** Copies the set of reserved headers. */
