Move the software version of a stream into a class and log failed attempts

A failed attempt gets a line with its reason, which the log lacked when the attempt was followed by another.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -164,6 +164,12 @@
 
     @Override
     public final void failed(Attempt attempt, CallFailure failure) {
+        mState.log()
+                .request(
+                        LogLine.of("attempt-failed")
+                                .with("request", mRequest.id())
+                                .with("endpoint", attempt.endpoint().registration().name())
+                                .with("failure", failure.name()));
         if (!failure.nothingSent()) {
             retryIfIdempotentOr(() -> respondFailed("endpoint " + failure));
             return;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -15,6 +15,7 @@
 /** Selects endpoints for the attempts of one request and counts the attempts. */
 final class Sender {
     private static final int MAX_SENDS = 4;
+    private static final InputLocation ANYWHERE = new InputLocation("", false);
 
     private final GatewayState mState;
     private final OutgoingHeaders mHeaders;
@@ -91,8 +92,8 @@
     }
 
     /** Returns whether there is an endpoint left that may receive the request, if not busy. */
-    boolean hasEndpoint(InputLocation inputs) {
-        return usable().stream().anyMatch(selectionRequest(inputs)::allows);
+    boolean hasEndpoint() {
+        return usable().stream().anyMatch(selectionRequest(ANYWHERE)::allows);
     }
 
     private Attempt send(Selection.Chosen chosen, Consumer<HttpHeaders> additions, long now) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -12,7 +12,6 @@
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
-import org.wasabilug.gateway.protocol.HeaderNames;
 import org.wasabilug.internal.serving.PieceFailure;
 
 /**
@@ -32,11 +31,8 @@
     /** Soon, as another instance may know the stream. */
     private static final long RESUME_RETRY_MILLIS = 200;
 
-    /** Time after the caller's deadline within which its last attempt may still arrive. */
-    private static final long ORIGIN_MARGIN_MILLIS = 5_000;
-
     private final StagePhase mStages;
-    private final StreamOriginRegistry mOrigins;
+    private final StreamSoftwareVersion mSoftwareVersion;
     private final InputLocator mInputs;
     private final EventSplitter mEvents = new EventSplitter();
     private final ResponseMemory.Account mEventMemory;
@@ -45,9 +41,6 @@
     /** Whether the current attempt brought an event. */
     private boolean mAttemptDelivered;
 
-    /** Whether any attempt brought an event. */
-    private boolean mBegan;
-
     /** When the current attempt was sent or last brought a whole event. */
     private long mLastProgressMillis;
 
@@ -58,7 +51,8 @@
             StageExecutor executor,
             StreamOriginRegistry origins) {
         super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
-        mOrigins = origins;
+        mSoftwareVersion =
+                new StreamSoftwareVersion(request, sender(), origins, state.protocol().headers());
         mEventMemory = state.responseMemory().open(MAX_EVENT_BYTES);
         mInputs = new InputLocator(state);
         mStages = new StagePhase(state, executor, request, this);
@@ -66,31 +60,15 @@
 
     @Override
     void begin() {
-        HeaderNames names = state().protocol().headers();
-        HttpHeaders headers = exchange().head().headers();
-        String began = headers.get(names.resumes(), "");
-        if (began.isEmpty() && !headers.contains(names.lastEventId())) {
-            beginStages();
+        if (mSoftwareVersion.resumed()) {
+            mSoftwareVersion.find(this::beginStages, this::refuse);
         } else {
-            mOrigins.find(began, request().service().name(), this::resume);
+            beginStages();
         }
     }
 
-    /** Continues a stream that its caller takes up, if the software version is known. */
-    private void resume(Optional<String> softwareVersion) {
-        if (!exchange().open()) {
-            return;
-        }
-        softwareVersion.ifPresent(sender()::restrictTo);
-        if (softwareVersion.isPresent() && sender().hasEndpoint(mInputs.localLocation())) {
-            beginStages();
-            return;
-        }
+    private void refuse(String reason) {
         end();
-        String reason =
-                softwareVersion.isPresent()
-                        ? "no endpoint of the stream's software version"
-                        : "software version of the stream is not known";
         respondNotRunOrFailed(reason, RESUME_RETRY_MILLIS);
     }
 
@@ -217,7 +195,7 @@
             mAttemptDelivered = true;
             mLastProgressMillis = state().nowMillis();
             startResponse(attempt);
-            began(attempt);
+            mSoftwareVersion.eventReceived(attempt);
             exchange().write(events);
         }
         if (!mEventMemory.resize(mEvents.partialBytes())) {
@@ -225,21 +203,6 @@
         }
     }
 
-    /** Binds the stream to the software version that wrote its first event. */
-    private void began(Attempt attempt) {
-        if (mBegan) {
-            return;
-        }
-        mBegan = true;
-        sender().restrictTo(attempt.softwareVersion());
-        if (request().route().idempotent()) {
-            mOrigins.began(
-                    request().id(),
-                    attempt.softwareVersion(),
-                    request().deadlineMillis() + ORIGIN_MARGIN_MILLIS);
-        }
-    }
-
     /**
      * Sends the head of the endpoint that brings the first event, unless a head was sent before.
      */
@@ -298,7 +261,7 @@
         if (exchange().responseStarted() && mEvents.lastEventId().isEmpty()) {
             end();
             respondFailed("events without ids can't be resumed");
-        } else if (!sender().hasEndpoint(mInputs.localLocation())) {
+        } else if (!sender().hasEndpoint()) {
             end();
             respondNotRunOrFailed("no other endpoint may go on with the request");
         } else if (!mStages.resultsReleased()) {
