Give a stream up only if another endpoint may go on with it

Now that a stream stays at its software version, there is often no endpoint to go on with it. A stream whose endpoint paused for 0.9 s was given up all the same, and aborted because nothing could follow; a permission to retry was spent on it too. A retry now needs an endpoint to go to, for every kind of request: an endpoint's own 5xx answer is delivered instead of being replaced if there is no other endpoint.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -142,12 +142,16 @@
         return mPossibleRuns > 0;
     }
 
-    /** Acquires permission for another send after one that reached an endpoint. */
+    /**
+     * Acquires permission for another send after one that reached an endpoint. There is none
+     * without an endpoint to send to.
+     */
     boolean tryAcquireRetry() {
         long now = mState.nowMillis();
         return mSends < MAX_SENDS
                 && mPossibleRuns < Math.max(1, mRequest.route().maximumAttempts())
                 && now < mRequest.deadlineMillis()
+                && hasEndpoint()
                 && mState.retryBudget()
                         .tryAcquire(mRequest.service().name(), mState.instances(), now);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -150,7 +150,7 @@
         long timeout = mAttemptDelivered ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
         if (idleMillis < timeout) {
             watch(attempt, Math.max(MIN_CHECK_MILLIS, timeout - idleMillis));
-        } else if (sender().tryAcquireRetry()) {
+        } else if (canResume() && sender().tryAcquireRetry()) {
             logStall(attempt, idleMillis);
             attempt.abandon();
             retry();
@@ -258,12 +258,9 @@
     void retry() {
         mEvents.discardPartial();
         mEventMemory.release();
-        if (exchange().responseStarted() && mEvents.lastEventId().isEmpty()) {
+        if (!canResume()) {
             end();
             respondFailed("events without ids can't be resumed");
-        } else if (!sender().hasEndpoint()) {
-            end();
-            respondNotRunOrFailed("no other endpoint may go on with the request");
         } else if (!mStages.resultsReleased()) {
             send();
         } else if (!mStages.restart()) {
@@ -272,6 +269,11 @@
         }
     }
 
+    /** Returns whether another endpoint can tell where to go on. */
+    private boolean canResume() {
+        return !exchange().responseStarted() || !mEvents.lastEventId().isEmpty();
+    }
+
     private void deliverFailure(Attempt attempt) {
         if (exchange().responseStarted()) {
             exchange().abort();
