Bound the ids of remembered streams

Callers choose the ids of their attempts, up to the limit of a request's headers, and 20,000 of them are remembered for their streams. An id of more than 128 characters isn't; its stream counts as unknown when it is taken up.

--- a/core/src/main/java/org/wasabilug/internal/serving/StreamOrigins.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StreamOrigins.java
@@ -11,6 +11,9 @@
 public final class StreamOrigins {
     private static final int MAX_ORIGINS = 20_000;
 
+    /** Callers choose the ids; without a bound they would decide how much memory is taken. */
+    private static final int MAX_ATTEMPT_CHARACTERS = 128;
+
     private final Map<String, Origin> mOrigins =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
@@ -24,14 +27,20 @@
     private record Origin(String softwareVersion, long untilMillis) {}
 
     /**
-     * Records where a stream began. A known origin stays.
+     * Records where a stream began. A known origin stays, and a stream with an overlong id is not
+     * remembered.
      *
      * @param attempt id of the attempt that brought the first event
      * @param softwareVersion software version of the endpoint
      * @param untilMillis monotonic time, in milliseconds, after which nobody resumes the stream
+     * @return whether the stream is remembered
      */
-    public void record(String attempt, String softwareVersion, long untilMillis) {
+    public boolean record(String attempt, String softwareVersion, long untilMillis) {
+        if (attempt.length() > MAX_ATTEMPT_CHARACTERS) {
+            return false;
+        }
         mOrigins.putIfAbsent(attempt, new Origin(softwareVersion, untilMillis));
+        return true;
     }
 
     /**
--- a/core/src/test/java/org/wasabilug/internal/serving/StreamOriginsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StreamOriginsTest.java
@@ -19,6 +19,14 @@
         assertThat(mOrigins.find("stream")).isEmpty();
     }
 
+    @Test
+    void aStreamWithAnOverlongIdIsNotRemembered() {
+        String overlong = "x".repeat(129);
+
+        assertThat(mOrigins.record(overlong, "v1", 1_000)).isFalse();
+        assertThat(mOrigins.find(overlong)).isEmpty();
+    }
+
     @Test
     void theOldestOfVeryManyOriginsAreForgotten() {
         for (int number = 0; number < 100_000; number++) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
@@ -55,7 +55,9 @@
 
     @Override
     public void began(String attempt, String softwareVersion, long untilMillis) {
-        mOrigins.record(attempt, softwareVersion, untilMillis);
+        if (!mOrigins.record(attempt, softwareVersion, untilMillis)) {
+            return;
+        }
         GatewayEnvelope report =
                 mNetwork.envelope()
                         .setStreamOriginReport(
