Remove a callback that no flow uses any more

Since the head of a stream goes out with its first event, neither flow acts on the head of a response. The option of the caller's connection is set without a cast. No behaviour changes; StreamEndTest, CallerReadingUntilCloseTest and RequestPathTest pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
@@ -5,7 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.socket.SocketChannelConfig;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -160,8 +160,10 @@
      * other close for the end of a body without length and chunks.
      */
     private void resetOnClose(boolean reset) {
-        ((SocketChannelConfig) mConnection.channel().config())
-                .setSoLinger(reset ? 0 : LINGER_DISABLED);
+        mConnection
+                .channel()
+                .config()
+                .setOption(ChannelOption.SO_LINGER, reset ? 0 : LINGER_DISABLED);
     }
 
     /** Closes the connection, so that the response can't be mistaken for complete. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -131,7 +131,6 @@
         mState.domainMonitor().recordResponse(mEndpoint);
         mNotExecuted = mState.notExecuted(head);
         mDeliverable = ResponseCheck.deliverable(mState, head);
-        mOwner.headReceived(this);
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/AttemptOwner.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/AttemptOwner.java
@@ -5,8 +5,6 @@
 
 /** Decides what happens to a request after each event of one of its attempts. */
 interface AttemptOwner {
-    void headReceived(Attempt attempt);
-
     void contentReceived(Attempt attempt, ByteBuf content);
 
     void completed(Attempt attempt);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -62,9 +62,6 @@
         }
     }
 
-    @Override
-    public void headReceived(Attempt attempt) {}
-
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
         buffer(attempt, content);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -169,9 +169,6 @@
                                 .with("quiet", idleMillis));
     }
 
-    @Override
-    public void headReceived(Attempt attempt) {}
-
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
         if (!streams(attempt)) {
