Log whole requests whose connection is closed without a response

A caller's connection that the gateway closed with requests on it left no line, or the line caller-left, and an exception while a request was served left none. Now requests-unanswered says how many requests ended so, and why. No decision changes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -112,6 +112,7 @@
             serveNext();
         } else {
             mClosing = true;
+            reportUnanswered("the connection ends with the response before");
             CallerExchange.closeAfter(mChannel, message);
         }
     }
@@ -137,6 +138,7 @@
     private void refuseAndClose(HttpResponseStatus status) {
         mReceiving = null;
         mClosing = true;
+        reportUnanswered("status " + status.code() + " for a later request");
         if (mServing != null) {
             // A response is in progress; the caller would take a second one as part of it.
             mServing.callerDisconnected();
@@ -151,6 +153,14 @@
         mListener.refused(status);
     }
 
+    /** Reports the whole requests that get no response, as the connection is closed. */
+    private void reportUnanswered(String reason) {
+        int requests = mComplete.size() + (mServing == null ? 0 : 1);
+        if (requests > 0) {
+            mListener.unanswered(reason, requests);
+        }
+    }
+
     private static HttpResponseStatus statusOf(DecoderResult result) {
         boolean tooLong =
                 result.cause() instanceof TooLongHttpHeaderException
@@ -177,6 +187,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reportUnanswered(String.valueOf(cause));
         context.close();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
@@ -18,6 +18,14 @@
      */
     void writabilityChanged(CallerExchange exchange);
 
+    /**
+     * Called when a connection is closed although whole requests arrived that get no response.
+     *
+     * @param reason why it is closed
+     * @param requests number of those requests
+     */
+    void unanswered(String reason, int requests);
+
     /**
      * Called when a request was refused before it was complete.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -148,6 +148,10 @@
         mEvents.received(exchange);
     }
 
+    void unanswered(String reason, int requests) {
+        mEvents.unanswered(reason, requests);
+    }
+
     void refused(HttpResponseStatus status) {
         mEvents.refused(status);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -207,6 +207,15 @@
         }
     }
 
+    @Override
+    public void unanswered(String reason, int requests) {
+        mState.log()
+                .request(
+                        LogLine.of("requests-unanswered")
+                                .with("requests", requests)
+                                .with("reason", reason));
+    }
+
     @Override
     public void refused(HttpResponseStatus status) {
         mState.log().request(LogLine.of("request-refused").with("status", status.code()));
