Keep a silent attempt until another endpoint has gone on with the request

What callers saw: a resumable stream that had begun ended without its end. Its endpoint was sound and only silent for a second or so; the gateway closed its connection after 0.9 s to go on elsewhere, and the other endpoint was busy, closed, failed or was no longer to be had.

Cause: an attempt was cancelled when another one was allowed, not when another one had gone on. The class: what still goes on is given up for something that may not come.

Change: the silent attempt stays, another endpoint is asked as well, and the request goes on at whichever brings the next whole event (or the whole answer) first; the other is cancelled at that moment. An attempt that fails while another one still goes on is dropped. Each attempt reads its own events, so those of two never mix. A permission to retry is taken only with an endpoint at hand, and the stages of a stream are run again only then; a silence counts for the endpoint's health as before. There are at most two attempts at a time, and never more than max_attempts.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -10,6 +10,7 @@
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ProbeResult;
+import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 
@@ -24,6 +25,7 @@
     private final String mSoftwareVersion;
     private final double mPredictedMillis;
     private final AttemptOwner mOwner;
+    private final ResponseBuffer mBody;
     private final long mSentMillis;
     private EndpointLoad mLoad;
     private EndpointCall mCall;
@@ -45,6 +47,7 @@
         mSoftwareVersion = endpoint.registration().softwareVersion();
         mPredictedMillis = predictedMillis;
         mOwner = owner;
+        mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
         mLoad = request.prompt().load();
     }
@@ -85,10 +88,6 @@
         return mDeliverable;
     }
 
-    boolean ended() {
-        return mEnded;
-    }
-
     double predictedMillis() {
         return mPredictedMillis;
     }
@@ -108,17 +107,34 @@
         }
     }
 
+    /** Records a failure for the endpoint, as its response is overdue; the attempt goes on. */
+    void recordOverdue() {
+        mEndpoint.health().recordFailure(mState.nowMillis());
+        if (mHead == null) {
+            mState.domainMonitor().recordNoResponse(mEndpoint);
+        }
+    }
+
     /** Cancels an attempt that timed out and records a failure for the endpoint. */
     void abandon() {
         if (!mEnded) {
-            mEndpoint.health().recordFailure(mState.nowMillis());
-            if (mHead == null) {
-                mState.domainMonitor().recordNoResponse(mEndpoint);
-            }
+            recordOverdue();
             cancel();
         }
     }
 
+    /** Buffers content of a response that is delivered as a whole. */
+    void buffer(ByteBuf content) {
+        if (!mBody.append(content)) {
+            reject(CallFailure.TOO_LARGE);
+        }
+    }
+
+    /** Returns the content that was buffered. */
+    byte[] bufferedBody() {
+        return mBody.toByteArray();
+    }
+
     /** Gives up a response that can't be used and records a failure for the endpoint. */
     void reject(CallFailure failure) {
         mCall.cancel();
@@ -209,6 +225,7 @@
 
     private void end() {
         mEnded = true;
+        mBody.release();
         mEndpoint.releaseLoad(mLoad);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -29,21 +29,29 @@
     @Override
     void releaseResources() {}
 
+    @Override
+    void releaseResources(Attempt attempt) {}
+
     @Override
     void send() {
-        Sender.InputLocation here =
-                new Sender.InputLocation(state().settings().failureDomain(), false);
-        Optional<Attempt> attempt = sender().send(here, headers -> {});
-        if (attempt.isPresent()) {
-            started(attempt.get());
-            watch(attempt.get());
-        } else {
+        Optional<Attempt> attempt = sender().send(here(), headers -> {});
+        attempt.ifPresent(this::sent);
+        if (attempt.isEmpty()) {
             end();
             respondNotRunOrFailed(sender().unavailableReason());
         }
     }
 
-    /** Retries an idempotent request at another endpoint if the first takes too long. */
+    private Sender.InputLocation here() {
+        return new Sender.InputLocation(state().settings().failureDomain(), false);
+    }
+
+    private void sent(Attempt attempt) {
+        started(attempt);
+        watch(attempt);
+    }
+
+    /** Sends an idempotent request to another endpoint as well if the first takes too long. */
     private void watch(Attempt attempt) {
         if (request().route().idempotent()) {
             double typicalMillis = attempt.endpoint().health().latencyMillis();
@@ -56,15 +64,21 @@
     }
 
     private void checkSlow(Attempt attempt) {
-        if (isPending(attempt) && sender().tryAcquireRetry()) {
-            attempt.abandon();
-            send();
+        if (isOnlyPending(attempt)) {
+            Optional<Attempt> hedge = sender().sendHedge(here(), headers -> {});
+            if (hedge.isPresent()) {
+                attempt.recordOverdue();
+                sent(hedge.get());
+            }
+        }
+        if (isPending(attempt)) {
+            watch(attempt);
         }
     }
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
-        buffer(attempt, content);
+        attempt.buffer(content);
     }
 
     @Override
@@ -75,13 +89,14 @@
     @Override
     public void completed(Attempt attempt) {
         if (attempt.notExecuted()) {
-            sender().lastSendNotExecuted();
-            retryOr(() -> respondNotRunOrFailed("endpoint refused the request"));
+            sender().sendNotExecuted();
+            retryOr(attempt, () -> respondNotRunOrFailed("endpoint refused the request"));
         } else if (!attempt.deliverable()) {
-            retryIfIdempotentOr(() -> respondFailed("endpoint response has no seal"));
+            retryIfIdempotentOr(attempt, () -> respondFailed("endpoint response has no seal"));
         } else if (attempt.head().status().codeClass() == HttpStatusClass.SERVER_ERROR) {
-            retryIfIdempotentOr(() -> deliver(attempt));
+            retryIfIdempotentOr(attempt, () -> deliver(attempt));
         } else {
+            goOnWith(attempt);
             end();
             deliver(attempt);
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -1,14 +1,13 @@
 package org.wasabilug.gateway.internal.request;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.Optional;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.caller.CallerExchange;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
-import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.log.LogLine;
 
 /**
@@ -25,8 +24,10 @@
     private final GatewayResponses mGatewayResponses;
     private final Sender mSender;
     private final long mBusyRetryMillis;
-    private ResponseBuffer mBody;
-    private Attempt mAttempt;
+
+    /** Attempts whose response may still be delivered, in the order in which they were sent. */
+    private final List<Attempt> mPending = new ArrayList<>();
+
     private ScheduledFuture<?> mTimeout;
 
     /**
@@ -45,7 +46,6 @@
         mGatewayResponses = gatewayResponses;
         mSender = new Sender(state, request, this);
         mBusyRetryMillis = busyRetryMillis;
-        mBody = new ResponseBuffer(state.responseMemory());
     }
 
     /** Starts to serve the request. */
@@ -68,6 +68,9 @@
     /** Releases everything held for the request apart from its attempts. */
     abstract void releaseResources();
 
+    /** Releases everything held for an attempt whose response is no longer waited for. */
+    abstract void releaseResources(Attempt attempt);
+
     final GatewayState state() {
         return mState;
     }
@@ -84,47 +87,73 @@
         return mSender;
     }
 
-    /** Returns the attempt in progress, or the last one if there is none. */
-    final Optional<Attempt> attempt() {
-        return Optional.ofNullable(mAttempt);
+    /** Returns the attempts whose response may still be delivered. */
+    final List<Attempt> pending() {
+        return List.copyOf(mPending);
     }
 
-    /** Returns whether an attempt is the current one and the caller still waits for it. */
+    /** Returns whether the caller still waits and an attempt may still bring the response. */
     final boolean isPending(Attempt attempt) {
-        return attempt == mAttempt && !attempt.ended() && mExchange.open();
+        return mPending.contains(attempt) && mExchange.open();
+    }
+
+    /** Returns whether an attempt is the only one that may still bring the response. */
+    final boolean isOnlyPending(Attempt attempt) {
+        return mPending.size() == 1 && isPending(attempt);
     }
 
     final void started(Attempt attempt) {
-        mAttempt = attempt;
-        mBody.release();
-        mBody = new ResponseBuffer(mState.responseMemory());
+        mPending.add(attempt);
     }
 
-    /** Buffers content of a response that is delivered as a whole. */
-    final void buffer(Attempt attempt, ByteBuf content) {
-        if (!mBody.append(content)) {
-            attempt.reject(CallFailure.TOO_LARGE);
+    /** Goes on with one attempt alone and cancels the others. */
+    final void goOnWith(Attempt attempt) {
+        for (Attempt other : pending()) {
+            if (other != attempt) {
+                drop(other);
+                other.cancel();
+                log("attempt-superseded", other);
+            }
         }
     }
 
+    /** Stops waiting for the response of one attempt. */
+    final void drop(Attempt attempt) {
+        mPending.remove(attempt);
+        releaseResources(attempt);
+    }
+
     /** Delivers a response whose content was buffered. */
     final void deliverBuffered(Attempt attempt) {
         HttpResponse head = attempt.head();
         mExchange.respond(
-                head.status(), OutgoingHeaders.toCaller(head.headers()), mBody.toByteArray());
+                head.status(), OutgoingHeaders.toCaller(head.headers()), attempt.bufferedBody());
+    }
+
+    private void log(String event, Attempt attempt) {
+        mState.log().request(line(event, attempt));
+    }
+
+    private LogLine line(String event, Attempt attempt) {
+        return LogLine.of(event)
+                .with("request", mRequest.id())
+                .with("endpoint", attempt.endpoint().registration().name());
     }
 
     /** Starts the log line of a delivered response. */
     final LogLine answeredLine(Attempt attempt) {
-        return LogLine.of("answered")
-                .with("request", mRequest.id())
-                .with("endpoint", attempt.endpoint().registration().name())
-                .with("status", attempt.head().status().code());
+        return line("answered", attempt).with("status", attempt.head().status().code());
     }
 
-    /** Resends the request if that is allowed; otherwise ends it and runs the alternative. */
-    final void retryOr(Runnable alternative) {
-        if (mSender.tryAcquireRetry()) {
+    /**
+     * Resends the request after a failed attempt if that is allowed; otherwise ends it and runs the
+     * alternative. Does neither while another attempt may still bring the response.
+     */
+    final void retryOr(Attempt failed, Runnable alternative) {
+        drop(failed);
+        if (!mPending.isEmpty()) {
+            log("attempt-dropped", failed);
+        } else if (mSender.tryAcquireRetry()) {
             retry();
         } else {
             end();
@@ -133,9 +162,9 @@
     }
 
     /** Like {@link #retryOr}, but retries only idempotent requests, as the attempt may have run. */
-    final void retryIfIdempotentOr(Runnable alternative) {
+    final void retryIfIdempotentOr(Attempt failed, Runnable alternative) {
         if (mRequest.route().idempotent()) {
-            retryOr(alternative);
+            retryOr(failed, alternative);
         } else {
             end();
             alternative.run();
@@ -164,18 +193,16 @@
 
     @Override
     public final void failed(Attempt attempt, CallFailure failure) {
-        mState.log()
-                .request(
-                        LogLine.of("attempt-failed")
-                                .with("request", mRequest.id())
-                                .with("endpoint", attempt.endpoint().registration().name())
-                                .with("failure", failure.name()));
+        mState.log().request(line("attempt-failed", attempt).with("failure", failure.name()));
         if (!failure.nothingSent()) {
-            retryIfIdempotentOr(() -> respondFailed("endpoint " + failure));
+            retryIfIdempotentOr(attempt, () -> respondFailed("endpoint " + failure));
             return;
         }
-        mSender.lastSendNotExecuted();
-        if (mSender.mayTryAnotherEndpoint()) {
+        drop(attempt);
+        mSender.sendNotExecuted();
+        if (!mPending.isEmpty()) {
+            log("attempt-dropped", attempt);
+        } else if (mSender.mayTryAnotherEndpoint()) {
             send();
         } else {
             end();
@@ -184,7 +211,7 @@
     }
 
     private void timedOut() {
-        attempt().ifPresent(Attempt::abandon);
+        pending().forEach(Attempt::abandon);
         end();
         if (mSender.mayHaveRun()) {
             mGatewayResponses.timedOut(mExchange, "no complete response before the deadline");
@@ -196,14 +223,13 @@
 
     private void callerDisconnected() {
         end();
-        attempt().ifPresent(Attempt::cancel);
+        pending().forEach(Attempt::cancel);
         mState.log().request(LogLine.of("caller-left").with("request", mRequest.id()));
     }
 
     /** Stops waiting for a response; may be called more than once. */
     final void end() {
         mTimeout.cancel(false);
-        mBody.release();
         releaseResources();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -132,8 +132,8 @@
         return attempt;
     }
 
-    /** Records that the last send certainly did not run. */
-    void lastSendNotExecuted() {
+    /** Records that one of the sends certainly did not run. */
+    void sendNotExecuted() {
         mPossibleRuns--;
     }
 
@@ -147,13 +147,39 @@
      * without an endpoint to send to.
      */
     boolean tryAcquireRetry() {
-        long now = mState.nowMillis();
+        return mayRetry() && tryAcquireBudget();
+    }
+
+    private boolean mayRetry() {
         return mSends < MAX_SENDS
                 && mPossibleRuns < Math.max(1, mRequest.route().maximumAttempts())
-                && now < mRequest.deadlineMillis()
-                && hasEndpoint()
-                && mState.retryBudget()
-                        .tryAcquire(mRequest.service().name(), mState.instances(), now);
+                && mState.nowMillis() < mRequest.deadlineMillis()
+                && hasEndpoint();
+    }
+
+    private boolean tryAcquireBudget() {
+        return mState.retryBudget()
+                .tryAcquire(mRequest.service().name(), mState.instances(), mState.nowMillis());
+    }
+
+    /** Returns whether {@link #sendHedge} would find an endpoint now, if the budget allows it. */
+    boolean canHedge(InputLocation inputs) {
+        return mayRetry() && preview(inputs).isPresent();
+    }
+
+    /**
+     * Sends the request to another endpoint while an earlier send goes on.
+     *
+     * @return the attempt, or empty if no endpoint may receive it now or the budget is used up
+     */
+    Optional<Attempt> sendHedge(InputLocation inputs, Consumer<HttpHeaders> additions) {
+        long now = mState.nowMillis();
+        if (mayRetry()
+                && select(inputs, now) instanceof Selection.Chosen chosen
+                && tryAcquireBudget()) {
+            return Optional.of(send(chosen, additions, now));
+        }
+        return Optional.empty();
     }
 
     /** Returns whether to send again after a send that reached no endpoint. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -126,6 +126,11 @@
         return true;
     }
 
+    /** Returns whether stages are running. */
+    boolean inProgress() {
+        return !mEnded && !mGraph.isComplete();
+    }
+
     /** Returns whether results were available and have been released. */
     boolean resultsReleased() {
         return mEnded && !mGraph.outputHandles().isEmpty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -4,12 +4,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
-import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
 import org.wasabilug.internal.serving.PieceFailure;
@@ -18,10 +19,11 @@
  * Serves an event stream: first its stages, then the stream, event by event.
  *
  * <p>A resumable stream that breaks off resumes at another endpoint after its last complete event.
+ * If its endpoint falls silent, another one is asked as well, and the stream goes on at whichever
+ * brings the next event first.
  */
 final class StreamFlow extends RequestFlow implements StagePhase.Listener {
     private static final int CONFLICT = 409;
-    private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final long STALL_TIMEOUT_MILLIS = 900;
     private static final long MIN_FIRST_EVENT_TIMEOUT_MILLIS = 900;
     private static final double FIRST_EVENT_FACTOR = 3;
@@ -34,16 +36,10 @@
     private final StagePhase mStages;
     private final StreamSoftwareVersion mSoftwareVersion;
     private final InputLocator mInputs;
-    private final EventSplitter mEvents = new EventSplitter();
-    private final ResponseMemory.Account mEventMemory;
+    private final Map<Attempt, EventReader> mReaders = new HashMap<>();
+    private String mLastEventId = "";
     private long mFirstEventMillis = -1;
 
-    /** Whether the current attempt brought an event. */
-    private boolean mAttemptDelivered;
-
-    /** When the current attempt was sent or last brought a whole event. */
-    private long mLastProgressMillis;
-
     StreamFlow(
             GatewayState state,
             RequestContext request,
@@ -53,7 +49,6 @@
         super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
         mSoftwareVersion =
                 new StreamSoftwareVersion(request, sender(), origins, state.protocol().headers());
-        mEventMemory = state.responseMemory().open(MAX_EVENT_BYTES);
         mInputs = new InputLocator(state);
         mStages = new StagePhase(state, executor, request, this);
     }
@@ -88,16 +83,24 @@
 
     /** Called when the caller's connection became writable or unwritable. */
     void writabilityChanged() {
-        attempt().ifPresent(attempt -> attempt.setReadable(exchange().writable()));
+        pending().forEach(attempt -> attempt.setReadable(exchange().writable()));
     }
 
     @Override
     public void stagesDone() {
-        send();
+        if (pending().isEmpty()) {
+            send();
+        } else {
+            sendHedge();
+        }
     }
 
     @Override
     public void stagesFailed(PieceFailure reason) {
+        if (!pending().isEmpty()) {
+            mStages.end();
+            return;
+        }
         end();
         if (reason == PieceFailure.LATE) {
             respondNotRunOrFailed("stages are congested", mStages.retryAfterMillis());
@@ -108,30 +111,35 @@
 
     @Override
     void send() {
-        Sender.InputLocation inputs = mInputs.locate(request().route(), mStages.inputs());
-        Optional<Attempt> attempt = sender().send(inputs, this::addStreamHeaders);
-        if (attempt.isPresent()) {
-            mAttemptDelivered = false;
-            mLastProgressMillis = attempt.get().sentMillis();
-            started(attempt.get());
-            double timeout = FIRST_EVENT_FACTOR * attempt.get().predictedMillis();
-            watch(attempt.get(), Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
-        } else {
+        Optional<Attempt> attempt = sender().send(inputLocation(), this::addStreamHeaders);
+        attempt.ifPresent(this::sent);
+        if (attempt.isEmpty()) {
             end();
             respondNotRunOrFailed(sender().unavailableReason());
         }
     }
 
+    private Sender.InputLocation inputLocation() {
+        return mInputs.locate(request().route(), mStages.inputs());
+    }
+
+    private void sent(Attempt attempt) {
+        started(attempt);
+        mReaders.put(attempt, new EventReader(state().responseMemory(), attempt.sentMillis()));
+        double timeout = FIRST_EVENT_FACTOR * attempt.predictedMillis();
+        watch(attempt, Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
+    }
+
     private void addStreamHeaders(HttpHeaders headers) {
         if (!mStages.inputs().isEmpty()) {
             headers.set(state().protocol().headers().inputs(), String.join(",", mStages.inputs()));
         }
-        if (!mEvents.lastEventId().isEmpty()) {
-            headers.set(state().protocol().headers().lastEventId(), mEvents.lastEventId());
+        if (!mLastEventId.isEmpty()) {
+            headers.set(state().protocol().headers().lastEventId(), mLastEventId);
         }
     }
 
-    /** Monitors an attempt of an idempotent request, which may be abandoned for another. */
+    /** Monitors an attempt of an idempotent request, which another one may overtake. */
     private void watch(Attempt attempt, long firstEventTimeoutMillis) {
         if (request().route().idempotent()) {
             state().loop()
@@ -146,17 +154,38 @@
         if (!isPending(attempt)) {
             return;
         }
-        long idleMillis = state().nowMillis() - mLastProgressMillis;
-        long timeout = mAttemptDelivered ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
+        EventReader reader = mReaders.get(attempt);
+        long idleMillis = reader.idleMillis(state().nowMillis());
+        long timeout = reader.delivered() ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
         if (idleMillis < timeout) {
             watch(attempt, Math.max(MIN_CHECK_MILLIS, timeout - idleMillis));
-        } else if (canResume() && sender().tryAcquireRetry()) {
+            return;
+        }
+        if (isOnlyPending(attempt) && !mStages.inProgress() && beginHedge()) {
             logStall(attempt, idleMillis);
-            attempt.abandon();
-            retry();
-        } else {
-            watch(attempt, timeout);
+            attempt.recordOverdue();
         }
+        watch(attempt, timeout);
+    }
+
+    /**
+     * Sends the stream to another endpoint as well, after its stages if their results are no longer
+     * available; returns false if that is not possible now.
+     */
+    private boolean beginHedge() {
+        if (!canResume()) {
+            return false;
+        }
+        if (mStages.resultsReleased()) {
+            return sender().canHedge(inputLocation()) && mStages.restart();
+        }
+        return sendHedge();
+    }
+
+    private boolean sendHedge() {
+        Optional<Attempt> hedge = sender().sendHedge(inputLocation(), this::addStreamHeaders);
+        hedge.ifPresent(this::sent);
+        return hedge.isPresent();
     }
 
     private void logStall(Attempt attempt, long idleMillis) {
@@ -165,14 +194,14 @@
                         LogLine.of("attempt-stalled")
                                 .with("request", request().id())
                                 .with("endpoint", attempt.endpoint().registration().name())
-                                .with("streaming", mAttemptDelivered)
+                                .with("streaming", mReaders.get(attempt).delivered())
                                 .with("quiet", idleMillis));
     }
 
     @Override
     public void contentReceived(Attempt attempt, ByteBuf content) {
         if (!streams(attempt)) {
-            buffer(attempt, content);
+            attempt.buffer(content);
             return;
         }
         if (mFirstEventMillis < 0) {
@@ -187,15 +216,16 @@
         }
         // An endpoint that writes events has read its inputs.
         mStages.end();
-        ByteBuf events = mEvents.append(content);
+        EventReader reader = mReaders.get(attempt);
+        ByteBuf events = reader.append(content, state().nowMillis());
         if (events.isReadable()) {
-            mAttemptDelivered = true;
-            mLastProgressMillis = state().nowMillis();
+            goOnWith(attempt);
+            mLastEventId = reader.lastEventId().isEmpty() ? mLastEventId : reader.lastEventId();
             startResponse(attempt);
             mSoftwareVersion.eventReceived(attempt);
             exchange().write(events);
         }
-        if (!mEventMemory.resize(mEvents.partialBytes())) {
+        if (!reader.keepsPartial()) {
             attempt.reject(CallFailure.TOO_LARGE);
         }
     }
@@ -216,7 +246,8 @@
             return true;
         }
         boolean endMarked = ResponseFraming.of(attempt.head()) != ResponseFraming.CLOSE;
-        return mEvents.partialBytes() == 0 && (endMarked || mAttemptDelivered);
+        EventReader reader = mReaders.get(attempt);
+        return !reader.insideEvent() && (endMarked || reader.delivered());
     }
 
     @Override
@@ -226,13 +257,14 @@
         } else if (attempt.notExecuted()) {
             notExecuted(attempt);
         } else if (attempt.head().status().codeClass() == HttpStatusClass.SUCCESS) {
-            retryIfIdempotentOr(() -> respondFailed("endpoint response has no seal"));
+            retryIfIdempotentOr(attempt, () -> respondFailed("endpoint response has no seal"));
         } else {
-            retryIfIdempotentOr(() -> deliverFailure(attempt));
+            retryIfIdempotentOr(attempt, () -> deliverFailure(attempt));
         }
     }
 
     private void completeStream(Attempt attempt) {
+        goOnWith(attempt);
         end();
         startResponse(attempt);
         exchange().finish();
@@ -240,12 +272,15 @@
     }
 
     private void notExecuted(Attempt attempt) {
-        sender().lastSendNotExecuted();
+        sender().sendNotExecuted();
         boolean inputsGone = attempt.head().status().code() == CONFLICT;
-        if (inputsGone && mStages.restart()) {
-            return;
+        if (inputsGone && isOnlyPending(attempt)) {
+            drop(attempt);
+            if (mStages.restart()) {
+                return;
+            }
         }
-        retryOr(() -> respondNotRunOrFailed("endpoint refused the request"));
+        retryOr(attempt, () -> respondNotRunOrFailed("endpoint refused the request"));
     }
 
     /**
@@ -253,11 +288,12 @@
      */
     @Override
     void retry() {
-        mEvents.discardPartial();
-        mEventMemory.release();
         if (!canResume()) {
             end();
             respondFailed("events without ids can't be resumed");
+        } else if (mStages.inProgress()) {
+            // The stages of a hedge; the stream goes on after them.
+            return;
         } else if (!mStages.resultsReleased()) {
             send();
         } else if (!mStages.restart()) {
@@ -268,7 +304,7 @@
 
     /** Returns whether another endpoint can tell where to go on. */
     private boolean canResume() {
-        return !exchange().responseStarted() || !mEvents.lastEventId().isEmpty();
+        return !exchange().responseStarted() || !mLastEventId.isEmpty();
     }
 
     private void deliverFailure(Attempt attempt) {
@@ -298,7 +334,15 @@
 
     @Override
     void releaseResources() {
-        mEventMemory.release();
+        mReaders.values().forEach(EventReader::release);
         mStages.end();
     }
+
+    @Override
+    void releaseResources(Attempt attempt) {
+        EventReader reader = mReaders.remove(attempt);
+        if (reader != null) {
+            reader.release();
+        }
+    }
 }
