Go on with a stream whose stages were cut short for another attempt

What callers saw: a begun resumable stream with stages stood still until the deadline and then ended without its end, though an endpoint was free to go on with it. Its endpoint had been silent, had gone on, and broke later.

Cause: when an endpoint is silent, the stages are run again for another one; when it goes on, they are cut short. The results of that unfinished run were then listed to learn whether they had been released, which throws on a result that is missing, on the event loop: no answer, no refusal and no log line. And the run that was cut short had used up the only restart.

Change: results count as released whenever the stages of a request that has any have ended, and are listed only if all are available. A restart beside an attempt that goes on is allowed once and leaves the restart after lost results.

Evidence: SilentEndpointTest.aStreamGoesOnElsewhereIfItsEndpointBreaks- AfterTheStagesOfAnotherAttemptWereCutShort failed before (504 at the deadline of 3 s, aborted after the second event, no line after attempt-failed) and passes; all 17 cases of the class pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -36,11 +36,13 @@
     private final Listener mListener;
     private final InputLocator mInputs;
     private final StagePlan mPlan;
+    private final boolean mNeeded;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
     private final long[] mSubmittedMillis;
     private String mDomain = "";
     private int mRestarts;
+    private boolean mRestartedForHedge;
     private boolean mEnded;
 
     /** Receives the end of the stages. */
@@ -62,6 +64,7 @@
         mGraph = new StageGraph(request.route().stages(), request.pieces());
         mSubmittedMillis = new long[request.route().stages().size()];
         mPlan = plan(state, request);
+        mNeeded = !mGraph.isComplete();
     }
 
     private static StagePlan plan(GatewayState state, RequestContext request) {
@@ -84,9 +87,9 @@
                 .orElse(StageCapacity.NONE);
     }
 
-    /** Returns whether any stage remains to be run. */
+    /** Returns whether the request has any stage. */
     boolean needed() {
-        return !mGraph.isComplete();
+        return mNeeded;
     }
 
     /**
@@ -108,9 +111,12 @@
         return mPlan.retryAfterMillis(mState.nowMillis());
     }
 
-    /** Returns the handles of the results that the request itself reads. */
+    /**
+     * Returns the handles of the results that the request itself reads; empty unless all are
+     * available.
+     */
     List<String> inputs() {
-        return mGraph.outputHandles();
+        return mGraph.isComplete() ? mGraph.outputHandles() : List.of();
     }
 
     /** Starts over after results were lost; returns false if the restarts are used up. */
@@ -119,11 +125,32 @@
             return false;
         }
         mRestarts++;
+        startOver();
+        return true;
+    }
+
+    /**
+     * Starts over for another attempt while an earlier one goes on; returns false if that was done
+     * before. It leaves the restart after lost results.
+     */
+    boolean restartForHedge() {
+        if (mRestartedForHedge) {
+            return false;
+        }
+        mRestartedForHedge = true;
+        startOver();
+        return true;
+    }
+
+    private void startOver() {
         end();
         mEnded = false;
         mGraph = new StageGraph(mRequest.route().stages(), mRequest.pieces());
         submitReady();
-        return true;
+    }
+
+    private int timesStartedOver() {
+        return mRestarts + (mRestartedForHedge ? 1 : 0);
     }
 
     /** Returns whether stages are running. */
@@ -131,9 +158,9 @@
         return !mEnded && !mGraph.isComplete();
     }
 
-    /** Returns whether results were available and have been released. */
+    /** Returns whether the request has stages whose results are not, or no longer, available. */
     boolean resultsReleased() {
-        return mEnded && !mGraph.outputHandles().isEmpty();
+        return mEnded && mNeeded;
     }
 
     /** Cancels the remaining work and releases all results; may be called more than once. */
@@ -198,7 +225,7 @@
                             specification.resultBytes(),
                             place.domain(),
                             place.localityWaitMillis(),
-                            mRestarts > 0));
+                            timesStartedOver() > 0));
         }
     }
 
@@ -213,7 +240,7 @@
                                 .with("pieces", mGraph.pieceCount(stage))
                                 .with("expected", Math.round(expected))
                                 .with("slack", startByMillis - now)
-                                .with("restarts", mRestarts));
+                                .with("restarts", timesStartedOver()));
     }
 
     private void submit(PieceWork work) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -177,7 +177,7 @@
             return false;
         }
         if (mStages.resultsReleased()) {
-            return sender().canHedge(inputLocation()) && mStages.restart();
+            return sender().canHedge(inputLocation()) && mStages.restartForHedge();
         }
         return sendHedge();
     }
