Read on a connection that a paused response leaves to the next call

What callers saw: a whole request got no answer until its deadline, then a 504, though its endpoint had answered.

Cause: while a caller doesn't read, its endpoint's connection isn't read either. If the end of the response was among the bytes read last, the connection went back to the pool and stayed paused, so the answer to the next call on it was never read, and neither was its close. Such a connection costs one request after the other.

Change: a connection is read again when its call ends.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -169,6 +169,8 @@
         call.markEnded();
         mIdleSinceMillis = mOwner.nowMillis();
         if (mReusable && mWritten) {
+            // The call may have ended while its response was not read on.
+            setReadable(true);
             mOwner.returnIdle(this);
         } else {
             close();
