Take no endpoint for silent while its caller does not read

What callers saw: nothing at first; but a caller that read its stream slowly had a second endpoint run it, at the cost of a permission to retry, a failure on the health of a sound endpoint, and the work of the first.

Cause: a response isn't read while its caller doesn't read, and the silence that this makes was taken for the endpoint's.

Change: the silence isn't measured while the caller's connection is unwritable, and is measured anew when that changes.

Evidence: SlowCallerTest.anEndpointIsNotTakenForSilentWhileItsCallerDoesNotRead failed before (two endpoints ran the stream) and passes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
@@ -57,7 +57,12 @@
         return mEvents.lastEventId();
     }
 
-    /** Returns how long ago the attempt was sent or last brought a whole event. */
+    /** Measures the silence of the endpoint anew, as its response was not read before. */
+    void readOn(long nowMillis) {
+        mLastProgressMillis = nowMillis;
+    }
+
+    /** Returns how long ago the attempt was sent, read on or last brought a whole event. */
     long idleMillis(long nowMillis) {
         return nowMillis - mLastProgressMillis;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -83,7 +83,10 @@
 
     /** Called when the caller's connection became writable or unwritable. */
     void writabilityChanged() {
-        pending().forEach(attempt -> attempt.setReadable(exchange().writable()));
+        for (Attempt attempt : pending()) {
+            attempt.setReadable(exchange().writable());
+            mReaders.get(attempt).readOn(state().nowMillis());
+        }
     }
 
     @Override
@@ -155,7 +158,8 @@
             return;
         }
         EventReader reader = mReaders.get(attempt);
-        long idleMillis = reader.idleMillis(state().nowMillis());
+        // While the caller does not read, neither is the endpoint's response read.
+        long idleMillis = exchange().writable() ? reader.idleMillis(state().nowMillis()) : 0;
         long timeout = reader.delivered() ? STALL_TIMEOUT_MILLIS : firstEventTimeoutMillis;
         if (idleMillis < timeout) {
             watch(attempt, Math.max(MIN_CHECK_MILLIS, timeout - idleMillis));
