Trace crashes to the prompt parts that cause them

Requests that share one crashing part but are not alike never added up in the register of whole contents. CrashSuspects judges each part and content on its own. Not wired or tested yet.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -0,0 +1,320 @@
+package org.wasabilug.internal.serving;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Traces crashes of endpoints to the contents and prompt parts of requests that cause them.
+ *
+ * <p>A cause crashes each endpoint that begins an answer on it, so a single answer that goes on
+ * clears all features of its request. Crashes also interrupt unrelated requests; a feature counts
+ * as a cause only after several crashes in a row that nothing else explains.
+ */
+public final class CrashSuspects {
+    private static final int MIN_CRASHES = 3;
+
+    /** So many crashes in a row condemn a part also amid many crashes of other causes. */
+    private static final int CERTAIN_CRASHES = 5;
+
+    private static final int MIN_CONTENTS = 2;
+
+    /** Many endpoints that fall together are one event. */
+    private static final long MIN_SPAN_MILLIS = 1_000;
+
+    private static final int MIN_SHARE_DIVISOR = 3;
+    private static final long TRIAL_MILLIS = 5_000;
+    private static final long RESTED_TRIAL_MILLIS = 60_000;
+    private static final long CRASH_MILLIS = 60_000;
+    private static final int MAX_FEATURES = 2_000;
+    private static final int MAX_CRASHES = 1_000;
+    private static final int MAX_PARTS = 32;
+
+    private final List<EndpointCrash> mCrashes = new ArrayList<>();
+    private final Map<Feature, CrashStreak> mStreaks = new LinkedHashMap<>();
+    private final Map<Feature, Long> mAnsweredMillis =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Feature, Long> eldest) {
+                    return size() > MAX_FEATURES;
+                }
+            };
+
+    private enum Kind {
+        CONTENT,
+        PART
+    }
+
+    private record Feature(Kind kind, long fingerprint) {}
+
+    /**
+     * Records a crash seen by this instance or a peer.
+     *
+     * @param observation the crash and one request
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return whether the observation was not known; another of the same endpoint and content
+     *     within 1 s counts as the same
+     */
+    public boolean recordCrash(CrashObservation observation, long nowMillis) {
+        EndpointCrash crash = findOrAddCrash(observation);
+        if (!crash.add(observation)) {
+            return false;
+        }
+        features(observation.content(), observation.parts())
+                .forEach(feature -> addCrash(feature, crash, observation, nowMillis));
+        return true;
+    }
+
+    /**
+     * Records that an answer went on past its beginning.
+     *
+     * @param request features of the answered request
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the features that were suspected until now, of which peers should hear
+     */
+    public Set<Long> recordAnswer(RequestFeatures request, long nowMillis) {
+        if (isEmpty()) {
+            return Set.of();
+        }
+        Set<Long> cleared = new HashSet<>();
+        for (Feature feature : features(request.content(), request.parts())) {
+            if (clear(feature, nowMillis)) {
+                cleared.add(feature.fingerprint());
+            }
+        }
+        return cleared;
+    }
+
+    /**
+     * Clears features with which an answer went on at a peer.
+     *
+     * @param features what {@link #recordAnswer} returned there
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void acquit(Set<Long> features, long nowMillis) {
+        for (long fingerprint : features) {
+            clear(new Feature(Kind.CONTENT, fingerprint), nowMillis);
+            clear(new Feature(Kind.PART, fingerprint), nowMillis);
+        }
+    }
+
+    /** Returns whether nothing is suspected, in which case requests need no check. */
+    public boolean isEmpty() {
+        return mStreaks.isEmpty();
+    }
+
+    /**
+     * Decides whether a request may be sent to an endpoint now.
+     *
+     * @param request features of the request
+     * @param mayTry whether this instance is the one that may try a long refused feature again
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public CrashVerdict judge(RequestFeatures request, boolean mayTry, long nowMillis) {
+        if (isEmpty()) {
+            return CrashVerdict.ALLOWED;
+        }
+        Set<Feature> features = features(request.content(), request.parts());
+        List<CrashStreak> condemned = new ArrayList<>();
+        for (Feature feature : features) {
+            CrashStreak streak = mStreaks.get(feature);
+            if (streak != null && isHeldAgainst(feature, streak, request.workspace())) {
+                condemned.add(streak);
+            }
+        }
+        if (condemned.isEmpty()) {
+            return CrashVerdict.ALLOWED;
+        }
+        return tryAll(condemned, features, mayTry, nowMillis);
+    }
+
+    /** Returns the observations that a newly connected peer needs. */
+    public List<CrashObservation> observations() {
+        List<CrashObservation> observations = new ArrayList<>();
+        for (EndpointCrash crash : mCrashes) {
+            for (CrashObservation observation : crash.observations()) {
+                addIfSuspected(crash, observation, observations);
+            }
+        }
+        return observations;
+    }
+
+    /**
+     * Forgets what no longer matters.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void removeExpired(long nowMillis) {
+        mStreaks.values().removeIf(streak -> streak.isExpired(nowMillis));
+        mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > CRASH_MILLIS);
+        Set<EndpointCrash> needed = new HashSet<>();
+        mStreaks.values().forEach(streak -> needed.addAll(streak.crashes()));
+        mCrashes.removeIf(
+                crash ->
+                        nowMillis - crash.crashedMillis() > CRASH_MILLIS
+                                && !needed.contains(crash));
+    }
+
+    private EndpointCrash findOrAddCrash(CrashObservation observation) {
+        for (EndpointCrash crash : mCrashes) {
+            if (crash.includes(observation)) {
+                return crash;
+            }
+        }
+        if (mCrashes.size() >= MAX_CRASHES) {
+            mCrashes.removeFirst();
+        }
+        EndpointCrash crash = new EndpointCrash(observation);
+        mCrashes.add(crash);
+        return crash;
+    }
+
+    private void addCrash(
+            Feature feature, EndpointCrash crash, CrashObservation observation, long nowMillis) {
+        if (mAnsweredMillis.getOrDefault(feature, Long.MIN_VALUE) >= crash.crashedMillis()) {
+            return;
+        }
+        CrashStreak streak = mStreaks.remove(feature);
+        if (streak == null) {
+            streak = new CrashStreak();
+            makeRoom();
+        }
+        mStreaks.put(feature, streak);
+        streak.add(crash, observation, nowMillis);
+        if (isCause(feature, streak)) {
+            streak.condemn();
+        }
+    }
+
+    private void makeRoom() {
+        if (mStreaks.size() < MAX_FEATURES) {
+            return;
+        }
+        Iterator<CrashStreak> eldestFirst = mStreaks.values().iterator();
+        while (eldestFirst.hasNext()) {
+            if (!eldestFirst.next().isCondemned()) {
+                eldestFirst.remove();
+                return;
+            }
+        }
+        mStreaks.remove(mStreaks.keySet().iterator().next());
+    }
+
+    private boolean clear(Feature feature, long answeredMillis) {
+        CrashStreak streak = mStreaks.get(feature);
+        if (streak == null) {
+            return false;
+        }
+        mAnsweredMillis.remove(feature);
+        mAnsweredMillis.put(feature, answeredMillis);
+        if (!streak.clear(answeredMillis)) {
+            mStreaks.remove(feature);
+        } else if (isCause(feature, streak)) {
+            streak.condemn();
+        }
+        return true;
+    }
+
+    private boolean isCause(Feature feature, CrashStreak streak) {
+        int crashes = streak.crashes().size();
+        if (crashes < MIN_CRASHES) {
+            return false;
+        }
+        if (feature.kind() == Kind.CONTENT) {
+            return true;
+        }
+        return streak.contents() >= MIN_CONTENTS
+                && streak.lastCrashMillis() - streak.firstCrashMillis() >= MIN_SPAN_MILLIS
+                && (crashes >= CERTAIN_CRASHES
+                        || crashes * MIN_SHARE_DIVISOR >= crashesDuring(streak));
+    }
+
+    private long crashesDuring(CrashStreak streak) {
+        Set<String> services = new HashSet<>();
+        streak.crashes().forEach(crash -> services.add(crash.service()));
+        return mCrashes.stream()
+                .filter(crash -> services.contains(crash.service()))
+                .filter(crash -> crash.crashedMillis() >= streak.firstCrashMillis())
+                .filter(crash -> crash.crashedMillis() <= streak.lastCrashMillis())
+                .count();
+    }
+
+    private boolean isHeldAgainst(Feature feature, CrashStreak streak, long workspace) {
+        return streak.isCondemned()
+                && (feature.kind() == Kind.CONTENT
+                        || streak.concerns(workspace) && !isAccountedFor(streak));
+    }
+
+    /** Returns whether another cause was in all crashes of the streak and in more. */
+    private boolean isAccountedFor(CrashStreak streak) {
+        Set<EndpointCrash> crashes = streak.crashes();
+        return mStreaks.values().stream()
+                .filter(CrashStreak::isCondemned)
+                .map(CrashStreak::crashes)
+                .anyMatch(other -> other.size() > crashes.size() && other.containsAll(crashes));
+    }
+
+    private CrashVerdict tryAll(
+            List<CrashStreak> condemned, Set<Feature> features, boolean mayTry, long nowMillis) {
+        for (CrashStreak streak : condemned) {
+            boolean isTriable =
+                    mayTry && streak.isRested(nowMillis) || hasAbsentTwin(streak, features);
+            if (streak.isOnTrial(nowMillis) || !isTriable) {
+                return CrashVerdict.REFUSED;
+            }
+        }
+        for (CrashStreak streak : condemned) {
+            long trialMillis = streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
+            streak.startTrial(nowMillis + trialMillis);
+        }
+        return CrashVerdict.TRIAL;
+    }
+
+    /** Returns whether a condemned feature that the request lacks was in the same crashes. */
+    private boolean hasAbsentTwin(CrashStreak streak, Set<Feature> features) {
+        Set<EndpointCrash> crashes = streak.crashes();
+        return mStreaks.entrySet().stream()
+                .filter(entry -> entry.getValue().isCondemned())
+                .filter(entry -> !features.contains(entry.getKey()))
+                .anyMatch(entry -> entry.getValue().crashes().equals(crashes));
+    }
+
+    private void addIfSuspected(
+            EndpointCrash crash, CrashObservation observation, List<CrashObservation> suspected) {
+        Set<Long> parts = new HashSet<>(observation.parts());
+        parts.removeIf(part -> !isSuspected(new Feature(Kind.PART, part), crash));
+        boolean isContentSuspected =
+                isSuspected(new Feature(Kind.CONTENT, observation.content()), crash);
+        if (isContentSuspected || !parts.isEmpty()) {
+            suspected.add(
+                    new CrashObservation(
+                            observation.endpoint(),
+                            observation.failureDomain(),
+                            observation.service(),
+                            observation.crashedMillis(),
+                            observation.workspace(),
+                            observation.content(),
+                            parts));
+        }
+    }
+
+    private boolean isSuspected(Feature feature, EndpointCrash crash) {
+        CrashStreak streak = mStreaks.get(feature);
+        return streak != null && streak.contains(crash);
+    }
+
+    private static Set<Feature> features(long content, Set<Long> parts) {
+        Set<Feature> features = new HashSet<>();
+        features.add(new Feature(Kind.CONTENT, content));
+        parts.stream()
+                .limit(MAX_PARTS)
+                .forEach(part -> features.add(new Feature(Kind.PART, part)));
+        return features;
+    }
+}
