--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 /** The crashes on one feature of requests since an answer last went on with it. */
@@ -22,6 +23,7 @@
     private static final long REST_FACTOR = 8;
 
     private final List<Evidence> mEvidence = new ArrayList<>();
+    private final Set<EndpointCrash> mCrashes = new HashSet<>();
     private boolean mCondemned;
     private long mRecordedMillis;
     private long mTrialUntilMillis = Long.MIN_VALUE;
@@ -37,8 +39,9 @@
             mRestMillis = Math.min(MAX_REST_MILLIS, mRestMillis * REST_FACTOR);
         }
         if (mEvidence.size() >= MAX_EVIDENCE) {
-            mEvidence.removeFirst();
+            removeEvidence(mEvidence.getFirst()::equals);
         }
+        mCrashes.add(crash);
         mEvidence.add(new Evidence(crash, observation.workspace(), observation.content()));
         mRecordedMillis = nowMillis;
         mTrialUntilMillis = Long.MIN_VALUE;
@@ -46,7 +49,7 @@
 
     /** Removes the crashes up to a time at which an answer went on; returns whether any is left. */
     boolean clear(long answeredMillis) {
-        mEvidence.removeIf(evidence -> evidence.crash().crashedMillis() <= answeredMillis);
+        removeEvidence(evidence -> evidence.crash().crashedMillis() <= answeredMillis);
         mCondemned = false;
         mRestMillis = FIRST_REST_MILLIS;
         mTrialUntilMillis = Long.MIN_VALUE;
@@ -54,13 +57,7 @@
     }
 
     Set<EndpointCrash> crashes() {
-        Set<EndpointCrash> crashes = new HashSet<>();
-        mEvidence.forEach(evidence -> crashes.add(evidence.crash()));
-        return crashes;
-    }
-
-    boolean contains(EndpointCrash crash) {
-        return mEvidence.stream().anyMatch(evidence -> evidence.crash() == crash);
+        return mCrashes;
     }
 
     int contents() {
@@ -68,15 +65,15 @@
     }
 
     long firstCrashMillis() {
-        return mEvidence.stream()
-                .mapToLong(evidence -> evidence.crash().crashedMillis())
+        return mCrashes.stream()
+                .mapToLong(EndpointCrash::crashedMillis)
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
 
     long lastCrashMillis() {
-        return mEvidence.stream()
-                .mapToLong(evidence -> evidence.crash().crashedMillis())
+        return mCrashes.stream()
+                .mapToLong(EndpointCrash::crashedMillis)
                 .max()
                 .orElse(Long.MIN_VALUE);
     }
@@ -115,6 +112,12 @@
                 && nowMillis - mRecordedMillis > ARRIVAL_MILLIS;
     }
 
+    private void removeEvidence(Predicate<Evidence> condition) {
+        mEvidence.removeIf(condition);
+        mCrashes.clear();
+        mEvidence.forEach(evidence -> mCrashes.add(evidence.crash()));
+    }
+
     private Set<Long> distinct(ToLongFunction<Evidence> property) {
         Set<Long> values = new HashSet<>();
         mEvidence.forEach(evidence -> values.add(property.applyAsLong(evidence)));
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -1,12 +1,14 @@
 package org.wasabilug.internal.serving;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Traces crashes of endpoints to the contents and prompt parts of requests that cause them.
@@ -66,7 +68,7 @@
         if (!crash.add(observation)) {
             return false;
         }
-        features(observation.content(), observation.parts())
+        features(observation.content(), boundedParts(observation.parts()))
                 .forEach(feature -> addCrash(feature, crash, observation, nowMillis));
         return true;
     }
@@ -161,6 +163,20 @@
                                 && !needed.contains(crash));
     }
 
+    /** Returns the parts to record; those suspected before go first. */
+    private Set<Long> boundedParts(Set<Long> parts) {
+        if (parts.size() <= MAX_PARTS) {
+            return parts;
+        }
+        return parts.stream()
+                .sorted()
+                .sorted(
+                        Comparator.comparing(
+                                part -> !mStreaks.containsKey(new Feature(Kind.PART, part))))
+                .limit(MAX_PARTS)
+                .collect(Collectors.toSet());
+    }
+
     private EndpointCrash findOrAddCrash(CrashObservation observation) {
         for (EndpointCrash crash : mCrashes) {
             if (crash.includes(observation)) {
@@ -206,13 +222,14 @@
         mStreaks.remove(mStreaks.keySet().iterator().next());
     }
 
+    /** Clears a feature and remembers when, as older crashes may be reported late. */
     private boolean clear(Feature feature, long answeredMillis) {
+        mAnsweredMillis.remove(feature);
+        mAnsweredMillis.put(feature, answeredMillis);
         CrashStreak streak = mStreaks.get(feature);
         if (streak == null) {
             return false;
         }
-        mAnsweredMillis.remove(feature);
-        mAnsweredMillis.put(feature, answeredMillis);
         if (!streak.clear(answeredMillis)) {
             mStreaks.remove(feature);
         } else if (isCause(feature, streak)) {
@@ -270,7 +287,7 @@
             }
         }
         for (CrashStreak streak : condemned) {
-            long trialMillis = streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
+            long trialMillis = mayTry && streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
             streak.startTrial(nowMillis + trialMillis);
         }
         return CrashVerdict.TRIAL;
@@ -306,15 +323,13 @@
 
     private boolean isSuspected(Feature feature, EndpointCrash crash) {
         CrashStreak streak = mStreaks.get(feature);
-        return streak != null && streak.contains(crash);
+        return streak != null && streak.crashes().contains(crash);
     }
 
     private static Set<Feature> features(long content, Set<Long> parts) {
         Set<Feature> features = new HashSet<>();
         features.add(new Feature(Kind.CONTENT, content));
-        parts.stream()
-                .limit(MAX_PARTS)
-                .forEach(part -> features.add(new Feature(Kind.PART, part)));
+        parts.forEach(part -> features.add(new Feature(Kind.PART, part)));
         return features;
     }
 }
