--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
@@ -17,20 +17,29 @@
     private static final long ARRIVAL_MILLIS = 5_000;
 
     private static final long FIRST_REST_MILLIS = 60_000;
+
+    /** A feature that was answered before is more often refused in error. */
+    private static final long FIRST_REST_OF_ANSWERED_MILLIS = 10_000;
+
     private static final long MAX_REST_MILLIS = 3_600_000;
 
-    /** With it no more than three trials fall into the first hour after a verdict. */
-    private static final long REST_FACTOR = 8;
+    /** With it no more than two trials fall into the first hour after a verdict. */
+    private static final long REST_FACTOR = 20;
 
     private final List<Evidence> mEvidence = new ArrayList<>();
     private final Set<EndpointCrash> mCrashes = new HashSet<>();
     private boolean mCondemned;
     private long mRecordedMillis;
     private long mTrialUntilMillis = Long.MIN_VALUE;
-    private long mRestMillis = FIRST_REST_MILLIS;
+    private long mRestMillis;
 
     private record Evidence(EndpointCrash crash, long workspace, long content) {}
 
+    /** Creates an empty streak of a feature that is known to have been answered before, or not. */
+    CrashStreak(boolean isAnsweredBefore) {
+        mRestMillis = isAnsweredBefore ? FIRST_REST_OF_ANSWERED_MILLIS : FIRST_REST_MILLIS;
+    }
+
     /** Adds a crash that happened while a request with the feature ran. */
     void add(EndpointCrash crash, CrashObservation observation, long nowMillis) {
         boolean isFailedTrial =
@@ -51,7 +60,7 @@
     boolean clear(long answeredMillis) {
         removeEvidence(evidence -> evidence.crash().crashedMillis() <= answeredMillis);
         mCondemned = false;
-        mRestMillis = FIRST_REST_MILLIS;
+        mRestMillis = FIRST_REST_OF_ANSWERED_MILLIS;
         mTrialUntilMillis = Long.MIN_VALUE;
         return !mEvidence.isEmpty();
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -32,6 +32,7 @@
     private static final long TRIAL_MILLIS = 5_000;
     private static final long RESTED_TRIAL_MILLIS = 60_000;
     private static final long CRASH_MILLIS = 60_000;
+    private static final long ANSWER_MILLIS = 3_600_000;
     private static final int MAX_FEATURES = 2_000;
     private static final int MAX_CRASHES = 1_000;
     private static final int MAX_PARTS = 32;
@@ -74,20 +75,24 @@
     }
 
     /**
-     * Records that an answer went on past its beginning.
+     * Records that an answer went on past its beginning. Worth a call also while nothing is
+     * suspected: a part that is known to have been answered is not condemned for one fall of many
+     * endpoints. The content is not used then.
      *
      * @param request features of the answered request
      * @param nowMillis current monotonic time, in milliseconds
      * @return the features that were suspected until now, of which peers should hear
      */
     public Set<Long> recordAnswer(RequestFeatures request, long nowMillis) {
-        if (isEmpty()) {
-            return Set.of();
-        }
         Set<Long> cleared = new HashSet<>();
-        for (Feature feature : features(request.content(), request.parts())) {
+        if (clear(new Feature(Kind.CONTENT, request.content()), nowMillis)) {
+            cleared.add(request.content());
+        }
+        for (long part : request.parts()) {
+            Feature feature = new Feature(Kind.PART, part);
+            rememberAnswer(feature, nowMillis);
             if (clear(feature, nowMillis)) {
-                cleared.add(feature.fingerprint());
+                cleared.add(part);
             }
         }
         return cleared;
@@ -101,8 +106,11 @@
      */
     public void acquit(Set<Long> features, long nowMillis) {
         for (long fingerprint : features) {
-            clear(new Feature(Kind.CONTENT, fingerprint), nowMillis);
-            clear(new Feature(Kind.PART, fingerprint), nowMillis);
+            for (Kind kind : Kind.values()) {
+                Feature feature = new Feature(kind, fingerprint);
+                rememberAnswer(feature, nowMillis);
+                clear(feature, nowMillis);
+            }
         }
     }
 
@@ -154,7 +162,7 @@
      */
     public void removeExpired(long nowMillis) {
         mStreaks.values().removeIf(streak -> streak.isExpired(nowMillis));
-        mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > CRASH_MILLIS);
+        mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > ANSWER_MILLIS);
         Set<EndpointCrash> needed = new HashSet<>();
         mStreaks.values().forEach(streak -> needed.addAll(streak.crashes()));
         mCrashes.removeIf(
@@ -198,7 +206,7 @@
         }
         CrashStreak streak = mStreaks.remove(feature);
         if (streak == null) {
-            streak = new CrashStreak();
+            streak = new CrashStreak(mAnsweredMillis.containsKey(feature));
             makeRoom();
         }
         mStreaks.put(feature, streak);
@@ -222,14 +230,18 @@
         mStreaks.remove(mStreaks.keySet().iterator().next());
     }
 
-    /** Clears a feature and remembers when, as older crashes may be reported late. */
-    private boolean clear(Feature feature, long answeredMillis) {
+    /** Remembers an answer, as crashes before it may be reported late. */
+    private void rememberAnswer(Feature feature, long answeredMillis) {
         mAnsweredMillis.remove(feature);
         mAnsweredMillis.put(feature, answeredMillis);
+    }
+
+    private boolean clear(Feature feature, long answeredMillis) {
         CrashStreak streak = mStreaks.get(feature);
         if (streak == null) {
             return false;
         }
+        rememberAnswer(feature, answeredMillis);
         if (!streak.clear(answeredMillis)) {
             mStreaks.remove(feature);
         } else if (isCause(feature, streak)) {
@@ -246,10 +258,17 @@
         if (feature.kind() == Kind.CONTENT) {
             return true;
         }
-        return streak.contents() >= MIN_CONTENTS
-                && streak.lastCrashMillis() - streak.firstCrashMillis() >= MIN_SPAN_MILLIS
-                && (crashes >= CERTAIN_CRASHES
-                        || crashes * MIN_SHARE_DIVISOR >= crashesDuring(streak));
+        if (streak.contents() < MIN_CONTENTS) {
+            return false;
+        }
+        boolean isCertain = crashes >= CERTAIN_CRASHES;
+        boolean isOneEvent =
+                streak.lastCrashMillis() - streak.firstCrashMillis() < MIN_SPAN_MILLIS;
+        if (mAnsweredMillis.containsKey(feature)) {
+            return isCertain && !isOneEvent;
+        }
+        boolean isFrequent = crashes * MIN_SHARE_DIVISOR >= crashesDuring(streak);
+        return isOneEvent ? isCertain && isFrequent : isCertain || isFrequent;
     }
 
     private long crashesDuring(CrashStreak streak) {
