--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -33,8 +34,9 @@
     private static final long RESTED_TRIAL_MILLIS = 60_000;
     private static final long CRASH_MILLIS = 60_000;
     private static final long ANSWER_MILLIS = 3_600_000;
-    private static final int MAX_FEATURES = 2_000;
-    private static final int MAX_CRASHES = 1_000;
+    private static final int MAX_FEATURES = 4_000;
+    private static final int MAX_CRASHES = 500;
+    private static final int MAX_OBSERVATIONS = 8_000;
     private static final int MAX_PARTS = 32;
 
     private final List<EndpointCrash> mCrashes = new ArrayList<>();
@@ -69,6 +71,7 @@
         if (!crash.add(observation)) {
             return false;
         }
+        boundCrashes();
         features(observation.content(), boundedParts(observation.parts()))
                 .forEach(feature -> addCrash(feature, crash, observation, nowMillis));
         return true;
@@ -191,9 +194,6 @@
                 return crash;
             }
         }
-        if (mCrashes.size() >= MAX_CRASHES) {
-            mCrashes.removeFirst();
-        }
         EndpointCrash crash = new EndpointCrash(observation);
         mCrashes.add(crash);
         return crash;
@@ -216,18 +216,34 @@
         }
     }
 
+    private void boundCrashes() {
+        int observations =
+                mCrashes.stream().mapToInt(crash -> crash.observations().size()).sum();
+        while (mCrashes.size() > MAX_CRASHES || observations > MAX_OBSERVATIONS) {
+            EndpointCrash eldest = mCrashes.removeFirst();
+            observations -= eldest.observations().size();
+            eldest.removeObservations();
+        }
+    }
+
+    /** Makes room for a feature: those with a single crash go first, condemned ones last. */
     private void makeRoom() {
-        if (mStreaks.size() < MAX_FEATURES) {
-            return;
+        if (mStreaks.size() >= MAX_FEATURES
+                && !removeEldest(streak -> streak.crashes().size() == 1)
+                && !removeEldest(streak -> !streak.isCondemned())) {
+            removeEldest(streak -> true);
         }
+    }
+
+    private boolean removeEldest(Predicate<CrashStreak> condition) {
         Iterator<CrashStreak> eldestFirst = mStreaks.values().iterator();
         while (eldestFirst.hasNext()) {
-            if (!eldestFirst.next().isCondemned()) {
+            if (condition.test(eldestFirst.next())) {
                 eldestFirst.remove();
-                return;
+                return true;
             }
         }
-        mStreaks.remove(mStreaks.keySet().iterator().next());
+        return false;
     }
 
     /** Remembers an answer, as crashes before it may be reported late. */
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointCrash.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointCrash.java
@@ -8,8 +8,8 @@
     /** An endpoint needs longer than this to start again. */
     private static final long SAME_CRASH_MILLIS = 1_000;
 
-    /** The requests of one endpoint are many, and callers choose how many. */
-    private static final int MAX_OBSERVATIONS = 32;
+    /** Callers choose how many requests an endpoint has. */
+    private static final int MAX_OBSERVATIONS = 256;
 
     private final String mEndpoint;
     private final String mService;
@@ -34,6 +34,11 @@
         return mObservations;
     }
 
+    /** Forgets the requests; the crash goes on counting for the features it was recorded for. */
+    void removeObservations() {
+        mObservations.clear();
+    }
+
     /** Returns whether the observation tells of this crash. */
     boolean includes(CrashObservation observation) {
         return mEndpoint.equals(observation.endpoint())
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashFleet.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashFleet.java
@@ -15,7 +15,6 @@
     private static final long RESTART_MILLIS = 5_000;
     private static final long WAIT_MILLIS = 100;
     private static final long DEADLINE_MILLIS = 15_000;
-    private static final double LOSS = 0.01;
 
     private final Random mRandom;
     private final Set<Long> mBadParts = new HashSet<>();
@@ -24,17 +23,20 @@
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
-    private final List<Long> mBadSends = new ArrayList<>();
-    private final List<Long> mBadCrashes = new ArrayList<>();
+    private final List<BadEvent> mBadSends = new ArrayList<>();
+    private final List<BadEvent> mBadCrashes = new ArrayList<>();
     private final List<Long> mSoundRefusals = new ArrayList<>();
     private long mNowMillis;
     private long mOrder;
     private int mSoundServed;
     private int mSoundUnserved;
-    private int mRepeatRefusals;
+    private double mLoss = 0.01;
+    private int mMaxBeginMillis = 450;
 
     private record Event(long atMillis, long order, Runnable action) {}
 
+    private record BadEvent(long part, long atMillis) {}
+
     private static final class Endpoint {
         private final String mName;
         private final String mDomain;
@@ -70,10 +72,24 @@
         }
     }
 
+    /** Sets which share of the messages between instances is lost. */
+    void setLoss(double loss) {
+        mLoss = loss;
+    }
+
+    /** Sets how long an endpoint may need until it begins to write an answer. */
+    void setMaxBeginMillis(int maxBeginMillis) {
+        mMaxBeginMillis = maxBeginMillis;
+    }
+
     void addBadPart(long part) {
         mBadParts.add(part);
     }
 
+    void addBadPartAt(long atMillis, long part) {
+        at(atMillis, () -> mBadParts.add(part));
+    }
+
     /** Sends a request with a content of its own. */
     void requestAt(long atMillis, long workspace, Set<Long> parts) {
         int instance = mRandom.nextInt(mInstances.size());
@@ -117,23 +133,24 @@
         }
     }
 
-    /** Returns how many bad requests reached endpoints later than a time after the fifth crash. */
-    long badSendsAfterFifthCrash(long graceMillis) {
-        if (mBadCrashes.size() < 5) {
+    /** Returns how many requests with a part reached endpoints after its fifth crash. */
+    long sendsAfterFifthCrash(long part, long graceMillis) {
+        List<BadEvent> crashes =
+                mBadCrashes.stream().filter(crash -> crash.part() == part).toList();
+        if (crashes.size() < 5) {
             return 0;
         }
-        long fromMillis = mBadCrashes.get(4) + graceMillis;
-        return mBadSends.stream().filter(sent -> sent > fromMillis).count();
+        long fromMillis = crashes.get(4).atMillis() + graceMillis;
+        return mBadSends.stream()
+                .filter(sent -> sent.part() == part && sent.atMillis() > fromMillis)
+                .count();
     }
 
-    int badCrashes() {
-        return mBadCrashes.size();
-    }
-
-    int badSends() {
-        return mBadSends.size();
+    int crashes(long part) {
+        return (int) mBadCrashes.stream().filter(crash -> crash.part() == part).count();
     }
 
+    /** Returns when sound requests were refused that had not crashed three endpoints themselves. */
     List<Long> soundRefusals() {
         return mSoundRefusals;
     }
@@ -170,20 +187,17 @@
     }
 
     private void refuse(Request request) {
-        if (request.mTried.size() >= 3) {
-            mRepeatRefusals++;
-        } else if (!isBad(request)) {
+        boolean isRepeated = request.mTried.size() >= 3;
+        if (!isBad(request) && !isRepeated) {
             mSoundRefusals.add(mNowMillis);
         }
     }
 
     private void begin(Request request, Endpoint endpoint) {
-        if (isBad(request)) {
-            mBadSends.add(mNowMillis);
-        }
+        addBadEvent(request, mBadSends);
         request.mTried.add(endpoint);
         endpoint.mBeginning.add(request);
-        long delayMillis = 50 + mRandom.nextInt(400);
+        long delayMillis = 50 + mRandom.nextInt(mMaxBeginMillis - 50);
         at(mNowMillis + delayMillis, () -> write(request, endpoint));
     }
 
@@ -192,7 +206,7 @@
             return;
         }
         if (isBad(request)) {
-            mBadCrashes.add(mNowMillis);
+            addBadEvent(request, mBadCrashes);
             crash(endpoint);
             return;
         }
@@ -235,12 +249,18 @@
     private void tellPeers(int from, Consumer<CrashSuspects> message) {
         for (int peer = 0; peer < mInstances.size(); peer++) {
             CrashSuspects receiver = mInstances.get(peer);
-            if (peer != from && mRandom.nextDouble() >= LOSS) {
+            if (peer != from && mRandom.nextDouble() >= mLoss) {
                 at(mNowMillis + 2 + mRandom.nextInt(40), () -> message.accept(receiver));
             }
         }
     }
 
+    private void addBadEvent(Request request, List<BadEvent> events) {
+        request.mFeatures.parts().stream()
+                .filter(mBadParts::contains)
+                .forEach(part -> events.add(new BadEvent(part, mNowMillis)));
+    }
+
     private boolean isBad(Request request) {
         return request.mFeatures.parts().stream().anyMatch(mBadParts::contains);
     }
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
@@ -4,6 +4,8 @@
 
 import java.util.Random;
 import java.util.Set;
+import java.util.function.LongConsumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -12,156 +14,270 @@
     private static final int MAX_LATE_SENDS = 3;
     private static final int SEEDS = 20;
     private static final long BAD = 666;
+    private static final long OTHER_BAD = 667;
     private static final long CALLER = 1;
     private static final long SYSTEM = 10;
     private static final long TOOLS = 20;
+    private static final long COMPANION = 77;
+    private static final long BAD_FROM_MILLIS = 10_000;
     private static final long END_MILLIS = 60_000;
 
     private static CrashFleet fleet(long seed) {
         return new CrashFleet(seed, 8, 40, 4);
     }
 
-    private static void addSound(CrashFleet fleet, double rate, long endMillis) {
+    private static void addSound(CrashFleet fleet, double rate) {
         fleet.requests(
                 0,
-                endMillis,
+                END_MILLIS,
                 rate,
                 at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, TOOLS + at % 5)));
     }
 
-    private static void addBad(CrashFleet fleet, double rate, long fromMillis, long endMillis) {
-        fleet.addBadPart(BAD);
+    private static void addBad(CrashFleet fleet, double rate, long part) {
+        fleet.addBadPart(part);
         fleet.requests(
-                fromMillis,
-                endMillis,
+                BAD_FROM_MILLIS,
+                END_MILLIS,
                 rate,
-                at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, TOOLS + at % 5, BAD)));
+                at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, TOOLS + at % 5, part)));
     }
 
-    private static void report(String what, long seed, CrashFleet fleet) {
-        System.out.println(
-                "FLEET %s seed %d: crashes %d sends %d late %d refused %d served %d unserved %d %s"
-                        .formatted(
-                                what,
-                                seed,
-                                fleet.badCrashes(),
-                                fleet.badSends(),
-                                fleet.badSendsAfterFifthCrash(GRACE_MILLIS),
-                                fleet.soundRefusals().size(),
-                                fleet.soundServed(),
-                                fleet.soundUnserved(),
-                                fleet.soundRefusals().stream().limit(8).toList()));
+    private static void assertStopped(CrashFleet fleet, long part, long seed) {
+        assertThat(fleet.sendsAfterFifthCrash(part, GRACE_MILLIS))
+                .as("late sends of part %d with seed %d", part, seed)
+                .isLessThanOrEqualTo(MAX_LATE_SENDS);
     }
 
-    @ParameterizedTest
-    @ValueSource(doubles = {0.5, 1, 2, 5, 10})
-    void steady(double rate) {
+    private static void assertAllSoundServed(CrashFleet fleet, long seed) {
+        assertThat(fleet.soundRefusals()).as("refused with seed %d", seed).isEmpty();
+        assertThat(fleet.soundUnserved()).as("unserved with seed %d", seed).isZero();
+        assertThat(fleet.soundServed()).isPositive();
+    }
+
+    private static void forEachSeed(LongConsumer play) {
         for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            addSound(fleet, 30, END_MILLIS);
-            addBad(fleet, rate, 10_000, END_MILLIS);
-            fleet.run(END_MILLIS);
-            report("steady" + rate, seed, fleet);
+            play.accept(seed);
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 1, 2, 5, 10})
+    void requestsThatShareOneBadPartStopWhileItsCallerIsServed(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    addBad(fleet, rate, BAD);
+                    fleet.run(END_MILLIS);
+                    assertThat(fleet.crashes(BAD)).isPositive();
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = {0.5, 2, 10})
-    void small(double rate) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = new CrashFleet(seed, 2, 8, 2);
-            addSound(fleet, 10, END_MILLIS);
-            addBad(fleet, rate, 10_000, END_MILLIS);
-            fleet.run(END_MILLIS);
-            report("small" + rate, seed, fleet);
-        }
+    void aBadPartStopsInASmallFleet(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = new CrashFleet(seed, 2, 8, 2);
+                    addSound(fleet, 10);
+                    addBad(fleet, rate, BAD);
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 2, 10})
+    void aBadPartStopsInALargeFleet(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = new CrashFleet(seed, 50, 200, 6);
+                    addSound(fleet, 30);
+                    addBad(fleet, rate, BAD);
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
     }
 
     @ParameterizedTest
     @ValueSource(ints = {3, 5, 8, 12})
-    void bursts(int size) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            addSound(fleet, 30, END_MILLIS);
-            fleet.addBadPart(BAD);
-            for (long at = 10_000; at < END_MILLIS; at += 6_000) {
-                for (int i = 0; i < size; i++) {
-                    fleet.requestAt(at + 10 * i, CALLER, Set.of(SYSTEM, TOOLS + i, BAD));
-                }
-            }
-            fleet.run(END_MILLIS);
-            report("bursts" + size, seed, fleet);
-        }
+    void aBadPartInBurstsStops(int size) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    fleet.addBadPart(BAD);
+                    for (long at = BAD_FROM_MILLIS; at < END_MILLIS; at += 6_000) {
+                        for (int i = 0; i < size; i++) {
+                            fleet.requestAt(at + 10 * i, CALLER, Set.of(SYSTEM, TOOLS + i, BAD));
+                        }
+                    }
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {0, 500, 3_000, 10_000})
-    void domain(long spread) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            addSound(fleet, 30, END_MILLIS);
-            fleet.crashDomainAt(20_000, "d1", spread);
-            fleet.run(END_MILLIS);
-            report("domain" + spread, seed, fleet);
-        }
+    @ValueSource(doubles = {0.5, 2, 10})
+    void aBadPartStopsWhenAnswersBeginLateAndMessagesAreLost(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    fleet.setLoss(0.1);
+                    fleet.setMaxBeginMillis(2_000);
+                    addSound(fleet, 30);
+                    addBad(fleet, rate, BAD);
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {0, 500, 3_000, 10_000, 40_000})
-    void all(long spread) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            addSound(fleet, 30, END_MILLIS);
-            for (int d = 0; d < 4; d++) {
-                fleet.crashDomainAt(20_000, "d" + d, spread);
-            }
-            fleet.run(END_MILLIS);
-            report("all" + spread, seed, fleet);
-        }
+    @ValueSource(doubles = {0.5, 2, 10})
+    void twoBadPartsStop(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    addBad(fleet, rate, BAD);
+                    addBad(fleet, rate, OTHER_BAD);
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertStopped(fleet, OTHER_BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 5, 20})
-    void rareparts(long every) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            Random random = new Random(seed);
-            fleet.requests(
-                    0,
-                    END_MILLIS,
-                    60,
-                    at ->
-                            fleet.requestAt(
-                                    at,
-                                    random.nextInt(5),
-                                    Set.of(SYSTEM, 1000 + (long) random.nextInt(200))));
-            for (int i = 0; i < 40 * 3; i++) {
-                fleet.crashAt(10_000 + i * 1000 / every, i % 40);
-            }
-            fleet.run(END_MILLIS);
-            report("rare" + every, seed, fleet);
-        }
+    @ValueSource(doubles = {0.5, 2, 10})
+    void aBadPartStopsWhileEndpointsRestartInTurn(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    addBad(fleet, rate, BAD);
+                    for (int i = 0; i < 80; i++) {
+                        fleet.crashAt(8_000 + 300 * i, i % 40);
+                    }
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertAllSoundServed(fleet, seed);
+                });
     }
 
     @ParameterizedTest
     @ValueSource(doubles = {0.5, 2, 10})
-    void companion(double rate) {
-        for (long seed = 0; seed < SEEDS; seed++) {
-            CrashFleet fleet = fleet(seed);
-            addSound(fleet, 30, END_MILLIS);
-            fleet.addBadPart(BAD);
-            fleet.requests(
-                    10_000,
-                    END_MILLIS,
-                    rate,
-                    at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, 77L, BAD)));
-            fleet.requests(
-                    25_000,
-                    END_MILLIS,
-                    2,
-                    at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, 77L)));
-            fleet.run(END_MILLIS);
-            report("companion" + rate, seed, fleet);
+    void aPartThatWasAnsweredBeforeItTurnedBadStops(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    fleet.requests(
+                            0,
+                            END_MILLIS,
+                            rate,
+                            at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, BAD)));
+                    fleet.addBadPartAt(BAD_FROM_MILLIS, BAD);
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertThat(fleet.soundRefusals()).isEmpty();
+                });
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 2, 10})
+    void aConstantCompanionOfABadPartIsServedAfterItsFirstAnswer(double rate) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    fleet.addBadPart(BAD);
+                    fleet.requests(
+                            BAD_FROM_MILLIS,
+                            END_MILLIS,
+                            rate,
+                            at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, COMPANION, BAD)));
+                    long soundFromMillis = 25_000;
+                    fleet.requests(
+                            soundFromMillis,
+                            END_MILLIS,
+                            2,
+                            at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, COMPANION)));
+                    fleet.run(END_MILLIS);
+                    assertStopped(fleet, BAD, seed);
+                    assertThat(fleet.soundRefusals())
+                            .as("seed %d", seed)
+                            .allMatch(refused -> refused < soundFromMillis + 5_000);
+                });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500, 3_000, 10_000})
+    void noRequestIsRefusedWhenAFailureDomainFalls(long spreadMillis) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    fleet.crashDomainAt(20_000, "d1", spreadMillis);
+                    fleet.run(END_MILLIS);
+                    assertAllSoundServed(fleet, seed);
+                });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500, 3_000, 10_000, 40_000})
+    void noRequestIsRefusedWhenAllEndpointsFall(long spreadMillis) {
+        forEachSeed(
+                seed -> {
+                    CrashFleet fleet = fleet(seed);
+                    addSound(fleet, 30);
+                    for (int domain = 0; domain < 4; domain++) {
+                        fleet.crashDomainAt(20_000, "d" + domain, spreadMillis);
+                    }
+                    fleet.run(END_MILLIS);
+                    assertAllSoundServed(fleet, seed);
+                });
+    }
+
+    private static CrashFleet rareParts(long seed, int fallsPerSecond) {
+        CrashFleet fleet = fleet(seed);
+        Random random = new Random(seed);
+        fleet.requests(
+                0,
+                END_MILLIS * 2,
+                60,
+                at ->
+                        fleet.requestAt(
+                                at,
+                                random.nextInt(5),
+                                Set.of(SYSTEM, 1_000L + random.nextInt(200))));
+        for (int i = 0; i < 120; i++) {
+            fleet.crashAt(10_000 + i * 1_000 / fallsPerSecond, i % 40);
         }
+        fleet.run(END_MILLIS * 2);
+        return fleet;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void noRequestIsRefusedWhenEndpointsFallInTurn(int fallsPerSecond) {
+        forEachSeed(seed -> assertAllSoundServed(rareParts(seed, fallsPerSecond), seed));
+    }
+
+    @Test
+    void aVerdictInErrorHealsAfterAllEndpointsFellAgainAndAgain() {
+        long healedMillis = 16_000 + 60_000 + 5_000;
+        forEachSeed(
+                seed ->
+                        assertThat(rareParts(seed, 20).soundRefusals())
+                                .as("seed %d", seed)
+                                .allMatch(refused -> refused < healedMillis));
     }
 }
