--- a/core/src/main/java/org/wasabilug/internal/serving/CrashObservation.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashObservation.java
@@ -26,4 +26,10 @@
     public CrashObservation {
         parts = Set.copyOf(parts);
     }
+
+    /** Returns this observation with other parts. */
+    CrashObservation withParts(Set<Long> otherParts) {
+        return new CrashObservation(
+                endpoint, failureDomain, service, crashedMillis, workspace, content, otherParts);
+    }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
@@ -96,7 +96,9 @@
         mCondemned = true;
     }
 
-    /** Returns whether a verdict holds for a workspace; that of one workspace holds for it alone. */
+    /**
+     * Returns whether a verdict holds for a workspace; that of one workspace holds for it alone.
+     */
     boolean concerns(long workspace) {
         Set<Long> workspaces = distinct(Evidence::workspace);
         return workspaces.size() > 1 || workspaces.contains(workspace);
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -32,14 +32,11 @@
     private static final int MIN_SHARE_DIVISOR = 3;
     private static final long TRIAL_MILLIS = 5_000;
     private static final long RESTED_TRIAL_MILLIS = 60_000;
-    private static final long CRASH_MILLIS = 60_000;
     private static final long ANSWER_MILLIS = 3_600_000;
     private static final int MAX_FEATURES = 4_000;
-    private static final int MAX_CRASHES = 500;
-    private static final int MAX_OBSERVATIONS = 8_000;
     private static final int MAX_PARTS = 32;
 
-    private final List<EndpointCrash> mCrashes = new ArrayList<>();
+    private final CrashLog mLog = new CrashLog();
     private final Map<Feature, CrashStreak> mStreaks = new LinkedHashMap<>();
     private final Map<Feature, Long> mAnsweredMillis =
             new LinkedHashMap<>() {
@@ -67,11 +64,11 @@
      *     within 1 s counts as the same
      */
     public boolean recordCrash(CrashObservation observation, long nowMillis) {
-        EndpointCrash crash = findOrAddCrash(observation);
+        EndpointCrash crash = mLog.findOrAdd(observation);
         if (!crash.add(observation)) {
             return false;
         }
-        boundCrashes();
+        mLog.removeSurplus();
         features(observation.content(), boundedParts(observation.parts()))
                 .forEach(feature -> addCrash(feature, crash, observation, nowMillis));
         return true;
@@ -122,6 +119,11 @@
         return mStreaks.isEmpty();
     }
 
+    /** Returns how many features are suspected. */
+    int features() {
+        return mStreaks.size();
+    }
+
     /**
      * Decides whether a request may be sent to an endpoint now.
      *
@@ -150,7 +152,7 @@
     /** Returns the observations that a newly connected peer needs. */
     public List<CrashObservation> observations() {
         List<CrashObservation> observations = new ArrayList<>();
-        for (EndpointCrash crash : mCrashes) {
+        for (EndpointCrash crash : mLog.crashes()) {
             for (CrashObservation observation : crash.observations()) {
                 addIfSuspected(crash, observation, observations);
             }
@@ -168,10 +170,7 @@
         mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > ANSWER_MILLIS);
         Set<EndpointCrash> needed = new HashSet<>();
         mStreaks.values().forEach(streak -> needed.addAll(streak.crashes()));
-        mCrashes.removeIf(
-                crash ->
-                        nowMillis - crash.crashedMillis() > CRASH_MILLIS
-                                && !needed.contains(crash));
+        mLog.removeExpired(needed, nowMillis);
     }
 
     /** Returns the parts to record; those suspected before go first. */
@@ -188,17 +187,6 @@
                 .collect(Collectors.toSet());
     }
 
-    private EndpointCrash findOrAddCrash(CrashObservation observation) {
-        for (EndpointCrash crash : mCrashes) {
-            if (crash.includes(observation)) {
-                return crash;
-            }
-        }
-        EndpointCrash crash = new EndpointCrash(observation);
-        mCrashes.add(crash);
-        return crash;
-    }
-
     private void addCrash(
             Feature feature, EndpointCrash crash, CrashObservation observation, long nowMillis) {
         if (mAnsweredMillis.getOrDefault(feature, Long.MIN_VALUE) >= crash.crashedMillis()) {
@@ -216,16 +204,6 @@
         }
     }
 
-    private void boundCrashes() {
-        int observations =
-                mCrashes.stream().mapToInt(crash -> crash.observations().size()).sum();
-        while (mCrashes.size() > MAX_CRASHES || observations > MAX_OBSERVATIONS) {
-            EndpointCrash eldest = mCrashes.removeFirst();
-            observations -= eldest.observations().size();
-            eldest.removeObservations();
-        }
-    }
-
     /** Makes room for a feature: those with a single crash go first, condemned ones last. */
     private void makeRoom() {
         if (mStreaks.size() >= MAX_FEATURES
@@ -278,25 +256,14 @@
             return false;
         }
         boolean isCertain = crashes >= CERTAIN_CRASHES;
-        boolean isOneEvent =
-                streak.lastCrashMillis() - streak.firstCrashMillis() < MIN_SPAN_MILLIS;
+        boolean isOneEvent = streak.lastCrashMillis() - streak.firstCrashMillis() < MIN_SPAN_MILLIS;
         if (mAnsweredMillis.containsKey(feature)) {
             return isCertain && !isOneEvent;
         }
-        boolean isFrequent = crashes * MIN_SHARE_DIVISOR >= crashesDuring(streak);
+        boolean isFrequent = crashes * MIN_SHARE_DIVISOR >= mLog.countDuring(streak);
         return isOneEvent ? isCertain && isFrequent : isCertain || isFrequent;
     }
 
-    private long crashesDuring(CrashStreak streak) {
-        Set<String> services = new HashSet<>();
-        streak.crashes().forEach(crash -> services.add(crash.service()));
-        return mCrashes.stream()
-                .filter(crash -> services.contains(crash.service()))
-                .filter(crash -> crash.crashedMillis() >= streak.firstCrashMillis())
-                .filter(crash -> crash.crashedMillis() <= streak.lastCrashMillis())
-                .count();
-    }
-
     private boolean isHeldAgainst(Feature feature, CrashStreak streak, long workspace) {
         return streak.isCondemned()
                 && (feature.kind() == Kind.CONTENT
@@ -322,7 +289,8 @@
             }
         }
         for (CrashStreak streak : condemned) {
-            long trialMillis = mayTry && streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
+            long trialMillis =
+                    mayTry && streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
             streak.startTrial(nowMillis + trialMillis);
         }
         return CrashVerdict.TRIAL;
@@ -344,15 +312,7 @@
         boolean isContentSuspected =
                 isSuspected(new Feature(Kind.CONTENT, observation.content()), crash);
         if (isContentSuspected || !parts.isEmpty()) {
-            suspected.add(
-                    new CrashObservation(
-                            observation.endpoint(),
-                            observation.failureDomain(),
-                            observation.service(),
-                            observation.crashedMillis(),
-                            observation.workspace(),
-                            observation.content(),
-                            parts));
+            suspected.add(observation.withParts(parts));
         }
     }
 
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
@@ -104,6 +104,25 @@
                 });
     }
 
+    @Test
+    void aBadPartIsSeldomTriedAgainWithinAnHour() {
+        long endMillis = 3_600_000;
+        for (long seed = 0; seed < 5; seed++) {
+            CrashFleet fleet = fleet(seed);
+            fleet.addBadPart(BAD);
+            fleet.requests(
+                    0, endMillis, 5, at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, TOOLS)));
+            fleet.requests(
+                    BAD_FROM_MILLIS,
+                    endMillis,
+                    2,
+                    at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, TOOLS, BAD)));
+            fleet.run(endMillis);
+            assertStopped(fleet, BAD, seed);
+            assertAllSoundServed(fleet, seed);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {3, 5, 8, 12})
     void aBadPartInBurstsStops(int size) {
