--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -33,28 +31,21 @@
     private static final long TRIAL_MILLIS = 5_000;
     private static final long RESTED_TRIAL_MILLIS = 60_000;
     private static final long ANSWER_MILLIS = 3_600_000;
-    private static final int MAX_FEATURES = 4_000;
+    private static final int MAX_ANSWERED = 4_000;
     private static final int MAX_PARTS = 32;
 
     private final CrashLog mLog = new CrashLog();
-    private final Map<Feature, CrashStreak> mStreaks = new LinkedHashMap<>();
-    private final Map<Feature, Long> mAnsweredMillis =
+    private final CrashStreaks mStreaks = new CrashStreaks();
+    private final Map<CrashFeature, Long> mAnsweredMillis =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<Feature, Long> eldest) {
-                    return size() > MAX_FEATURES;
+                protected boolean removeEldestEntry(Map.Entry<CrashFeature, Long> eldest) {
+                    return size() > MAX_ANSWERED;
                 }
             };
 
-    private enum Kind {
-        CONTENT,
-        PART
-    }
-
-    private record Feature(Kind kind, long fingerprint) {}
-
     /**
      * Records a crash seen by this instance or a peer.
      *
@@ -69,7 +60,7 @@
             return false;
         }
         mLog.removeSurplus();
-        features(observation.content(), boundedParts(observation.parts()))
+        CrashFeature.all(observation.content(), boundedParts(observation.parts()))
                 .forEach(feature -> addCrash(feature, crash, observation, nowMillis));
         return true;
     }
@@ -85,11 +76,11 @@
      */
     public Set<Long> recordAnswer(RequestFeatures request, long nowMillis) {
         Set<Long> cleared = new HashSet<>();
-        if (clear(new Feature(Kind.CONTENT, request.content()), nowMillis)) {
+        if (clear(CrashFeature.content(request.content()), nowMillis)) {
             cleared.add(request.content());
         }
         for (long part : request.parts()) {
-            Feature feature = new Feature(Kind.PART, part);
+            CrashFeature feature = CrashFeature.part(part);
             rememberAnswer(feature, nowMillis);
             if (clear(feature, nowMillis)) {
                 cleared.add(part);
@@ -106,8 +97,8 @@
      */
     public void acquit(Set<Long> features, long nowMillis) {
         for (long fingerprint : features) {
-            for (Kind kind : Kind.values()) {
-                Feature feature = new Feature(kind, fingerprint);
+            for (CrashFeature.Kind kind : CrashFeature.Kind.values()) {
+                CrashFeature feature = new CrashFeature(kind, fingerprint);
                 rememberAnswer(feature, nowMillis);
                 clear(feature, nowMillis);
             }
@@ -116,7 +107,7 @@
 
     /** Returns whether nothing is suspected, in which case requests need no check. */
     public boolean isEmpty() {
-        return mStreaks.isEmpty();
+        return mStreaks.size() == 0;
     }
 
     /** Returns how many features are suspected. */
@@ -135,12 +126,12 @@
         if (isEmpty()) {
             return CrashVerdict.ALLOWED;
         }
-        Set<Feature> features = features(request.content(), request.parts());
-        List<CrashStreak> condemned = new ArrayList<>();
-        for (Feature feature : features) {
-            CrashStreak streak = mStreaks.get(feature);
+        Set<CrashFeature> features = CrashFeature.all(request.content(), request.parts());
+        Set<CrashFeature> condemned = new HashSet<>();
+        for (CrashFeature feature : features) {
+            CrashStreak streak = mStreaks.find(feature);
             if (streak != null && isHeldAgainst(feature, streak, request.workspace())) {
-                condemned.add(streak);
+                condemned.add(feature);
             }
         }
         if (condemned.isEmpty()) {
@@ -166,10 +157,10 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void removeExpired(long nowMillis) {
-        mStreaks.values().removeIf(streak -> streak.isExpired(nowMillis));
+        mStreaks.removeExpired(nowMillis);
         mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > ANSWER_MILLIS);
         Set<EndpointCrash> needed = new HashSet<>();
-        mStreaks.values().forEach(streak -> needed.addAll(streak.crashes()));
+        mStreaks.all().forEach(streak -> needed.addAll(streak.crashes()));
         mLog.removeExpired(needed, nowMillis);
     }
 
@@ -182,56 +173,34 @@
                 .sorted()
                 .sorted(
                         Comparator.comparing(
-                                part -> !mStreaks.containsKey(new Feature(Kind.PART, part))))
+                                part -> mStreaks.find(CrashFeature.part(part)) == null))
                 .limit(MAX_PARTS)
                 .collect(Collectors.toSet());
     }
 
     private void addCrash(
-            Feature feature, EndpointCrash crash, CrashObservation observation, long nowMillis) {
+            CrashFeature feature,
+            EndpointCrash crash,
+            CrashObservation observation,
+            long nowMillis) {
         if (mAnsweredMillis.getOrDefault(feature, Long.MIN_VALUE) >= crash.crashedMillis()) {
             return;
         }
-        CrashStreak streak = mStreaks.remove(feature);
-        if (streak == null) {
-            streak = new CrashStreak(mAnsweredMillis.containsKey(feature));
-            makeRoom();
-        }
-        mStreaks.put(feature, streak);
+        CrashStreak streak = mStreaks.forRecording(feature, mAnsweredMillis.containsKey(feature));
         streak.add(crash, observation, nowMillis);
         if (isCause(feature, streak)) {
             streak.condemn();
         }
     }
 
-    /** Makes room for a feature: those with a single crash go first, condemned ones last. */
-    private void makeRoom() {
-        if (mStreaks.size() >= MAX_FEATURES
-                && !removeEldest(streak -> streak.crashes().size() == 1)
-                && !removeEldest(streak -> !streak.isCondemned())) {
-            removeEldest(streak -> true);
-        }
-    }
-
-    private boolean removeEldest(Predicate<CrashStreak> condition) {
-        Iterator<CrashStreak> eldestFirst = mStreaks.values().iterator();
-        while (eldestFirst.hasNext()) {
-            if (condition.test(eldestFirst.next())) {
-                eldestFirst.remove();
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Remembers an answer, as crashes before it may be reported late. */
-    private void rememberAnswer(Feature feature, long answeredMillis) {
+    private void rememberAnswer(CrashFeature feature, long answeredMillis) {
         mAnsweredMillis.remove(feature);
         mAnsweredMillis.put(feature, answeredMillis);
     }
 
-    private boolean clear(Feature feature, long answeredMillis) {
-        CrashStreak streak = mStreaks.get(feature);
+    private boolean clear(CrashFeature feature, long answeredMillis) {
+        CrashStreak streak = mStreaks.find(feature);
         if (streak == null) {
             return false;
         }
@@ -244,12 +213,12 @@
         return true;
     }
 
-    private boolean isCause(Feature feature, CrashStreak streak) {
+    private boolean isCause(CrashFeature feature, CrashStreak streak) {
         int crashes = streak.crashes().size();
         if (crashes < MIN_CRASHES) {
             return false;
         }
-        if (feature.kind() == Kind.CONTENT) {
+        if (feature.isContent()) {
             return true;
         }
         if (streak.contents() < MIN_CONTENTS) {
@@ -264,31 +233,28 @@
         return isOneEvent ? isCertain && isFrequent : isCertain || isFrequent;
     }
 
-    private boolean isHeldAgainst(Feature feature, CrashStreak streak, long workspace) {
+    private boolean isHeldAgainst(CrashFeature feature, CrashStreak streak, long workspace) {
         return streak.isCondemned()
-                && (feature.kind() == Kind.CONTENT
-                        || streak.concerns(workspace) && !isAccountedFor(streak));
-    }
-
-    /** Returns whether another cause was in all crashes of the streak and in more. */
-    private boolean isAccountedFor(CrashStreak streak) {
-        Set<EndpointCrash> crashes = streak.crashes();
-        return mStreaks.values().stream()
-                .filter(CrashStreak::isCondemned)
-                .map(CrashStreak::crashes)
-                .anyMatch(other -> other.size() > crashes.size() && other.containsAll(crashes));
+                && (feature.isContent()
+                        || streak.concerns(workspace) && !mStreaks.isAccountedFor(streak));
     }
 
     private CrashVerdict tryAll(
-            List<CrashStreak> condemned, Set<Feature> features, boolean mayTry, long nowMillis) {
-        for (CrashStreak streak : condemned) {
+            Set<CrashFeature> condemned,
+            Set<CrashFeature> features,
+            boolean mayTry,
+            long nowMillis) {
+        for (CrashFeature feature : condemned) {
+            CrashStreak streak = mStreaks.find(feature);
             boolean isTriable =
-                    mayTry && streak.isRested(nowMillis) || hasAbsentTwin(streak, features);
+                    mayTry && streak.isRested(nowMillis)
+                            || !feature.isContent() && mStreaks.hasAbsentTwin(streak, features);
             if (streak.isOnTrial(nowMillis) || !isTriable) {
                 return CrashVerdict.REFUSED;
             }
         }
-        for (CrashStreak streak : condemned) {
+        for (CrashFeature feature : condemned) {
+            CrashStreak streak = mStreaks.find(feature);
             long trialMillis =
                     mayTry && streak.isRested(nowMillis) ? RESTED_TRIAL_MILLIS : TRIAL_MILLIS;
             streak.startTrial(nowMillis + trialMillis);
@@ -296,35 +262,19 @@
         return CrashVerdict.TRIAL;
     }
 
-    /** Returns whether a condemned feature that the request lacks was in the same crashes. */
-    private boolean hasAbsentTwin(CrashStreak streak, Set<Feature> features) {
-        Set<EndpointCrash> crashes = streak.crashes();
-        return mStreaks.entrySet().stream()
-                .filter(entry -> entry.getValue().isCondemned())
-                .filter(entry -> !features.contains(entry.getKey()))
-                .anyMatch(entry -> entry.getValue().crashes().equals(crashes));
-    }
-
     private void addIfSuspected(
             EndpointCrash crash, CrashObservation observation, List<CrashObservation> suspected) {
         Set<Long> parts = new HashSet<>(observation.parts());
-        parts.removeIf(part -> !isSuspected(new Feature(Kind.PART, part), crash));
+        parts.removeIf(part -> !isSuspected(CrashFeature.part(part), crash));
         boolean isContentSuspected =
-                isSuspected(new Feature(Kind.CONTENT, observation.content()), crash);
+                isSuspected(CrashFeature.content(observation.content()), crash);
         if (isContentSuspected || !parts.isEmpty()) {
             suspected.add(observation.withParts(parts));
         }
     }
 
-    private boolean isSuspected(Feature feature, EndpointCrash crash) {
-        CrashStreak streak = mStreaks.get(feature);
+    private boolean isSuspected(CrashFeature feature, EndpointCrash crash) {
+        CrashStreak streak = mStreaks.find(feature);
         return streak != null && streak.crashes().contains(crash);
     }
-
-    private static Set<Feature> features(long content, Set<Long> parts) {
-        Set<Feature> features = new HashSet<>();
-        features.add(new Feature(Kind.CONTENT, content));
-        parts.forEach(part -> features.add(new Feature(Kind.PART, part)));
-        return features;
-    }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
@@ -55,6 +55,16 @@
         assertThat(judge(999, CALLER, 8)).isEqualTo(CrashVerdict.ALLOWED);
     }
 
+    @Test
+    void contentsThatCrashedTogetherAreAllRefused() {
+        for (String endpoint : List.of("a", "b", "c")) {
+            record(endpoint, 0, CALLER, 7);
+            record(endpoint, 0, CALLER, 8);
+        }
+        assertThat(judge(10, CALLER, 7)).isEqualTo(CrashVerdict.REFUSED);
+        assertThat(judge(10, CALLER, 8)).isEqualTo(CrashVerdict.REFUSED);
+    }
+
     @Test
     void anEndpointThatCrashesAgainAfterASecondIsAnotherCrash() {
         for (long at = 0; at <= 2_000; at += 1_000) {
