Stop sending prompts whose part crashes engines

Callers of a workspace lost most of their answers while one prompt part, in requests of which no two were alike, crashed each engine that began an answer on it. The gateway counted crashes for each whole content, so such requests never added up, and it judged a request only when it was accepted.

Crashes are now recorded with the shared parts of the request and its workspace. A crash counts for requests whose answer had not got past its beginning; an answer that goes on clears all features of its request. Each send is judged: the first, repeats, hedges and those after stages. Instances tell each other of crashes and clearing answers, twice, and a few of them tell a peer that becomes live all that is suspected. A stream whose end is marked by the close of its connection alone is checked for a crash, as its endpoint may have ended.

The messages to peers have new fields. The generated code does not have them yet; CrashMessages writes and reads them under the numbers and types that comments in gateway.proto give.

--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreaks.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreaks.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /** The streaks of a bounded number of features; the one recorded longest ago comes first. */
 final class CrashStreaks {
@@ -44,6 +45,14 @@
         mStreaks.values().removeIf(streak -> streak.isExpired(nowMillis));
     }
 
+    /** Returns the fingerprints of the condemned features. */
+    Set<Long> condemned() {
+        return mStreaks.entrySet().stream()
+                .filter(entry -> entry.getValue().isCondemned())
+                .map(entry -> entry.getKey().fingerprint())
+                .collect(Collectors.toSet());
+    }
+
     /** Returns whether another condemned feature was in all crashes of a streak and in more. */
     boolean isAccountedFor(CrashStreak streak) {
         Set<EndpointCrash> crashes = streak.crashes();
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -115,6 +115,11 @@
         return mStreaks.size();
     }
 
+    /** Returns the features that count as causes of crashes, whether or not they are refused. */
+    public Set<Long> condemned() {
+        return mStreaks.condemned();
+    }
+
     /**
      * Decides whether a request may be sent to an endpoint now.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.wasabilug.gateway.internal.log.MetricsText;
 import org.wasabilug.gateway.internal.peer.PeerEvents;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
+import org.wasabilug.gateway.internal.peer.SharedCrashSuspects;
 import org.wasabilug.gateway.internal.peer.SharedStageExecutor;
 import org.wasabilug.gateway.internal.peer.SharedStreamOrigins;
 import org.wasabilug.gateway.internal.peer.StoreRelay;
@@ -30,7 +31,6 @@
 import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.WireProtocol;
 import org.wasabilug.internal.serving.ShutdownSchedule;
-import org.wasabilug.messages.gateway.CrashReport;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** One gateway process; all its parts run on one event loop. */
@@ -55,6 +55,7 @@
     private final SharedStageExecutor mSharedStages;
     private final PeerNetwork mNetwork;
     private final SharedStreamOrigins mStreamOrigins;
+    private final SharedCrashSuspects mCrashSuspects;
     private final StoreRelay mStoreRelay;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
@@ -88,11 +89,12 @@
                         () -> !mEndpoints.storeReachable(),
                         mStages::predictWaits);
         mState.instances(mNetwork::instances);
-        mState.crashNotifier(this::broadcastCrash);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mStoreRelay = new StoreRelay(mState, mNetwork);
         mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
-        RequestReceiver receiver = new RequestReceiver(mState, mSharedStages, mStreamOrigins);
+        mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
+        RequestReceiver receiver =
+                new RequestReceiver(mState, mSharedStages, mStreamOrigins, mCrashSuspects);
         mCallers =
                 new CallerListener(
                         mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
@@ -149,12 +151,6 @@
                 .start();
     }
 
-    private void broadcastCrash(long fingerprint, String endpoint) {
-        CrashReport.Builder report =
-                CrashReport.newBuilder().setFingerprint(fingerprint).setEndpoint(endpoint);
-        mNetwork.broadcast(mNetwork.envelope().setCrashReport(report).build());
-    }
-
     private boolean ready() {
         return mState.stop().isEmpty()
                 && mState.routes().isPresent()
@@ -169,6 +165,7 @@
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
         mStreamOrigins.removeExpired();
+        mCrashSuspects.removeExpired();
         mStoreRelay.relayChanges();
         mState.domainMonitor().probe();
         mState.stop().ifPresent(this::continueStop);
@@ -241,10 +238,7 @@
                 case PIECE_CANCELLATION ->
                         mSharedStages.cancellationReceived(envelope.getPieceCancellation());
                 case RESULT_RELEASE -> mSharedStages.releaseReceived(envelope.getResultRelease());
-                case CRASH_REPORT -> {
-                    CrashReport report = envelope.getCrashReport();
-                    mState.crashes().recordCrash(report.getFingerprint(), report.getEndpoint());
-                }
+                case CRASH_REPORT -> mCrashSuspects.reportReceived(peer, envelope.getCrashReport());
                 case STREAM_ORIGIN_REPORT ->
                         mStreamOrigins.reportReceived(envelope.getStreamOriginReport());
                 case STREAM_ORIGIN_QUERY ->
@@ -252,15 +246,25 @@
                 case STREAM_ORIGIN_REPLY ->
                         mStreamOrigins.replyReceived(peer, envelope.getStreamOriginReply());
                 case TABLE_ROWS -> mStoreRelay.received(envelope.getTableRows());
-                default ->
-                        mState.log()
-                                .process(
-                                        LogLine.of("message-ignored")
-                                                .with("sender", peer)
-                                                .with("body", envelope.getBodyCase().name()));
+                default -> receivedOther(envelope);
+            }
+        }
+
+        private void receivedOther(GatewayEnvelope envelope) {
+            if (!mCrashSuspects.acquittalReceived(envelope)) {
+                mState.log()
+                        .process(
+                                LogLine.of("message-ignored")
+                                        .with("sender", envelope.getSender())
+                                        .with("body", envelope.getBodyCase().name()));
             }
         }
 
+        @Override
+        public void live(String name) {
+            mCrashSuspects.peerLive(name);
+        }
+
         @Override
         public void lost(String name) {
             mSharedStages.peerLost(name);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -5,15 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.DecisionLog;
-import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
-import org.wasabilug.internal.serving.CrashRegister;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
 import org.wasabilug.internal.serving.EndpointState;
@@ -39,7 +36,6 @@
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final DomainMonitor mDomainMonitor;
-    private final CrashRegister mCrashes = new CrashRegister();
     private final StageTimes mStageTimes = new StageTimes();
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
@@ -47,7 +43,6 @@
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
-    private BiConsumer<Long, String> mCrashNotifier = (fingerprint, endpoint) -> {};
     private Optional<ShutdownSchedule> mStop = Optional.empty();
     private RouteTable mRoutes;
     private final List<PromptRead> mUnsentPrompts = new ArrayList<>();
@@ -156,37 +151,6 @@
         return mDomainMonitor;
     }
 
-    /** Returns the register of contents that crash endpoints. */
-    public CrashRegister crashes() {
-        return mCrashes;
-    }
-
-    /**
-     * Records that an endpoint crashed while it ran a content, and notifies peers.
-     *
-     * @param fingerprint hash of the content
-     * @param endpoint name of the endpoint
-     */
-    public void crashed(long fingerprint, String endpoint) {
-        if (mCrashes.recordCrash(fingerprint, endpoint)) {
-            mLog.process(
-                    LogLine.of("endpoint-crashed")
-                            .with("endpoint", endpoint)
-                            .with("content", Long.toHexString(fingerprint))
-                            .with("taken_for_cause", mCrashes.causesCrashes(fingerprint)));
-            mCrashNotifier.accept(fingerprint, endpoint);
-        }
-    }
-
-    /**
-     * Sets how peers are notified of crashes.
-     *
-     * @param notifier receives the hash of the content and the name of the endpoint
-     */
-    public void crashNotifier(BiConsumer<Long, String> notifier) {
-        mCrashNotifier = notifier;
-    }
-
     /** Returns the software versions of the services' endpoints. */
     public SoftwareVersions softwareVersions() {
         return mSoftwareVersions;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
@@ -2,7 +2,7 @@
 
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
-/** Receives messages of peers and the loss of peers. */
+/** Receives messages of peers and changes of their state. */
 public interface PeerEvents {
     /**
      * Called for a message other than a heartbeat.
@@ -11,6 +11,13 @@
      */
     void received(GatewayEnvelope envelope);
 
+    /**
+     * Called when a peer becomes live.
+     *
+     * @param name its name
+     */
+    void live(String name);
+
     /**
      * Called when a peer is no longer reachable; its work in progress is lost. A peer that stops
      * gracefully finishes its work first.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -230,6 +230,9 @@
                                     .with("connected", peer.connected())
                                     .with("stopping", peer.heartbeat().getStopping()));
         }
+        if (changed && live) {
+            mEvents.live(peer.name());
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -11,8 +11,10 @@
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ProbeResult;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
+import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.serving.RequestKind;
 
 /** One send of a request to one endpoint; maintains the load and health of that endpoint. */
 final class Attempt implements CallListener {
@@ -21,6 +23,7 @@
 
     private final GatewayState mState;
     private final RequestContext mRequest;
+    private final CrashGuard mGuard;
     private final EndpointState mEndpoint;
     private final String mSoftwareVersion;
     private final double mPredictedMillis;
@@ -33,16 +36,20 @@
     private boolean mNotExecuted;
     private boolean mDeliverable;
     private boolean mContentReceived;
+    private boolean mAnswerBegun;
+    private boolean mAnswerWentOn;
     private boolean mEnded;
 
     Attempt(
             GatewayState state,
             RequestContext request,
+            CrashGuard guard,
             EndpointState endpoint,
             double predictedMillis,
             AttemptOwner owner) {
         mState = state;
         mRequest = request;
+        mGuard = guard;
         mEndpoint = endpoint;
         mSoftwareVersion = endpoint.registration().softwareVersion();
         mPredictedMillis = predictedMillis;
@@ -123,8 +130,14 @@
         }
     }
 
+    /** Called when the response has brought a first event, or any content of another kind. */
+    void answerBegun() {
+        mAnswerBegun = true;
+    }
+
     /** Buffers content of a response that is delivered as a whole. */
     void buffer(ByteBuf content) {
+        answerBegun();
         if (!mBody.append(content)) {
             reject(CallFailure.TOO_LARGE);
         }
@@ -155,6 +168,9 @@
             mContentReceived = true;
             firstContent();
         }
+        if (mAnswerBegun) {
+            answerWentOn();
+        }
         mOwner.contentReceived(this, content);
     }
 
@@ -180,6 +196,12 @@
             return;
         }
         end();
+        if (ResponseFraming.of(mHead) != ResponseFraming.CLOSE) {
+            answerWentOn();
+        } else if (!mAnswerWentOn && mRequest.route().kind() == RequestKind.STREAM) {
+            // The connection of a crashed endpoint may end in the same way.
+            checkCrashSoon(this::answerWentOn);
+        }
         if (!mNotExecuted) {
             if (mHead.status().code() >= SERVER_ERROR) {
                 mEndpoint.health().recordFailure(mState.nowMillis());
@@ -190,6 +212,14 @@
         mOwner.completed(this);
     }
 
+    /** An endpoint has survived the beginning of an answer that goes on after it. */
+    private void answerWentOn() {
+        if (!mAnswerWentOn && !mNotExecuted && mHead.status().code() < SERVER_ERROR) {
+            mAnswerWentOn = true;
+            mGuard.answered();
+        }
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (mEnded) {
@@ -204,21 +234,31 @@
         if (failure == CallFailure.SILENT) {
             mState.domainMonitor().recordNoResponse(mEndpoint);
         }
-        if (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT) {
-            mState.loop().schedule(this::checkCrash, CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        if (!mAnswerWentOn && (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT)) {
+            checkCrashSoon(() -> {});
         }
         mOwner.failed(this, failure);
     }
 
-    /** An endpoint that refuses connections right after a broken response has crashed. */
-    private void checkCrash() {
-        String endpoint = mEndpoint.registration().name();
+    private void checkCrashSoon(Runnable survived) {
+        long endedMillis = mState.nowMillis();
+        mState.loop()
+                .schedule(
+                        () -> checkCrash(endedMillis, survived),
+                        CRASH_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** An endpoint that accepts no connections right after the end of a response has crashed. */
+    private void checkCrash(long endedMillis, Runnable survived) {
         mState.connections()
                 .probe(
                         mEndpoint.registration(),
                         result -> {
-                            if (result == ProbeResult.REFUSED) {
-                                mState.crashed(ContentFingerprint.of(mRequest), endpoint);
+                            if (result == ProbeResult.OPEN) {
+                                survived.run();
+                            } else {
+                                mGuard.crashed(mEndpoint.registration(), endedMillis);
                             }
                         });
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -12,8 +12,12 @@
     private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 150;
     private static final double TIMEOUT_LATENCY_FACTOR = 4;
 
-    BufferedFlow(GatewayState state, RequestContext request, GatewayResponses gatewayResponses) {
-        super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
+    BufferedFlow(
+            GatewayState state,
+            RequestContext request,
+            CrashGuard guard,
+            GatewayResponses gatewayResponses) {
+        super(state, request, guard, gatewayResponses, BUSY_RETRY_MILLIS);
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -33,18 +33,20 @@
     /**
      * Creates a flow that has not started.
      *
+     * @param guard keeps the request from endpoints while it counts as a cause of crashes
      * @param busyRetryMillis how long a caller should wait after an endpoint had no capacity
      */
     RequestFlow(
             GatewayState state,
             RequestContext request,
+            CrashGuard guard,
             GatewayResponses gatewayResponses,
             long busyRetryMillis) {
         mState = state;
         mRequest = request;
         mExchange = request.exchange();
         mGatewayResponses = gatewayResponses;
-        mSender = new Sender(state, request, this);
+        mSender = new Sender(state, request, guard, this);
         mBusyRetryMillis = busyRetryMillis;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -24,8 +24,6 @@
 
 /** Determines route and workspace of each request and starts to serve it. */
 public final class RequestReceiver implements CallerEvents {
-    private static final long CRASHING_RETRY_MILLIS = 5_000;
-
     /** Other instances can accept the request at once. */
     private static final long STOPPING_RETRY_MILLIS = 50;
 
@@ -34,6 +32,7 @@
     private final GatewayState mState;
     private final StageExecutor mStages;
     private final StreamOriginRegistry mOrigins;
+    private final CrashSuspectRegistry mCrashSuspects;
     private final GatewayResponses mGatewayResponses;
     private final Map<CallerExchange, StreamFlow> mStreams = new WeakHashMap<>();
 
@@ -43,11 +42,17 @@
      * @param state state of this process
      * @param stages executes the stages of requests
      * @param origins knows where streams began that callers resume
+     * @param crashSuspects knows which requests crash endpoints
      */
-    public RequestReceiver(GatewayState state, StageExecutor stages, StreamOriginRegistry origins) {
+    public RequestReceiver(
+            GatewayState state,
+            StageExecutor stages,
+            StreamOriginRegistry origins,
+            CrashSuspectRegistry crashSuspects) {
         mState = state;
         mStages = stages;
         mOrigins = origins;
+        mCrashSuspects = crashSuspects;
         mGatewayResponses = new GatewayResponses(state);
     }
 
@@ -106,19 +111,27 @@
             return;
         }
         RequestContext request = context(exchange, route, service.get(), workspace);
-        if (causesCrashes(request)) {
-            mGatewayResponses.notRun(
-                    exchange, "this content crashes endpoints", CRASHING_RETRY_MILLIS);
-        } else if (request.deadlineMillis() <= mState.nowMillis()) {
+        if (request.deadlineMillis() <= mState.nowMillis()) {
             mGatewayResponses.timedOut(exchange, "deadline has passed");
         } else if (!mayBegin(request)) {
             mGatewayResponses.notRun(exchange, "this instance is stopping", STOPPING_RETRY_MILLIS);
-        } else if (route.kind() == RequestKind.STREAM) {
-            StreamFlow flow = new StreamFlow(mState, request, mGatewayResponses, mStages, mOrigins);
-            mStreams.put(exchange, flow);
+        } else {
+            serve(request);
+        }
+    }
+
+    private void serve(RequestContext request) {
+        CrashGuard guard = new CrashGuard(mState, mCrashSuspects, request);
+        if (!guard.mayBegin()) {
+            mGatewayResponses.notRun(
+                    request.exchange(), CrashGuard.REASON, CrashGuard.RETRY_MILLIS);
+        } else if (request.route().kind() == RequestKind.STREAM) {
+            StreamFlow flow =
+                    new StreamFlow(mState, request, guard, mGatewayResponses, mStages, mOrigins);
+            mStreams.put(request.exchange(), flow);
             flow.start();
         } else {
-            new BufferedFlow(mState, request, mGatewayResponses).start();
+            new BufferedFlow(mState, request, guard, mGatewayResponses).start();
         }
     }
 
@@ -128,11 +141,6 @@
                 .orElse(true);
     }
 
-    private boolean causesCrashes(RequestContext request) {
-        return !mState.crashes().isEmpty()
-                && mState.crashes().causesCrashes(ContentFingerprint.of(request));
-    }
-
     private RequestContext context(
             CallerExchange exchange,
             Route route,
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -20,6 +20,7 @@
     private final GatewayState mState;
     private final OutgoingHeaders mHeaders;
     private final RequestContext mRequest;
+    private final CrashGuard mGuard;
     private final AttemptOwner mOwner;
     private final Set<String> mExcluded = new HashSet<>();
     private Optional<String> mSoftwareVersion = Optional.empty();
@@ -31,10 +32,11 @@
     private long mRetryAfterMillis;
     private String mUnavailableReason = "";
 
-    Sender(GatewayState state, RequestContext request, AttemptOwner owner) {
+    Sender(GatewayState state, RequestContext request, CrashGuard guard, AttemptOwner owner) {
         mState = state;
         mHeaders = new OutgoingHeaders(state);
         mRequest = request;
+        mGuard = guard;
         mOwner = owner;
     }
 
@@ -48,7 +50,7 @@
      */
     Optional<Attempt> send(InputLocation inputs, Consumer<HttpHeaders> additions) {
         long now = mState.nowMillis();
-        switch (select(inputs, now)) {
+        switch (selectToSend(inputs, now)) {
             case Selection.Unavailable unavailable -> {
                 mUnavailableReason = unavailable.reason();
                 mRetryAfterMillis = unavailable.retryAfterMillis();
@@ -67,6 +69,14 @@
                 : Optional.empty();
     }
 
+    /** Selects an endpoint, unless the request counts as a cause of crashes. */
+    private Selection selectToSend(InputLocation inputs, long now) {
+        Selection selection = select(inputs, now);
+        return selection instanceof Selection.Unavailable || mGuard.maySend()
+                ? selection
+                : new Selection.Unavailable(CrashGuard.REASON, CrashGuard.RETRY_MILLIS);
+    }
+
     private Selection select(InputLocation inputs, long now) {
         return mState.selector().choose(selectionRequest(inputs), usable(), now);
     }
@@ -119,7 +129,8 @@
                                 .with("unread", endpoint.load().unreadTokens())
                                 .with("send", mSends)
                                 .with("remaining", remaining));
-        Attempt attempt = new Attempt(mState, mRequest, endpoint, chosen.costMillis(), mOwner);
+        Attempt attempt =
+                new Attempt(mState, mRequest, mGuard, endpoint, chosen.costMillis(), mOwner);
         attempt.send(headers);
         mRequest.service()
                 .engine()
@@ -175,7 +186,7 @@
     Optional<Attempt> sendHedge(InputLocation inputs, Consumer<HttpHeaders> additions) {
         long now = mState.nowMillis();
         if (mayRetry()
-                && select(inputs, now) instanceof Selection.Chosen chosen
+                && selectToSend(inputs, now) instanceof Selection.Chosen chosen
                 && tryAcquireBudget()) {
             return Optional.of(send(chosen, additions, now));
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -43,10 +43,11 @@
     StreamFlow(
             GatewayState state,
             RequestContext request,
+            CrashGuard guard,
             GatewayResponses gatewayResponses,
             StageExecutor executor,
             StreamOriginRegistry origins) {
-        super(state, request, gatewayResponses, BUSY_RETRY_MILLIS);
+        super(state, request, guard, gatewayResponses, BUSY_RETRY_MILLIS);
         mSoftwareVersion =
                 new StreamSoftwareVersion(request, sender(), origins, state.protocol().headers());
         mInputs = new InputLocator(state);
@@ -220,6 +221,7 @@
         ByteBuf events = reader.append(content, state().nowMillis());
         if (events.isReadable()) {
             goOnWith(attempt);
+            attempt.answerBegun();
             mLastEventId = reader.lastEventId().isEmpty() ? mLastEventId : reader.lastEventId();
             startResponse(attempt);
             mSoftwareVersion.eventReceived(attempt);
