--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -35,6 +35,7 @@
     private static final int MAX_PARTS = 32;
 
     private final CrashLog mLog = new CrashLog();
+    private final CrashAcquittals mAcquittals = new CrashAcquittals();
     private final CrashStreaks mStreaks = new CrashStreaks();
     private final Map<CrashFeature, Long> mAnsweredMillis =
             new LinkedHashMap<>() {
@@ -72,7 +73,8 @@
      *
      * @param request features of the answered request
      * @param nowMillis current monotonic time, in milliseconds
-     * @return the features that were suspected until now, of which peers should hear
+     * @return the features of which peers should hear: those suspected until now, and for a minute
+     *     again now and then, as a message may have been lost
      */
     public Set<Long> recordAnswer(RequestFeatures request, long nowMillis) {
         Set<Long> cleared = new HashSet<>();
@@ -83,6 +85,9 @@
             CrashFeature feature = CrashFeature.part(part);
             rememberAnswer(feature, nowMillis);
             if (clear(feature, nowMillis)) {
+                mAcquittals.add(feature, nowMillis);
+                cleared.add(part);
+            } else if (mAcquittals.repeat(feature, nowMillis)) {
                 cleared.add(part);
             }
         }
@@ -158,6 +163,7 @@
      */
     public void removeExpired(long nowMillis) {
         mStreaks.removeExpired(nowMillis);
+        mAcquittals.removeExpired(nowMillis);
         mAnsweredMillis.values().removeIf(answered -> nowMillis - answered > ANSWER_MILLIS);
         Set<EndpointCrash> needed = new HashSet<>();
         mStreaks.all().forEach(streak -> needed.addAll(streak.crashes()));
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
@@ -102,6 +102,17 @@
                 .containsExactly(1L);
     }
 
+    @Test
+    void peersHearAgainOfAClearedPartForAMinute() {
+        condemn(CALLER, COMPANION);
+        RequestFeatures request = request(CALLER, 9, COMPANION);
+        assertThat(mSuspects.recordAnswer(request, 2_000)).containsExactly(COMPANION);
+        assertThat(mSuspects.recordAnswer(request, 6_999)).isEmpty();
+        assertThat(mSuspects.recordAnswer(request, 7_000)).containsExactly(COMPANION);
+        assertThat(mSuspects.recordAnswer(request, 62_000)).containsExactly(COMPANION);
+        assertThat(mSuspects.recordAnswer(request, 67_000)).isEmpty();
+    }
+
     @Test
     void aCrashReportedAfterALaterAnswerDoesNotCount() {
         mSuspects.acquit(Set.of(COMPANION), 1_500);
