Answer whole requests that wait on a connection of a stopping instance

What callers saw: a whole request that waited on its connection behind another got neither an answer nor a refusal when the instance was stopped.

Cause: a stopping instance closes a connection with the next response on it, also if whole requests wait there.

Change: the connection closes with the last response. A request that may no longer begin is refused as not run, as on any other connection.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -123,8 +123,11 @@
         }
     }
 
+    /**
+     * Returns whether the connection stays open; not while stopping, unless requests wait on it.
+     */
     boolean keepsAlive(HttpRequest head) {
-        return HttpUtil.isKeepAlive(head) && !mListener.stopping();
+        return HttpUtil.isKeepAlive(head) && (!mListener.stopping() || !mComplete.isEmpty());
     }
 
     boolean idle() {
