Send crashes and acquittals with generated messages

CrashMessages wrote the new fields of a crash and the message of an acquittal by their numbers, as the generated code didn't know them. A message that is no acquittal is recognized by its case, so the test asserts that.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -239,6 +239,8 @@
                         mSharedStages.cancellationReceived(envelope.getPieceCancellation());
                 case RESULT_RELEASE -> mSharedStages.releaseReceived(envelope.getResultRelease());
                 case CRASH_REPORT -> mCrashSuspects.reportReceived(peer, envelope.getCrashReport());
+                case CRASH_ACQUITTAL ->
+                        mCrashSuspects.acquittalReceived(peer, envelope.getCrashAcquittal());
                 case STREAM_ORIGIN_REPORT ->
                         mStreamOrigins.reportReceived(envelope.getStreamOriginReport());
                 case STREAM_ORIGIN_QUERY ->
@@ -246,17 +248,12 @@
                 case STREAM_ORIGIN_REPLY ->
                         mStreamOrigins.replyReceived(peer, envelope.getStreamOriginReply());
                 case TABLE_ROWS -> mStoreRelay.received(envelope.getTableRows());
-                default -> receivedOther(envelope);
-            }
-        }
-
-        private void receivedOther(GatewayEnvelope envelope) {
-            if (!mCrashSuspects.acquittalReceived(envelope)) {
-                mState.log()
-                        .process(
-                                LogLine.of("message-ignored")
-                                        .with("sender", envelope.getSender())
-                                        .with("body", envelope.getBodyCase().name()));
+                default ->
+                        mState.log()
+                                .process(
+                                        LogLine.of("message-ignored")
+                                                .with("sender", peer)
+                                                .with("body", envelope.getBodyCase().name()));
             }
         }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedCrashSuspects.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedCrashSuspects.java
@@ -13,6 +13,7 @@
 import org.wasabilug.internal.serving.CrashVerdict;
 import org.wasabilug.internal.serving.RendezvousHashing;
 import org.wasabilug.internal.serving.RequestFeatures;
+import org.wasabilug.messages.gateway.CrashAcquittal;
 import org.wasabilug.messages.gateway.CrashReport;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.serving.EndpointRegistration;
@@ -117,8 +118,9 @@
     }
 
     private GatewayEnvelope acquittal(Set<Long> features, long answeredMillis) {
-        return CrashMessages.acquittal(
-                mNetwork.envelope(), features, mState.nowMillis() - answeredMillis);
+        CrashAcquittal acquittal =
+                CrashMessages.acquittal(features, mState.nowMillis() - answeredMillis);
+        return mNetwork.envelope().setCrashAcquittal(acquittal).build();
     }
 
     private void cleared(Set<Long> features, String instance) {
@@ -162,18 +164,15 @@
     }
 
     /**
-     * Applies a message if it clears suspects; returns whether it does.
+     * Clears suspects with which an answer went on at a peer.
      *
-     * @param envelope the message
+     * @param peer name of the peer
+     * @param acquittal the suspects
      */
-    public boolean acquittalReceived(GatewayEnvelope envelope) {
-        Set<Long> features = CrashMessages.acquitted(envelope);
-        if (!features.isEmpty()) {
-            mSuspects.acquit(
-                    features, mState.nowMillis() - CrashMessages.answerAgeMillis(envelope));
-            cleared(features, envelope.getSender());
-        }
-        return !features.isEmpty();
+    public void acquittalReceived(String peer, CrashAcquittal acquittal) {
+        Set<Long> features = new HashSet<>(acquittal.getFeaturesList());
+        mSuspects.acquit(features, mState.nowMillis() - acquittal.getAgeMilliseconds());
+        cleared(features, peer);
     }
 
     /**
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/peer/CrashMessagesTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/peer/CrashMessagesTest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.internal.serving.CrashObservation;
+import org.wasabilug.messages.gateway.CrashAcquittal;
 import org.wasabilug.messages.gateway.CrashReport;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
@@ -41,17 +42,20 @@
 
     @Test
     void anAcquittalKeepsItsFeaturesAndItsAge() throws Exception {
-        GatewayEnvelope sent =
-                CrashMessages.acquittal(
-                        GatewayEnvelope.newBuilder().setSender("gateway-1"), Set.of(3L, -4L), 60);
-        GatewayEnvelope received = GatewayEnvelope.parseFrom(sent.toByteArray());
+        CrashAcquittal sent = CrashMessages.acquittal(Set.of(3L, -4L), 60);
+        GatewayEnvelope envelope = GatewayEnvelope.newBuilder().setCrashAcquittal(sent).build();
+        CrashAcquittal received =
+                GatewayEnvelope.parseFrom(envelope.toByteArray()).getCrashAcquittal();
 
-        assertThat(CrashMessages.acquitted(received)).containsExactlyInAnyOrder(3L, -4L);
-        assertThat(CrashMessages.answerAgeMillis(received)).isEqualTo(60);
+        assertThat(received.getFeaturesList()).containsExactlyInAnyOrder(3L, -4L);
+        assertThat(received.getAgeMilliseconds()).isEqualTo(60);
     }
 
     @Test
     void anotherMessageAcquitsNothing() {
-        assertThat(CrashMessages.acquitted(GatewayEnvelope.getDefaultInstance())).isEmpty();
+        GatewayEnvelope envelope = GatewayEnvelope.getDefaultInstance();
+
+        assertThat(envelope.hasCrashAcquittal()).isFalse();
+        assertThat(envelope.getCrashAcquittal().getFeaturesList()).isEmpty();
     }
 }
