Ask another endpoint about a begun stream after 1.5 s of silence instead of 0.9 s

At 0.9 s each such silence cost a send, a permission to retry, a failure on the endpoint's health and the stages of the stream once more, though the endpoint goes on by itself. Callers wait for 2 s or more. Before the first event nothing changes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -24,7 +24,10 @@
  */
 final class StreamFlow extends RequestFlow implements StagePhase.Listener {
     private static final int CONFLICT = 409;
-    private static final long STALL_TIMEOUT_MILLIS = 900;
+
+    /** A sound endpoint may be silent for a second. */
+    private static final long STALL_TIMEOUT_MILLIS = 1_500;
+
     private static final long MIN_FIRST_EVENT_TIMEOUT_MILLIS = 900;
     private static final double FIRST_EVENT_FACTOR = 3;
     private static final long MIN_CHECK_MILLIS = 50;
