--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
@@ -90,16 +90,4 @@
         assertThat(reachability.recordNoResponse("brest")).isFalse();
         assertThat(reachability.isUnreachable("brest")).isFalse();
     }
-
-    @Test
-    void aContentIsConsideredTheCauseOnlyAfterCrashesOfThreeEndpoints() {
-        CrashRegister register = new CrashRegister();
-        register.recordCrash(7, "a");
-        register.recordCrash(7, "b");
-        register.recordCrash(7, "b");
-        assertThat(register.causesCrashes(7)).isFalse();
-        register.recordCrash(7, "c");
-        assertThat(register.causesCrashes(7)).isTrue();
-        assertThat(register.causesCrashes(8)).isFalse();
-    }
 }
