Let the stages of a begun stream start until its deadline allows it

What callers saw: a begun stream whose endpoint broke or fell silent after its objective ended although another endpoint was free to go on with it: aborted at once, or held until the deadline if the silent endpoint was kept.

Cause: its stages are run again, and their latest start followed from the objective of the first event, which had passed. At a busy stage such pieces count as late at once and are given up after 250 ms.

Change: once a stream has begun, the latest start of its stages follows from its deadline, so its pieces wait behind those that may still be in time.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -209,7 +209,7 @@
         RouteStage specification = mRequest.route().stages().get(stage);
         List<String> inputs = mGraph.inputs(stage);
         PiecePlacement place = placement(stage, inputs);
-        long startBy = mPlan.startByMillis(stage, mState.nowMillis());
+        long startBy = latestStartMillis(stage);
         mSubmittedMillis[stage] = mState.nowMillis();
         logSubmitted(stage, startBy);
         for (int piece = 0; piece < mGraph.pieceCount(stage); piece++) {
@@ -229,6 +229,14 @@
         }
     }
 
+    /** Returns the latest start of a stage; after the first event the deadline decides. */
+    private long latestStartMillis(int stage) {
+        long startBy = mPlan.startByMillis(stage, mState.nowMillis());
+        return mRequest.exchange().responseStarted()
+                ? startBy + mRequest.deadlineMillis() - mRequest.objectiveMillis()
+                : startBy;
+    }
+
     private void logSubmitted(int stage, long startByMillis) {
         long now = mState.nowMillis();
         String service = mRequest.route().stages().get(stage).service();
