Let a request under way have the time that a new configuration gives its route

What callers saw: a request was under way when a new configuration raised the timeout of its route. It still ended at the old timeout, with 504, or, if its stream had begun, with the connection closed and the end of the stream missing, although neither the caller's deadline nor the timeout in force had passed.

Cause: the timeout was read once, when the request arrived, and the endpoint was told to stop at it. Class of fault: a value of a configuration is copied for the length of a request, and the copy outlives the configuration.

Now RequestDeadline ends a request at its caller's deadline or at the longest timeout that was in force since its arrival, whichever comes first. The timer of a request looks again before it ends the request. Endpoints are told the caller's deadline (the timeout where the caller names none), as an endpoint stops at the value it got and can't be told later; at the timeout the gateway closes the connection to the endpoint, as it does for any other end.

A lowered timeout applies to requests that arrive after it. A request that was accepted keeps its time: to cut it would take an answer from a caller that still waits for it, and the endpoint's work would be lost.

The reason of a 504 now says which of the two ended the request, and timeout-raised says that one went on.

Evidence: on the code before, 7 of the 10 cases that ChangedTimeoutTest then had failed (504 or a cut stream at 1 s, where the timeout had been raised to 2.2 s, the answer came at 1.7 s and the deadline was 3 s); the 3 others are those of lowered timeouts. With the change all 11 pass; the eleventh guards against an overflow that the change could have brought, and was not run before it. SilentEndpointTest and RequestPathTest pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/OutgoingHeaders.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/OutgoingHeaders.java
@@ -35,14 +35,14 @@
     }
 
     /** Copies the headers that an endpoint may see and sets those that the gateway controls. */
-    HttpHeaders toEndpoint(RequestContext request, EndpointState endpoint, long remainingMillis) {
+    HttpHeaders toEndpoint(RequestContext request, EndpointState endpoint) {
         HeaderNames names = mState.protocol().headers();
         HttpHeaders headers = withoutHopByHopHeaders(request.exchange().head().headers());
         names.reserved().forEach(headers::remove);
         if (mState.routes().map(routes -> routes.configuration().authenticated()).orElse(true)) {
             headers.remove(names.authorization());
         }
-        headers.set(names.deadline(), Math.max(1, remainingMillis));
+        headers.set(names.deadline(), request.deadline().millisForEndpoint());
         headers.set(names.expectedEndpoint(), endpoint.registration().name());
         request.workspace().ifPresent(workspace -> headers.set(names.workspace(), workspace));
         if (request.service().engine().isPresent()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestContext.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestContext.java
@@ -17,8 +17,7 @@
  * @param workspace name of its workspace; empty for anonymous requests
  * @param rank priority class, 0 the most urgent
  * @param objectiveMillis latency objective as a time of the monotonic clock, in milliseconds
- * @param deadlineMillis time of the monotonic clock after which the response is useless, in
- *     milliseconds
+ * @param deadline when it ends without a response
  * @param prompt size of its prompt
  * @param pieces number of pieces of each stage
  * @param pieceKey content key of its pieces
@@ -31,7 +30,7 @@
         Optional<String> workspace,
         int rank,
         long objectiveMillis,
-        long deadlineMillis,
+        RequestDeadline deadline,
         PromptSize prompt,
         List<Integer> pieces,
         String pieceKey) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -52,12 +52,35 @@
 
     /** Starts to serve the request. */
     final void start() {
-        long remaining = mRequest.deadlineMillis() - mState.nowMillis();
-        mTimeout = mState.loop().schedule(this::timedOut, remaining, TimeUnit.MILLISECONDS);
+        scheduleTimeout(remainingMillis());
         mExchange.onClose(this::callerDisconnected);
         begin();
     }
 
+    private long remainingMillis() {
+        return mRequest.deadline().millis() - mState.nowMillis();
+    }
+
+    private void scheduleTimeout(long remainingMillis) {
+        mTimeout =
+                mState.loop().schedule(this::checkTimeout, remainingMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A new configuration may have raised the timeout since it was scheduled. */
+    private void checkTimeout() {
+        long remaining = remainingMillis();
+        if (remaining > 0) {
+            mState.log()
+                    .request(
+                            LogLine.of("timeout-raised")
+                                    .with("request", mRequest.id())
+                                    .with("remaining", remaining));
+            scheduleTimeout(remaining);
+        } else {
+            timedOut();
+        }
+    }
+
     /** Performs the first step. */
     abstract void begin();
 
@@ -216,10 +239,13 @@
         pending().forEach(Attempt::abandon);
         end();
         if (mSender.mayHaveRun()) {
-            mGatewayResponses.timedOut(mExchange, "no complete response before the deadline");
+            mGatewayResponses.timedOut(
+                    mExchange, "no complete response before " + mRequest.deadline().name());
         } else {
             mGatewayResponses.notRun(
-                    mExchange, "no endpoint available before the deadline", mBusyRetryMillis);
+                    mExchange,
+                    "no endpoint available before " + mRequest.deadline().name(),
+                    mBusyRetryMillis);
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.WeakHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.caller.CallerEvents;
 import org.wasabilug.gateway.internal.caller.CallerExchange;
@@ -28,6 +29,7 @@
     private static final long STOPPING_RETRY_MILLIS = 50;
 
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
+    private static final long MAX_CALLER_DEADLINE_MILLIS = TimeUnit.DAYS.toMillis(1);
 
     private final GatewayState mState;
     private final StageExecutor mStages;
@@ -111,7 +113,7 @@
             return;
         }
         RequestContext request = context(exchange, route, service.get(), workspace);
-        if (request.deadlineMillis() <= mState.nowMillis()) {
+        if (request.deadline().millis() <= mState.nowMillis()) {
             mGatewayResponses.timedOut(exchange, "deadline has passed");
         } else if (!mayBegin(request)) {
             mGatewayResponses.notRun(exchange, "this instance is stopping", STOPPING_RETRY_MILLIS);
@@ -137,7 +139,7 @@
 
     private boolean mayBegin(RequestContext request) {
         return mState.stop()
-                .map(stop -> stop.mayStart(mState.nowMillis(), request.deadlineMillis()))
+                .map(stop -> stop.mayStart(mState.nowMillis(), request.deadline().millis()))
                 .orElse(true);
     }
 
@@ -148,7 +150,6 @@
             Optional<WorkspaceKeys> workspace) {
         HttpHeaders headers = exchange.head().headers();
         long received = exchange.receivedMillis();
-        long timeout = Math.min(route.timeoutMillis(), deadline(headers, route));
         List<Integer> tokens = mState.protocol().counts(headers.get(names().tokenCounts(), ""));
         PromptSize prompt =
                 tokens.isEmpty()
@@ -170,19 +171,24 @@
                 workspace.map(WorkspaceKeys::workspace),
                 rank,
                 received + route.objectiveMillis(),
-                received + timeout,
+                new RequestDeadline(mState, exchange, route, callerDeadline(headers)),
                 prompt,
                 mState.protocol().counts(headers.get(names().pieceCounts(), "")),
                 headers.get(names().pieceKey(), ""));
     }
 
-    private long deadline(HttpHeaders headers, Route route) {
+    /** Returns how long the caller waits, in milliseconds; empty if it does not say so. */
+    private Optional<Long> callerDeadline(HttpHeaders headers) {
         String value = headers.get(names().deadline(), "");
+        if (value.isEmpty()) {
+            return Optional.empty();
+        }
         try {
-            return value.isEmpty() ? route.timeoutMillis() : (long) Double.parseDouble(value);
+            long millis = (long) Double.parseDouble(value);
+            return Optional.of(Math.min(millis, MAX_CALLER_DEADLINE_MILLIS));
         } catch (NumberFormatException invalid) {
             mState.log().request(LogLine.of("unreadable-deadline").with("value", value));
-            return route.timeoutMillis();
+            return Optional.empty();
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -108,8 +108,8 @@
 
     private Attempt send(Selection.Chosen chosen, Consumer<HttpHeaders> additions, long now) {
         EndpointState endpoint = chosen.endpoint();
-        long remaining = mRequest.deadlineMillis() - now;
-        HttpHeaders headers = mHeaders.toEndpoint(mRequest, endpoint, remaining);
+        long remaining = mRequest.deadline().millis() - now;
+        HttpHeaders headers = mHeaders.toEndpoint(mRequest, endpoint);
         additions.accept(headers);
         if (mSends == 0) {
             mState.retryBudget().recordFirstAttempt(mRequest.service().name(), now);
@@ -164,7 +164,7 @@
     private boolean mayRetry() {
         return mSends < MAX_SENDS
                 && mPossibleRuns < Math.max(1, mRequest.route().maximumAttempts())
-                && mState.nowMillis() < mRequest.deadlineMillis()
+                && mState.nowMillis() < mRequest.deadline().millis()
                 && hasEndpoint();
     }
 
@@ -195,7 +195,7 @@
 
     /** Returns whether to send again after a send that reached no endpoint. */
     boolean mayTryAnotherEndpoint() {
-        return mSends < MAX_SENDS && mState.nowMillis() < mRequest.deadlineMillis();
+        return mSends < MAX_SENDS && mState.nowMillis() < mRequest.deadline().millis();
     }
 
     String unavailableReason() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -221,7 +221,7 @@
                             inputs,
                             startBy,
                             mRequest.rank(),
-                            mRequest.deadlineMillis(),
+                            mRequest.deadline().millis(),
                             specification.resultBytes(),
                             place.domain(),
                             place.localityWaitMillis(),
@@ -233,7 +233,7 @@
     private long latestStartMillis(int stage) {
         long startBy = mPlan.startByMillis(stage, mState.nowMillis());
         return mRequest.exchange().responseStarted()
-                ? startBy + mRequest.deadlineMillis() - mRequest.objectiveMillis()
+                ? startBy + mRequest.deadline().millis() - mRequest.objectiveMillis()
                 : startBy;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamSoftwareVersion.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamSoftwareVersion.java
@@ -77,7 +77,7 @@
             mOrigins.began(
                     mRequest.id(),
                     attempt.softwareVersion(),
-                    mRequest.deadlineMillis() + ORIGIN_MARGIN_MILLIS);
+                    mRequest.deadline().millis() + ORIGIN_MARGIN_MILLIS);
         }
     }
 
