Keep a call with pieces to a silent endpoint, and ask another as well

What callers saw: an endpoint that runs pieces of a stage is silent for a second and would go on. The gateway cancelled the call after four times its expected time and 0.4 s, and ordered its pieces anew. If the other endpoint was busy, the repeats used up the retry budget within 0.14 s and the request was refused, and a begun stream whose stages ran again would end the same way, though the first endpoint answered 0.9 s later. If there was no other endpoint, it got the same piece again every 0.45 s; and three such calls had its whole failure domain taken for cut off.

Now a call that is overdue goes on, and its pieces are ordered at an endpoint without an overdue call as well, if there is one and the retry budget allows it. The first result counts; a piece that still waits is then taken from the queue, and a later result is released. A piece fails only with the last of its calls. Only 1.5 s after it became overdue is a call given up, and its endpoint counted as giving no sign of life. The silent endpoint keeps its place meanwhile, so it gets no further call there.

A timeout beyond a sound silence alone would have been simpler, but each request at a silent endpoint would then wait for 1.4 s; with a second endpoint it goes on after 0.46 s, as before.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -85,6 +85,27 @@
         removeIf(waiting -> waiting.mWork.id().request().equals(request));
     }
 
+    /**
+     * Removes a piece if it is waiting.
+     *
+     * @param id ID of the piece
+     */
+    public void cancel(PieceId id) {
+        WaitingPiece waiting = mById.get(id);
+        if (waiting != null) {
+            remove(List.of(waiting));
+        }
+    }
+
+    /**
+     * Returns whether a piece is waiting.
+     *
+     * @param id ID of the piece
+     */
+    public boolean contains(PieceId id) {
+        return mById.containsKey(id);
+    }
+
     /**
      * Removes the pieces whose deadline has passed, and those that have waited too long and can no
      * longer start in time.
--- a/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
@@ -36,6 +36,19 @@
         assertThat(formCalls(40, NEAR).getFirst().pieces()).hasSize(2);
     }
 
+    @Test
+    void aCancelledPieceIsNotSentWhileOthersOfItsRequestAre() {
+        PieceWork cancelled = ServingFixtures.piece("a", 0, 1_000, 0);
+        PieceWork other = ServingFixtures.piece("a", 1, 1_000, 0);
+        mQueue.add(cancelled, 0);
+        mQueue.add(other, 0);
+
+        mQueue.cancel(cancelled.id());
+
+        assertThat(mQueue.contains(cancelled.id())).isFalse();
+        assertThat(formCalls(0, NEAR).getFirst().pieces()).containsExactly(other);
+    }
+
     @Test
     void aCallHoldsAtMostTheConfiguredNumberOfPieces() {
         for (int piece = 0; piece < 7; piece++) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -39,11 +38,25 @@
     private final ResultRegistry mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<String, QueueWaits> mWaits = new HashMap<>();
-    private final Map<StageCall, StageCallAttempt> mRunning = new IdentityHashMap<>();
+    private final RunningCalls mRunning = new RunningCalls();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
+    private final StageCallAttempt.Listener mCallListener = new CallListener();
     private long mNextQueueLogMillis = Long.MIN_VALUE;
 
+    /** Passes on what becomes of the calls. */
+    private final class CallListener implements StageCallAttempt.Listener {
+        @Override
+        public void overdue(StageCall call) {
+            repeatOverdue(call);
+        }
+
+        @Override
+        public void ended(StageCall call, StageCallResult result) {
+            callEnded(call, result);
+        }
+    }
+
     /** Receiver of the outcome of a piece. */
     private record Receiver(String service, Consumer<PieceOutcome> outcomes) {}
 
@@ -134,17 +147,17 @@
         mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
         long now = mState.nowMillis();
-        queue.removeExpired(now).forEach(work -> fail(work, PieceFailure.LATE));
+        queue.removeExpired(now).forEach(work -> failUnlessRunning(work, PieceFailure.LATE));
         if (queue.size() == 0) {
             waits(service).recordWaiting(false, now);
             return;
         }
         ServiceSpecification specification = mState.service(service).orElse(null);
         if (specification == null || specification.stage().isEmpty()) {
-            queue.removeAll().forEach(work -> fail(work, PieceFailure.NO_ENDPOINT));
+            queue.removeAll().forEach(work -> failUnlessRunning(work, PieceFailure.NO_ENDPOINT));
             return;
         }
-        List<EndpointState> usable = mState.usable(service);
+        List<EndpointState> usable = mRunning.withoutOverdueCall(mState.usable(service));
         for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
             send(specification, call);
         }
@@ -174,27 +187,34 @@
     }
 
     private void send(ServiceSpecification service, StageCall call) {
-        StageCallAttempt attempt = new StageCallAttempt(mState, service, call, this::callCompleted);
-        mRunning.put(call, attempt);
+        StageCallAttempt attempt = new StageCallAttempt(mState, service, call, mCallListener);
+        mRunning.add(attempt);
         attempt.start();
     }
 
     /** Abandons the calls in an unreachable failure domain, so that their pieces run elsewhere. */
     private void domainUnreachable(String domain) {
-        List<StageCallAttempt> affected =
-                mRunning.values().stream()
-                        .filter(
-                                attempt ->
-                                        attempt.call()
-                                                .endpoint()
-                                                .registration()
-                                                .failureDomain()
-                                                .equals(domain))
-                        .toList();
-        affected.forEach(StageCallAttempt::abandon);
+        mRunning.inDomain(domain).forEach(StageCallAttempt::abandon);
+    }
+
+    /**
+     * Orders the pieces of an overdue call at another endpoint as well; the first result counts.
+     */
+    private void repeatOverdue(StageCall call) {
+        String service = call.pieces().getFirst().service();
+        if (mRunning.allOverdue(mState.usable(service))) {
+            return;
+        }
+        String endpoint = call.endpoint().registration().name();
+        for (PieceWork work : call.pieces()) {
+            if (mRunning.countWith(work.id()) == 1 && mayRepeat(work)) {
+                repeat(endpoint, work, "OVERDUE", true);
+            }
+        }
+        scheduleDispatch(service, 0);
     }
 
-    private void callCompleted(StageCall call, StageCallResult result) {
+    private void callEnded(StageCall call, StageCallResult result) {
         mRunning.remove(call);
         String service = call.pieces().getFirst().service();
         String endpoint = call.endpoint().registration().name();
@@ -241,23 +261,39 @@
             String endpoint, PieceWork work, PieceOutcome.Failed failed, boolean executed) {
         boolean retryable =
                 failed.reason() == PieceFailure.ERROR || failed.reason() == PieceFailure.NO_ROOM;
+        if (retryable && mRunning.countWith(work.id()) == 0 && mayRepeat(work)) {
+            repeat(endpoint, work, failed.reason().name(), executed);
+        } else {
+            failUnlessRunning(work, failed.reason());
+        }
+    }
+
+    private boolean mayRepeat(PieceWork work) {
         long now = mState.nowMillis();
-        if (retryable
-                && mReceivers.containsKey(work.id())
+        return mReceivers.containsKey(work.id())
+                && !queue(work.service()).contains(work.id())
                 && work.deadlineMillis() > now
-                && mState.retryBudget().tryAcquire(work.service(), SENDERS_PER_SERVICE, now)) {
-            mState.log()
-                    .request(
-                            LogLine.of("piece-repeated")
-                                    .with("request", work.id().request())
-                                    .with("stage", work.id().stage())
-                                    .with("piece", work.id().piece())
-                                    .with("failed_at", endpoint)
-                                    .with("executed", executed)
-                                    .with("reason", failed.reason().name()));
-            queue(work.service()).add(work.repeated(), now);
-        } else {
-            fail(work, failed.reason());
+                && mState.retryBudget().tryAcquire(work.service(), SENDERS_PER_SERVICE, now);
+    }
+
+    private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
+        mState.log()
+                .request(
+                        LogLine.of("piece-repeated")
+                                .with("request", work.id().request())
+                                .with("stage", work.id().stage())
+                                .with("piece", work.id().piece())
+                                .with("failed_at", endpoint)
+                                .with("executed", executed)
+                                .with("reason", reason));
+        queue(work.service()).add(work.repeated(), mState.nowMillis());
+    }
+
+    /** Fails a piece, unless another call may still bring its result. */
+    private void failUnlessRunning(PieceWork work, PieceFailure reason) {
+        boolean waiting = queue(work.service()).contains(work.id());
+        if (!waiting && mRunning.countWith(work.id()) == 0) {
+            fail(work, reason);
         }
     }
 
@@ -267,6 +303,7 @@
 
     private void deliver(PieceWork work, PieceOutcome outcome) {
         Receiver receiver = mReceivers.remove(work.id());
+        queue(work.service()).cancel(work.id());
         if (receiver != null) {
             receiver.outcomes().accept(outcome);
         } else if (outcome instanceof PieceOutcome.Produced produced) {
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
@@ -0,0 +1,60 @@
+package org.wasabilug.gateway.internal.stage;
+
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.PieceId;
+import org.wasabilug.internal.serving.StageCall;
+import org.wasabilug.serving.EndpointRegistration;
+
+/** The calls with pieces that this instance has sent and that have not ended. */
+final class RunningCalls {
+    private final Map<StageCall, StageCallAttempt> mAttempts = new IdentityHashMap<>();
+
+    void add(StageCallAttempt attempt) {
+        mAttempts.put(attempt.call(), attempt);
+    }
+
+    void remove(StageCall call) {
+        mAttempts.remove(call);
+    }
+
+    /** Returns the calls to endpoints in a failure domain. */
+    List<StageCallAttempt> inDomain(String domain) {
+        return mAttempts.values().stream()
+                .filter(attempt -> registration(attempt).failureDomain().equals(domain))
+                .toList();
+    }
+
+    private static EndpointRegistration registration(StageCallAttempt attempt) {
+        return attempt.call().endpoint().registration();
+    }
+
+    /** Returns how many calls may bring the result of a piece. */
+    long countWith(PieceId piece) {
+        return mAttempts.keySet().stream()
+                .flatMap(call -> call.pieces().stream())
+                .filter(work -> work.id().equals(piece))
+                .count();
+    }
+
+    /** Returns whether each of the endpoints has an overdue call. */
+    boolean allOverdue(List<EndpointState> endpoints) {
+        return endpoints.stream().allMatch(this::hasOverdueCall);
+    }
+
+    /** Returns the endpoints without an overdue call, or all of them if each has one. */
+    List<EndpointState> withoutOverdueCall(List<EndpointState> endpoints) {
+        List<EndpointState> others =
+                endpoints.stream().filter(endpoint -> !hasOverdueCall(endpoint)).toList();
+        return others.isEmpty() ? endpoints : others;
+    }
+
+    private boolean hasOverdueCall(EndpointState endpoint) {
+        String name = endpoint.registration().name();
+        return mAttempts.values().stream()
+                .filter(StageCallAttempt::overdue)
+                .anyMatch(attempt -> registration(attempt).name().equals(name));
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
@@ -22,34 +21,50 @@
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
 
-/** One call with pieces to one endpoint. */
+/**
+ * One call with pieces to one endpoint.
+ *
+ * <p>A call that takes much longer than expected is overdue, so that its pieces may be sent to
+ * another endpoint as well. It is given up only after a silence that no sound endpoint keeps.
+ */
 final class StageCallAttempt implements CallListener {
     private static final int OK = 200;
-    private static final double TIMEOUT_FACTOR = 4;
-    private static final long TIMEOUT_MARGIN_MILLIS = 400;
+    private static final double OVERDUE_FACTOR = 4;
+    private static final long OVERDUE_MARGIN_MILLIS = 400;
+
+    /** A sound endpoint may be silent for a second. */
+    private static final long MAX_SILENCE_MILLIS = 1_500;
+
     private static final EndpointLoad CALL_LOAD = new EndpointLoad(1, 0, 0);
 
     private final GatewayState mState;
     private final ServiceSpecification mService;
     private final StageCall mCall;
-    private final BiConsumer<StageCall, StageCallResult> mReceiver;
+    private final Listener mListener;
     private final ResponseBuffer mBody;
     private final long mSentMillis;
     private EndpointCall mExchange;
     private ScheduledFuture<?> mTimeout;
     private int mStatus;
     private boolean mNotExecuted;
+    private boolean mOverdue;
     private boolean mFinished;
 
+    /** Receives what becomes of a call. */
+    interface Listener {
+        /** The call takes too long; it goes on. */
+        void overdue(StageCall call);
+
+        /** The call has ended. */
+        void ended(StageCall call, StageCallResult result);
+    }
+
     StageCallAttempt(
-            GatewayState state,
-            ServiceSpecification service,
-            StageCall call,
-            BiConsumer<StageCall, StageCallResult> receiver) {
+            GatewayState state, ServiceSpecification service, StageCall call, Listener listener) {
         mState = state;
         mService = service;
         mCall = call;
-        mReceiver = receiver;
+        mListener = listener;
         mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
     }
@@ -75,8 +90,8 @@
                         headers,
                         body,
                         true);
-        long timeout = (long) (TIMEOUT_FACTOR * expectedMillis()) + TIMEOUT_MARGIN_MILLIS;
-        mTimeout = mState.loop().schedule(this::timedOut, timeout, TimeUnit.MILLISECONDS);
+        long overdue = (long) (OVERDUE_FACTOR * expectedMillis()) + OVERDUE_MARGIN_MILLIS;
+        mTimeout = mState.loop().schedule(this::becomeOverdue, overdue, TimeUnit.MILLISECONDS);
         mExchange = mState.connections().send(mCall.endpoint().registration(), request, this);
     }
 
@@ -95,9 +110,22 @@
         return mCall;
     }
 
+    /** Returns whether the call takes much longer than expected. */
+    boolean overdue() {
+        return mOverdue;
+    }
+
+    private void becomeOverdue() {
+        mOverdue = true;
+        mCall.endpoint().health().recordLatencyRatio(OVERDUE_FACTOR, mState.nowMillis());
+        mTimeout =
+                mState.loop().schedule(this::timedOut, MAX_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+        mState.log().request(line("stage-call-overdue"));
+        mListener.overdue(mCall);
+    }
+
     private void timedOut() {
         mExchange.cancel();
-        mCall.endpoint().health().recordLatencyRatio(TIMEOUT_FACTOR, mState.nowMillis());
         mState.domainMonitor().recordNoResponse(mCall.endpoint());
         fail("timeout", true);
     }
@@ -165,15 +193,16 @@
         mTimeout.cancel(false);
         mBody.release();
         mCall.endpoint().releaseLoad(CALL_LOAD);
-        mState.log()
-                .request(
-                        LogLine.of("stage-call")
-                                .with("service", mService.name())
-                                .with("endpoint", mCall.endpoint().registration().name())
-                                .with("first", mCall.pieces().getFirst().id().request())
-                                .with("pieces", mCall.pieces().size())
-                                .with("millis", mState.nowMillis() - mSentMillis)
-                                .with("outcome", outcome));
-        mReceiver.accept(mCall, result);
+        mState.log().request(line("stage-call").with("outcome", outcome));
+        mListener.ended(mCall, result);
+    }
+
+    private LogLine line(String event) {
+        return LogLine.of(event)
+                .with("service", mService.name())
+                .with("endpoint", mCall.endpoint().registration().name())
+                .with("first", mCall.pieces().getFirst().id().request())
+                .with("pieces", mCall.pieces().size())
+                .with("millis", mState.nowMillis() - mSentMillis);
     }
 }
