Open connections to endpoints through peers that reach them

What callers saw: an instance that lost its links to all endpoints refused its callers (502, 503) or let them wait for their deadline, though callers, the store and its peers reached it, and the peers reached every endpoint.

Cause: an instance judged endpoints one by one, and a failure domain by late answers, so it could neither tell that it was cut off nor that a peer was not, and it had no other way to an endpoint than its own connection. The class: what one instance alone sees is taken for the state of the endpoint.

Change: reachability is judged by attempts to connect, to several endpoints of a domain; late answers only make an instance probe. Heartbeats carry the domains that an instance does not reach. Connections to such a domain go through a peer that reaches it, which forwards bytes; every decision about a request stays with the instance that took it, so its promises stay as they are.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/ConnectionRelays.java
@@ -0,0 +1,44 @@
+package org.wasabilug.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Orders the instances that relay connections to a failure domain which this one can't reach. */
+public final class ConnectionRelays {
+    private ConnectionRelays() {}
+
+    /**
+     * Chooses relays to a failure domain. Those in the domain of the asking instance come first, as
+     * traffic between domains costs; within each group the order is random, which spreads the load.
+     *
+     * @param domain failure domain of the endpoint
+     * @param localDomain failure domain of the asking instance
+     * @param candidates the other instances that accept work
+     * @param maximum maximum number of relays
+     * @param random source of the random order
+     * @return names of the relays, the preferred first; empty if no other instance reaches the
+     *     domain
+     */
+    public static List<String> choose(
+            String domain,
+            String localDomain,
+            Collection<RelayCandidate> candidates,
+            int maximum,
+            UniformRandomProvider random) {
+        List<RelayCandidate> reaching = new ArrayList<>(candidates);
+        reaching.removeIf(each -> !each.reaches(domain));
+        shuffle(reaching, random);
+        reaching.sort(Comparator.comparing(each -> !each.failureDomain().equals(localDomain)));
+        return reaching.stream().limit(maximum).map(RelayCandidate::name).toList();
+    }
+
+    private static void shuffle(List<RelayCandidate> candidates, UniformRandomProvider random) {
+        for (int last = candidates.size() - 1; last > 0; last--) {
+            Collections.swap(candidates, last, random.nextInt(last + 1));
+        }
+    }
+}
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.wasabilug.serving.EndpointRegistration;
 
 /** The registered endpoints and the failure domains that operators have taken out of service. */
@@ -135,23 +137,39 @@
     }
 
     /**
-     * Lists the reachable endpoints of a service that may receive requests.
+     * Returns the failure domains of the endpoints of a service that may receive requests.
      *
      * @param service name of the service
-     * @param reachability observed reachability of the failure domains
-     * @return endpoints ordered by name; if no failure domain is reachable, the endpoints of all
-     *     domains
      */
-    public List<EndpointState> usable(String service, DomainReachability reachability) {
+    public Set<String> domains(String service) {
+        return usable(service).stream()
+                .map(each -> each.registration().failureDomain())
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Lists the endpoints of a service that may receive requests, the best reachable ones only.
+     *
+     * @param service name of the service
+     * @param direct whether this instance reaches a failure domain itself
+     * @param relayed whether another instance reaches a failure domain
+     * @return endpoints ordered by name: those that this instance reaches, without any those that
+     *     another instance reaches, and without any the endpoints of all domains
+     */
+    public List<EndpointState> usable(
+            String service, Predicate<String> direct, Predicate<String> relayed) {
         List<EndpointState> all = usable(service);
-        List<EndpointState> reachable =
-                all.stream()
-                        .filter(
-                                each ->
-                                        !reachability.isUnreachable(
-                                                each.registration().failureDomain()))
-                        .toList();
-        return reachable.isEmpty() ? all : reachable;
+        List<EndpointState> reached = in(all, direct);
+        if (reached.isEmpty()) {
+            reached = in(all, relayed);
+        }
+        return reached.isEmpty() ? all : reached;
+    }
+
+    private static List<EndpointState> in(List<EndpointState> endpoints, Predicate<String> domain) {
+        return endpoints.stream()
+                .filter(each -> domain.test(each.registration().failureDomain()))
+                .toList();
     }
 
     /**
@@ -188,15 +206,16 @@
     }
 
     /**
-     * Finds any endpoint of a failure domain.
+     * Lists the endpoints of a failure domain that accept requests.
      *
      * @param domain name of the failure domain
-     * @return an endpoint registered in that domain, or empty if there is none
+     * @return endpoints ordered by name
      */
-    public Optional<EndpointState> findAnyInDomain(String domain) {
+    public List<EndpointState> inDomain(String domain) {
         return mEndpoints.values().stream()
                 .filter(endpoint -> endpoint.registration().failureDomain().equals(domain))
-                .findAny();
+                .filter(endpoint -> !endpoint.registration().leaving())
+                .toList();
     }
 
     /** Returns all endpoints, ordered by name. */
--- /dev/null
+++ b/core/src/test/java/org/wasabilug/internal/serving/ConnectionRelaysTest.java
@@ -0,0 +1,54 @@
+package org.wasabilug.internal.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+class ConnectionRelaysTest {
+    private final UniformRandomProvider mRandom = RandomSource.XO_SHI_RO_256_PP.create(1L);
+
+    @Test
+    void instancesThatDoNotReachTheDomainRelayNothingToIt() {
+        List<RelayCandidate> candidates =
+                List.of(
+                        new RelayCandidate("cut-off", "rennes", Set.of("brest", "rennes")),
+                        new RelayCandidate("elsewhere", "lorient", Set.of("rennes")));
+
+        assertThat(choose(candidates)).containsExactly("elsewhere");
+    }
+
+    @Test
+    void relaysInTheDomainOfTheAskingInstanceComeFirst() {
+        List<RelayCandidate> candidates = new ArrayList<>();
+        for (int number = 0; number < 20; number++) {
+            candidates.add(new RelayCandidate("far-" + number, "brest", Set.of()));
+        }
+        candidates.add(new RelayCandidate("near", "rennes", Set.of()));
+
+        assertThat(choose(candidates)).hasSize(3).first().isEqualTo("near");
+    }
+
+    @Test
+    void connectionsAreSpreadOverAllRelays() {
+        List<RelayCandidate> candidates = new ArrayList<>();
+        for (int number = 0; number < 5; number++) {
+            candidates.add(new RelayCandidate("near-" + number, "rennes", Set.of()));
+        }
+        Set<String> first = new HashSet<>();
+        for (int choice = 0; choice < 200; choice++) {
+            first.add(choose(candidates).getFirst());
+        }
+
+        assertThat(first).hasSize(5);
+    }
+
+    private List<String> choose(List<RelayCandidate> candidates) {
+        return ConnectionRelays.choose("brest", "rennes", candidates, 3, mRandom);
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.wasabilug.gateway.internal.peer.SharedStreamOrigins;
 import org.wasabilug.gateway.internal.peer.StoreRelay;
 import org.wasabilug.gateway.internal.readiness.ReadinessServer;
+import org.wasabilug.gateway.internal.relay.RelayListener;
 import org.wasabilug.gateway.internal.request.RequestReceiver;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.store.FollowedTable;
@@ -57,6 +58,7 @@
     private final SharedStreamOrigins mStreamOrigins;
     private final SharedCrashSuspects mCrashSuspects;
     private final StoreRelay mStoreRelay;
+    private final RelayListener mRelays;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
     private final CountDownLatch mStopped = new CountDownLatch(1);
@@ -74,7 +76,10 @@
         EventLoop loop = mLoops.next();
         EndpointConnections connections =
                 new EndpointConnections(
-                        mLoops, protocol.headers().requestId(), GatewayState::clockMillis);
+                        mLoops,
+                        protocol.headers().requestId(),
+                        GatewayState::clockMillis,
+                        settings.name());
         DecisionLog log = new DecisionLog(mMetrics, GatewayState::clockMillis);
         mState = new GatewayState(settings, protocol, loop, connections, log);
         mStages = new LocalStageExecutor(mState);
@@ -89,6 +94,8 @@
                         () -> !mEndpoints.storeReachable(),
                         mStages::predictWaits);
         mState.instances(mNetwork::instances);
+        mState.domainMonitor().peers(mNetwork);
+        mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mStoreRelay = new StoreRelay(mState, mNetwork);
         mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
@@ -119,6 +126,7 @@
         mCallers.listen(mSettings.callers());
         mReadiness.listen(mLoops, mSettings.readiness());
         mNetwork.start();
+        mRelays.listen(mSettings.relays());
         mState.loop().execute(this::follow);
         mState.loop()
                 .scheduleAtFixedRate(
@@ -211,9 +219,10 @@
         }
         mCallers.close();
         mCallers.closeIdle();
-        boolean done = mCallers.connections() == 0 && mStages.idle();
+        boolean done = mCallers.connections() == 0 && mStages.idle() && mRelays.connections() == 0;
         if (done || stop.mustCancelRequests(now)) {
             mReadiness.close();
+            mRelays.close();
             mNetwork.close();
             mStopped.countDown();
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
@@ -12,6 +12,8 @@
  * @param callers address for callers
  * @param readiness address for readiness checks and metrics
  * @param peers address for other instances; all instances use the same port
+ * @param relays address for connections that other instances have relayed to endpoints; all
+ *     instances use the same port
  * @param store address of the store
  * @param retryLimits limits of retries
  * @param coldLimits limits of cold endpoints
@@ -24,6 +26,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peers,
+        InetSocketAddress relays,
         InetSocketAddress store,
         RetryLimits retryLimits,
         ColdLimits coldLimits,
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -67,7 +67,8 @@
         mLoop = loop;
         mConnections = connections;
         mLog = log;
-        mDomainMonitor = new DomainMonitor(mDirectory, connections, log);
+        mDomainMonitor = new DomainMonitor(this, mDirectory, connections);
+        connections.router(mDomainMonitor);
         mRetryBudget = new RetryBudget(settings.retryLimits());
         mSelector = new EndpointSelector(settings.coldLimits(), mPrefixCaches);
     }
@@ -137,13 +138,14 @@
     }
 
     /**
-     * Returns the endpoints of a service that are reachable and may receive requests.
+     * Returns the endpoints of a service that may receive requests and are reachable, if need be
+     * through other instances.
      *
      * @param service name of the service
      * @return the endpoints in order of their names
      */
     public List<EndpointState> usable(String service) {
-        return mDirectory.usable(service, mDomainMonitor.reachability());
+        return mDirectory.usable(service, mDomainMonitor::reaches, mDomainMonitor::peerReaches);
     }
 
     /** Returns the monitor of unreachable failure domains. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -9,6 +9,11 @@
      * sent.
      */
     SILENT,
+    /**
+     * This instance does not reach the endpoint's failure domain, and no other instance passed the
+     * call on; nothing was sent.
+     */
+    NOT_RELAYED,
     /** The connection ended after the request may have been sent. */
     BROKEN,
     /** The response ended properly, but its content is not whole. */
@@ -20,6 +25,6 @@
 
     /** Returns whether the endpoint certainly received nothing, as there was no connection. */
     public boolean nothingSent() {
-        return this == NOT_CONNECTED || this == SILENT;
+        return this == NOT_CONNECTED || this == SILENT || this == NOT_RELAYED;
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
+import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
 
 /**
  * One connection to an endpoint; it carries one call at a time.
@@ -28,6 +30,7 @@
 
     private final EndpointConnections mOwner;
     private final String mEndpoint;
+    private final Optional<Relay> mRelay;
     private final String mRequestIdHeader;
     private Channel mChannel;
     private EndpointCall mCall;
@@ -40,9 +43,14 @@
     /** Bytes received since the last that belonged to a response to a call. */
     private int mUnusableBytes;
 
-    EndpointConnection(EndpointConnections owner, String endpoint, String requestIdHeader) {
+    EndpointConnection(
+            EndpointConnections owner,
+            String endpoint,
+            Optional<Relay> relay,
+            String requestIdHeader) {
         mOwner = owner;
         mEndpoint = endpoint;
+        mRelay = relay;
         mRequestIdHeader = requestIdHeader;
     }
 
@@ -50,6 +58,11 @@
         return mEndpoint;
     }
 
+    /** Returns the instance that relays this connection; empty if it is direct. */
+    Optional<Relay> relay() {
+        return mRelay;
+    }
+
     void send(EndpointCall call, Channel channel) {
         mChannel = channel;
         mCall = call;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,14 +13,16 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RelayPeers;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.QueueWaits;
+import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.internal.serving.StoreRelays;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 
 /** Connections to the other instances; exchanges heartbeats and messages with them. */
-public final class PeerNetwork {
+public final class PeerNetwork implements RelayPeers {
     private static final long MIN_HEARTBEAT_INTERVAL_MILLIS = 200;
 
     /** Bounds the message rate of a process as the fleet grows. */
@@ -126,6 +130,37 @@
         return shares;
     }
 
+    @Override
+    public Collection<RelayCandidate> candidates() {
+        return mLive.stream()
+                .map(mPeers::get)
+                .filter(peer -> peer.heartbeat().getRelaysConnections())
+                .map(this::relayCandidate)
+                .toList();
+    }
+
+    private RelayCandidate relayCandidate(Peer peer) {
+        return new RelayCandidate(
+                peer.name(), peer.heartbeat().getFailureDomain(), unreachableDomains(peer.name()));
+    }
+
+    /**
+     * Returns the failure domains to which an instance can open no connections.
+     *
+     * @param name name of this instance or of a peer
+     */
+    public Set<String> unreachableDomains(String name) {
+        return name.equals(mState.settings().name())
+                ? mState.domainMonitor().reachability().unreachableDomains()
+                : Set.copyOf(mPeers.get(name).heartbeat().getUnreachableDomainsList());
+    }
+
+    @Override
+    public InetSocketAddress address(String instance) {
+        return new InetSocketAddress(
+                mPeers.get(instance).host(), mState.settings().relays().getPort());
+    }
+
     private static double processorShare(GatewayHeartbeat heartbeat) {
         return heartbeat.hasProcessorShare()
                 ? heartbeat.getProcessorShare()
@@ -258,6 +293,9 @@
                         .setHost(mState.settings().peers().getHostString())
                         .setStopping(mStopping.getAsBoolean())
                         .setProcessorShare(mState.settings().processorShare())
+                        .setRelaysConnections(true)
+                        .addAllUnreachableDomains(
+                                mState.domainMonitor().reachability().unreachableDomains())
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
         mSharedLoads.addLoads(heartbeat);
         return heartbeat;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -0,0 +1,176 @@
+package org.wasabilug.gateway.internal.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.messages.gateway.RelayReply;
+import org.wasabilug.messages.gateway.RelayRequest;
+
+/** Relays connections of other instances to endpoints which those can't reach themselves. */
+public final class RelayListener {
+    /** Two descriptors each; most of a process's descriptors stay for its own callers. */
+    private static final int MAX_CONNECTIONS = 800;
+
+    private final GatewayState mState;
+    private final EventLoopGroup mLoops;
+    private final Set<Channel> mRelayed = new HashSet<>();
+    private Channel mServer;
+
+    /**
+     * Creates a listener that is not listening yet.
+     *
+     * @param state state of this process
+     * @param loops event loop of all connections
+     */
+    public RelayListener(GatewayState state, EventLoopGroup loops) {
+        mState = state;
+        mLoops = loops;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address address to bind
+     * @throws InterruptedException if interrupted while binding
+     */
+    public void listen(InetSocketAddress address) throws InterruptedException {
+        mServer =
+                new ServerBootstrap()
+                        .group(mLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.SO_KEEPALIVE, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        RelayFraming.install(
+                                                channel.pipeline(),
+                                                RelayRequest.getDefaultInstance());
+                                        channel.pipeline().addLast(new RequestReader());
+                                    }
+                                })
+                        .bind(address)
+                        .sync()
+                        .channel();
+    }
+
+    /** Stops listening; connections that are relayed stay open. */
+    public void close() {
+        if (mServer != null) {
+            mServer.close();
+        }
+    }
+
+    /** Returns the number of connections that are relayed. */
+    public int connections() {
+        return mRelayed.size();
+    }
+
+    /** Reads the first message of a connection, then connects to the endpoint. */
+    private final class RequestReader extends SimpleChannelInboundHandler<RelayRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, RelayRequest request) {
+            Channel asking = context.channel();
+            Optional<EndpointState> endpoint = endpoint(request);
+            if (endpoint.isEmpty()) {
+                refuse(asking, request, RelayReply.Status.NO_ENDPOINT);
+            } else if (mRelayed.size() >= MAX_CONNECTIONS || mState.stop().isPresent()) {
+                refuse(asking, request, RelayReply.Status.NO_CAPACITY);
+            } else {
+                connect(asking, request, endpoint.get());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private Optional<EndpointState> endpoint(RelayRequest request) {
+        return mState.directory()
+                .find(request.getEndpoint())
+                .filter(mState.directory()::mayReceiveRequests);
+    }
+
+    private void connect(Channel asking, RelayRequest request, EndpointState endpoint) {
+        mRelayed.add(asking);
+        asking.closeFuture().addListener(closed -> mRelayed.remove(asking));
+        mState.connections()
+                .connect(
+                        endpoint.registration(),
+                        (result, channel) -> {
+                            if (result == ConnectionResult.OPENED) {
+                                opened(asking, request, channel);
+                            } else {
+                                explain(asking, request, endpoint, result);
+                            }
+                        });
+    }
+
+    /** Tells whether it is the endpoint that can't be reached, or its whole failure domain. */
+    private void explain(
+            Channel asking, RelayRequest request, EndpointState endpoint, ConnectionResult result) {
+        mState.domainMonitor()
+                .checkDomain(
+                        endpoint.registration(),
+                        reached ->
+                                refuse(
+                                        asking,
+                                        request,
+                                        reached ? status(result) : RelayReply.Status.NO_ROUTE));
+    }
+
+    private static RelayReply.Status status(ConnectionResult result) {
+        return result == ConnectionResult.SILENT
+                ? RelayReply.Status.SILENT
+                : RelayReply.Status.REFUSED;
+    }
+
+    private void opened(Channel asking, RelayRequest request, Channel endpoint) {
+        if (!asking.isActive()) {
+            endpoint.close();
+            return;
+        }
+        log("connection-relayed", request, RelayReply.Status.OPENED);
+        asking.writeAndFlush(reply(RelayReply.Status.OPENED));
+        asking.pipeline().remove(RequestReader.class);
+        ByteForwarder.join(asking, endpoint);
+        RelayFraming.remove(asking.pipeline());
+    }
+
+    private void refuse(Channel asking, RelayRequest request, RelayReply.Status status) {
+        log("connection-not-relayed", request, status);
+        asking.writeAndFlush(reply(status)).addListener(written -> asking.close());
+    }
+
+    private static RelayReply reply(RelayReply.Status status) {
+        return RelayReply.newBuilder().setStatus(status).build();
+    }
+
+    private void log(String event, RelayRequest request, RelayReply.Status status) {
+        mState.log()
+                .request(
+                        LogLine.of(event)
+                                .with("instance", request.getSender())
+                                .with("endpoint", request.getEndpoint())
+                                .with("request", request.getRequest())
+                                .with("result", status.name()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints that one instance relays for another. */
+package org.wasabilug.gateway.internal.relay;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -9,9 +9,9 @@
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
-import org.wasabilug.gateway.internal.endpoint.ProbeResult;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
+import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.serving.RequestKind;
@@ -117,8 +117,15 @@
     /** Records a failure for the endpoint, as its response is overdue; the attempt goes on. */
     void recordOverdue() {
         mEndpoint.health().recordFailure(mState.nowMillis());
-        if (mHead == null) {
-            mState.domainMonitor().recordNoResponse(mEndpoint);
+        suspectIfSilent();
+    }
+
+    /**
+     * Makes the gateway check whether it still reaches the endpoint if there is no response yet.
+     */
+    void suspectIfSilent() {
+        if (mHead == null && !mEnded) {
+            mState.domainMonitor().suspect(mEndpoint.registration());
         }
     }
 
@@ -157,7 +164,6 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
-        mState.domainMonitor().recordResponse(mEndpoint);
         mNotExecuted = mState.notExecuted(head);
         mDeliverable = ResponseCheck.deliverable(mState, head);
     }
@@ -226,18 +232,22 @@
             return;
         }
         end();
+        recordFailure(failure);
+        if (!mAnswerWentOn && (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT)) {
+            checkCrashSoon(() -> {});
+        }
+        mOwner.failed(this, failure);
+    }
+
+    private void recordFailure(CallFailure failure) {
+        if (failure == CallFailure.NOT_RELAYED) {
+            return;
+        }
         if (failure.nothingSent()) {
             mEndpoint.health().recordUnreachable(mState.nowMillis());
         } else {
             mEndpoint.health().recordFailure(mState.nowMillis());
         }
-        if (failure == CallFailure.SILENT) {
-            mState.domainMonitor().recordNoResponse(mEndpoint);
-        }
-        if (!mAnswerWentOn && (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT)) {
-            checkCrashSoon(() -> {});
-        }
-        mOwner.failed(this, failure);
     }
 
     private void checkCrashSoon(Runnable survived) {
@@ -255,7 +265,7 @@
                 .probe(
                         mEndpoint.registration(),
                         result -> {
-                            if (result == ProbeResult.OPEN) {
+                            if (result == ConnectionResult.OPENED) {
                                 survived.run();
                             } else {
                                 mGuard.crashed(mEndpoint.registration(), endedMillis);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -57,26 +57,30 @@
 
     /** Sends an idempotent request to another endpoint as well if the first takes too long. */
     private void watch(Attempt attempt) {
-        if (request().route().idempotent()) {
-            double typicalMillis = attempt.endpoint().health().latencyMillis();
-            long timeout =
-                    Math.max(
-                            MIN_ATTEMPT_TIMEOUT_MILLIS,
-                            (long) (TIMEOUT_LATENCY_FACTOR * typicalMillis));
-            state().loop().schedule(() -> checkSlow(attempt), timeout, TimeUnit.MILLISECONDS);
-        }
+        double typicalMillis = attempt.endpoint().health().latencyMillis();
+        long timeout =
+                Math.max(
+                        MIN_ATTEMPT_TIMEOUT_MILLIS,
+                        (long) (TIMEOUT_LATENCY_FACTOR * typicalMillis));
+        state().loop().schedule(() -> checkSlow(attempt), timeout, TimeUnit.MILLISECONDS);
     }
 
     private void checkSlow(Attempt attempt) {
-        if (isOnlyPending(attempt)) {
-            Optional<Attempt> hedge = sender().sendHedge(here(), headers -> {});
-            if (hedge.isPresent()) {
-                attempt.recordOverdue();
-                sent(hedge.get());
-            }
+        if (!isPending(attempt)) {
+            return;
+        }
+        attempt.suspectIfSilent();
+        if (request().route().idempotent() && isOnlyPending(attempt)) {
+            hedge(attempt);
         }
-        if (isPending(attempt)) {
-            watch(attempt);
+        watch(attempt);
+    }
+
+    private void hedge(Attempt overdue) {
+        Optional<Attempt> hedge = sender().sendHedge(here(), headers -> {});
+        if (hedge.isPresent()) {
+            overdue.recordOverdue();
+            sent(hedge.get());
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -146,15 +146,13 @@
         }
     }
 
-    /** Monitors an attempt of an idempotent request, which another one may overtake. */
+    /** Monitors an attempt, which another one may overtake if the request is idempotent. */
     private void watch(Attempt attempt, long firstEventTimeoutMillis) {
-        if (request().route().idempotent()) {
-            state().loop()
-                    .schedule(
-                            () -> checkProgress(attempt, firstEventTimeoutMillis),
-                            firstEventTimeoutMillis,
-                            TimeUnit.MILLISECONDS);
-        }
+        state().loop()
+                .schedule(
+                        () -> checkProgress(attempt, firstEventTimeoutMillis),
+                        firstEventTimeoutMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void checkProgress(Attempt attempt, long firstEventTimeoutMillis) {
@@ -169,13 +167,18 @@
             watch(attempt, Math.max(MIN_CHECK_MILLIS, timeout - idleMillis));
             return;
         }
-        if (isOnlyPending(attempt) && !mStages.inProgress() && beginHedge()) {
+        attempt.suspectIfSilent();
+        if (mayHedge(attempt) && beginHedge()) {
             logStall(attempt, idleMillis);
             attempt.recordOverdue();
         }
         watch(attempt, timeout);
     }
 
+    private boolean mayHedge(Attempt attempt) {
+        return request().route().idempotent() && isOnlyPending(attempt) && !mStages.inProgress();
+    }
+
     /**
      * Sends the stream to another endpoint as well, after its stages if their results are no longer
      * available; returns false if that is not possible now.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -68,7 +68,7 @@
     public LocalStageExecutor(GatewayState state) {
         mState = state;
         mResults = new ResultRegistry(state, this::released);
-        state.domainMonitor().onUnreachable(this::domainUnreachable);
+        state.domainMonitor().onSilent(this::abandonCalls);
     }
 
     @Override
@@ -192,8 +192,8 @@
         attempt.start();
     }
 
-    /** Abandons the calls in an unreachable failure domain, so that their pieces run elsewhere. */
-    private void domainUnreachable(String domain) {
+    /** Abandons the calls in a silent failure domain, so that their pieces run elsewhere. */
+    private void abandonCalls(String domain) {
         mRunning.inDomain(domain).forEach(StageCallAttempt::abandon);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -121,18 +121,18 @@
         mTimeout =
                 mState.loop().schedule(this::timedOut, MAX_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
         mState.log().request(line("stage-call-overdue"));
+        mState.domainMonitor().suspect(mCall.endpoint().registration());
         mListener.overdue(mCall);
     }
 
     private void timedOut() {
         mExchange.cancel();
-        mState.domainMonitor().recordNoResponse(mCall.endpoint());
+        mState.domainMonitor().suspect(mCall.endpoint().registration());
         fail("timeout", true);
     }
 
     @Override
     public void headReceived(HttpResponse head) {
-        mState.domainMonitor().recordResponse(mCall.endpoint());
         mStatus = head.status().code();
         mNotExecuted = mState.notExecuted(head);
     }
@@ -169,12 +169,9 @@
 
     @Override
     public void failed(CallFailure failure) {
-        if (failure.nothingSent()) {
+        if (failure.nothingSent() && failure != CallFailure.NOT_RELAYED) {
             mCall.endpoint().health().recordUnreachable(mState.nowMillis());
         }
-        if (failure == CallFailure.SILENT) {
-            mState.domainMonitor().recordNoResponse(mCall.endpoint());
-        }
         fail(failure.name(), !failure.nothingSent());
     }
 
