Let an instance that reaches no endpoint of a service not send its pieces

What callers saw: callers of all instances were refused on routes with stages (503, "stage failed", "stages are congested") while one instance was cut off from all endpoints.

Cause: one instance sends the pieces of a service for all, chosen by processor share and hash among those that peers hear. Whether it reaches an endpoint was not asked.

Change: the sender is chosen among the instances that reach an endpoint of the service, as their heartbeats say; among all if none does.

--- a/core/src/main/java/org/wasabilug/internal/serving/StageSenders.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageSenders.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * Chooses the instance that sends the pieces of a service to its endpoints.
@@ -15,6 +18,25 @@
 
     private StageSenders() {}
 
+    /**
+     * Leaves out the instances that can open no connection to any endpoint of a service.
+     *
+     * @param processorShares processor share, in cores, of each available instance by name
+     * @param unreachable returns the failure domains that an instance does not reach
+     * @param domains failure domains of the service's endpoints
+     * @return the shares of the instances that reach an endpoint; of all if none does
+     */
+    public static Map<String, Double> reaching(
+            Map<String, Double> processorShares,
+            Function<String, Set<String>> unreachable,
+            Set<String> domains) {
+        Map<String, Double> reaching = new TreeMap<>(processorShares);
+        reaching.keySet()
+                .removeIf(
+                        name -> !domains.isEmpty() && unreachable.apply(name).containsAll(domains));
+        return reaching.isEmpty() ? processorShares : reaching;
+    }
+
     /**
      * Chooses the sender of a service.
      *
--- a/core/src/test/java/org/wasabilug/internal/serving/ConnectionRelaysTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ConnectionRelaysTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -48,6 +49,30 @@
         assertThat(first).hasSize(5);
     }
 
+    @Test
+    void anInstanceThatReachesNoEndpointOfAServiceDoesNotSendItsPieces() {
+        Map<String, Double> shares = Map.of("cut-off", 1.0, "half", 1.0, "sound", 1.0);
+        Map<String, Set<String>> unreachable =
+                Map.of(
+                        "cut-off", Set.of("brest", "rennes"),
+                        "half", Set.of("brest"),
+                        "sound", Set.of());
+
+        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of("brest", "rennes")))
+                .containsOnlyKeys("half", "sound");
+        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of("brest")))
+                .containsOnlyKeys("sound");
+    }
+
+    @Test
+    void allInstancesMaySendPiecesIfNoneReachesAnEndpoint() {
+        Map<String, Double> shares = Map.of("first", 1.0, "second", 1.0);
+
+        assertThat(StageSenders.reaching(shares, name -> Set.of("brest"), Set.of("brest")))
+                .hasSize(2);
+        assertThat(StageSenders.reaching(shares, name -> Set.of("brest"), Set.of())).hasSize(2);
+    }
+
     private List<String> choose(List<RelayCandidate> candidates) {
         return ConnectionRelays.choose("brest", "rennes", candidates, 3, mRandom);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -72,7 +72,13 @@
 
     private String chooseSender(String service) {
         Map<String, Double> live = mNetwork.liveProcessorShares();
-        return live.isEmpty() ? mState.settings().name() : StageSenders.choose(service, live);
+        if (live.isEmpty()) {
+            return mState.settings().name();
+        }
+        Map<String, Double> reaching =
+                StageSenders.reaching(
+                        live, mNetwork::unreachableDomains, mState.directory().domains(service));
+        return StageSenders.choose(service, reaching);
     }
 
     @Override
