Do not take a cut between one instance and its endpoints for crashes

What callers saw: after a cut, sound requests could be refused at all instances as "this content crashes endpoints".

Cause: an endpoint that accepted no connection 40 ms after a response broke off counted as crashed, and peers were told. An instance that is cut off sees the same of every endpoint.

Change: an endpoint that can't be reached has crashed if this instance reaches another one beside it. If it reaches none, it asks peers; one that reaches the endpoint clears it, one that reaches others beside it but not this one confirms the crash. An instance that reaches no endpoint and finds nobody who can tell judges nothing.

Evidence: CutTakenForCrashTest failed before (endpoint-crashed counted once, though every endpoint runs) and passes; CrashingPromptPartTest and CrashesOfAnotherCauseTest pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -11,7 +11,6 @@
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
-import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.serving.RequestKind;
@@ -259,18 +258,9 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    /** An endpoint that accepts no connections right after the end of a response has crashed. */
     private void checkCrash(long endedMillis, Runnable survived) {
-        mState.connections()
-                .probe(
-                        mEndpoint.registration(),
-                        result -> {
-                            if (result == ConnectionResult.OPENED) {
-                                survived.run();
-                            } else {
-                                mGuard.crashed(mEndpoint.registration(), endedMillis);
-                            }
-                        });
+        new CrashCheck(mState, mEndpoint.registration())
+                .start(survived, () -> mGuard.crashed(mEndpoint.registration(), endedMillis));
     }
 
     private void end() {
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
@@ -0,0 +1,69 @@
+package org.wasabilug.gateway.internal.request;
+
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.serving.EndpointRegistration;
+
+/**
+ * Checks whether an endpoint has crashed whose response has just ended.
+ *
+ * <p>One that accepts no connections has, unless it is this instance that is cut off: then another
+ * one that reaches the endpoint's failure domain can tell.
+ */
+final class CrashCheck {
+    private final GatewayState mState;
+    private final EndpointRegistration mEndpoint;
+
+    CrashCheck(GatewayState state, EndpointRegistration endpoint) {
+        mState = state;
+        mEndpoint = endpoint;
+    }
+
+    /** Starts the check and runs one of the actions when the result is known. */
+    void start(Runnable survived, Runnable crashed) {
+        mState.connections()
+                .probe(
+                        mEndpoint,
+                        result -> {
+                            if (result == ConnectionResult.OPENED) {
+                                survived.run();
+                            } else {
+                                checkDomain(crashed);
+                            }
+                        });
+    }
+
+    /** An endpoint that can't be reached while others in its domain can has crashed. */
+    private void checkDomain(Runnable crashed) {
+        mState.domainMonitor()
+                .checkDomain(
+                        mEndpoint,
+                        reached -> {
+                            if (reached) {
+                                crashed.run();
+                            } else {
+                                askWitness(crashed);
+                            }
+                        });
+    }
+
+    private void askWitness(Runnable crashed) {
+        mState.connections()
+                .askWitness(
+                        mEndpoint,
+                        result -> {
+                            if (result.isPresent() && result.get() == ConnectionResult.OPENED) {
+                                log("endpoint-reached-by-peer");
+                            } else if (result.isEmpty() && mState.domainMonitor().isCutOff()) {
+                                log("endpoint-not-judged");
+                            } else {
+                                crashed.run();
+                            }
+                        });
+    }
+
+    private void log(String event) {
+        mState.log().process(LogLine.of(event).with("endpoint", mEndpoint.name()));
+    }
+}
