Send requests through a relay without a length prefix

Callers saw: no request through another instance reached an endpoint. The bytes that arrived there began with the length of the first write ("=POST / HTTP/1.1"), which an endpoint answers with 400 or not at all.

Cause: the asking instance sent the request while the codec of the handshake was still in the pipeline, and its length prepender takes any buffer for a message. The codec as a whole has to stay until the HTTP handlers are installed, as its decoder may hold bytes that are theirs.

The encoder is now removed before the connection is handed over and the decoder after. theEndpointReceivesTheRequestAsItWasSent failed before with the bytes above. The other tests cover how answers end at the asking instance, a caller that leaves, and a caller that reads slowly.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayConnector.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayConnector.java
@@ -112,8 +112,9 @@
             } else if (!mDone) {
                 mDone = true;
                 context.pipeline().remove(this);
+                RelayFraming.removeEncoder(context.pipeline());
                 mReceiver.opened(context.channel());
-                RelayFraming.remove(context.pipeline());
+                RelayFraming.removeDecoder(context.pipeline());
             }
         }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayFraming.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayFraming.java
@@ -1,23 +1,14 @@
 package org.wasabilug.gateway.internal.relay;
 
 import com.google.protobuf.MessageLite;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
-import java.util.List;
 
 /** Codec of the one message that each side sends before a connection carries other bytes. */
 final class RelayFraming {
-    private static final List<Class<? extends ChannelHandler>> HANDLERS =
-            List.of(
-                    ProtobufDecoder.class,
-                    ProtobufVarint32LengthFieldPrepender.class,
-                    ProtobufEncoder.class,
-                    ProtobufVarint32FrameDecoder.class);
-
     private RelayFraming() {}
 
     /** Installs the codec at the end of a pipeline. */
@@ -28,8 +19,15 @@
                 .addLast(new ProtobufEncoder());
     }
 
-    /** Removes the codec; bytes that it has not decoded go to the handlers that remain. */
-    static void remove(ChannelPipeline pipeline) {
-        HANDLERS.forEach(pipeline::remove);
+    /** Removes the encoder, so that bytes are sent as they are. */
+    static void removeEncoder(ChannelPipeline pipeline) {
+        pipeline.remove(ProtobufEncoder.class);
+        pipeline.remove(ProtobufVarint32LengthFieldPrepender.class);
+    }
+
+    /** Removes the decoder; bytes that it has not decoded go to the handlers that remain. */
+    static void removeDecoder(ChannelPipeline pipeline) {
+        pipeline.remove(ProtobufDecoder.class);
+        pipeline.remove(ProtobufVarint32FrameDecoder.class);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -152,7 +152,8 @@
         asking.writeAndFlush(reply(RelayReply.Status.OPENED));
         asking.pipeline().remove(RequestReader.class);
         ByteForwarder.join(asking, endpoint);
-        RelayFraming.remove(asking.pipeline());
+        RelayFraming.removeEncoder(asking.pipeline());
+        RelayFraming.removeDecoder(asking.pipeline());
     }
 
     private void refuse(Channel asking, RelayRequest request, RelayReply.Status status) {
