Pass on a connection's end as proper only if its input has ended

Cause: a relay took every end of the endpoint's connection without a read error for the endpoint's close. A failed write closes the connection without such an error: an endpoint that resets while the relay has bytes of the request for it is noticed by the write first, as Netty writes before it reads. The asking instance then got a proper end.

The relay now asks to be told of the end of input and resets the other connection after any other end. aConnectionIsResetIfTheOtherOneEndsOtherThanByItsPeersClose failed before: the far end read an end of stream in place of a reset.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/ByteForwarder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/ByteForwarder.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
  * Forwards the bytes of one connection to another and reads no faster than the other one takes
@@ -19,7 +20,7 @@
     private static final int LINGER_DISABLED = -1;
 
     private final Channel mTo;
-    private boolean mBroken;
+    private boolean mInputEnded;
 
     private ByteForwarder(Channel to) {
         mTo = to;
@@ -27,12 +28,18 @@
 
     /** Forwards bytes between two connections in both directions. */
     static void join(Channel first, Channel second) {
-        resetOnClose(first, true);
-        resetOnClose(second, true);
+        prepare(first);
+        prepare(second);
         first.pipeline().addLast(new ByteForwarder(second));
         second.pipeline().addLast(new ByteForwarder(first));
     }
 
+    /** Tells the end of input from other ends, and makes every end a reset until it is known. */
+    private static void prepare(Channel channel) {
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        resetOnClose(channel, true);
+    }
+
     private static void resetOnClose(Channel channel, boolean reset) {
         if (channel.isActive()) {
             channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : LINGER_DISABLED);
@@ -55,9 +62,16 @@
         mTo.config().setAutoRead(context.channel().isWritable());
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            mInputEnded = true;
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        mBroken = true;
         context.close();
     }
 
@@ -66,7 +80,7 @@
         if (!mTo.isActive()) {
             return;
         }
-        if (mBroken) {
+        if (!mInputEnded) {
             mTo.close();
             return;
         }
