Reset a relayed answer that is not passed on in full if the process ends

Callers could see an answer without a length as complete of which the end was missing (MIXED), if the relaying instance died just after the endpoint had closed.

Cause: the relay let the asking instance's connection end properly from the moment at which the endpoint had closed, while bytes of the answer still waited in the process. If the process died then, the operating system sent what it had and a proper end.

The connection ends with a reset now until the last byte is written. anAnswerThatHasNotBeenPassedOnInFullIsResetIfTheProcessEnds closes the connection in that state as the operating system does; it failed before, as the reader came to a proper end.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/ByteForwarder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/ByteForwarder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -84,7 +83,12 @@
             mTo.close();
             return;
         }
-        resetOnClose(mTo, false);
-        mTo.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        mTo.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> closeProperly(mTo));
+    }
+
+    /** Closes a connection to which all bytes have been written. */
+    private static void closeProperly(Channel channel) {
+        resetOnClose(channel, false);
+        channel.close();
     }
 }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/ByteForwarderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/ByteForwarderTest.java
@@ -19,6 +19,7 @@
     /** Time after which an endpoint may work no more on a request whose caller has left. */
     private static final int LEAVE_MILLIS = 500;
 
+    private static final int BLOCK_BYTES = 16_384;
 
     /** The high mark of the buffer of a connection, and one read beyond it. */
     private static final long MAX_PENDING_BYTES = 2 * 65_536;
@@ -53,6 +54,15 @@
                 .isInstanceOf(SocketException.class);
     }
 
+    @Test
+    void anAnswerThatHasNotBeenPassedOnInFullIsResetIfTheProcessEnds() throws Exception {
+        answerAndCloseWithBytesPending();
+        mConnections.endProcess();
+
+        assertThatThrownBy(() -> mConnections.mAskingSocket.getInputStream().readAllBytes())
+                .isInstanceOf(SocketException.class);
+    }
+
     @Test
     void anAnswerArrivesInFullBeforeTheEndOfItsConnection() throws Exception {
         writeAndClose(mConnections.mEndpointSocket);
@@ -124,4 +134,17 @@
             TimeUnit.MILLISECONDS.sleep(1);
         }
     }
+
+    /** Sends an answer of which a part waits in the process when the endpoint has closed. */
+    private void answerAndCloseWithBytesPending() throws Exception {
+        while (mConnections.pendingBytes(mConnections.mAsking) == 0) {
+            mConnections.mEndpointSocket.getOutputStream().write(new byte[BLOCK_BYTES]);
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        mConnections.mEndpointSocket.close();
+        while (mConnections.mEndpoint.isActive()) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertThat(mConnections.pendingBytes(mConnections.mAsking)).isPositive();
+    }
 }
