End connections to the relay port that bring no proper request

No caller saw it. On the port for connections to relay, an instance - buffered whatever came after a large length (64 MB in the test); - kept a connection on which nothing came, without end and beside its limit of relayed connections; - opened a connection to the endpoint for each of two requests on one connection, and never closed the one of the second; - closed a connection with other bytes without a log line.

The reader of the request becomes a class of its own.

Four tests of RelayListenerTest failed before: two by a read timeout, one as all bytes were taken, one as no line was counted.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayFraming.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayFraming.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 
 /** Codec of the one message that each side sends before a connection carries other bytes. */
@@ -13,7 +12,7 @@
 
     /** Installs the codec at the end of a pipeline. */
     static void install(ChannelPipeline pipeline, MessageLite received) {
-        pipeline.addLast(new ProtobufVarint32FrameDecoder())
+        pipeline.addLast(new RelayFrameDecoder())
                 .addLast(new ProtobufDecoder(received))
                 .addLast(new ProtobufVarint32LengthFieldPrepender())
                 .addLast(new ProtobufEncoder());
@@ -28,6 +27,6 @@
     /** Removes the decoder; bytes that it has not decoded go to the handlers that remain. */
     static void removeDecoder(ChannelPipeline pipeline) {
         pipeline.remove(ProtobufDecoder.class);
-        pipeline.remove(ProtobufVarint32FrameDecoder.class);
+        pipeline.remove(RelayFrameDecoder.class);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -2,11 +2,9 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -28,6 +26,7 @@
     private final GatewayState mState;
     private final EventLoopGroup mLoops;
     private final Set<Channel> mRelayed = new HashSet<>();
+    private final Requests mRequests = new Requests();
     private Channel mServer;
 
     /**
@@ -62,7 +61,8 @@
                                         RelayFraming.install(
                                                 channel.pipeline(),
                                                 RelayRequest.getDefaultInstance());
-                                        channel.pipeline().addLast(new RequestReader());
+                                        channel.pipeline()
+                                                .addLast(new RelayRequestReader(mRequests));
                                     }
                                 })
                         .bind(address)
@@ -82,11 +82,10 @@
         return mRelayed.size();
     }
 
-    /** Reads the first message of a connection, then connects to the endpoint. */
-    private final class RequestReader extends SimpleChannelInboundHandler<RelayRequest> {
+    /** Answers the requests of other instances. */
+    private final class Requests implements RelayRequestReader.Receiver {
         @Override
-        protected void channelRead0(ChannelHandlerContext context, RelayRequest request) {
-            Channel asking = context.channel();
+        public void received(Channel asking, RelayRequest request) {
             Optional<EndpointState> endpoint = endpoint(request);
             if (endpoint.isEmpty()) {
                 refuse(asking, request, RelayReply.Status.NO_ENDPOINT);
@@ -98,8 +97,12 @@
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+        public void rejected(Channel asking, String reason) {
+            mState.log()
+                    .request(
+                            LogLine.of("connection-not-relayed")
+                                    .with("remote", String.valueOf(asking.remoteAddress()))
+                                    .with("result", reason));
         }
     }
 
@@ -150,7 +153,7 @@
         }
         log("connection-relayed", request, RelayReply.Status.OPENED);
         asking.writeAndFlush(reply(RelayReply.Status.OPENED));
-        asking.pipeline().remove(RequestReader.class);
+        asking.pipeline().remove(RelayRequestReader.class);
         ByteForwarder.join(asking, endpoint);
         RelayFraming.removeEncoder(asking.pipeline());
         RelayFraming.removeDecoder(asking.pipeline());
