Close idle relayed connections once their endpoint is reached directly

No caller saw it. An idle connection through another instance stayed open after the endpoint's failure domain was reached again: four seconds, or as long as the endpoint's Keep-Alive header allowed.

Cause: the pool looked only at whether the other instance accepts work. It now asks the router as well whether the domain is reached, whenever it looks for expired connections. itIsClosedOnceTheEndpointIsReachedDirectly failed before by a read timeout. The other tests of both classes passed before.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
@@ -8,6 +8,13 @@
 
 /** Decides how connections to endpoints are opened, and learns from the attempts. */
 public interface ConnectionRouter {
+    /**
+     * Returns whether this instance can open connections to a failure domain.
+     *
+     * @param domain the failure domain
+     */
+    boolean reaches(String domain);
+
     /**
      * Returns the relays through which connections to a failure domain are opened.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
+import org.wasabilug.serving.EndpointRegistration;
 
 /**
  * One connection to an endpoint; it carries one call at a time.
@@ -29,7 +30,7 @@
     private static final int MAX_UNUSABLE_BYTES = 1 << 20;
 
     private final EndpointConnections mOwner;
-    private final String mEndpoint;
+    private final EndpointRegistration mEndpoint;
     private final Optional<Relay> mRelay;
     private final String mRequestIdHeader;
     private Channel mChannel;
@@ -45,7 +46,7 @@
 
     EndpointConnection(
             EndpointConnections owner,
-            String endpoint,
+            EndpointRegistration endpoint,
             Optional<Relay> relay,
             String requestIdHeader) {
         mOwner = owner;
@@ -55,7 +56,12 @@
     }
 
     String endpoint() {
-        return mEndpoint;
+        return mEndpoint.name();
+    }
+
+    /** Returns the failure domain of the endpoint. */
+    String failureDomain() {
+        return mEndpoint.failureDomain();
     }
 
     /** Returns the instance that relays this connection; empty if it is direct. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -196,9 +196,11 @@
         return usable(connection, now) && sound && (relaying || !relayed);
     }
 
-    /** Returns whether an idle connection is open, and so is its way through another instance. */
+    /** Returns whether an idle connection is open, and still the way to its endpoint if relayed. */
     private boolean usable(EndpointConnection connection, long now) {
-        return connection.usable(now) && connection.relay().map(mRouter::accepts).orElse(true);
+        boolean reached = mRouter.reaches(connection.failureDomain());
+        return connection.usable(now)
+                && connection.relay().map(each -> !reached && mRouter.accepts(each)).orElse(true);
     }
 
     private void open(EndpointRegistration endpoint, EndpointCall call) {
@@ -292,7 +294,7 @@
             return;
         }
         EndpointConnection connection =
-                new EndpointConnection(this, endpoint.name(), relay, mRequestIdHeader);
+                new EndpointConnection(this, endpoint, relay, mRequestIdHeader);
         channel.pipeline()
                 .addLast(new ReceivedBytesMeter(connection))
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
@@ -87,6 +87,11 @@
         mLoops.submit(action).syncUninterruptibly();
     }
 
+    @Override
+    public boolean reaches(String domain) {
+        return mRelays.isEmpty();
+    }
+
     @Override
     public List<Relay> relaysTo(String domain) {
         return mRelays;
--- /dev/null
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
@@ -0,0 +1,112 @@
+package org.wasabilug.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When a relayed connection that is idle is used again, and when it is closed. */
+class IdleRelayedConnectionTest {
+    private static final int SOON_MILLIS = 1_000;
+
+    private RelayInstance mRelay;
+    private AskingInstance mAsking;
+    private SocketEndpoint mEndpoint;
+    private Socket mIdle;
+
+    @BeforeEach
+    void start() throws Exception {
+        mRelay = new RelayInstance("relay", "127.0.0.3");
+        mAsking = new AskingInstance(mRelay);
+        mEndpoint = new SocketEndpoint();
+        mRelay.register(mEndpoint.registration());
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+        mIdle = mEndpoint.acceptRequest();
+        respond(mIdle, answer);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mIdle.close();
+        mAsking.close();
+        mRelay.close();
+        mEndpoint.close();
+    }
+
+    @Test
+    void itIsUsedAgainWhileTheEndpointIsReachedThroughOthersOnly() throws Exception {
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+        SocketEndpoint.readHead(mIdle);
+
+        respond(mIdle, answer);
+    }
+
+    @Test
+    void itIsNotUsedOnceTheEndpointIsReachedDirectly() throws Exception {
+        mAsking.relayThrough();
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+        try (Socket direct = mEndpoint.acceptRequest()) {
+            respond(direct, answer);
+        }
+
+        assertThat(mAsking.attempts()).hasSize(1);
+    }
+
+    @Test
+    void itIsClosedOnceTheEndpointIsReachedDirectly() throws Exception {
+        mAsking.relayThrough();
+        mAsking.closeExpired();
+
+        assertThat(endsSoon()).isTrue();
+        assertThat(mRelay.connections()).isZero();
+    }
+
+    @Test
+    void itIsNotUsedOnceItsRelayAcceptsNoMoreWork() throws Exception {
+        try (RelayInstance other = new RelayInstance("other", "127.0.0.4")) {
+            other.register(mEndpoint.registration());
+            mAsking.relayThrough(other.relay());
+            mAsking.stopped(mRelay);
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            try (Socket socket = mEndpoint.acceptRequest()) {
+                respond(socket, answer);
+            }
+
+            assertThat(other.connections()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void itIsClosedOnceItsRelayAcceptsNoMoreWork() throws Exception {
+        mAsking.stopped(mRelay);
+        mAsking.closeExpired();
+
+        assertThat(endsSoon()).isTrue();
+        assertThat(mRelay.connections()).isZero();
+    }
+
+    @Test
+    void itIsNotUsedOnceItsEndpointHasClosedIt() throws Exception {
+        mIdle.close();
+        while (mRelay.connections() > 0) {
+            Thread.onSpinWait();
+        }
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+        try (Socket socket = mEndpoint.acceptRequest()) {
+            respond(socket, answer);
+        }
+    }
+
+    private static void respond(Socket socket, RecordedAnswer answer) throws Exception {
+        SocketEndpoint.respond(socket, "id", "whole");
+        assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
+    }
+
+    private boolean endsSoon() throws IOException {
+        mIdle.setSoTimeout(SOON_MILLIS);
+        return mIdle.getInputStream().read() < 0;
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
@@ -0,0 +1,205 @@
+package org.wasabilug.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
+
+/** Which relay gets a request if some can't pass it on, and what is told if none can. */
+class RelayChoiceTest {
+    /** How long a relay may take to reply, and some time for the machine. */
+    private static final Duration MAX_REPLY_TIME = Duration.ofMillis(1_200);
+
+    private static final Duration AT_ONCE = Duration.ofMillis(500);
+
+    private RelayInstance mFirst;
+    private RelayInstance mSecond;
+    private AskingInstance mAsking;
+    private SocketEndpoint mEndpoint;
+
+    @BeforeEach
+    void start() throws IOException, InterruptedException {
+        mFirst = new RelayInstance("first", "127.0.0.3");
+        mSecond = new RelayInstance("second", "127.0.0.4");
+        mAsking = new AskingInstance(mFirst, mSecond);
+        mEndpoint = new SocketEndpoint();
+        mFirst.register(mEndpoint.registration());
+        mSecond.register(mEndpoint.registration());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mAsking.close();
+        mFirst.close();
+        mSecond.close();
+        mEndpoint.close();
+    }
+
+    @Test
+    void aRelayThatIsStoppingLeadsToTheNext() throws Exception {
+        mFirst.startStop();
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+        assertAnswered(answer);
+        assertThat(mAsking.relayed()).containsExactly("first NO_CAPACITY", "second OPENED");
+    }
+
+    @Test
+    void aRelayThatKnowsTheEndpointAsLeavingLeadsToTheNext() throws Exception {
+        mFirst.register(mEndpoint.leaving());
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+        assertAnswered(answer);
+        assertThat(mAsking.relayed()).containsExactly("first NO_ENDPOINT", "second OPENED");
+    }
+
+    @Test
+    void aRelayThatIsGoneLeadsToTheNextAtOnce() throws Exception {
+        mAsking.relayThrough(unused("gone"), mSecond.relay());
+        long started = System.nanoTime();
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+        assertAnswered(answer);
+        assertThat(since(started)).isLessThan(AT_ONCE);
+        assertThat(mAsking.relayed()).containsExactly("gone UNKNOWN", "second OPENED");
+    }
+
+    @Test
+    void aRelayThatNeverRepliesCostsNoMoreThanItsTimeout() throws Exception {
+        try (ServerSocket hanging = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
+            mAsking.relayThrough(relay("hanging", hanging), mSecond.relay());
+            long started = System.nanoTime();
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+            assertAnswered(answer);
+            assertThat(since(started)).isLessThan(MAX_REPLY_TIME);
+            assertThat(mAsking.relayed()).containsExactly("hanging UNKNOWN", "second OPENED");
+        }
+    }
+
+    @Test
+    void aRelayThatRepliesWithOtherBytesLeadsToTheNextAtOnce() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
+            mAsking.relayThrough(relay("other", other), mSecond.relay());
+            long started = System.nanoTime();
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            try (Socket socket = other.accept()) {
+                SocketEndpoint.write(socket, "\r\r\r\rHTTP/1.1 400 Bad Request\r\n\r\n");
+                assertAnswered(answer);
+            }
+
+            assertThat(since(started)).isLessThan(AT_ONCE);
+            assertThat(mAsking.relayed()).containsExactly("other UNKNOWN", "second OPENED");
+        }
+    }
+
+    @Test
+    void aRequestThatNoRelayPassesOnIsReportedAsNotSentAtOnce() throws Exception {
+        mFirst.startStop();
+        mSecond.takeOutOfService(SocketEndpoint.DOMAIN);
+        long started = System.nanoTime();
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+        assertThat(answer.end()).isEqualTo("NOT_RELAYED");
+        assertThat(since(started)).isLessThan(AT_ONCE);
+    }
+
+    @Test
+    void anEndpointThatRefusesARelayIsNotAskedThroughAnother() throws Exception {
+        try (SocketEndpoint gone = new SocketEndpoint()) {
+            mFirst.register(gone.registration());
+            gone.close();
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+            assertThat(answer.end()).isEqualTo("NOT_CONNECTED");
+            assertThat(mAsking.relayed()).containsExactly("first REFUSED");
+        }
+    }
+
+    @Test
+    void aRelayAsksNoOtherRelayItself() throws Exception {
+        try (AskingInstance other = new AskingInstance(mFirst)) {
+            assertAnswered(other.send(mEndpoint.registration()));
+
+            assertThat(mFirst.connections()).isEqualTo(1);
+            assertThat(mSecond.connections()).isZero();
+        }
+    }
+
+    @Test
+    void aRequestIsBrokenAndNotSentTwiceIfItsRelayIsGoneBeforeAnAnswer() throws Exception {
+        try (ServerSocket relay = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
+            mAsking.relayThrough(relay("dying", relay), mSecond.relay());
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            Socket socket = relay.accept();
+            RelayMessages.open(socket);
+            SocketEndpoint.readHead(socket);
+            SocketEndpoint.reset(socket);
+
+            assertThat(answer.end()).isEqualTo("BROKEN");
+            assertThat(mSecond.connections()).isZero();
+        }
+    }
+
+    @Test
+    void aRequestThatIsLostOnTheWayCountsAsSent() throws Exception {
+        try (ServerSocket relay = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
+            mAsking.relayThrough(relay("dying", relay), mSecond.relay());
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            Socket socket = relay.accept();
+            RelayMessages.open(socket);
+            SocketEndpoint.reset(socket);
+
+            assertThat(answer.end()).isEqualTo("BROKEN");
+            assertThat(mSecond.connections()).isZero();
+        }
+    }
+
+    @Test
+    void theReplyOfARelayMayArriveInFragmentsOfOneByteBesideTheAnswer() throws Exception {
+        try (ServerSocket relay = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
+            mAsking.relayThrough(relay("slow", relay));
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            try (Socket socket = relay.accept()) {
+                RelayMessages.openInFragments(socket);
+                SocketEndpoint.readHead(socket);
+                for (char next :
+                        "HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: 1\r\n\r\na".toCharArray()) {
+                    SocketEndpoint.write(socket, String.valueOf(next));
+                }
+
+                assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
+                assertThat(answer.content()).isEqualTo("a");
+            }
+        }
+    }
+
+    private void assertAnswered(RecordedAnswer answer) throws Exception {
+        try (Socket socket = mEndpoint.acceptRequest()) {
+            SocketEndpoint.respond(socket, "id", "whole");
+            assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
+        }
+    }
+
+    private static Duration since(long startedNanos) {
+        return Duration.ofNanos(System.nanoTime() - startedNanos);
+    }
+
+    private static Relay relay(String name, ServerSocket socket) {
+        return new Relay(name, (InetSocketAddress) socket.getLocalSocketAddress());
+    }
+
+    private static Relay unused(String name) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.5"))) {
+            return relay(name, socket);
+        }
+    }
+}
