Judge reachability by service within a failure domain

Callers of an instance that lost its links to the endpoints of one service in a domain, but not to others there, were not served through peers: any connection that opened in the domain cleared the evidence. Now the endpoints of one service in one domain are a group that is judged, announced and relayed by itself. Crashes ask the group first, the domain if the endpoint is alone in it, and a relay tells apart whether one endpoint refuses or all of a group do (NO_ROUTE), so that an instance which is cut off as well is no witness.

--- a/core/src/main/java/org/wasabilug/internal/serving/ConnectionRelays.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/ConnectionRelays.java
@@ -7,30 +7,31 @@
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 
-/** Orders the instances that relay connections to a failure domain which this one can't reach. */
+/** Orders the instances that relay connections to endpoints which this one can't reach. */
 public final class ConnectionRelays {
     private ConnectionRelays() {}
 
     /**
-     * Chooses relays to a failure domain. Those in the domain of the asking instance come first, as
-     * traffic between domains costs; within each group the order is random, which spreads the load.
+     * Chooses relays to a group of endpoints. Those in the domain of the asking instance come
+     * first, as traffic between domains costs; within each group the order is random, which spreads
+     * the load.
      *
-     * @param domain failure domain of the endpoint
+     * @param group the group
      * @param localDomain failure domain of the asking instance
      * @param candidates the other instances that accept work
      * @param maximum maximum number of relays
      * @param random source of the random order
      * @return names of the relays, the preferred first; empty if no other instance reaches the
-     *     domain
+     *     group
      */
     public static List<String> choose(
-            String domain,
+            EndpointGroup group,
             String localDomain,
             Collection<RelayCandidate> candidates,
             int maximum,
             UniformRandomProvider random) {
         List<RelayCandidate> reaching = new ArrayList<>(candidates);
-        reaching.removeIf(each -> !each.reaches(domain));
+        reaching.removeIf(each -> !each.reaches(group));
         shuffle(reaching, random);
         reaching.sort(Comparator.comparing(each -> !each.failureDomain().equals(localDomain)));
         return reaching.stream().limit(maximum).map(RelayCandidate::name).toList();
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -137,27 +137,39 @@
     }
 
     /**
-     * Returns the failure domains of the endpoints of a service that may receive requests.
+     * Returns the groups of the endpoints of a service that may receive requests.
      *
      * @param service name of the service
      */
-    public Set<String> domains(String service) {
+    public Set<EndpointGroup> groups(String service) {
         return usable(service).stream()
-                .map(each -> each.registration().failureDomain())
+                .map(each -> EndpointGroup.of(each.registration()))
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Lists the endpoints of a group that accept requests.
+     *
+     * @param group the group
+     * @return endpoints ordered by name
+     */
+    public List<EndpointState> inGroup(EndpointGroup group) {
+        return inDomain(group.failureDomain()).stream()
+                .filter(each -> each.registration().service().equals(group.service()))
+                .toList();
+    }
+
     /**
      * Lists the endpoints of a service that may receive requests, the best reachable ones only.
      *
      * @param service name of the service
-     * @param direct whether this instance reaches a failure domain itself
-     * @param relayed whether another instance reaches a failure domain
+     * @param direct whether this instance reaches a group itself
+     * @param relayed whether another instance reaches a group
      * @return endpoints ordered by name: those that this instance reaches, without any those that
      *     another instance reaches, and without any the endpoints of all domains
      */
     public List<EndpointState> usable(
-            String service, Predicate<String> direct, Predicate<String> relayed) {
+            String service, Predicate<EndpointGroup> direct, Predicate<EndpointGroup> relayed) {
         List<EndpointState> all = usable(service);
         List<EndpointState> reached = in(all, direct);
         if (reached.isEmpty()) {
@@ -166,9 +178,10 @@
         return reached.isEmpty() ? all : reached;
     }
 
-    private static List<EndpointState> in(List<EndpointState> endpoints, Predicate<String> domain) {
+    private static List<EndpointState> in(
+            List<EndpointState> endpoints, Predicate<EndpointGroup> group) {
         return endpoints.stream()
-                .filter(each -> domain.test(each.registration().failureDomain()))
+                .filter(each -> group.test(EndpointGroup.of(each.registration())))
                 .toList();
     }
 
--- a/core/src/main/java/org/wasabilug/internal/serving/RelayCandidate.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RelayCandidate.java
@@ -7,15 +7,15 @@
  *
  * @param name name of the instance
  * @param failureDomain failure domain in which it runs
- * @param unreachableDomains failure domains to which it can open no connections itself
+ * @param unreachable groups of endpoints to which it can open no connections itself
  */
-public record RelayCandidate(String name, String failureDomain, Set<String> unreachableDomains) {
+public record RelayCandidate(String name, String failureDomain, Set<EndpointGroup> unreachable) {
     /**
-     * Returns whether the instance can open connections to a failure domain, as far as it knows.
+     * Returns whether the instance can open connections to a group, as far as it knows.
      *
-     * @param domain the failure domain
+     * @param group the group
      */
-    public boolean reaches(String domain) {
-        return !unreachableDomains.contains(domain);
+    public boolean reaches(EndpointGroup group) {
+        return !unreachable.contains(group);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/StageSenders.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageSenders.java
@@ -22,18 +22,17 @@
      * Leaves out the instances that can open no connection to any endpoint of a service.
      *
      * @param processorShares processor share, in cores, of each available instance by name
-     * @param unreachable returns the failure domains that an instance does not reach
-     * @param domains failure domains of the service's endpoints
+     * @param unreachable returns the groups that an instance does not reach
+     * @param groups groups of the service's endpoints
      * @return the shares of the instances that reach an endpoint; of all if none does
      */
     public static Map<String, Double> reaching(
             Map<String, Double> processorShares,
-            Function<String, Set<String>> unreachable,
-            Set<String> domains) {
+            Function<String, Set<EndpointGroup>> unreachable,
+            Set<EndpointGroup> groups) {
         Map<String, Double> reaching = new TreeMap<>(processorShares);
         reaching.keySet()
-                .removeIf(
-                        name -> !domains.isEmpty() && unreachable.apply(name).containsAll(domains));
+                .removeIf(name -> !groups.isEmpty() && unreachable.apply(name).containsAll(groups));
         return reaching.isEmpty() ? processorShares : reaching;
     }
 
--- a/core/src/test/java/org/wasabilug/internal/serving/ConnectionRelaysTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ConnectionRelaysTest.java
@@ -12,14 +12,17 @@
 import org.junit.jupiter.api.Test;
 
 class ConnectionRelaysTest {
+    private static final EndpointGroup BREST = new EndpointGroup("service", "brest");
+    private static final EndpointGroup RENNES = new EndpointGroup("service", "rennes");
+
     private final UniformRandomProvider mRandom = RandomSource.XO_SHI_RO_256_PP.create(1L);
 
     @Test
-    void instancesThatDoNotReachTheDomainRelayNothingToIt() {
+    void instancesThatDoNotReachTheEndpointsRelayNothingToIt() {
         List<RelayCandidate> candidates =
                 List.of(
-                        new RelayCandidate("cut-off", "rennes", Set.of("brest", "rennes")),
-                        new RelayCandidate("elsewhere", "lorient", Set.of("rennes")));
+                        new RelayCandidate("cut-off", "rennes", Set.of(BREST, RENNES)),
+                        new RelayCandidate("elsewhere", "lorient", Set.of(RENNES)));
 
         assertThat(choose(candidates)).containsExactly("elsewhere");
     }
@@ -52,15 +55,15 @@
     @Test
     void anInstanceThatReachesNoEndpointOfAServiceDoesNotSendItsPieces() {
         Map<String, Double> shares = Map.of("cut-off", 1.0, "half", 1.0, "sound", 1.0);
-        Map<String, Set<String>> unreachable =
+        Map<String, Set<EndpointGroup>> unreachable =
                 Map.of(
-                        "cut-off", Set.of("brest", "rennes"),
-                        "half", Set.of("brest"),
+                        "cut-off", Set.of(BREST, RENNES),
+                        "half", Set.of(BREST),
                         "sound", Set.of());
 
-        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of("brest", "rennes")))
+        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of(BREST, RENNES)))
                 .containsOnlyKeys("half", "sound");
-        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of("brest")))
+        assertThat(StageSenders.reaching(shares, unreachable::get, Set.of(BREST)))
                 .containsOnlyKeys("sound");
     }
 
@@ -68,12 +71,11 @@
     void allInstancesMaySendPiecesIfNoneReachesAnEndpoint() {
         Map<String, Double> shares = Map.of("first", 1.0, "second", 1.0);
 
-        assertThat(StageSenders.reaching(shares, name -> Set.of("brest"), Set.of("brest")))
-                .hasSize(2);
-        assertThat(StageSenders.reaching(shares, name -> Set.of("brest"), Set.of())).hasSize(2);
+        assertThat(StageSenders.reaching(shares, name -> Set.of(BREST), Set.of(BREST))).hasSize(2);
+        assertThat(StageSenders.reaching(shares, name -> Set.of(BREST), Set.of())).hasSize(2);
     }
 
     private List<String> choose(List<RelayCandidate> candidates) {
-        return ConnectionRelays.choose("brest", "rennes", candidates, 3, mRandom);
+        return ConnectionRelays.choose(BREST, "rennes", candidates, 3, mRandom);
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Set;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.EndpointRegistration;
 
@@ -73,10 +74,10 @@
                 new EndpointRegistration(
                         "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2),
                 0);
-        assertThat(mDirectory.usable("service", "rennes"::equals, "brest"::equals))
+        assertThat(mDirectory.usable("service", in("rennes"), in("brest")))
                 .extracting(each -> each.registration().name())
                 .containsExactly("near");
-        assertThat(mDirectory.usable("service", domain -> true, domain -> true)).hasSize(2);
+        assertThat(mDirectory.usable("service", group -> true, group -> true)).hasSize(2);
     }
 
     @Test
@@ -87,9 +88,13 @@
                         "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2),
                 0);
 
-        assertThat(mDirectory.usable("service", domain -> false, "brest"::equals))
+        assertThat(mDirectory.usable("service", group -> false, in("brest")))
                 .extracting(each -> each.registration().name())
                 .containsExactly("far");
-        assertThat(mDirectory.usable("service", domain -> false, domain -> false)).hasSize(2);
+        assertThat(mDirectory.usable("service", group -> false, group -> false)).hasSize(2);
+    }
+
+    private static Predicate<EndpointGroup> in(String domain) {
+        return group -> group.failureDomain().equals(domain);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/DomainMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/DomainMonitor.java
@@ -14,18 +14,19 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.ConnectionRelays;
 import org.wasabilug.internal.serving.ConnectionResult;
-import org.wasabilug.internal.serving.DomainReachability;
 import org.wasabilug.internal.serving.EndpointDirectory;
+import org.wasabilug.internal.serving.EndpointGroup;
+import org.wasabilug.internal.serving.EndpointReachability;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 /**
- * Tracks to which failure domains this instance can open connections, and chooses relays to the
+ * Tracks to which groups of endpoints this instance can open connections, and chooses relays to the
  * others.
  *
- * <p>A late response makes it probe a few endpoints of the domain. Domains that are unreachable are
+ * <p>A late response makes it probe another endpoint of the group. Groups that are unreachable are
  * probed until a connection opens.
  */
 public final class DomainMonitor implements ConnectionRouter {
@@ -35,16 +36,16 @@
     private static final int MAX_WITNESSES = 8;
     private static final long RELAY_PAUSE_MILLIS = 1_000;
 
-    private final DomainReachability mReachability = new DomainReachability();
-    private final Map<String, Long> mNextProbeMillis = new HashMap<>();
-    private final Map<String, Long> mConnectedMillis = new HashMap<>();
+    private final EndpointReachability mReachability = new EndpointReachability();
+    private final Map<EndpointGroup, Long> mNextProbeMillis = new HashMap<>();
+    private final Map<EndpointGroup, Long> mConnectedMillis = new HashMap<>();
     private final Map<String, Long> mRelayPausedUntilMillis = new HashMap<>();
     private final UniformRandomProvider mRandom = RandomSource.XO_SHI_RO_256_PP.create();
     private final GatewayState mState;
     private final EndpointDirectory mDirectory;
     private final EndpointConnections mConnections;
     private RelayPeers mPeers = RelayPeers.NONE;
-    private Consumer<String> mSilentListener = domain -> {};
+    private Consumer<EndpointGroup> mSilentListener = group -> {};
 
     DomainMonitor(
             GatewayState state, EndpointDirectory directory, EndpointConnections connections) {
@@ -62,34 +63,34 @@
         mPeers = peers;
     }
 
-    /** Returns the reachability of the failure domains. */
-    public DomainReachability reachability() {
+    /** Returns the reachability of the groups of endpoints. */
+    public EndpointReachability reachability() {
         return mReachability;
     }
 
     /**
-     * Returns whether this instance can open connections to a failure domain.
+     * Returns whether this instance can open connections to a group of endpoints.
      *
-     * @param domain the failure domain
+     * @param group the group
      */
-    public boolean reaches(String domain) {
-        return !mReachability.isUnreachable(domain);
+    public boolean reaches(EndpointGroup group) {
+        return !mReachability.isUnreachable(group);
     }
 
-    /** Returns whether this instance can open connections to no domain, but has peers. */
+    /** Returns whether this instance can open connections to no endpoint, but has peers. */
     public boolean isCutOff() {
         return !mPeers.candidates().isEmpty()
                 && mDirectory.all().stream()
-                        .noneMatch(each -> reaches(each.registration().failureDomain()));
+                        .noneMatch(each -> reaches(EndpointGroup.of(each.registration())));
     }
 
     /**
-     * Returns whether another instance can open connections to a failure domain.
+     * Returns whether another instance can open connections to a group of endpoints.
      *
-     * @param domain the failure domain
+     * @param group the group
      */
-    public boolean peerReaches(String domain) {
-        return candidates().stream().anyMatch(each -> each.reaches(domain));
+    public boolean peerReaches(EndpointGroup group) {
+        return candidates().stream().anyMatch(each -> each.reaches(group));
     }
 
     /**
@@ -104,18 +105,18 @@
     }
 
     @Override
-    public List<Relay> relaysTo(String domain) {
-        return reaches(domain) ? List.of() : relays(domain, MAX_RELAYS);
+    public List<Relay> relaysTo(EndpointGroup group) {
+        return reaches(group) ? List.of() : relays(group, MAX_RELAYS);
     }
 
     @Override
-    public List<Relay> witnesses(String domain) {
-        return relays(domain, MAX_WITNESSES);
+    public List<Relay> witnesses(EndpointGroup group) {
+        return relays(group, MAX_WITNESSES);
     }
 
-    private List<Relay> relays(String domain, int maximum) {
+    private List<Relay> relays(EndpointGroup group, int maximum) {
         String local = mState.settings().failureDomain();
-        return ConnectionRelays.choose(domain, local, candidates(), maximum, mRandom).stream()
+        return ConnectionRelays.choose(group, local, candidates(), maximum, mRandom).stream()
                 .map(name -> new Relay(name, mPeers.address(name)))
                 .toList();
     }
@@ -128,43 +129,48 @@
     @Override
     public void attempted(EndpointRegistration endpoint, ConnectionResult result) {
         if (result == ConnectionResult.OPENED) {
-            connected(endpoint.failureDomain());
+            connected(EndpointGroup.of(endpoint));
         } else {
             failed(endpoint, result);
         }
     }
 
-    private void connected(String domain) {
-        mConnectedMillis.put(domain, mState.nowMillis());
-        if (mReachability.recordConnected(domain)) {
-            mState.log().process(LogLine.of("domain-reached-again").with("domain", domain));
+    private static LogLine line(String event, EndpointGroup group) {
+        return LogLine.of(event)
+                .with("domain", group.failureDomain())
+                .with("service", group.service());
+    }
+
+    private void connected(EndpointGroup group) {
+        mConnectedMillis.put(group, mState.nowMillis());
+        if (mReachability.recordConnected(group)) {
+            mState.log().process(line("domain-reached-again", group));
         }
     }
 
     private void failed(EndpointRegistration endpoint, ConnectionResult result) {
-        String domain = endpoint.failureDomain();
-        List<EndpointState> known = mDirectory.inDomain(domain);
+        EndpointGroup group = EndpointGroup.of(endpoint);
+        List<EndpointState> known = mDirectory.inGroup(group);
         if (mReachability.recordFailure(endpoint, result, known.size())) {
             mState.log()
                     .process(
-                            LogLine.of("domain-cut-off")
-                                    .with("domain", domain)
+                            line("domain-cut-off", group)
                                     .with("last", result.name())
-                                    .with("relays", peerReaches(domain)));
-            leave(domain, known);
-        } else if (reaches(domain) && mayProbe(domain)) {
-            probe(domain, endpoint.name(), PROBES, opened -> {});
+                                    .with("relays", peerReaches(group)));
+            leave(group, known);
+        } else if (reaches(group) && mayProbe(group)) {
+            probe(known, endpoint.name(), PROBES, opened -> {});
         }
     }
 
-    /** Gives up open connections to a domain that may be broken unnoticed. */
-    private void leave(String domain, List<EndpointState> endpoints) {
-        boolean silent = mReachability.isSilent(domain);
-        if (silent || peerReaches(domain)) {
+    /** Gives up open connections to a group that may be broken unnoticed. */
+    private void leave(EndpointGroup group, List<EndpointState> endpoints) {
+        boolean silent = mReachability.isSilent(group);
+        if (silent || peerReaches(group)) {
             endpoints.forEach(each -> mConnections.closeDirect(each.registration().name()));
         }
         if (silent) {
-            mSilentListener.accept(domain);
+            mSilentListener.accept(group);
         }
     }
 
@@ -184,57 +190,63 @@
     }
 
     /**
-     * Records that an endpoint does not respond; probes another endpoint of its domain unless a
+     * Records that an endpoint does not respond; probes another endpoint of its group unless a
      * connection was opened there lately.
      *
      * @param endpoint the endpoint
      */
     public void suspect(EndpointRegistration endpoint) {
-        String domain = endpoint.failureDomain();
-        if (reaches(domain) && !connectedLately(domain) && mayProbe(domain)) {
-            probe(domain, endpoint.name(), 1, opened -> {});
+        EndpointGroup group = EndpointGroup.of(endpoint);
+        if (reaches(group) && !connectedLately(group) && mayProbe(group)) {
+            probe(mDirectory.inGroup(group), endpoint.name(), 1, opened -> {});
         }
     }
 
-    private boolean connectedLately(String domain) {
-        Long connected = mConnectedMillis.get(domain);
+    private boolean connectedLately(EndpointGroup group) {
+        Long connected = mConnectedMillis.get(group);
         return connected != null && mState.nowMillis() - connected < PROBE_INTERVAL_MILLIS;
     }
 
-    private boolean mayProbe(String domain) {
+    private boolean mayProbe(EndpointGroup group) {
         long now = mState.nowMillis();
-        if (now < mNextProbeMillis.getOrDefault(domain, Long.MIN_VALUE)) {
+        if (now < mNextProbeMillis.getOrDefault(group, Long.MIN_VALUE)) {
             return false;
         }
-        mNextProbeMillis.put(domain, now + PROBE_INTERVAL_MILLIS);
+        mNextProbeMillis.put(group, now + PROBE_INTERVAL_MILLIS);
         return true;
     }
 
     /**
-     * Checks whether this instance can open a connection to any other endpoint in the failure
-     * domain of one.
+     * Checks whether this instance can open a connection to any other endpoint in the group of one,
+     * or in its failure domain if it is alone in its group.
      *
      * @param endpoint the endpoint that is left out
      * @param receiver receives true as soon as a connection opens, or false once several have
      *     failed or if there is no other endpoint
      */
-    public void checkDomain(EndpointRegistration endpoint, Consumer<Boolean> receiver) {
-        probe(endpoint.failureDomain(), endpoint.name(), PROBES, receiver);
+    public void checkOthers(EndpointRegistration endpoint, Consumer<Boolean> receiver) {
+        List<EndpointState> others = mDirectory.inGroup(EndpointGroup.of(endpoint));
+        if (others.size() <= 1) {
+            others = mDirectory.inDomain(endpoint.failureDomain());
+        }
+        probe(others, endpoint.name(), PROBES, receiver);
     }
 
-    /** Probes the domains that are unreachable; to be called several times a second. */
+    /** Probes the groups that are unreachable; to be called several times a second. */
     public void probe() {
-        for (String domain : mReachability.unreachableDomains()) {
-            if (mDirectory.inDomain(domain).isEmpty()) {
-                connected(domain);
+        for (EndpointGroup group : mReachability.unreachable()) {
+            List<EndpointState> known = mDirectory.inGroup(group);
+            if (known.isEmpty()) {
+                connected(group);
             } else {
-                probe(domain, "", 1, opened -> {});
+                probe(known, "", 1, opened -> {});
             }
         }
     }
 
-    private void probe(String domain, String excluded, int count, Consumer<Boolean> receiver) {
-        List<EndpointState> endpoints = new ArrayList<>(mDirectory.inDomain(domain));
+    private void probe(
+            List<EndpointState> known, String excluded, int count, Consumer<Boolean> receiver) {
+        List<EndpointState> endpoints = new ArrayList<>(known);
         endpoints.removeIf(each -> each.registration().name().equals(excluded));
         Set<EndpointState> chosen = new HashSet<>();
         while (chosen.size() < Math.min(count, endpoints.size())) {
@@ -270,11 +282,11 @@
     }
 
     /**
-     * Sets the listener for failure domains from which nothing more is to be expected.
+     * Sets the listener for groups from which nothing more is to be expected.
      *
-     * @param listener receives the name of the domain
+     * @param listener receives the group
      */
-    public void onSilent(Consumer<String> listener) {
+    public void onSilent(Consumer<EndpointGroup> listener) {
         mSilentListener = listener;
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
@@ -3,34 +3,35 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 /** Decides how connections to endpoints are opened, and learns from the attempts. */
 public interface ConnectionRouter {
     /**
-     * Returns whether this instance can open connections to a failure domain.
+     * Returns whether this instance can open connections to a group of endpoints.
      *
-     * @param domain the failure domain
+     * @param group the group
      */
-    boolean reaches(String domain);
+    boolean reaches(EndpointGroup group);
 
     /**
-     * Returns the relays through which connections to a failure domain are opened.
+     * Returns the relays through which connections to a group of endpoints are opened.
      *
-     * @param domain the failure domain
+     * @param group the group
      * @return the relays, the preferred first; empty if connections are opened directly
      */
-    List<Relay> relaysTo(String domain);
+    List<Relay> relaysTo(EndpointGroup group);
 
     /**
      * Returns relays that can tell whether an endpoint accepts connections, whether or not this
-     * instance reaches its failure domain.
+     * instance reaches its group.
      *
-     * @param domain the failure domain
+     * @param group group of the endpoint
      * @return the relays, the preferred first; empty if no other instance can tell
      */
-    List<Relay> witnesses(String domain);
+    List<Relay> witnesses(EndpointGroup group);
 
     /**
      * Returns whether an instance still relays connections.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.serving.EndpointRegistration;
 
 /**
@@ -60,8 +61,8 @@
     }
 
     /** Returns the failure domain of the endpoint. */
-    String failureDomain() {
-        return mEndpoint.failureDomain();
+    EndpointGroup group() {
+        return EndpointGroup.of(mEndpoint);
     }
 
     /** Returns the instance that relays this connection; empty if it is direct. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -24,12 +24,13 @@
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
 import org.wasabilug.gateway.internal.relay.RelayConnector;
 import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 /**
  * Pool of connections to endpoints; opens a new one if none is idle, through another instance where
- * this one does not reach the endpoint's failure domain.
+ * this one does not reach the endpoint.
  */
 public final class EndpointConnections {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -109,7 +110,7 @@
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         request.headers().set(HttpHeaderNames.HOST, hostHeader(endpoint, request));
         EndpointCall call = new EndpointCall(request, listener);
-        Iterator<Relay> relays = mRouter.relaysTo(endpoint.failureDomain()).iterator();
+        Iterator<Relay> relays = mRouter.relaysTo(EndpointGroup.of(endpoint)).iterator();
         EndpointConnection idle = takeIdle(endpoint.name(), request.repeatable(), relays.hasNext());
         if (idle != null) {
             idle.reuse(call);
@@ -198,7 +199,7 @@
 
     /** Returns whether an idle connection is open, and still the way to its endpoint if relayed. */
     private boolean usable(EndpointConnection connection, long now) {
-        boolean reached = mRouter.reaches(connection.failureDomain());
+        boolean reached = mRouter.reaches(connection.group());
         return connection.usable(now)
                 && connection.relay().map(each -> !reached && mRouter.accepts(each)).orElse(true);
     }
@@ -325,7 +326,7 @@
      */
     public void askWitness(
             EndpointRegistration endpoint, Consumer<Optional<ConnectionResult>> receiver) {
-        askWitness(endpoint, mRouter.witnesses(endpoint.failureDomain()).iterator(), receiver);
+        askWitness(endpoint, mRouter.witnesses(EndpointGroup.of(endpoint)).iterator(), receiver);
     }
 
     private void askWitness(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -15,6 +15,7 @@
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.RelayPeers;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.internal.serving.StoreRelays;
@@ -141,18 +142,18 @@
 
     private RelayCandidate relayCandidate(Peer peer) {
         return new RelayCandidate(
-                peer.name(), peer.heartbeat().getFailureDomain(), unreachableDomains(peer.name()));
+                peer.name(), peer.heartbeat().getFailureDomain(), unreachable(peer.name()));
     }
 
     /**
-     * Returns the failure domains to which an instance can open no connections.
+     * Returns the groups of endpoints to which an instance can open no connections.
      *
      * @param name name of this instance or of a peer
      */
-    public Set<String> unreachableDomains(String name) {
+    public Set<EndpointGroup> unreachable(String name) {
         return name.equals(mState.settings().name())
-                ? mState.domainMonitor().reachability().unreachableDomains()
-                : Set.copyOf(mPeers.get(name).heartbeat().getUnreachableDomainsList());
+                ? mState.domainMonitor().reachability().unreachable()
+                : PeerReachability.unreachable(mPeers.get(name).heartbeat());
     }
 
     @Override
@@ -294,8 +295,9 @@
                         .setStopping(mStopping.getAsBoolean())
                         .setProcessorShare(mState.settings().processorShare())
                         .setRelaysConnections(true)
-                        .addAllUnreachableDomains(
-                                mState.domainMonitor().reachability().unreachableDomains())
+                        .addAllUnreachable(
+                                PeerReachability.messages(
+                                        mState.domainMonitor().reachability().unreachable()))
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
         mSharedLoads.addLoads(heartbeat);
         return heartbeat;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -77,7 +77,7 @@
         }
         Map<String, Double> reaching =
                 StageSenders.reaching(
-                        live, mNetwork::unreachableDomains, mState.directory().domains(service));
+                        live, mNetwork::unreachable, mState.directory().groups(service));
         return StageSenders.choose(service, reaching);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -127,11 +127,11 @@
                         });
     }
 
-    /** Tells whether it is the endpoint that can't be reached, or its whole failure domain. */
+    /** Tells whether it is the endpoint that can't be reached, or all of its group. */
     private void explain(
             Channel asking, RelayRequest request, EndpointState endpoint, ConnectionResult result) {
         mState.domainMonitor()
-                .checkDomain(
+                .checkOthers(
                         endpoint.registration(),
                         reached ->
                                 refuse(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
@@ -9,7 +9,7 @@
  * Checks whether an endpoint has crashed whose response has just ended.
  *
  * <p>One that accepts no connections has, unless it is this instance that is cut off: then another
- * one that reaches the endpoint's failure domain can tell.
+ * one that reaches the endpoints beside it can tell.
  */
 final class CrashCheck {
     private final GatewayState mState;
@@ -29,15 +29,15 @@
                             if (result == ConnectionResult.OPENED) {
                                 survived.run();
                             } else {
-                                checkDomain(crashed);
+                                checkOthers(crashed);
                             }
                         });
     }
 
-    /** An endpoint that can't be reached while others in its domain can has crashed. */
-    private void checkDomain(Runnable crashed) {
+    /** An endpoint that can't be reached while others beside it can has crashed. */
+    private void checkOthers(Runnable crashed) {
         mState.domainMonitor()
-                .checkDomain(
+                .checkOthers(
                         mEndpoint,
                         reached -> {
                             if (reached) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.PieceFailure;
 import org.wasabilug.internal.serving.PieceId;
@@ -192,9 +193,9 @@
         attempt.start();
     }
 
-    /** Abandons the calls in a silent failure domain, so that their pieces run elsewhere. */
-    private void abandonCalls(String domain) {
-        mRunning.inDomain(domain).forEach(StageCallAttempt::abandon);
+    /** Abandons the calls to a silent group of endpoints, so that their pieces run elsewhere. */
+    private void abandonCalls(EndpointGroup group) {
+        mRunning.inGroup(group).forEach(StageCallAttempt::abandon);
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
@@ -3,6 +3,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.StageCall;
@@ -20,10 +21,10 @@
         mAttempts.remove(call);
     }
 
-    /** Returns the calls to endpoints in a failure domain. */
-    List<StageCallAttempt> inDomain(String domain) {
+    /** Returns the calls to endpoints of a group. */
+    List<StageCallAttempt> inGroup(EndpointGroup group) {
         return mAttempts.values().stream()
-                .filter(attempt -> registration(attempt).failureDomain().equals(domain))
+                .filter(attempt -> EndpointGroup.of(registration(attempt)).equals(group))
                 .toList();
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -103,7 +103,7 @@
     /** Cancels a call whose response can no longer be expected. */
     void abandon() {
         mExchange.cancel();
-        fail("failure domain unreachable", true);
+        fail("endpoints silent", true);
     }
 
     StageCall call() {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
@@ -15,6 +15,8 @@
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.internal.serving.EndpointGroup;
+import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 /** The endpoint connections of an instance whose ways to endpoints a test decides. */
@@ -88,17 +90,17 @@
     }
 
     @Override
-    public boolean reaches(String domain) {
+    public boolean reaches(EndpointGroup group) {
         return mRelays.isEmpty();
     }
 
     @Override
-    public List<Relay> relaysTo(String domain) {
+    public List<Relay> relaysTo(EndpointGroup group) {
         return mRelays;
     }
 
     @Override
-    public List<Relay> witnesses(String domain) {
+    public List<Relay> witnesses(EndpointGroup group) {
         return mRelays;
     }
 
@@ -113,7 +115,8 @@
     }
 
     @Override
-    public void relayed(Relay relay, EndpointRegistration endpoint, String request, String result) {
+    public void relayed(
+            Relay relay, EndpointRegistration endpoint, String request, RelayReply.Status result) {
         mRelayed.add(relay.instance() + " " + result);
     }
 
