Use endpoints that a peer beside them relays to like those that are reached

What callers saw: an instance that reached a few endpoints of a service itself sent everything to those, though peers reached the others.

Cause: relayed endpoints were used only if none was reached directly.

Change: endpoints to which a peer in their own failure domain can open connections are as usable as those that are reached. A domain that is cut off as a whole has no such peer, and a group that fell is announced by the peers beside it. Relays in the endpoints' domain come first.

--- a/core/src/main/java/org/wasabilug/internal/serving/ConnectionRelays.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/ConnectionRelays.java
@@ -12,12 +12,11 @@
     private ConnectionRelays() {}
 
     /**
-     * Chooses relays to a group of endpoints. Those in the domain of the asking instance come
-     * first, as traffic between domains costs; within each group the order is random, which spreads
-     * the load.
+     * Chooses relays to a group of endpoints. Those in the failure domain of the endpoints come
+     * first, as nothing but that domain lies between them; within each part the order is random,
+     * which spreads the load.
      *
      * @param group the group
-     * @param localDomain failure domain of the asking instance
      * @param candidates the other instances that accept work
      * @param maximum maximum number of relays
      * @param random source of the random order
@@ -26,14 +25,13 @@
      */
     public static List<String> choose(
             EndpointGroup group,
-            String localDomain,
             Collection<RelayCandidate> candidates,
             int maximum,
             UniformRandomProvider random) {
         List<RelayCandidate> reaching = new ArrayList<>(candidates);
         reaching.removeIf(each -> !each.reaches(group));
         shuffle(reaching, random);
-        reaching.sort(Comparator.comparing(each -> !each.failureDomain().equals(localDomain)));
+        reaching.sort(Comparator.comparing(each -> !each.isBeside(group)));
         return reaching.stream().limit(maximum).map(RelayCandidate::name).toList();
     }
 
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -160,20 +160,20 @@
     }
 
     /**
-     * Lists the endpoints of a service that may receive requests, the best reachable ones only.
+     * Lists the endpoints of a service that may receive requests and are reachable.
      *
      * @param service name of the service
-     * @param direct whether this instance reaches a group itself
-     * @param relayed whether another instance reaches a group
-     * @return endpoints ordered by name: those that this instance reaches, without any those that
-     *     another instance reaches, and without any the endpoints of all domains
+     * @param reachable whether a group is reached directly or surely through another instance
+     * @param perhaps whether another instance may reach a group
+     * @return endpoints ordered by name: the reachable ones; without any those that another
+     *     instance may reach; and without any the endpoints of all groups
      */
     public List<EndpointState> usable(
-            String service, Predicate<EndpointGroup> direct, Predicate<EndpointGroup> relayed) {
+            String service, Predicate<EndpointGroup> reachable, Predicate<EndpointGroup> perhaps) {
         List<EndpointState> all = usable(service);
-        List<EndpointState> reached = in(all, direct);
+        List<EndpointState> reached = in(all, reachable);
         if (reached.isEmpty()) {
-            reached = in(all, relayed);
+            reached = in(all, perhaps);
         }
         return reached.isEmpty() ? all : reached;
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/RelayCandidate.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RelayCandidate.java
@@ -18,4 +18,13 @@
     public boolean reaches(EndpointGroup group) {
         return !unreachable.contains(group);
     }
+
+    /**
+     * Returns whether the instance runs in the failure domain of a group.
+     *
+     * @param group the group
+     */
+    public boolean isBeside(EndpointGroup group) {
+        return failureDomain.equals(group.failureDomain());
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/DomainMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/DomainMonitor.java
@@ -84,6 +84,18 @@
                         .noneMatch(each -> reaches(EndpointGroup.of(each.registration())));
     }
 
+    /**
+     * Returns whether this instance can open connections to a group of endpoints, or an instance
+     * beside them can relay them.
+     *
+     * @param group the group
+     */
+    public boolean isReachable(EndpointGroup group) {
+        return reaches(group)
+                || candidates().stream()
+                        .anyMatch(each -> each.isBeside(group) && each.reaches(group));
+    }
+
     /**
      * Returns whether another instance can open connections to a group of endpoints.
      *
@@ -115,8 +127,7 @@
     }
 
     private List<Relay> relays(EndpointGroup group, int maximum) {
-        String local = mState.settings().failureDomain();
-        return ConnectionRelays.choose(group, local, candidates(), maximum, mRandom).stream()
+        return ConnectionRelays.choose(group, candidates(), maximum, mRandom).stream()
                 .map(name -> new Relay(name, mPeers.address(name)))
                 .toList();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -145,7 +145,7 @@
      * @return the endpoints in order of their names
      */
     public List<EndpointState> usable(String service) {
-        return mDirectory.usable(service, mDomainMonitor::reaches, mDomainMonitor::peerReaches);
+        return mDirectory.usable(service, mDomainMonitor::isReachable, mDomainMonitor::peerReaches);
     }
 
     /** Returns the monitor of unreachable failure domains. */
