--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/ByteForwarderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/ByteForwarderTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -111,6 +112,33 @@
         assertThat(most).isPositive().isLessThanOrEqualTo(MAX_PENDING_BYTES);
     }
 
+    @Test
+    void noMoreThanABufferWaitsForASlowReaderAfterABusyLoopHasLetBytesPileUp() throws Exception {
+        CompletableFuture<Void> fast = write(mConnections.mEndpointSocket, LARGE_BYTES);
+        mConnections.mAskingSocket.getInputStream().readNBytes(LARGE_BYTES);
+        fast.get();
+        CountDownLatch idle = new CountDownLatch(1);
+        CompletableFuture<Void> busy =
+                CompletableFuture.runAsync(() -> mConnections.run(() -> await(idle)));
+        write(mConnections.mEndpointSocket, LARGE_BYTES);
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        idle.countDown();
+        busy.get();
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+
+        assertThat(mConnections.pendingBytes(mConnections.mAsking))
+                .isPositive()
+                .isLessThanOrEqualTo(MAX_PENDING_BYTES);
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static CompletableFuture<Void> write(Socket socket, int bytes) {
         return CompletableFuture.runAsync(
                 () -> {
