--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
@@ -94,6 +94,9 @@
         while (mRelay.connections() > 0) {
             Thread.onSpinWait();
         }
+        // The end has arrived; the event loop reads it between two tasks.
+        mAsking.closeExpired();
+        mAsking.closeExpired();
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
         try (Socket socket = mEndpoint.acceptRequest()) {
             respond(socket, answer);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/SocketEndpoint.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/SocketEndpoint.java
@@ -24,6 +24,10 @@
         return registration(NAME, mServer.getLocalPort(), false);
     }
 
+    EndpointRegistration registration(String name) {
+        return registration(name, mServer.getLocalPort(), false);
+    }
+
     EndpointRegistration leaving() {
         return registration(NAME, mServer.getLocalPort(), true);
     }
