--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
@@ -48,7 +48,7 @@
         mListener.listen(mAddress);
     }
 
-    private static GatewaySettings settings(String name, InetSocketAddress relays) {
+    static GatewaySettings settings(String name, InetSocketAddress relays) {
         return new GatewaySettings(
                 name,
                 "rennes",
