Test each group of endpoints once when the usable ones are listed

An instance that is cut off listed all peers anew for each endpoint: of 500 endpoints among 450 instances the usable ones took 3,977 us (median, a busy machine), 69 us where all are reached. Endpoints share a few groups, so each group is tested once per call.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -179,9 +179,13 @@
     }
 
     private static List<EndpointState> in(
-            List<EndpointState> endpoints, Predicate<EndpointGroup> group) {
+            List<EndpointState> endpoints, Predicate<EndpointGroup> condition) {
+        Map<EndpointGroup, Boolean> tested = new HashMap<>();
         return endpoints.stream()
-                .filter(each -> group.test(EndpointGroup.of(each.registration())))
+                .filter(
+                        each ->
+                                tested.computeIfAbsent(
+                                        EndpointGroup.of(each.registration()), condition::test))
                 .toList();
     }
 
