Keep an attempt that is overdue if the core allows no retry of it

What callers saw (entry daemon, pipelines of several stages): an attempt of a repeatable stage that used up its share of the deadline was cancelled, and only then the retry policy was asked. If it allowed none, the request was refused with STAGE_FAILED, though its deadline had not passed and the endpoint might have answered.

Now the share of a stage is no longer the timeout of its attempts. When it is used up, the retry policy is asked first; the attempt is cancelled only if a retry follows. Else it goes on until it ends, or until the deadline of the request. Endpoints are told the time that the request has left. The limit of calls to cold endpoints stays a timeout. The new decision kind "overdue" says that an attempt was kept, and why no retry was allowed.

It remains that an attempt whose retry is allowed is cancelled before the retry has brought anything.

Evidence: of the three new cases of RequestExecutorTest two failed before, the third guards that an allowed retry still follows.

--- a/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/AttemptOutcomes.java
@@ -120,6 +120,35 @@
                                         turn));
     }
 
+    void overdue(AttemptId attempt, Turn turn) {
+        mTable.findLive(attempt).ifPresent(stage -> retryOverdue(stage, attempt, turn));
+    }
+
+    /** Cancels an overdue attempt only if another one may follow it. */
+    private void retryOverdue(StageRun stage, AttemptId attempt, Turn turn) {
+        if (stage.liveAttempts().size() > 1) {
+            cancelTimedOut(stage, attempt, turn);
+            return;
+        }
+        RequestRun run = mTable.find(attempt.request()).orElseThrow();
+        int failedAttempts = stage.failedAttempts() + 1;
+        switch (decide(run, stage, failedAttempts, FailureKind.TIMED_OUT, turn)) {
+            case RetryDecision.RetryAfter after -> {
+                turn.emit(new InstanceAction.CancelAttempt(attempt));
+                endFailed(stage, attempt, FailureKind.TIMED_OUT, turn);
+                scheduleRetry(run, stage, FailureKind.TIMED_OUT, after, turn);
+            }
+            case RetryDecision.Abandon abandon ->
+                    turn.log(
+                            "overdue",
+                            run,
+                            stage.stage().name().value(),
+                            0,
+                            "",
+                            "attempt goes on: " + abandon.reason());
+        }
+    }
+
     void timedOut(AttemptId attempt, Turn turn) {
         mTable.findLive(attempt).ifPresent(stage -> cancelTimedOut(stage, attempt, turn));
     }
@@ -132,6 +161,15 @@
 
     private void fail(
             RequestRun run, StageRun stage, AttemptId attempt, FailureKind kind, Turn turn) {
+        endFailed(stage, attempt, kind, turn);
+        if (run.isAnswered()) {
+            mCompletion.removeIfIdle(run);
+        } else if (stage.liveAttempts().isEmpty()) {
+            retryOrRefuse(run, stage, kind, turn);
+        }
+    }
+
+    private void endFailed(StageRun stage, AttemptId attempt, FailureKind kind, Turn turn) {
         stage.endAttempt(attempt).ifPresent(ended -> stage.recordFailure(ended.endpoint()));
         mComponents.router().ended(attempt, attemptEndOf(kind), turn.nowNanos());
         boolean crashed = kind == FailureKind.CONNECTION_LOST;
@@ -139,11 +177,6 @@
         if (!kind.mayHaveRun()) {
             stage.recordNotReceived();
         }
-        if (run.isAnswered()) {
-            mCompletion.removeIfIdle(run);
-        } else if (stage.liveAttempts().isEmpty()) {
-            retryOrRefuse(run, stage, kind, turn);
-        }
     }
 
     private static AttemptEnd attemptEndOf(FailureKind kind) {
@@ -173,7 +206,7 @@
                     turn);
             return;
         }
-        switch (decide(run, stage, kind, turn)) {
+        switch (decide(run, stage, stage.failedAttempts(), kind, turn)) {
             case RetryDecision.RetryAfter after -> scheduleRetry(run, stage, kind, after, turn);
             case RetryDecision.Abandon abandon ->
                     mCompletion.refuse(
@@ -184,12 +217,13 @@
         }
     }
 
-    private RetryDecision decide(RequestRun run, StageRun stage, FailureKind kind, Turn turn) {
+    private RetryDecision decide(
+            RequestRun run, StageRun stage, int failedAttempts, FailureKind kind, Turn turn) {
         return mComponents
                 .retries()
                 .decide(
                         stage.pool().name(),
-                        stage.failedAttempts(),
+                        failedAttempts,
                         kind,
                         run.remainingNanos(turn.nowNanos()),
                         turn.nowNanos());
--- a/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/CallDispatcher.java
@@ -184,13 +184,10 @@
         mComponents
                 .crashes()
                 .dispatched(attempt, run.fingerprint(), endpoint.name(), turn.nowNanos());
-        long timeout =
-                Math.min(
-                        timeoutNanos(run, stage, query, turn),
-                        mComponents.coldStart().maximumCallNanos(endpoint.name(), turn.nowNanos()));
+        long maximum = mComponents.coldStart().maximumCallNanos(endpoint.name(), turn.nowNanos());
+        long timeout = Math.min(timeoutNanos(run, stage, turn), maximum);
         if (stage.isRepeatable()) {
-            mTable.timers()
-                    .schedule(turn.nowNanos() + timeout, new TimerPurpose.AttemptTimeout(attempt));
+            scheduleTimers(attempt, timeout, query.remainingNanos(), turn);
         }
         turn.log(
                 "route",
@@ -213,14 +210,19 @@
                                 .build()));
     }
 
+    private void scheduleTimers(
+            AttemptId attempt, long timeoutNanos, long overdueNanos, Turn turn) {
+        TimerQueue timers = mTable.timers();
+        timers.schedule(turn.nowNanos() + timeoutNanos, new TimerPurpose.AttemptTimeout(attempt));
+        timers.schedule(turn.nowNanos() + overdueNanos, new TimerPurpose.AttemptOverdue(attempt));
+    }
+
     /**
      * Lets an at-most-once stage run past the request's deadline so that its result is recorded.
      */
-    private static long timeoutNanos(
-            RequestRun run, StageRun stage, RoutingQuery query, Turn turn) {
-        return stage.isRepeatable()
-                ? query.remainingNanos()
-                : run.remainingNanos(turn.nowNanos()) + AT_MOST_ONCE_GRACE_NANOS;
+    private static long timeoutNanos(RequestRun run, StageRun stage, Turn turn) {
+        long remaining = run.remainingNanos(turn.nowNanos());
+        return stage.isRepeatable() ? remaining : remaining + AT_MOST_ONCE_GRACE_NANOS;
     }
 
     /** Maps the remaining time to a priority; less time is more urgent. */
--- a/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/RequestExecutor.java
@@ -177,6 +177,7 @@
                     mTable.find(deadline.request())
                             .filter(run -> run.deadlineNanos() <= turn.nowNanos())
                             .ifPresent(run -> exceedDeadline(run, turn));
+            case TimerPurpose.AttemptOverdue overdue -> mOutcomes.overdue(overdue.attempt(), turn);
             case TimerPurpose.AttemptTimeout timeout -> mOutcomes.timedOut(timeout.attempt(), turn);
             case TimerPurpose.Retry retry -> retry(retry, turn);
             case TimerPurpose.LatestStart latest -> {
--- a/core/src/main/java/org/wasabilug/internal/execution/TimerPurpose.java
+++ b/core/src/main/java/org/wasabilug/internal/execution/TimerPurpose.java
@@ -13,6 +13,13 @@
      */
     record Deadline(RequestId request) implements TimerPurpose {}
 
+    /**
+     * An attempt has used up the time of its stage.
+     *
+     * @param attempt the attempt
+     */
+    record AttemptOverdue(AttemptId attempt) implements TimerPurpose {}
+
     /**
      * The timeout of an attempt expires.
      *
--- a/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/ExecutorFixture.java
@@ -339,7 +339,8 @@
         public void release(WorkspaceName workspace, long nowNanos) {}
     }
 
-    private static final class ZeroPlanner implements StagePlanner {
+    /** Expects no time of any stage, so that each may use all that remains. */
+    static class ZeroPlanner implements StagePlanner {
         @Override
         public long expectedNanos(Pipeline pipeline, Set<StageName> done) {
             return 0;
--- a/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/execution/RequestExecutorTest.java
@@ -14,6 +14,7 @@
 import org.wasabilug.internal.event.StageCall;
 import org.wasabilug.internal.ledger.ClaimOutcome;
 import org.wasabilug.internal.quarantine.Suspicion;
+import org.wasabilug.model.Pipeline;
 import org.wasabilug.model.PipelineName;
 import org.wasabilug.model.RequestId;
 import org.wasabilug.model.RunState;
@@ -288,6 +289,63 @@
         assertThat(mFixture.lastCall().timeoutNanos()).isEqualTo(mFixture.mMaximumCallNanos);
     }
 
+    @Test
+    void keepsAnAttemptThatUsedUpTheTimeOfItsStageIfNoRetryIsAllowed() {
+        ExecutorFixture fixture = new ExecutorFixture(new HalfForEachStage());
+        fixture.submit(
+                request("r", NO_KEY, repeatable("encode"), repeatable("generate", "encode")));
+        failUntilNoRetryIsAllowed(fixture);
+
+        fixture.advanceMilliseconds(2_500);
+        fixture.finish(fixture.lastCall(), "vector ");
+        fixture.finish(fixture.lastCall(), "text");
+
+        assertThat(fixture.refusal()).isEmpty();
+        assertThat(fixture.answer()).isEqualTo("vector text");
+    }
+
+    @Test
+    void endsAKeptAttemptAtTheDeadlineOfItsRequest() {
+        ExecutorFixture fixture = new ExecutorFixture(new HalfForEachStage());
+        fixture.submit(
+                request("r", NO_KEY, repeatable("encode"), repeatable("generate", "encode")));
+        failUntilNoRetryIsAllowed(fixture);
+        StageCall kept = fixture.lastCall();
+
+        fixture.advanceMilliseconds(4_000);
+
+        assertThat(fixture.refusal().orElseThrow().code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
+        assertThat(fixture.cancelled()).contains(kept.attempt());
+    }
+
+    @Test
+    void retriesAnAttemptThatUsedUpTheTimeOfItsStageIfThatIsAllowed() {
+        ExecutorFixture fixture = new ExecutorFixture(new HalfForEachStage());
+        fixture.submit(
+                request("r", NO_KEY, repeatable("encode"), repeatable("generate", "encode")));
+        StageCall first = fixture.lastCall();
+
+        fixture.advanceMilliseconds(2_500);
+
+        assertThat(fixture.cancelled()).containsExactly(first.attempt());
+        assertThat(fixture.calls()).hasSize(2);
+    }
+
+    private static void failUntilNoRetryIsAllowed(ExecutorFixture fixture) {
+        for (int retry = 0; retry < 2; retry++) {
+            fixture.fail(fixture.lastCall(), FailureKind.CONNECTION_LOST);
+            fixture.advanceMilliseconds(1);
+        }
+    }
+
+    /** Gives each stage half of the time that remains. */
+    private static final class HalfForEachStage extends ExecutorFixture.ZeroPlanner {
+        @Override
+        public long stageBudgetNanos(Pipeline pipeline, StageName stage, long remainingNanos) {
+            return remainingNanos / 2;
+        }
+    }
+
     @Test
     void releasesClaimOfStageThatFoundNoCapacity() {
         mFixture.mRouter.mHasCapacity = false;
