Send pieces that wait though their service has left the configuration

What callers saw: a stage of a begun stream runs again, and its piece waits for an endpoint. A new configuration without the stage's service comes into force. The stream ended at once without its end; a request that had not begun was refused. The endpoints were there and would have run the piece.

Cause: a request under way keeps its route and its service, but the queue of its pieces looked up the service in the configuration in force, and failed all that waited when it was not there.

Now the queue keeps the latest specification of a service that runs stages. New requests can't get there, as their routes no longer name the service.

Evidence: ChangedStageTest failed before: piece-failed with NO_ENDPOINT, then own-answer with status 502 and aborted after 69 ms. With the change it passes, as do StageDispatchTest and SilentStageEndpointTest.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -40,6 +40,7 @@
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<String, QueueWaits> mWaits = new HashMap<>();
     private final RunningCalls mRunning = new RunningCalls();
+    private final Map<String, ServiceSpecification> mServices = new HashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
     private final StageCallAttempt.Listener mCallListener = new CallListener();
@@ -153,8 +154,8 @@
             waits(service).recordWaiting(false, now);
             return;
         }
-        ServiceSpecification specification = mState.service(service).orElse(null);
-        if (specification == null || specification.stage().isEmpty()) {
+        ServiceSpecification specification = specification(service);
+        if (specification == null) {
             queue.removeAll().forEach(work -> failUnlessRunning(work, PieceFailure.NO_ENDPOINT));
             return;
         }
@@ -168,6 +169,17 @@
         }
     }
 
+    /**
+     * Returns the latest specification of a service that runs stages; null if there was none.
+     * Pieces that wait when their service leaves the configuration are still sent.
+     */
+    private ServiceSpecification specification(String service) {
+        mState.service(service)
+                .filter(inForce -> inForce.stage().isPresent())
+                .ifPresent(inForce -> mServices.put(service, inForce));
+        return mServices.get(service);
+    }
+
     /** Schedules a dispatch of a queue, unless one is already due by then. */
     private void scheduleDispatch(String service, long delayMillis) {
         long due = mState.nowMillis() + delayMillis;
