Order a late piece again if its request has got more time meanwhile

What callers saw: a stage of a begun stream runs again, and its piece waits behind another call. A new configuration raises the timeout of the route, so that the stream has time enough. The stream was cut off when the piece could no longer start in time for the timeout before.

Cause: since a request gets the time that a new configuration gives its route, but a piece keeps the latest start and the deadline that it was ordered with, at this instance, at the one that sends it, and at its endpoint (left_ms).

Now a piece that comes back as late is ordered again if its request's deadline is later than its own, and its latest start is yet to come. That holds wherever it was found late. It is ordered again at most once for each raise of the timeout. A request that has not begun still follows its objective, and is refused as before.

--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -51,4 +51,25 @@
                 localityWaitMillis,
                 true);
     }
+
+    /**
+     * Returns a copy with more time.
+     *
+     * @param startBy latest start time, in milliseconds
+     * @param deadline time, in milliseconds, after which the result is not needed
+     */
+    public PieceWork withTime(long startBy, long deadline) {
+        return new PieceWork(
+                id,
+                service,
+                key,
+                inputs,
+                startBy,
+                rank,
+                deadline,
+                resultBytes,
+                preferredDomain,
+                localityWaitMillis,
+                repeat);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -329,12 +329,24 @@
                                 .with("stage", work.id().stage())
                                 .with("piece", work.id().piece())
                                 .with("reason", reason.name()));
-        if (reason == PieceFailure.INPUT_GONE && restart()) {
+        if (reason == PieceFailure.INPUT_GONE && restart()
+                || reason == PieceFailure.LATE && submitWithMoreTime(work)) {
             return;
         }
         failed(reason);
     }
 
+    /** Orders a late piece again if a new configuration has given its request enough time. */
+    private boolean submitWithMoreTime(PieceWork work) {
+        long startBy = latestStartMillis(work.id().stage());
+        long deadline = mRequest.deadline().millis();
+        if (deadline <= work.deadlineMillis() || startBy <= mState.nowMillis()) {
+            return false;
+        }
+        submit(work.withTime(startBy, deadline));
+        return true;
+    }
+
     private void failed(PieceFailure reason) {
         mListener.stagesFailed(reason);
     }
