Seek another endpoint for an overdue piece until its call is given up

What callers saw: a piece of a silent endpoint was ordered at another one, which failed, and a third that was free was not asked for up to 1.5 s; or all endpoints were silent when the call became overdue, and one that went on was not asked.

Cause: another endpoint was sought once, at the moment when the call became overdue, and a piece was not repeated while any call with it went on, also if that call was overdue.

Change: it is sought again five times a second, and whenever a call to the service is answered, for pieces of which every call is overdue. A second endpoint that refuses at once is so asked a few times, not as often as it refuses.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -211,7 +211,8 @@
     }
 
     /**
-     * Orders the pieces of an overdue call at another endpoint as well; the first result counts.
+     * Orders the pieces of an overdue call that no other call may bring soon at another endpoint as
+     * well; the first result counts.
      */
     private void repeatOverdue(StageCall call) {
         String service = call.pieces().getFirst().service();
@@ -220,7 +221,7 @@
         }
         String endpoint = call.endpoint().registration().name();
         for (PieceWork work : call.pieces()) {
-            if (mRunning.countWith(work.id()) == 1 && mayRepeat(work)) {
+            if (!mRunning.hasTimelyCallWith(work.id()) && mayRepeat(work)) {
                 repeat(endpoint, work, "OVERDUE", true);
             }
         }
@@ -238,6 +239,9 @@
             PieceWork work = call.pieces().get(index);
             complete(endpoint, work, result.outcome(index), result.executed());
         }
+        if (!result.outcomes().isEmpty()) {
+            mRunning.overdue(service).forEach(this::repeatOverdue);
+        }
         dispatch(service);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
@@ -40,6 +40,23 @@
                 .count();
     }
 
+    /** Returns whether a call that is not overdue may bring the result of a piece. */
+    boolean hasTimelyCallWith(PieceId piece) {
+        return mAttempts.values().stream()
+                .filter(attempt -> !attempt.overdue())
+                .flatMap(attempt -> attempt.call().pieces().stream())
+                .anyMatch(work -> work.id().equals(piece));
+    }
+
+    /** Returns the overdue calls to endpoints of a service. */
+    List<StageCall> overdue(String service) {
+        return mAttempts.values().stream()
+                .filter(StageCallAttempt::overdue)
+                .filter(attempt -> registration(attempt).service().equals(service))
+                .map(StageCallAttempt::call)
+                .toList();
+    }
+
     /** Returns whether each of the endpoints has an overdue call. */
     boolean allOverdue(List<EndpointState> endpoints) {
         return endpoints.stream().allMatch(this::hasOverdueCall);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -35,6 +35,8 @@
     /** A sound endpoint may be silent for a second. */
     private static final long MAX_SILENCE_MILLIS = 1_500;
 
+    private static final long OVERDUE_INTERVAL_MILLIS = 200;
+
     private static final EndpointLoad CALL_LOAD = new EndpointLoad(1, 0, 0);
 
     private final GatewayState mState;
@@ -52,7 +54,7 @@
 
     /** Receives what becomes of a call. */
     interface Listener {
-        /** The call takes too long; it goes on. */
+        /** The call takes too long; it goes on. Called several times a second until it ends. */
         void overdue(StageCall call);
 
         /** The call has ended. */
@@ -122,7 +124,15 @@
                 mState.loop().schedule(this::timedOut, MAX_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
         mState.log().request(line("stage-call-overdue"));
         mState.domainMonitor().suspect(mCall.endpoint().registration());
-        mListener.overdue(mCall);
+        reportOverdue();
+    }
+
+    private void reportOverdue() {
+        if (!mFinished) {
+            mListener.overdue(mCall);
+            mState.loop()
+                    .schedule(this::reportOverdue, OVERDUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void timedOut() {
