Count relayed connections in place of looking for open ones in two tests

aRelayAsksNoOtherRelayItself failed once: it looked for the one open connection at the relay after the endpoint had closed it, so it found one or none. IdleRelayedConnectionTest had the same race in one place. Both now read how often the relay has logged a relayed connection, which stays; where none may be opened, this also finds one that is closed again.

--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
@@ -75,7 +75,7 @@
                 respond(socket, answer);
             }
 
-            assertThat(other.connections()).isEqualTo(1);
+            assertThat(other.logged("connection-relayed")).isEqualTo(1);
         }
     }
 
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
@@ -143,8 +143,8 @@
         try (AskingInstance other = new AskingInstance(mFirst)) {
             assertAnswered(other.send(mEndpoint.registration()));
 
-            assertThat(mFirst.connections()).isEqualTo(1);
-            assertThat(mSecond.connections()).isZero();
+            assertThat(mFirst.logged("connection-relayed")).isEqualTo(1);
+            assertThat(mSecond.logged("connection-relayed")).isZero();
         }
     }
 
@@ -159,7 +159,7 @@
             SocketEndpoint.reset(socket);
 
             assertThat(answer.end()).isEqualTo("BROKEN");
-            assertThat(mSecond.connections()).isZero();
+            assertThat(mSecond.logged("connection-relayed")).isZero();
         }
     }
 
@@ -173,7 +173,7 @@
             SocketEndpoint.reset(socket);
 
             assertThat(answer.end()).isEqualTo("BROKEN");
-            assertThat(mSecond.connections()).isZero();
+            assertThat(mSecond.logged("connection-relayed")).isZero();
         }
     }
 
