Keep endpoints that say they are brittle from falling over

Callers saw services under overload answer next to nothing: endpoints that announce Server-Brittle: N fall over when they reject more than N requests within a second, and each one that returns gets the requests of all.

Cause: the header was read nowhere, and nothing bounds what all instances together send to an endpoint that is full. An instance sees the load that its peers put on an endpoint up to a heartbeat late, longer than most requests take.

Now a service is known as brittle from the heads of its answers, or from the heartbeats of peers. Instances that hear each other divide an endpoint's slots among them, by the rank of their names; instances that are not heard count as if they used theirs. An instance may exceed its share while there seems to be room, with a window that grows with what the endpoint accepted, and never so that more wait than may be rejected. A rejection for want of room is told to all peers at once. It ends sends beyond the share everywhere, for a time that grows with each rejection and differs between the instances, so that they resume one after another and the first to be rejected speaks for all. At 0.7 N known rejections within a second nobody sends anything. An instance that hears only a part of the others uses that part of the limit, if need be by waiting for many seconds after a rejection. What has no room is refused at once with a 503 (brittle-limit). Calls of stages stop in the same way.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -28,23 +28,34 @@
     private static final double FULL_ENGINE_PENALTY_MILLIS = 2_000;
     private static final double USABLE_MEMORY_SHARE = 0.85;
     private static final double RUNNING_REQUEST_MILLIS = 2;
+
+    /**
+     * Spreads the sends of instances with the same view over the endpoints of a brittle service.
+     */
+    private static final double BRITTLE_SPREAD_MILLIS = 200;
+
     private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
     private static final long COLD_RETRY_MILLIS = 400;
+    private static final long BRITTLE_RETRY_MILLIS = 400;
 
     /** A warm endpoint may turn cold without notice, so its request rate is limited too. */
     private static final int WARM_RATE_FACTOR = 2;
 
     private final ColdLimits mColdLimits;
+    private final BrittleServices mBrittleServices;
     private final PrefixCacheEstimator mPrefixCaches;
 
     /**
      * Creates a selector.
      *
      * @param coldLimits rate limits for cold endpoints
+     * @param brittleServices services whose endpoints tolerate few rejections
      * @param prefixes estimated contents of the engines' prefix caches
      */
-    public EndpointSelector(ColdLimits coldLimits, PrefixCacheEstimator prefixes) {
+    public EndpointSelector(
+            ColdLimits coldLimits, BrittleServices brittleServices, PrefixCacheEstimator prefixes) {
         mColdLimits = coldLimits;
+        mBrittleServices = brittleServices;
         mPrefixCaches = prefixes;
     }
 
@@ -66,9 +77,13 @@
         if (admitted.isEmpty()) {
             return new Selection.Unavailable("cold-limit", COLD_RETRY_MILLIS);
         }
+        List<EndpointState> withRoom = withoutHeldBack(admitted, request, nowMillis);
+        if (withRoom.isEmpty()) {
+            return new Selection.Unavailable("brittle-limit", BRITTLE_RETRY_MILLIS);
+        }
         List<EndpointState> healthy =
-                admitted.stream().filter(each -> !each.health().isEjected(nowMillis)).toList();
-        return cheapest(healthy.isEmpty() ? admitted : healthy, request, nowMillis);
+                withRoom.stream().filter(each -> !each.health().isEjected(nowMillis)).toList();
+        return cheapest(healthy.isEmpty() ? withRoom : healthy, request, nowMillis);
     }
 
     private Selection cheapest(
@@ -93,11 +108,30 @@
         if (rate <= 0) {
             return true;
         }
-        int share = mColdLimits.share(rate, request.instances());
+        int share = mColdLimits.share(rate, request.fleet().instances());
         int limit = endpoint.isCold(nowMillis) ? share : share * WARM_RATE_FACTOR;
         return endpoint.sendsInLastSecond(nowMillis) < limit;
     }
 
+    /** Removes the brittle endpoints that must not get another request at the moment. */
+    private List<EndpointState> withoutHeldBack(
+            List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
+        return mBrittleServices
+                .rejectionsPerSecond(request.service().name(), nowMillis)
+                .map(
+                        limit ->
+                                endpoints.stream()
+                                        .filter(each -> maySend(each, limit, request, nowMillis))
+                                        .toList())
+                .orElse(endpoints);
+    }
+
+    private static boolean maySend(
+            EndpointState endpoint, int limit, SelectionRequest request, long nowMillis) {
+        RejectionControl.Load load = endpoint.loadAndSlots(request.service());
+        return endpoint.rejectionControl().maySend(load, limit, request.fleet(), nowMillis);
+    }
+
     private double cost(
             EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
         double work =
@@ -114,7 +148,18 @@
                             ? REMOTE_INPUTS_PENALTY_MILLIS
                             : REMOTE_DOMAIN_PENALTY_MILLIS;
         }
-        return work + penalty;
+        return work + penalty + spread(endpoint, request, nowMillis);
+    }
+
+    private double spread(EndpointState endpoint, SelectionRequest request, long nowMillis) {
+        return mBrittleServices
+                .rejectionsPerSecond(request.service().name(), nowMillis)
+                .map(
+                        limit ->
+                                BRITTLE_SPREAD_MILLIS
+                                        * endpoint.rejectionControl()
+                                                .preference(request.fleet(), nowMillis))
+                .orElse(0.0);
     }
 
     private double engineMillis(
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.EngineCapacity;
+import org.wasabilug.serving.ServiceSpecification;
 
 /** State of one endpoint incarnation as known to this instance. */
 public final class EndpointState {
@@ -10,6 +12,7 @@
     private static final long RATE_WINDOW_MILLIS = 1_100;
 
     private final EndpointHealth mHealth = new EndpointHealth();
+    private final RejectionControl mRejectionControl;
     private final SlidingWindow mSends = new SlidingWindow(RATE_WINDOW_MILLIS);
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private EndpointRegistration mRegistration;
@@ -24,6 +27,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public EndpointState(EndpointRegistration registration, long nowMillis) {
+        mRejectionControl = new RejectionControl(registration.name());
         update(registration, nowMillis);
     }
 
@@ -60,6 +64,11 @@
         return mHealth;
     }
 
+    /** Returns what limits the sends to the endpoint while it is brittle. */
+    public RejectionControl rejectionControl() {
+        return mRejectionControl;
+    }
+
     /**
      * Returns whether the endpoint is cold and can handle only a low request rate.
      *
@@ -123,4 +132,15 @@
     public EndpointLoad load() {
         return mLocalLoad.plus(mPeerLoad);
     }
+
+    /**
+     * Returns the numbers of requests at this endpoint and its slots.
+     *
+     * @param service service of the endpoint
+     */
+    public RejectionControl.Load loadAndSlots(ServiceSpecification service) {
+        int slots = service.engine().map(EngineCapacity::slots).orElse(mRegistration.slots());
+        return new RejectionControl.Load(
+                mLocalLoad.running(), load().running(), Math.max(1, slots));
+    }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/SelectionRequest.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SelectionRequest.java
@@ -14,7 +14,7 @@
  * @param domain failure domain of this instance or of the request's inputs
  * @param inputsInDomain true if large inputs are stored in that domain
  * @param prompt size and shared parts of the prompt
- * @param instances number of instances that may share the limits
+ * @param fleet this instance and the others that share the limits
  */
 public record SelectionRequest(
         ServiceSpecification service,
@@ -23,7 +23,7 @@
         String domain,
         boolean inputsInDomain,
         PromptSize prompt,
-        int instances) {
+        FleetView fleet) {
     /**
      * Returns whether an endpoint may be chosen, whatever its load.
      *
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointSelectorTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointSelectorTest.java
@@ -10,7 +10,7 @@
 class EndpointSelectorTest {
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
     private final EndpointSelector mSelector =
-            new EndpointSelector(new ColdLimits(1.5, 5), mPrefixCaches);
+            new EndpointSelector(new ColdLimits(1.5, 5), new BrittleServices(), mPrefixCaches);
     private final EndpointState mFirst = ServingFixtures.endpoint("first", "rennes");
     private final EndpointState mSecond = ServingFixtures.endpoint("second", "rennes");
 
@@ -23,7 +23,7 @@
                         "rennes",
                         false,
                         prompt,
-                        1);
+                        new FleetView("instance", 1, 1, 0));
         return switch (mSelector.choose(request, List.of(mFirst, mSecond), 0)) {
             case Selection.Chosen chosen -> chosen.endpoint();
             case Selection.Unavailable unavailable -> null;
--- a/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -49,7 +49,8 @@
     @Test
     void aColdEndpointReceivesAtMostTheShareInAnySecond() {
         EndpointSelector selector =
-                new EndpointSelector(new ColdLimits(1.5, 5), new PrefixCacheEstimator());
+                new EndpointSelector(
+                        new ColdLimits(1.5, 5), new BrittleServices(), new PrefixCacheEstimator());
         EndpointState cold = ServingFixtures.endpoint("cold", "rennes");
         cold.recordColdTime(5_000, 0);
         SelectionRequest request =
@@ -60,7 +61,7 @@
                         "rennes",
                         false,
                         PromptSize.NONE,
-                        6);
+                        new FleetView("instance", 6, 6, 0));
         List<Long> sends = new ArrayList<>();
         for (long now = 0; now < 4_000; now += 10) {
             if (selector.choose(request, List.of(cold), now) instanceof Selection.Chosen) {
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.wasabilug.gateway.internal.peer.PeerEvents;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
 import org.wasabilug.gateway.internal.peer.SharedCrashSuspects;
+import org.wasabilug.gateway.internal.peer.SharedRejections;
 import org.wasabilug.gateway.internal.peer.SharedStageExecutor;
 import org.wasabilug.gateway.internal.peer.SharedStreamOrigins;
 import org.wasabilug.gateway.internal.peer.StoreRelay;
@@ -57,6 +58,7 @@
     private final PeerNetwork mNetwork;
     private final SharedStreamOrigins mStreamOrigins;
     private final SharedCrashSuspects mCrashSuspects;
+    private final SharedRejections mRejections;
     private final StoreRelay mStoreRelay;
     private final RelayListener mRelays;
     private final EndpointWatch mEndpoints;
@@ -100,6 +102,7 @@
         mStoreRelay = new StoreRelay(mState, mNetwork);
         mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
         mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
+        mRejections = new SharedRejections(mState, mNetwork);
         RequestReceiver receiver =
                 new RequestReceiver(mState, mSharedStages, mStreamOrigins, mCrashSuspects);
         mCallers =
@@ -256,6 +259,8 @@
                         mStreamOrigins.queryReceived(peer, envelope.getStreamOriginQuery());
                 case STREAM_ORIGIN_REPLY ->
                         mStreamOrigins.replyReceived(peer, envelope.getStreamOriginReply());
+                case ENDPOINT_REJECTION ->
+                        mRejections.reportReceived(peer, envelope.getEndpointRejection());
                 case TABLE_ROWS -> mStoreRelay.received(envelope.getTableRows());
                 default ->
                         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -40,6 +40,7 @@
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
     private final RetryBudget mRetryBudget;
+    private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
@@ -70,7 +71,9 @@
         mDomainMonitor = new DomainMonitor(this, mDirectory, connections);
         connections.router(mDomainMonitor);
         mRetryBudget = new RetryBudget(settings.retryLimits());
-        mSelector = new EndpointSelector(settings.coldLimits(), mPrefixCaches);
+        mSelector =
+                new EndpointSelector(
+                        settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
     }
 
     /** Returns the time of the monotonic clock in milliseconds. */
@@ -153,6 +156,11 @@
         return mDomainMonitor;
     }
 
+    /** Returns the monitor of endpoints that tolerate few rejections. */
+    public RejectionMonitor rejectionMonitor() {
+        return mRejectionMonitor;
+    }
+
     /** Returns the software versions of the services' endpoints. */
     public SoftwareVersions softwareVersions() {
         return mSoftwareVersions;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -300,6 +300,7 @@
                                         mState.domainMonitor().reachability().unreachable()))
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
         mSharedLoads.addLoads(heartbeat);
+        mSharedLoads.addBrittleServices(heartbeat);
         return heartbeat;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -9,6 +9,7 @@
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.QueueWaits;
+import org.wasabilug.messages.gateway.BrittleService;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 import org.wasabilug.messages.gateway.PromptRead;
 import org.wasabilug.messages.gateway.SentLoad;
@@ -41,6 +42,19 @@
         }
     }
 
+    /** Adds the services whose endpoints have recently announced that they are brittle. */
+    void addBrittleServices(GatewayHeartbeat.Builder heartbeat) {
+        mState.rejectionMonitor()
+                .services()
+                .recentlyAnnounced(mState.nowMillis())
+                .forEach(
+                        (service, limit) ->
+                                heartbeat.addBrittleServices(
+                                        BrittleService.newBuilder()
+                                                .setService(service)
+                                                .setRejectionsPerSecond(limit)));
+    }
+
     /** Adds the prompts that were sent since the last heartbeat. */
     void addPrompts(GatewayHeartbeat.Builder heartbeat) {
         mState.takeUnsentPrompts().forEach(prompt -> heartbeat.addPrompts(promptRead(prompt)));
@@ -77,6 +91,11 @@
         applyLoads(sender, heartbeat);
         heartbeat.getStageWaitsList().forEach(this::applyStageWait);
         heartbeat.getPromptsList().forEach(this::applyPrompt);
+        for (BrittleService brittle : heartbeat.getBrittleServicesList()) {
+            mState.rejectionMonitor()
+                    .recordPeerReport(
+                            sender, brittle.getService(), brittle.getRejectionsPerSecond());
+        }
     }
 
     /** Removes the load of a lost peer. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -13,6 +13,7 @@
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.RejectionControl;
 import org.wasabilug.serving.RequestKind;
 
 /** One send of a request to one endpoint; maintains the load and health of that endpoint. */
@@ -30,6 +31,7 @@
     private final ResponseBuffer mBody;
     private final long mSentMillis;
     private EndpointLoad mLoad;
+    private RejectionControl.Load mLoadAtSend;
     private EndpointCall mCall;
     private HttpResponse mHead;
     private boolean mNotExecuted;
@@ -60,6 +62,7 @@
 
     void send(HttpHeaders headers) {
         mEndpoint.recordSent(mLoad, mSentMillis);
+        mLoadAtSend = mEndpoint.loadAndSlots(mRequest.service());
         OutgoingRequest outgoing =
                 new OutgoingRequest(
                         mRequest.id(),
@@ -163,7 +166,11 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
+        mState.rejectionMonitor().recordResponse(mEndpoint, head);
         mNotExecuted = mState.notExecuted(head);
+        if (!mNotExecuted) {
+            mState.rejectionMonitor().recordAccepted(mEndpoint, mLoadAtSend);
+        }
         mDeliverable = ResponseCheck.deliverable(mState, head);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -89,7 +89,7 @@
                 inputs.domain(),
                 inputs.large(),
                 mRequest.prompt(),
-                mState.instances());
+                mState.rejectionMonitor().fleet());
     }
 
     private List<EndpointState> usable() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -11,6 +11,7 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.FleetView;
 import org.wasabilug.internal.serving.PieceFailure;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
@@ -159,7 +160,7 @@
             queue.removeAll().forEach(work -> failUnlessRunning(work, PieceFailure.NO_ENDPOINT));
             return;
         }
-        List<EndpointState> usable = mRunning.withoutOverdueCall(mState.usable(service));
+        List<EndpointState> usable = mRunning.withoutOverdueCall(usableNow(service, now));
         for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
             send(specification, call);
         }
@@ -180,6 +181,24 @@
         return mServices.get(service);
     }
 
+    /** Returns the endpoints to which sends are not stopped because of recent rejections. */
+    private List<EndpointState> usableNow(String service, long now) {
+        FleetView senders = new FleetView(mState.settings().name(), SENDERS_PER_SERVICE, 1, 0);
+        List<EndpointState> usable = mState.usable(service);
+        return mState.rejectionMonitor()
+                .services()
+                .rejectionsPerSecond(service, now)
+                .map(
+                        limit ->
+                                usable.stream()
+                                        .filter(
+                                                each ->
+                                                        !each.rejectionControl()
+                                                                .isStopped(limit, senders, now))
+                                        .toList())
+                .orElse(usable);
+    }
+
     /** Schedules a dispatch of a queue, unless one is already due by then. */
     private void scheduleDispatch(String service, long delayMillis) {
         long due = mState.nowMillis() + delayMillis;
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -20,6 +20,7 @@
  * @param lastEventId id of the last event that was received
  * @param resumes id of the attempt that brought the first event of a stream that is resumed
  * @param authorization key of the caller
+ * @param brittle number of rejections within a second that an endpoint tolerates, set by it
  * @param reserved headers that a caller may not set, in lower case
  */
 public record HeaderNames(
@@ -38,6 +39,7 @@
         String lastEventId,
         String resumes,
         String authorization,
+        String brittle,
         Set<String> reserved) {
     /** Copies the set of reserved headers. */
     public HeaderNames {
