--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -96,7 +96,7 @@
                         () -> !mEndpoints.storeReachable(),
                         mStages::predictWaits);
         mState.instances(mNetwork::instances);
-        mState.domainMonitor().peers(mNetwork);
+        mState.reachability().peers(mNetwork);
         mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mStoreRelay = new StoreRelay(mState, mNetwork);
@@ -178,7 +178,7 @@
         mStreamOrigins.removeExpired();
         mCrashSuspects.removeExpired();
         mStoreRelay.relayChanges();
-        mState.domainMonitor().probe();
+        mState.reachability().probe();
         mState.stop().ifPresent(this::continueStop);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -35,7 +35,7 @@
     private final EndpointConnections mConnections;
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
-    private final DomainMonitor mDomainMonitor;
+    private final ReachabilityMonitor mReachability;
     private final StageTimes mStageTimes = new StageTimes();
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
@@ -68,8 +68,8 @@
         mLoop = loop;
         mConnections = connections;
         mLog = log;
-        mDomainMonitor = new DomainMonitor(this, mDirectory, connections);
-        connections.router(mDomainMonitor);
+        mReachability = new ReachabilityMonitor(this, mDirectory, connections);
+        connections.router(mReachability);
         mRetryBudget = new RetryBudget(settings.retryLimits());
         mSelector =
                 new EndpointSelector(
@@ -148,12 +148,12 @@
      * @return the endpoints in order of their names
      */
     public List<EndpointState> usable(String service) {
-        return mDirectory.usable(service, mDomainMonitor::isReachable, mDomainMonitor::peerReaches);
+        return mDirectory.usable(service, mReachability::isReachable, mReachability::peerReaches);
     }
 
     /** Returns the monitor of unreachable failure domains. */
-    public DomainMonitor domainMonitor() {
-        return mDomainMonitor;
+    public ReachabilityMonitor reachability() {
+        return mReachability;
     }
 
     /** Returns the monitor of endpoints that tolerate few rejections. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/DomainMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -29,7 +29,7 @@
  * <p>A late response makes it probe another endpoint of the group. Groups that are unreachable are
  * probed until a connection opens.
  */
-public final class DomainMonitor implements ConnectionRouter {
+public final class ReachabilityMonitor implements ConnectionRouter {
     private static final int PROBES = 3;
     private static final long PROBE_INTERVAL_MILLIS = 500;
     private static final int MAX_RELAYS = 3;
@@ -47,7 +47,7 @@
     private RelayPeers mPeers = RelayPeers.NONE;
     private Consumer<EndpointGroup> mSilentListener = group -> {};
 
-    DomainMonitor(
+    ReachabilityMonitor(
             GatewayState state, EndpointDirectory directory, EndpointConnections connections) {
         mState = state;
         mDirectory = directory;
@@ -63,16 +63,22 @@
         mPeers = peers;
     }
 
-    /** Returns the reachability of the groups of endpoints. */
-    public EndpointReachability reachability() {
-        return mReachability;
+    /** Returns the groups of endpoints to which this instance can open no connections. */
+    public Set<EndpointGroup> unreachable() {
+        return mReachability.unreachable();
     }
 
     /**
-     * Returns whether this instance can open connections to a group of endpoints.
+     * Records that no instance in a domain is reachable any more, so that one failed connection is
+     * evidence enough.
      *
-     * @param group the group
+     * @param domain the failure domain
      */
+    public void recordPeersLost(String domain) {
+        mReachability.recordPeersLost(domain);
+    }
+
+    @Override
     public boolean reaches(EndpointGroup group) {
         return !mReachability.isUnreachable(group);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -25,7 +25,6 @@
 import org.wasabilug.gateway.internal.relay.RelayConnector;
 import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointGroup;
-import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 /**
@@ -50,7 +49,7 @@
     private final Bootstrap mBootstrap;
     private final String mRequestIdHeader;
     private final LongSupplier mClockMillis;
-    private final RelayConnector mRelays;
+    private final RelayedConnections mRelays;
     private final Map<String, ArrayDeque<EndpointConnection>> mIdle = new HashMap<>();
     private ConnectionRouter mRouter;
 
@@ -85,7 +84,7 @@
                                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
                                 KEEP_ALIVE_PROBES)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-        mRelays = new RelayConnector(mBootstrap, localName);
+        mRelays = new RelayedConnections(new RelayConnector(mBootstrap, localName));
     }
 
     /**
@@ -95,6 +94,7 @@
      */
     public void router(ConnectionRouter router) {
         mRouter = router;
+        mRelays.router(router);
     }
 
     /**
@@ -249,40 +249,13 @@
                 : ConnectionResult.REFUSED;
     }
 
-    /** Opens a connection through the first relay that can, and fails the call if none can. */
     private void openRelayed(
             EndpointRegistration endpoint, EndpointCall call, Iterator<Relay> relays) {
-        if (call.ended()) {
-            return;
-        }
-        if (!relays.hasNext()) {
-            call.fail(CallFailure.NOT_RELAYED);
-            return;
-        }
-        Relay relay = relays.next();
-        String request = call.request().id();
         mRelays.open(
-                relay,
                 endpoint,
-                request,
-                new RelayConnector.Receiver() {
-                    @Override
-                    public void opened(Channel channel) {
-                        mRouter.relayed(relay, endpoint, request, RelayReply.Status.OPENED);
-                        EndpointConnections.this.opened(
-                                endpoint, Optional.of(relay), call, channel);
-                    }
-
-                    @Override
-                    public void failed(RelayReply.Status status) {
-                        mRouter.relayed(relay, endpoint, request, status);
-                        switch (status) {
-                            case REFUSED -> call.fail(CallFailure.NOT_CONNECTED);
-                            case SILENT -> call.fail(CallFailure.SILENT);
-                            default -> openRelayed(endpoint, call, relays);
-                        }
-                    }
-                });
+                call,
+                relays,
+                (relay, channel) -> opened(endpoint, Optional.of(relay), call, channel));
     }
 
     private void opened(
@@ -326,37 +299,7 @@
      */
     public void askWitness(
             EndpointRegistration endpoint, Consumer<Optional<ConnectionResult>> receiver) {
-        askWitness(endpoint, mRouter.witnesses(EndpointGroup.of(endpoint)).iterator(), receiver);
-    }
-
-    private void askWitness(
-            EndpointRegistration endpoint,
-            Iterator<Relay> witnesses,
-            Consumer<Optional<ConnectionResult>> receiver) {
-        if (!witnesses.hasNext()) {
-            receiver.accept(Optional.empty());
-            return;
-        }
-        Relay witness = witnesses.next();
-        mRelays.open(
-                witness,
-                endpoint,
-                "",
-                new RelayConnector.Receiver() {
-                    @Override
-                    public void opened(Channel channel) {
-                        channel.close();
-                        receiver.accept(Optional.of(ConnectionResult.OPENED));
-                    }
-
-                    @Override
-                    public void failed(RelayReply.Status status) {
-                        switch (status) {
-                            case REFUSED -> receiver.accept(Optional.of(ConnectionResult.REFUSED));
-                            case SILENT -> receiver.accept(Optional.of(ConnectionResult.SILENT));
-                            default -> askWitness(endpoint, witnesses, receiver);
-                        }
-                    }
-                });
+        mRelays.askWitness(
+                endpoint, mRouter.witnesses(EndpointGroup.of(endpoint)).iterator(), receiver);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -152,7 +152,7 @@
      */
     public Set<EndpointGroup> unreachable(String name) {
         return name.equals(mState.settings().name())
-                ? mState.domainMonitor().reachability().unreachable()
+                ? mState.reachability().unreachable()
                 : PeerReachability.unreachable(mPeers.get(name).heartbeat());
     }
 
@@ -283,7 +283,7 @@
                         .anyMatch(peer -> peer.heartbeat().getFailureDomain().equals(domain));
         boolean local = domain.equals(mState.settings().failureDomain());
         if (!reachable && !local && !last.getStopping()) {
-            mState.domainMonitor().reachability().recordPeersLost(domain);
+            mState.reachability().recordPeersLost(domain);
         }
     }
 
@@ -296,8 +296,7 @@
                         .setProcessorShare(mState.settings().processorShare())
                         .setRelaysConnections(true)
                         .addAllUnreachable(
-                                PeerReachability.messages(
-                                        mState.domainMonitor().reachability().unreachable()))
+                                PeerReachability.messages(mState.reachability().unreachable()))
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
         mSharedLoads.addLoads(heartbeat);
         mSharedLoads.addBrittleServices(heartbeat);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -130,7 +130,7 @@
     /** Tells whether it is the endpoint that can't be reached, or all of its group. */
     private void explain(
             Channel asking, RelayRequest request, EndpointState endpoint, ConnectionResult result) {
-        mState.domainMonitor()
+        mState.reachability()
                 .checkOthers(
                         endpoint.registration(),
                         reached ->
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -127,7 +127,7 @@
      */
     void suspectIfSilent() {
         if (mHead == null && !mEnded) {
-            mState.domainMonitor().suspect(mEndpoint.registration());
+            mState.reachability().suspect(mEndpoint.registration());
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
@@ -36,7 +36,7 @@
 
     /** An endpoint that can't be reached while others beside it can has crashed. */
     private void checkOthers(Runnable crashed) {
-        mState.domainMonitor()
+        mState.reachability()
                 .checkOthers(
                         mEndpoint,
                         reached -> {
@@ -55,7 +55,7 @@
                         result -> {
                             if (result.isPresent() && result.get() == ConnectionResult.OPENED) {
                                 log("endpoint-reached-by-peer");
-                            } else if (result.isEmpty() && mState.domainMonitor().isCutOff()) {
+                            } else if (result.isEmpty() && mState.reachability().isCutOff()) {
                                 log("endpoint-not-judged");
                             } else {
                                 crashed.run();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -71,7 +71,7 @@
     public LocalStageExecutor(GatewayState state) {
         mState = state;
         mResults = new ResultRegistry(state, this::released);
-        state.domainMonitor().onSilent(this::abandonCalls);
+        state.reachability().onSilent(this::abandonCalls);
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -123,7 +123,7 @@
         mTimeout =
                 mState.loop().schedule(this::timedOut, MAX_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
         mState.log().request(line("stage-call-overdue"));
-        mState.domainMonitor().suspect(mCall.endpoint().registration());
+        mState.reachability().suspect(mCall.endpoint().registration());
         reportOverdue();
     }
 
@@ -137,7 +137,7 @@
 
     private void timedOut() {
         mExchange.cancel();
-        mState.domainMonitor().suspect(mCall.endpoint().registration());
+        mState.reachability().suspect(mCall.endpoint().registration());
         fail("timeout", true);
     }
 
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
@@ -50,7 +50,7 @@
                         loops.next(),
                         new EndpointConnections(loops, "Id", GatewayState::clockMillis, "local"),
                         new DecisionLog(new MetricRegistry(), GatewayState::clockMillis));
-        state.domainMonitor().peers(peers(instances));
+        state.reachability().peers(peers(instances));
         IntStream.range(0, ENDPOINTS)
                 .mapToObj(RelayRoutingCost::endpoint)
                 .forEach(each -> register(state, each));
@@ -67,9 +67,7 @@
     }
 
     private static void fail(GatewayState state, EndpointRegistration endpoint) {
-        state.domainMonitor()
-                .reachability()
-                .recordFailure(endpoint, ConnectionResult.REFUSED, ENDPOINTS);
+        state.reachability().attempted(endpoint, ConnectionResult.REFUSED);
     }
 
     private static EndpointRegistration endpoint(int number) {
