Simplify how reachability is looked up and told

A late attempt was suspected twice where another endpoint is asked as well; whether peers reach a group was asked twice when it becomes unreachable; the endpoints of a group were found by walking all endpoints though an index by service exists; each piece that is ordered built an empty set from the heartbeat of each peer. Three comments still spoke of failure domains.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -154,8 +154,9 @@
      * @return endpoints ordered by name
      */
     public List<EndpointState> inGroup(EndpointGroup group) {
-        return inDomain(group.failureDomain()).stream()
-                .filter(each -> each.registration().service().equals(group.service()))
+        return mByService.getOrDefault(group.service(), List.of()).stream()
+                .filter(each -> EndpointGroup.of(each.registration()).equals(group))
+                .filter(each -> !each.registration().leaving())
                 .toList();
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -151,7 +151,7 @@
         return mDirectory.usable(service, mReachability::isReachable, mReachability::peerReaches);
     }
 
-    /** Returns the monitor of unreachable failure domains. */
+    /** Returns the monitor of the endpoints to which connections can be opened. */
     public ReachabilityMonitor reachability() {
         return mReachability;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -169,21 +169,23 @@
         EndpointGroup group = EndpointGroup.of(endpoint);
         List<EndpointState> known = mDirectory.inGroup(group);
         if (mReachability.recordFailure(endpoint, result, known.size())) {
-            mState.log()
-                    .process(
-                            line("domain-cut-off", group)
-                                    .with("last", result.name())
-                                    .with("relays", peerReaches(group)));
-            leave(group, known);
+            leave(group, known, result);
         } else if (reaches(group) && mayProbe(group)) {
             probe(known, endpoint.name(), PROBES, opened -> {});
         }
     }
 
     /** Gives up open connections to a group that may be broken unnoticed. */
-    private void leave(EndpointGroup group, List<EndpointState> endpoints) {
+    private void leave(
+            EndpointGroup group, List<EndpointState> endpoints, ConnectionResult result) {
         boolean silent = mReachability.isSilent(group);
-        if (silent || peerReaches(group)) {
+        boolean relays = peerReaches(group);
+        mState.log()
+                .process(
+                        line("domain-cut-off", group)
+                                .with("last", result.name())
+                                .with("relays", relays));
+        if (silent || relays) {
             endpoints.forEach(each -> mConnections.closeDirect(each.registration().name()));
         }
         if (silent) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -10,8 +10,8 @@
      */
     SILENT,
     /**
-     * This instance does not reach the endpoint's failure domain, and no other instance passed the
-     * call on; nothing was sent.
+     * This instance does not reach the endpoint, and no other instance passed the call on; nothing
+     * was sent.
      */
     NOT_RELAYED,
     /** The connection ended after the request may have been sent. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -60,7 +60,7 @@
         return mEndpoint.name();
     }
 
-    /** Returns the failure domain of the endpoint. */
+    /** Returns the group of the endpoint. */
     EndpointGroup group() {
         return EndpointGroup.of(mEndpoint);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerReachability.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerReachability.java
@@ -24,6 +24,9 @@
     }
 
     static Set<EndpointGroup> unreachable(GatewayHeartbeat heartbeat) {
+        if (heartbeat.getUnreachableCount() == 0) {
+            return Set.of();
+        }
         return heartbeat.getUnreachableList().stream()
                 .map(each -> new EndpointGroup(each.getService(), each.getFailureDomain()))
                 .collect(Collectors.toSet());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -119,7 +119,6 @@
     /** Records a failure for the endpoint, as its response is overdue; the attempt goes on. */
     void recordOverdue() {
         mEndpoint.health().recordFailure(mState.nowMillis());
-        suspectIfSilent();
     }
 
     /**
@@ -134,6 +133,7 @@
     /** Cancels an attempt that timed out and records a failure for the endpoint. */
     void abandon() {
         if (!mEnded) {
+            suspectIfSilent();
             recordOverdue();
             cancel();
         }
