Use no idle connection through a relay that has lost the endpoints itself

What callers would see: an instance that is cut off has an idle connection through a peer, the peer is cut off in its turn, and a request that may run once is sent on that connection: it ends with 502 or 504 though another peer reaches the endpoint.

Cause: the pool asked only whether the peer still relays connections.

Change: it asks whether the peer relays to the group of the endpoint, as for new connections; one that lately did not reply counts as lost here too.

RelayRoutingCost runs on the event loop now, as the state that it measures belongs to it.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -139,8 +139,9 @@
     }
 
     @Override
-    public boolean accepts(Relay relay) {
-        return mPeers.candidates().stream().anyMatch(each -> each.name().equals(relay.instance()));
+    public boolean accepts(Relay relay, EndpointGroup group) {
+        return candidates().stream()
+                .anyMatch(each -> each.name().equals(relay.instance()) && each.reaches(group));
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
@@ -34,11 +34,12 @@
     List<Relay> witnesses(EndpointGroup group);
 
     /**
-     * Returns whether an instance still relays connections.
+     * Returns whether an instance still relays connections to a group of endpoints.
      *
      * @param relay the instance
+     * @param group the group
      */
-    boolean accepts(Relay relay);
+    boolean accepts(Relay relay, EndpointGroup group);
 
     /**
      * Called after this instance tried to open a direct connection.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -199,9 +199,12 @@
 
     /** Returns whether an idle connection is open, and still the way to its endpoint if relayed. */
     private boolean usable(EndpointConnection connection, long now) {
-        boolean reached = mRouter.reaches(connection.group());
+        EndpointGroup group = connection.group();
         return connection.usable(now)
-                && connection.relay().map(each -> !reached && mRouter.accepts(each)).orElse(true);
+                && connection
+                        .relay()
+                        .map(each -> !mRouter.reaches(group) && mRouter.accepts(each, group))
+                        .orElse(true);
     }
 
     private void open(EndpointRegistration endpoint, EndpointCall call) {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter;
@@ -62,6 +64,13 @@
         return answer;
     }
 
+    /** Asks the relays whether an endpoint accepts their connections. */
+    CompletableFuture<Optional<ConnectionResult>> askWitness(EndpointRegistration endpoint) {
+        CompletableFuture<Optional<ConnectionResult>> answer = new CompletableFuture<>();
+        run(() -> mConnections.askWitness(endpoint, answer::complete));
+        return answer;
+    }
+
     void cancel(RecordedAnswer answer) {
         run(() -> answer.call().cancel());
     }
@@ -105,7 +114,7 @@
     }
 
     @Override
-    public boolean accepts(Relay relay) {
+    public boolean accepts(Relay relay, EndpointGroup group) {
         return mAccepting.contains(relay.instance());
     }
 
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
@@ -36,13 +36,13 @@
      */
     public static void main(String[] arguments) {
         for (int instances : new int[] {24, 100, 450}) {
-            print(instances);
+            EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            loops.submit(() -> print(instances, loops)).syncUninterruptibly();
         }
         System.exit(0);
     }
 
-    private static void print(int instances) {
-        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static void print(int instances, EventLoopGroup loops) {
         GatewayState state =
                 new GatewayState(
                         RelayInstance.settings("local", new InetSocketAddress("127.0.0.1", 1)),
