Let an instance that hears no peer while it is cut off judge no crash

What callers would see: a cut takes the endpoints and then the peers, or the one peer that relays dies; responses break off, nobody can tell whether the endpoints run, and each counted as crashed. Sound requests are then refused as causes of crashes.

Cause: an instance counted as cut off only while it heard a peer that could have told. The question is whether there are others, not whether they are heard.

Change: it counts as cut off if it knows of other instances and reaches no endpoint of any service. One that is alone judges as before.

Evidence: ReachabilityMonitorTest failed before (not cut off with two instances known, none heard).

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -83,9 +83,9 @@
         return !mReachability.isUnreachable(group);
     }
 
-    /** Returns whether this instance can open connections to no endpoint, but has peers. */
+    /** Returns whether this instance can open connections to no endpoint and is not alone. */
     public boolean isCutOff() {
-        return !mPeers.candidates().isEmpty()
+        return mState.instances() > 1
                 && mDirectory.all().stream()
                         .noneMatch(each -> reaches(EndpointGroup.of(each.registration())));
     }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -18,9 +18,11 @@
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.internal.serving.ColdLimits;
+import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.internal.serving.RetryLimits;
+import org.wasabilug.serving.EndpointRegistration;
 
 class ReachabilityMonitorTest {
     private static final InetSocketAddress UNUSED = new InetSocketAddress("127.0.0.1", 1);
@@ -62,6 +64,41 @@
         assertThat(call(() -> mState.reachability().accepts(PEER, GROUP))).isFalse();
     }
 
+    @Test
+    void anInstanceThatReachesNoEndpointAndHearsNoneOfTheOthersIsCutOff() throws Exception {
+        mState.instances(() -> 2);
+        refuse("ledger");
+
+        assertThat(call(mState.reachability()::isCutOff)).isTrue();
+    }
+
+    @Test
+    void anInstanceThatIsAloneOrReachesAnyEndpointIsNotCutOff() throws Exception {
+        refuse("ledger");
+        assertThat(call(mState.reachability()::isCutOff)).isFalse();
+
+        mState.instances(() -> 2);
+        register("encoder");
+        assertThat(call(mState.reachability()::isCutOff)).isFalse();
+    }
+
+    private void refuse(String service) throws Exception {
+        EndpointRegistration endpoint = register(service);
+        call(
+                () -> {
+                    mState.reachability().attempted(endpoint, ConnectionResult.REFUSED);
+                    return null;
+                });
+    }
+
+    private EndpointRegistration register(String service) throws Exception {
+        EndpointRegistration endpoint =
+                new EndpointRegistration(
+                        service + "-0", service, "127.0.0.1", 1, "brest", 1, false, 0, 1, "v1", 1);
+        call(() -> mState.directory().register(endpoint, GatewayState.clockMillis()));
+        return endpoint;
+    }
+
     private <T> T call(Callable<T> action) throws Exception {
         return mLoops.submit(action).get();
     }
