Do not wait for an attempt that failed while it was sent

What callers saw: a request whose endpoint had just reset the idle connection that it was sent on, and whose retry then failed too, got no answer until its deadline (504 after 3 s), though nothing went on.

Cause: if the operating system knows of the reset and the event loop does not yet, the write fails at once, inside the call that sends. The flow handled the failure, and only then added the attempt to those whose answer is waited for; it stayed there, so the failure of the retry was taken for one of two ("attempt-dropped"). Class of fault: what has ended is waited for, as its end was told before its beginning was noted.

Change: an attempt that has ended by the time its send returns is not waited for. Calls with pieces are noted before they are sent and need no change.

Evidence: ResetIdleConnectionTest pauses an instance, sends a request and resets its idle connections to the first endpoint; it failed before (504, after the deadline of 3 s) and passes (502 at once). RequestPathTest and SilentEndpointTest pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -105,6 +105,11 @@
         return mSentMillis;
     }
 
+    /** Returns whether nothing more is to be expected of the attempt. */
+    boolean ended() {
+        return mEnded;
+    }
+
     void setReadable(boolean readable) {
         mCall.setReadable(readable);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -51,8 +51,9 @@
     }
 
     private void sent(Attempt attempt) {
-        started(attempt);
-        watch(attempt);
+        if (started(attempt)) {
+            watch(attempt);
+        }
     }
 
     /** Sends an idempotent request to another endpoint as well if the first takes too long. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -127,8 +127,12 @@
         return mPending.size() == 1 && isPending(attempt);
     }
 
-    final void started(Attempt attempt) {
-        mPending.add(attempt);
+    /**
+     * Waits for the response of an attempt, unless it failed while it was sent; returns whether it
+     * does.
+     */
+    final boolean started(Attempt attempt) {
+        return !attempt.ended() && mPending.add(attempt);
     }
 
     /** Goes on with one attempt alone and cancels the others. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -131,7 +131,9 @@
     }
 
     private void sent(Attempt attempt) {
-        started(attempt);
+        if (!started(attempt)) {
+            return;
+        }
         mReaders.put(attempt, new EventReader(state().responseMemory(), attempt.sentMillis()));
         double timeout = FIRST_EVENT_FACTOR * attempt.predictedMillis();
         watch(attempt, Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
