--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -29,6 +29,7 @@
     private final double mPredictedMillis;
     private final AttemptOwner mOwner;
     private final ResponseBuffer mBody;
+    private byte[] mWholeBody = {};
     private final long mSentMillis;
     private EndpointLoad mLoad;
     private RejectionControl.Load mLoadAtSend;
@@ -157,9 +158,9 @@
         }
     }
 
-    /** Returns the content that was buffered. */
+    /** Returns the buffered content of a completed response. */
     byte[] bufferedBody() {
-        return mBody.toByteArray();
+        return mWholeBody;
     }
 
     /** Gives up a response that can't be used and records a failure for the endpoint. */
@@ -212,6 +213,7 @@
             failed(CallFailure.CUT_SHORT);
             return;
         }
+        mWholeBody = mBody.toByteArray();
         end();
         if (ResponseFraming.of(mHead) != ResponseFraming.CLOSE) {
             answerWentOn();
