Count what an incomplete event allocates

The same cause as in the buffers of whole responses: the limit counted the bytes of an event that is not complete yet, while its buffer doubles to grow. Half again as much memory as the limit says was taken.

The limit counts what is allocated. EventReaderTest failed before: 43,892,080 bytes where 27,262,976 are allowed.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
@@ -39,7 +39,7 @@
 
     /** Returns whether the limit of memory allows to keep the incomplete event. */
     boolean keepsPartial() {
-        return mMemory.resize(mEvents.partialBytes());
+        return mMemory.resize(mEvents.allocatedBytes());
     }
 
     /** Returns whether the last event is incomplete. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
@@ -45,6 +45,11 @@
         return mPending.writerIndex();
     }
 
+    /** Returns the memory that is allocated for the bytes after the last complete event. */
+    int allocatedBytes() {
+        return mPending.capacity();
+    }
+
     /** Returns the id of the last complete event that has one; empty before the first. */
     String lastEventId() {
         return mLastEventId;
