Write heartbeats in a class of their own

PeerNetwork kept connections, judged peers and put heartbeats together. What a heartbeat says is in HeartbeatWriter now; behaviour is the same.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -38,7 +38,7 @@
     private final PeerEvents mEvents;
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mStoreUnreachable;
-    private final Supplier<Map<String, List<QueueWaits.Wait>>> mStageWaits;
+    private final HeartbeatWriter mHeartbeats;
     private final Map<String, Peer> mPeers = new TreeMap<>();
     private final Set<String> mReachable = new HashSet<>();
     private final Set<String> mLive = new HashSet<>();
@@ -65,7 +65,8 @@
         mEvents = events;
         mStopping = stopping;
         mStoreUnreachable = storeUnreachable;
-        mStageWaits = stageWaits;
+        mHeartbeats =
+                new HeartbeatWriter(state, mSharedLoads, stopping, storeUnreachable, stageWaits);
         mTransport = new PeerTransport(loops, this::received);
     }
 
@@ -225,16 +226,13 @@
 
     private void sendHeartbeats() {
         long now = mState.nowMillis();
-        GatewayHeartbeat.Builder body = heartbeat();
-        mSharedLoads.addPrompts(body);
-        mSharedLoads.addStageWaits(body, mStageWaits.get());
-        GatewayHeartbeat heartbeat = body.build();
+        GatewayHeartbeat heartbeat = mHeartbeats.regular();
         for (Peer peer : mPeers.values()) {
             peer.closeStalled(now);
             if (peer.needsConnection(now)) {
                 connect(peer, now);
             }
-            peer.send(heartbeatTo(peer, heartbeat, now));
+            send(peer, heartbeat, now);
             updateState(peer, now);
         }
         long intervalMillis =
@@ -287,34 +285,6 @@
         }
     }
 
-    private GatewayHeartbeat.Builder heartbeat() {
-        GatewayHeartbeat.Builder heartbeat =
-                GatewayHeartbeat.newBuilder()
-                        .setFailureDomain(mState.settings().failureDomain())
-                        .setHost(mState.settings().peers().getHostString())
-                        .setStopping(mStopping.getAsBoolean())
-                        .setProcessorShare(mState.settings().processorShare())
-                        .setRelaysConnections(true)
-                        .addAllUnreachable(
-                                PeerReachability.messages(mState.reachability().unreachable()))
-                        .setStoreSilent(mStoreUnreachable.getAsBoolean());
-        mSharedLoads.addLoads(heartbeat);
-        mSharedLoads.addBrittleServices(heartbeat);
-        return heartbeat;
-    }
-
-    /**
-     * Returns a heartbeat for one peer. It acknowledges only this peer's heartbeats, as the names
-     * of all peers would make every message large.
-     */
-    private GatewayEnvelope heartbeatTo(Peer peer, GatewayHeartbeat heartbeat, long now) {
-        GatewayHeartbeat.Builder addressed = heartbeat.toBuilder();
-        if (peer.receivedRecently(now)) {
-            addressed.addHeard(peer.name());
-        }
-        return envelope().setHeartbeat(addressed).build();
-    }
-
     private void connect(Peer peer, long now) {
         peer.connecting(now);
         mTransport.connect(
@@ -326,7 +296,12 @@
 
     private void connected(Peer peer, Channel channel) {
         peer.connected(channel);
-        peer.send(heartbeatTo(peer, heartbeat().build(), mState.nowMillis()));
+        send(peer, mHeartbeats.greeting(), mState.nowMillis());
+    }
+
+    private void send(Peer peer, GatewayHeartbeat heartbeat, long now) {
+        GatewayHeartbeat addressed = HeartbeatWriter.addressed(heartbeat, peer, now);
+        peer.send(envelope().setHeartbeat(addressed).build());
     }
 
     private void received(GatewayEnvelope envelope) {
