--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
@@ -9,31 +9,21 @@
 import org.junit.jupiter.api.Test;
 
 /** When a relayed connection that is idle is used again, and when it is closed. */
-class IdleRelayedConnectionTest {
+class IdleRelayedConnectionTest extends OneRelayTestBase {
     private static final int SOON_MILLIS = 1_000;
 
-    private RelayInstance mRelay;
-    private AskingInstance mAsking;
-    private SocketEndpoint mEndpoint;
     private Socket mIdle;
 
     @BeforeEach
-    void start() throws Exception {
-        mRelay = new RelayInstance("relay", "127.0.0.3");
-        mAsking = new AskingInstance(mRelay);
-        mEndpoint = new SocketEndpoint();
-        mRelay.register(mEndpoint.registration());
+    void serveOneRequest() throws Exception {
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
         mIdle = mEndpoint.acceptRequest();
         respond(mIdle, answer);
     }
 
     @AfterEach
-    void stop() throws IOException {
+    void closeIdle() throws IOException {
         mIdle.close();
-        mAsking.close();
-        mRelay.close();
-        mEndpoint.close();
     }
 
     @Test
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayedAnswerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayedAnswerTest.java
@@ -2,37 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
 import java.net.Socket;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What the asking instance receives of an answer through a relay, and how it ends there. */
-class RelayedAnswerTest {
+class RelayedAnswerTest extends OneRelayTestBase {
     private static final int LARGE_BYTES = 3_000_000;
     private static final int UNREAD_BODY_BYTES = 30_000_000;
     private static final int PAUSE_MILLIS = 200;
 
-    private RelayInstance mRelay;
-    private AskingInstance mAsking;
-    private SocketEndpoint mEndpoint;
-
-    @BeforeEach
-    void start() throws IOException, InterruptedException {
-        mRelay = new RelayInstance("relay", "127.0.0.3");
-        mAsking = new AskingInstance(mRelay);
-        mEndpoint = new SocketEndpoint();
-        mRelay.register(mEndpoint.registration());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mAsking.close();
-        mRelay.close();
-        mEndpoint.close();
-    }
-
     @Test
     void theEndpointReceivesTheRequestAsItWasSent() throws Exception {
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayedCancellationTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayedCancellationTest.java
@@ -8,12 +8,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What an endpoint notices of a caller that leaves, or reads slowly, behind a relay. */
-class RelayedCancellationTest {
+class RelayedCancellationTest extends OneRelayTestBase {
     /** Time after which an endpoint may work no more on a request whose caller has left. */
     private static final int LEAVE_MILLIS = 500;
 
@@ -23,25 +21,6 @@
     /** What the sockets on the way hold, and what a relay may hold besides. */
     private static final long MAX_BUFFERED_BYTES = 24L << 20;
 
-    private RelayInstance mRelay;
-    private AskingInstance mAsking;
-    private SocketEndpoint mEndpoint;
-
-    @BeforeEach
-    void start() throws IOException, InterruptedException {
-        mRelay = new RelayInstance("relay", "127.0.0.3");
-        mAsking = new AskingInstance(mRelay);
-        mEndpoint = new SocketEndpoint();
-        mRelay.register(mEndpoint.registration());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mAsking.close();
-        mRelay.close();
-        mEndpoint.close();
-    }
-
     @Test
     void theEndpointsConnectionIsClosedAtOnceIfTheCallerLeavesBeforeAnAnswer() throws Exception {
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
