Judge each head by the limits in force when it begins

Callers whose connection was opened before max_header_bytes was raised got 431 for a head that the configuration in force allows, for as long as the connection stayed open; after it was lowered, longer heads went on being accepted there.

Cause: the limits of the decoder are final and were read when the connection was opened.

Change: between two requests a decoder whose limit is no longer in force puts one with the new limit in its place, which gets the bytes that are left. The first line of a head is consumed only as a whole, so a head that has arrived up to there starts over; one whose first line is complete keeps its limit, and so does nothing at all after a malformed head. At most one head's bytes are held, as before. The codec of Netty ties decoder and encoder together by the methods of the requests; they are two handlers now and share a queue of methods, so that responses to HEAD and CONNECT that were asked for before the change keep their form.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -7,12 +7,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Queue;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,7 +22,6 @@
 /** Accepts connections of callers and limits what they may send. */
 public final class CallerListener {
     private static final int BACKLOG = 1_024;
-    private static final int MAX_CHUNK_BYTES = 65_536;
 
     private final EventLoopGroup mLoops;
     private final Supplier<CallerLimits> mLimits;
@@ -79,13 +79,10 @@
     }
 
     private void initPipeline(SocketChannel channel) {
-        HttpDecoderConfig decoding =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits().headerBytes())
-                        .setMaxHeaderSize(limits().headerBytes())
-                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        Queue<HttpMethod> methods = new ArrayDeque<>();
         channel.pipeline()
-                .addLast(new HttpServerCodec(decoding))
+                .addLast(new CallerRequestDecoder(mLimits, methods))
+                .addLast(new CallerResponseEncoder(methods))
                 .addLast(new CallerConnection(this));
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -0,0 +1,84 @@
+package org.wasabilug.gateway.internal.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+import java.util.Queue;
+import java.util.function.Supplier;
+import org.wasabilug.serving.CallerLimits;
+
+/**
+ * Decodes the requests of one connection. The limits that are active when the first line of a head
+ * is complete apply to that head.
+ */
+final class CallerRequestDecoder extends HttpRequestDecoder {
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final Supplier<CallerLimits> mLimits;
+    private final Queue<HttpMethod> mMethods;
+    private final int mHeaderBytes;
+    private boolean mInsideRequest;
+
+    /**
+     * Creates a decoder.
+     *
+     * @param limits active limits
+     * @param methods receives the method of each request, for the encoder of the responses
+     */
+    CallerRequestDecoder(Supplier<CallerLimits> limits, Queue<HttpMethod> methods) {
+        this(limits, methods, limits.get().headerBytes());
+    }
+
+    private CallerRequestDecoder(
+            Supplier<CallerLimits> limits, Queue<HttpMethod> methods, int headerBytes) {
+        super(
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(headerBytes)
+                        .setMaxHeaderSize(headerBytes)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES));
+        mLimits = limits;
+        mMethods = methods;
+        mHeaderBytes = headerBytes;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        if (!mInsideRequest && mLimits.get().headerBytes() != mHeaderBytes) {
+            // The bytes that are not decoded yet go to the replacement.
+            context.pipeline().replace(this, null, new CallerRequestDecoder(mLimits, mMethods));
+            return;
+        }
+        int before = out.size();
+        super.decode(context, in, out);
+        out.subList(before, out.size()).forEach(this::decoded);
+    }
+
+    private void decoded(Object message) {
+        if (message instanceof HttpRequest request) {
+            mMethods.add(request.method());
+        }
+        if (message instanceof LastHttpContent last && last.decoderResult().isSuccess()) {
+            mInsideRequest = false;
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        mInsideRequest = true;
+        return super.createMessage(initialLine);
+    }
+
+    /** Called for a request that can't be decoded; nothing after it is a request. */
+    @Override
+    protected HttpMessage createInvalidMessage() {
+        mInsideRequest = true;
+        return super.createInvalidMessage();
+    }
+}
