Notice an instance that vanished on relayed connections within seconds

If the instance that asked for a relayed connection vanishes without a word while the request waits at the endpoint, the relay keeps both connections, and the endpoint works on, until the kernel's keep-alive gives up: 7,200 s, then 9 probes of 75 s.

Cause: connections that this process opens to endpoints and relays had keep-alive after 1 s with 2 probes of 1 s; those that the relay accepts only had keep-alive switched on, with the kernel's times.

Change: one class holds the options, and both use it. No TCP_USER_TIMEOUT is set.

RelayedKeepAliveTest reads what the kernel has in force on every end of a relayed request in flight. It failed before on the accepted end (7200, 75, 9) and passes now (1, 1, 2). That a host really vanishes was not played: the test links can't drop packets. RelayedRequestTest (5), RelayEndTest (7), RelayListenerTest (10), RelayChoiceTest (12), RelayedAnswerTest (7), SocketOptionsTest and ResetIdleConnectionTest pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -20,7 +19,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
-import jdk.net.ExtendedSocketOptions;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
 import org.wasabilug.gateway.internal.relay.RelayConnector;
 import org.wasabilug.internal.serving.ConnectionResult;
@@ -36,8 +34,6 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEAD_BYTES = 65_536;
-    private static final int KEEP_ALIVE_SECONDS = 1;
-    private static final int KEEP_ALIVE_PROBES = 2;
 
     /**
      * A non-repeatable request is sent only on a new connection or one that was idle for less than
@@ -73,17 +69,8 @@
                         .group(loops)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
-                                KEEP_ALIVE_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
-                                KEEP_ALIVE_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
-                                KEEP_ALIVE_PROBES)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        KeepAlive.apply(mBootstrap::option);
         mRelays = new RelayedConnections(new RelayConnector(mBootstrap, localName));
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.KeepAlive;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointState;
@@ -47,13 +48,12 @@
      * @throws InterruptedException if interrupted while binding
      */
     public void listen(InetSocketAddress address) throws InterruptedException {
-        mServer =
+        ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(mLoops)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.SO_KEEPALIVE, true)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
@@ -64,10 +64,9 @@
                                         channel.pipeline()
                                                 .addLast(new RelayRequestReader(mRequests));
                                     }
-                                })
-                        .bind(address)
-                        .sync()
-                        .channel();
+                                });
+        KeepAlive.apply(bootstrap::childOption);
+        mServer = bootstrap.bind(address).sync().channel();
     }
 
     /** Stops listening; connections that are relayed stay open. */
