Let a part account for a companion's crashes though a report is late

Cause: a part isn't held responsible while another condemned part was in all of its crashes and in more. The instance whose request was interrupted judges 1 or 2 ms after the crash, before a peer can report the request with the bad part that was interrupted with it. That one crash made the bad part not account for the companion's other ones.

Now the other part has to leave three crashes of the companion, the fewest that condemn a part. What it leaves would condemn nothing by itself, so the rule needs no report in time, and a second bad part is still found by three crashes of its own.

Tests: all of core with Crash in their name, CrashingPromptPartTest and CrashesOfAnotherCauseTest.

--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreaks.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreaks.java
@@ -53,13 +53,21 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Returns whether another condemned feature was in all crashes of a streak and in more. */
-    boolean isAccountedFor(CrashStreak streak) {
+    /**
+     * Returns whether another condemned feature was in more crashes than a streak has, and left
+     * fewer of these unaccounted for than a number.
+     */
+    boolean isAccountedFor(CrashStreak streak, int minCrashes) {
         Set<EndpointCrash> crashes = streak.crashes();
         return mStreaks.values().stream()
                 .filter(CrashStreak::isCondemned)
                 .map(CrashStreak::crashes)
-                .anyMatch(other -> other.size() > crashes.size() && other.containsAll(crashes));
+                .filter(other -> other.size() > crashes.size())
+                .anyMatch(other -> countOthers(crashes, other) < minCrashes);
+    }
+
+    private static long countOthers(Set<EndpointCrash> crashes, Set<EndpointCrash> known) {
+        return crashes.stream().filter(crash -> !known.contains(crash)).count();
     }
 
     /** Returns whether a condemned feature that a request lacks was in the same crashes. */
--- a/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashSuspects.java
@@ -247,7 +247,8 @@
     private boolean isHeldAgainst(CrashFeature feature, CrashStreak streak, long workspace) {
         return streak.isCondemned()
                 && (feature.isContent()
-                        || streak.concerns(workspace) && !mStreaks.isAccountedFor(streak));
+                        || streak.concerns(workspace)
+                                && !mStreaks.isAccountedFor(streak, MIN_CRASHES));
     }
 
     private CrashVerdict tryAll(
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
@@ -186,6 +186,20 @@
         assertThat(judge(2_000, CALLER, 9, BAD)).isEqualTo(CrashVerdict.REFUSED);
     }
 
+    @Test
+    void aCompanionIsHeldResponsibleForThreeCrashesThatAnotherPartLeaves() {
+        condemn(CALLER, BAD, COMPANION);
+        for (int i = 0; i < 3; i++) {
+            record("other" + i, 1_500 + 100 * i, CALLER, 10 + i, BAD);
+            assertThat(judge(2_000, CALLER, 99, COMPANION)).isEqualTo(CrashVerdict.ALLOWED);
+        }
+        record("d", 2_000, CALLER, 20, COMPANION);
+        record("e", 2_100, CALLER, 21, COMPANION);
+        assertThat(judge(2_100, CALLER, 99, COMPANION)).isEqualTo(CrashVerdict.ALLOWED);
+        record("f", 2_200, CALLER, 22, COMPANION);
+        assertThat(judge(2_200, CALLER, 99, COMPANION)).isEqualTo(CrashVerdict.REFUSED);
+    }
+
     @Test
     void oneInstanceTriesALongRefusedPartWithOneRequest() {
         condemn(CALLER, BAD);
