Ask a third endpoint if two that run a request are cut off

What callers saw: a resumable stream that was under way when its instance was cut off from all endpoints got nothing more and was cut at its deadline (504), or ended with 502, though peers relayed others.

Cause: the second endpoint was asked before its group was known to be cut off, over an idle connection that hung as well. Two attempts that bring nothing then stood in the way of a third: another endpoint was asked only beside a single pending attempt, and both counted for the route's maximum of attempts. Requests answered as a whole did the same.

Non-repeatable requests are not sent again, as before. The limit of four sends and the retry budget hold.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -83,6 +83,16 @@
         return !mReachability.isUnreachable(group);
     }
 
+    /**
+     * Returns whether packets to a group of endpoints seem to be lost, so that nothing more is to
+     * be expected on direct connections either.
+     *
+     * @param group the group
+     */
+    public boolean isSilent(EndpointGroup group) {
+        return mReachability.isSilent(group);
+    }
+
     /** Returns whether this instance can open connections to no endpoint and is not alone. */
     public boolean isCutOff() {
         return mState.instances() > 1
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -34,6 +34,11 @@
         }
     }
 
+    /** Returns whether a connection that no other instance relays carries the call. */
+    public boolean direct() {
+        return mConnection != null && mConnection.relay().isEmpty();
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -11,6 +11,7 @@
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
+import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RejectionControl;
@@ -111,6 +112,17 @@
         return mEnded;
     }
 
+    /**
+     * Returns whether the endpoint is cut off from the connection that carries the request. The
+     * attempt then keeps no other one back and does not count as one.
+     */
+    boolean cutOff() {
+        return !mNotExecuted
+                && mCall != null
+                && mCall.direct()
+                && mState.reachability().isSilent(EndpointGroup.of(mEndpoint.registration()));
+    }
+
     void setReadable(boolean readable) {
         mCall.setReadable(readable);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -71,7 +71,7 @@
             return;
         }
         attempt.suspectIfSilent();
-        if (request().route().idempotent() && isOnlyPending(attempt)) {
+        if (request().route().idempotent() && isOnlyHope(attempt)) {
             hedge(attempt);
         }
         watch(attempt);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -127,6 +127,12 @@
         return mPending.size() == 1 && isPending(attempt);
     }
 
+    /** Returns whether nothing is to be expected of any other attempt than one. */
+    final boolean isOnlyHope(Attempt attempt) {
+        return isPending(attempt)
+                && mPending.stream().allMatch(each -> each == attempt || each.cutOff());
+    }
+
     /**
      * Waits for the response of an attempt, unless it failed while it was sent; returns whether it
      * does.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.request;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -23,6 +24,7 @@
     private final CrashGuard mGuard;
     private final AttemptOwner mOwner;
     private final Set<String> mExcluded = new HashSet<>();
+    private final List<Attempt> mAttempts = new ArrayList<>();
     private Optional<String> mSoftwareVersion = Optional.empty();
     private int mSends;
 
@@ -131,6 +133,7 @@
                                 .with("remaining", remaining));
         Attempt attempt =
                 new Attempt(mState, mRequest, mGuard, endpoint, chosen.costMillis(), mOwner);
+        mAttempts.add(attempt);
         attempt.send(headers);
         mRequest.service()
                 .engine()
@@ -163,11 +166,16 @@
 
     private boolean mayRetry() {
         return mSends < MAX_SENDS
-                && mPossibleRuns < Math.max(1, mRequest.route().maximumAttempts())
+                && mPossibleRuns - runsCutOff() < Math.max(1, mRequest.route().maximumAttempts())
                 && mState.nowMillis() < mRequest.deadline().millis()
                 && hasEndpoint();
     }
 
+    /** An endpoint that is cut off does not count for the maximum of attempts. */
+    private long runsCutOff() {
+        return mAttempts.stream().filter(Attempt::cutOff).count();
+    }
+
     private boolean tryAcquireBudget() {
         return mState.retryBudget()
                 .tryAcquire(mRequest.service().name(), mState.instances(), mState.nowMillis());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -178,7 +178,7 @@
     }
 
     private boolean mayHedge(Attempt attempt) {
-        return request().route().idempotent() && isOnlyPending(attempt) && !mStages.inProgress();
+        return request().route().idempotent() && isOnlyHope(attempt) && !mStages.inProgress();
     }
 
     /**
