Ask the next relay as well while one is late

Callers of an instance that is cut off waited up to 1 s for each relay that accepts connections and does not reply (a process that hangs), up to 3 s for three, and those sent meanwhile began with the same relay again.

Cause: relays were asked one after the other, each for the whole time that a reply may take, and a relay was left out only after that time.

Change: after a quarter of the time (0.25 s) the next relay is asked as well, three in all as before. The call gets the connection that opens first. One that opens later is closed unused, and a later refusal or silence no longer fails the call, so a request is written on one connection only. The slow relay keeps its whole second and is left out for 1 s if it stays silent; from the moment it is late it is asked last for 1 s or until it replies. It is not left out at once, as a hanging endpoint makes every relay reply after 0.4 s, and the group would seem to be reached by nobody. What it costs: relays that are slow under load are asked up to three times as often, by a handshake and an unused connection each.

ReachabilityMonitorTest has the order of relays.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,6 +41,7 @@
     private final Map<EndpointGroup, Long> mNextProbeMillis = new HashMap<>();
     private final Map<EndpointGroup, Long> mConnectedMillis = new HashMap<>();
     private final Map<String, Long> mRelayPausedUntilMillis = new HashMap<>();
+    private final Map<String, Long> mRelayLateUntilMillis = new HashMap<>();
     private final UniformRandomProvider mRandom = RandomSource.XO_SHI_RO_256_PP.create();
     private final GatewayState mState;
     private final EndpointDirectory mDirectory;
@@ -143,7 +145,11 @@
     }
 
     private List<Relay> relays(EndpointGroup group, int maximum) {
-        return ConnectionRelays.choose(group, candidates(), maximum, mRandom).stream()
+        long now = mState.nowMillis();
+        mRelayLateUntilMillis.values().removeIf(until -> until <= now);
+        return ConnectionRelays.choose(group, candidates(), Integer.MAX_VALUE, mRandom).stream()
+                .sorted(Comparator.comparing(mRelayLateUntilMillis::containsKey))
+                .limit(maximum)
                 .map(name -> new Relay(name, mPeers.address(name)))
                 .toList();
     }
@@ -204,11 +210,18 @@
         }
     }
 
+    @Override
+    public void relayLate(Relay relay) {
+        mRelayLateUntilMillis.put(relay.instance(), mState.nowMillis() + RELAY_PAUSE_MILLIS);
+    }
+
     @Override
     public void relayed(
             Relay relay, EndpointRegistration endpoint, String request, RelayReply.Status result) {
         if (result == RelayReply.Status.UNKNOWN) {
             mRelayPausedUntilMillis.put(relay.instance(), mState.nowMillis() + RELAY_PAUSE_MILLIS);
+        } else {
+            mRelayLateUntilMillis.remove(relay.instance());
         }
         mState.log()
                 .request(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionRouter.java
@@ -49,6 +49,13 @@
      */
     void attempted(EndpointRegistration endpoint, ConnectionResult result);
 
+    /**
+     * Called when another instance has not replied yet after a part of the time that it has.
+     *
+     * @param relay the other instance
+     */
+    void relayLate(Relay relay);
+
     /**
      * Called when another instance relays a connection, or fails to.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/RelayedConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/RelayedConnections.java
@@ -11,7 +11,7 @@
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
-/** Opens connections through one relay after another until one can tell how it ended. */
+/** Opens connections to endpoints through relays. */
 final class RelayedConnections {
     private static final String NO_REQUEST = "";
 
@@ -32,36 +32,7 @@
             EndpointCall call,
             Iterator<Relay> relays,
             BiConsumer<Relay, Channel> receiver) {
-        if (call.ended()) {
-            return;
-        }
-        if (!relays.hasNext()) {
-            call.fail(CallFailure.NOT_RELAYED);
-            return;
-        }
-        Relay relay = relays.next();
-        String request = call.request().id();
-        mConnector.open(
-                relay,
-                endpoint,
-                request,
-                new RelayConnector.Receiver() {
-                    @Override
-                    public void opened(Channel channel) {
-                        mRouter.relayed(relay, endpoint, request, RelayReply.Status.OPENED);
-                        receiver.accept(relay, channel);
-                    }
-
-                    @Override
-                    public void failed(RelayReply.Status status) {
-                        mRouter.relayed(relay, endpoint, request, status);
-                        switch (status) {
-                            case REFUSED -> call.fail(CallFailure.NOT_CONNECTED);
-                            case SILENT -> call.fail(CallFailure.SILENT);
-                            default -> open(endpoint, call, relays, receiver);
-                        }
-                    }
-                });
+        new RelayedOpening(mConnector, mRouter, endpoint, call, relays, receiver).askNext();
     }
 
     /** Asks whether an endpoint accepts connections; empty if no witness can tell. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayConnector.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayConnector.java
@@ -18,6 +18,8 @@
     /** Longer than a relay waits for the endpoint and then for others in its domain. */
     private static final long REPLY_TIMEOUT_MILLIS = 1_000;
 
+    private static final long LATE_MILLIS = REPLY_TIMEOUT_MILLIS / 4;
+
     private final Bootstrap mBootstrap;
     private final String mLocalName;
 
@@ -34,6 +36,9 @@
 
     /** Receives the result of one attempt. */
     public interface Receiver {
+        /** Called if the relay is late; the result still follows. */
+        default void late() {}
+
         /**
          * Called when the connection reaches the endpoint.
          *
@@ -75,6 +80,11 @@
                                 RelayFraming.install(
                                         channel.pipeline(), RelayReply.getDefaultInstance());
                                 channel.pipeline().addLast(handshake);
+                                channel.eventLoop()
+                                        .schedule(
+                                                handshake::late,
+                                                LATE_MILLIS,
+                                                TimeUnit.MILLISECONDS);
                             }
                         })
                 .connect(relay.address())
@@ -118,6 +128,12 @@
             }
         }
 
+        private void late() {
+            if (!mDone) {
+                mReceiver.late();
+            }
+        }
+
         private void expire(Channel channel) {
             if (!mDone) {
                 fail(RelayReply.Status.UNKNOWN);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -7,7 +7,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -22,11 +24,16 @@
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.internal.serving.RetryLimits;
+import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 
 class ReachabilityMonitorTest {
     private static final InetSocketAddress UNUSED = new InetSocketAddress("127.0.0.1", 1);
     private static final EndpointGroup GROUP = new EndpointGroup("ledger", "brest");
+
+    /** Enough for each order of two relays to come up. */
+    private static final int TIMES = 50;
+
     private static final Relay PEER = new Relay("peer", UNUSED);
 
     private final EventLoopGroup mLoops =
@@ -82,6 +89,35 @@
         assertThat(call(mState.reachability()::isCutOff)).isFalse();
     }
 
+    @Test
+    void aRelayThatIsLateIsAskedLastUntilItReplies() throws Exception {
+        EndpointRegistration endpoint = register("ledger");
+        mState.reachability().peers(peers("late", "prompt"));
+        Relay late = new Relay("late", UNUSED);
+
+        run(() -> mState.reachability().relayLate(late));
+        for (int time = 0; time < TIMES; time++) {
+            assertThat(firstRelay()).isEqualTo("prompt");
+        }
+        run(
+                () ->
+                        mState.reachability()
+                                .relayed(late, endpoint, "id", RelayReply.Status.NO_CAPACITY));
+        Set<String> first = new HashSet<>();
+        for (int time = 0; time < TIMES; time++) {
+            first.add(firstRelay());
+        }
+        assertThat(first).containsExactlyInAnyOrder("late", "prompt");
+    }
+
+    private String firstRelay() throws Exception {
+        return call(() -> mState.reachability().witnesses(GROUP).getFirst().instance());
+    }
+
+    private void run(Runnable action) throws Exception {
+        mLoops.submit(action).get();
+    }
+
     private void refuse(String service) throws Exception {
         EndpointRegistration endpoint = register(service);
         call(
@@ -104,10 +140,21 @@
     }
 
     private static RelayPeers peer(Set<EndpointGroup> unreachable) {
+        return peers(List.of(new RelayCandidate("peer", "brest", unreachable)));
+    }
+
+    private static RelayPeers peers(String... names) {
+        return peers(
+                Arrays.stream(names)
+                        .map(name -> new RelayCandidate(name, "brest", Set.of()))
+                        .toList());
+    }
+
+    private static RelayPeers peers(List<RelayCandidate> candidates) {
         return new RelayPeers() {
             @Override
             public Collection<RelayCandidate> candidates() {
-                return List.of(new RelayCandidate("peer", "brest", unreachable));
+                return candidates;
             }
 
             @Override
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/AskingInstance.java
@@ -123,6 +123,11 @@
         mAttempts.add(result);
     }
 
+    @Override
+    public void relayLate(Relay relay) {
+        mRelayed.add(relay.instance() + " late");
+    }
+
     @Override
     public void relayed(
             Relay relay, EndpointRegistration endpoint, String request, RelayReply.Status result) {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
@@ -15,11 +15,17 @@
 
 /** Which relay gets a request if some can't pass it on, and what is told if none can. */
 class RelayChoiceTest {
-    /** How long a relay may take to reply, and some time for the machine. */
-    private static final Duration MAX_REPLY_TIME = Duration.ofMillis(1_200);
-
     private static final Duration AT_ONCE = Duration.ofMillis(500);
 
+    /** How long a relay may take to reply. */
+    private static final Duration REPLY_TIME = Duration.ofMillis(1_000);
+
+    /** After this time without a reply the next relay is asked as well. */
+    private static final Duration LATE = REPLY_TIME.dividedBy(4);
+
+    /** What the machine may add. */
+    private static final Duration MARGIN = Duration.ofMillis(200);
+
     private RelayInstance mFirst;
     private RelayInstance mSecond;
     private AskingInstance mAsking;
@@ -73,15 +79,66 @@
     }
 
     @Test
-    void aRelayThatNeverRepliesCostsNoMoreThanItsTimeout() throws Exception {
-        try (ServerSocket hanging = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
-            mAsking.relayThrough(relay("hanging", hanging), mSecond.relay());
+    void relaysThatNeverReplyDelayARequestOnlyUntilTheyAreLate() throws Exception {
+        try (ServerSocket hanging = listen()) {
+            mAsking.relayThrough(relay("one", hanging), relay("two", hanging), mSecond.relay());
             long started = System.nanoTime();
             RecordedAnswer answer = mAsking.send(mEndpoint.registration());
 
             assertAnswered(answer);
-            assertThat(since(started)).isLessThan(MAX_REPLY_TIME);
-            assertThat(mAsking.relayed()).containsExactly("hanging UNKNOWN", "second OPENED");
+            assertThat(since(started)).isLessThan(LATE.multipliedBy(2).plus(MARGIN));
+            assertThat(mAsking.relayed()).containsExactly("one late", "two late", "second OPENED");
+        }
+    }
+
+    @Test
+    void aRequestIsReportedAsNotSentOnceNoneOfItsRelaysHasRepliedInTime() throws Exception {
+        try (ServerSocket hanging = listen()) {
+            mAsking.relayThrough(
+                    relay("one", hanging), relay("two", hanging), relay("three", hanging));
+            long started = System.nanoTime();
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+
+            assertThat(answer.end()).isEqualTo("NOT_RELAYED");
+            assertThat(since(started))
+                    .isLessThan(REPLY_TIME.plus(LATE.multipliedBy(2)).plus(MARGIN));
+            assertThat(mAsking.relayed())
+                    .endsWith("one UNKNOWN", "two UNKNOWN", "three UNKNOWN")
+                    .hasSize(6);
+        }
+    }
+
+    @Test
+    void aRequestIsSentOnOneConnectionAlthoughALateRelayOpensAnotherForIt() throws Exception {
+        try (ServerSocket slow = listen()) {
+            mAsking.relayThrough(relay("slow", slow), mSecond.relay());
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            try (Socket endpoint = mEndpoint.acceptRequest();
+                    Socket late = slow.accept()) {
+                RelayMessages.open(late);
+                assertThat(late.getInputStream().read()).isNegative();
+                SocketEndpoint.respond(endpoint, "id", "whole");
+                assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
+            }
+            assertThat(mAsking.relayed()).containsExactly("slow late", "second OPENED");
+        }
+    }
+
+    @Test
+    void aRequestOnItsWayDoesNotFailAlthoughALateRelaySaysThatTheEndpointRefuses()
+            throws Exception {
+        try (ServerSocket slow = listen()) {
+            mAsking.relayThrough(relay("slow", slow), mSecond.relay());
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            try (Socket endpoint = mEndpoint.acceptRequest();
+                    Socket late = slow.accept()) {
+                RelayMessages.refuse(late);
+                assertThat(late.getInputStream().read()).isNegative();
+                SocketEndpoint.respond(endpoint, "id", "whole");
+                assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
+            }
+            assertThat(mAsking.relayed())
+                    .containsExactly("slow late", "second OPENED", "slow REFUSED");
         }
     }
 
@@ -211,6 +268,10 @@
         return new Relay(name, (InetSocketAddress) socket.getLocalSocketAddress());
     }
 
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"));
+    }
+
     private static Relay unused(String name) throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.5"))) {
             return relay(name, socket);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayMessages.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayMessages.java
@@ -20,6 +20,15 @@
         return request;
     }
 
+    /** Reads the request for a connection and replies that the endpoint refuses it. */
+    static void refuse(Socket socket) throws IOException {
+        RelayRequest.parseDelimitedFrom(socket.getInputStream());
+        RelayReply.newBuilder()
+                .setStatus(RelayReply.Status.REFUSED)
+                .build()
+                .writeDelimitedTo(socket.getOutputStream());
+    }
+
     /** Like {@link #open}, but each byte of the reply is sent on its own. */
     static void openInFragments(Socket socket) throws IOException {
         RelayRequest.parseDelimitedFrom(socket.getInputStream());
