Wait before a busy endpoint of a stage is called again

Callers got "503 stage failed: ERROR" or "NO_ROOM" within a fraction of a second when an endpoint of a stage had no room, also if another endpoint was idle: the piece was ordered again at once, at the same endpoint, until the retry budget of the service was used up for all requests.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -41,6 +41,7 @@
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<String, QueueWaits> mWaits = new HashMap<>();
     private final RunningCalls mRunning = new RunningCalls();
+    private final EndpointBackoff mBackoff = new EndpointBackoff();
     private final Map<String, ServiceSpecification> mServices = new HashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
@@ -181,10 +182,10 @@
         return mServices.get(service);
     }
 
-    /** Returns the endpoints to which sends are not stopped because of recent rejections. */
+    /** Returns the endpoints to which sends are not stopped because of recent refusals. */
     private List<EndpointState> usableNow(String service, long now) {
         FleetView senders = new FleetView(mState.settings().name(), SENDERS_PER_SERVICE, 1, 0);
-        List<EndpointState> usable = mState.usable(service);
+        List<EndpointState> usable = mBackoff.callable(mState.usable(service), now);
         return mState.rejectionMonitor()
                 .services()
                 .rejectionsPerSecond(service, now)
@@ -253,6 +254,7 @@
         String endpoint = call.endpoint().registration().name();
         StageQueue queue = queue(service);
         queue.callEnded(endpoint);
+        recordBackoff(endpoint, result);
         reserveUnseenResults(service, call, result);
         for (int index = 0; index < call.pieces().size(); index++) {
             PieceWork work = call.pieces().get(index);
@@ -264,6 +266,14 @@
         dispatch(service);
     }
 
+    private void recordBackoff(String endpoint, StageCallResult result) {
+        if (result.refused()) {
+            mBackoff.refused(endpoint, mState.nowMillis());
+        } else if (!result.outcomes().isEmpty()) {
+            mBackoff.accepted(endpoint);
+        }
+    }
+
     /** Reserves capacity for results that the endpoint may hold although no response arrived. */
     private void reserveUnseenResults(String service, StageCall call, StageCallResult result) {
         String endpoint = call.endpoint().registration().name();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallResult.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallResult.java
@@ -15,6 +15,11 @@
         return new StageCallResult(List.of(), executed);
     }
 
+    /** Returns whether the endpoint refused the call, or had no room for one of its pieces. */
+    boolean refused() {
+        return !executed || outcomes.contains(new PieceOutcome.Failed(PieceFailure.NO_ROOM));
+    }
+
     PieceOutcome outcome(int index) {
         return outcomes.isEmpty()
                 ? new PieceOutcome.Failed(PieceFailure.ERROR)
