Give a request the time of each timeout that was in force while it was served

A begun stream was cut at its first timeout if a new configuration had raised the timeout and another one had lowered it again before the request looked at it. A request compared the configuration in force with the one that it had seen last, and missed those in between, though the longest timeout that was in force since its arrival is to count.

Configurations in force now form a sequence, and a request goes through all that followed the one at its arrival.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -45,7 +45,7 @@
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
     private Optional<ShutdownSchedule> mStop = Optional.empty();
-    private RouteTable mRoutes;
+    private ConfigurationInForce mConfiguration = ConfigurationInForce.none();
     private final List<PromptRead> mUnsentPrompts = new ArrayList<>();
 
     /**
@@ -210,7 +210,12 @@
 
     /** Returns the index of the active configuration; empty before the first is loaded. */
     public Optional<RouteTable> routes() {
-        return Optional.ofNullable(mRoutes);
+        return mConfiguration.routes();
+    }
+
+    /** Returns the active configuration, from which later ones can be found. */
+    public ConfigurationInForce configurationInForce() {
+        return mConfiguration;
     }
 
     /**
@@ -219,7 +224,7 @@
      * @param routes its index
      */
     public void routes(RouteTable routes) {
-        mRoutes = routes;
+        mConfiguration = mConfiguration.followedBy(routes);
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestDeadline.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestDeadline.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.request;
 
 import java.util.Optional;
+import org.wasabilug.gateway.internal.ConfigurationInForce;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.caller.CallerExchange;
 import org.wasabilug.internal.serving.RouteTable;
@@ -17,7 +18,7 @@
     private final GatewayState mState;
     private final CallerExchange mExchange;
     private final Optional<Long> mCallerMillis;
-    private Optional<RouteTable> mRoutes;
+    private ConfigurationInForce mLastSeen;
     private long mTimeoutMillis;
 
     /**
@@ -31,7 +32,7 @@
         mState = state;
         mExchange = exchange;
         mCallerMillis = callerMillis;
-        mRoutes = state.routes();
+        mLastSeen = state.configurationInForce();
         mTimeoutMillis = route.timeoutMillis();
     }
 
@@ -66,10 +67,10 @@
 
     /** Returns the longest timeout of the route that was in force since the request arrived. */
     private long longestTimeoutMillis() {
-        Optional<RouteTable> routes = mState.routes();
-        if (!routes.equals(mRoutes)) {
-            mRoutes = routes;
-            long inForceMillis = routes.flatMap(this::route).map(Route::timeoutMillis).orElse(0L);
+        while (mLastSeen.next().isPresent()) {
+            mLastSeen = mLastSeen.next().get();
+            long inForceMillis =
+                    mLastSeen.routes().flatMap(this::route).map(Route::timeoutMillis).orElse(0L);
             mTimeoutMillis = Math.max(mTimeoutMillis, inForceMillis);
         }
         return mTimeoutMillis;
