--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/EndpointBackoff.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/EndpointBackoff.java
@@ -10,12 +10,16 @@
     private static final long MIN_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 200;
 
+    /** Much longer than a call takes, so that a refusal after the wait still doubles it. */
+    private static final long FORGET_MILLIS = 10_000;
+
     private final Map<String, Backoff> mBackoffs = new HashMap<>();
 
     private record Backoff(long millis, long untilMillis) {}
 
     /** Records that an endpoint refused a call; those that were sent together count once. */
     void refused(String endpoint, long nowMillis) {
+        mBackoffs.values().removeIf(each -> nowMillis - each.untilMillis() > FORGET_MILLIS);
         Backoff last = mBackoffs.getOrDefault(endpoint, new Backoff(0, nowMillis));
         if (nowMillis >= last.untilMillis()) {
             long millis = Math.clamp(2 * last.millis(), MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
