Keep calls of an earlier run of a stage apart from those of the next

When a result was lost and the stages of a request ran again, a call of the first run that still went on counted as one of the second run, as both had the same piece identifiers. A piece of the second run whose call broke was not ordered again; 0.44 s later the piece of the first run was, with inputs that no longer existed, again and again at the expense of the retry budget of the service. Callers got "503 stage failed: INPUT_GONE", or no answer before their deadline.

An order now counts as the same only with the same inputs. What else still comes of an earlier run is released. Pieces without inputs keep the results of earlier runs, as nothing in them can differ.

RestartedStageTest failed before: the piece was repeated as overdue more than ten times, and the stream did not arrive.

--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -36,6 +36,16 @@
         inputs = List.copyOf(inputs);
     }
 
+    /**
+     * Returns whether the result of another order is as good: it is the same piece, with the same
+     * inputs.
+     *
+     * @param other the other order
+     */
+    public boolean hasResultOf(PieceWork other) {
+        return id.equals(other.id) && inputs.equals(other.inputs);
+    }
+
     /** Returns a copy that is marked as run before. */
     public PieceWork repeated() {
         return new PieceWork(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -62,7 +62,7 @@
     }
 
     /** Receiver of the outcome of a piece. */
-    private record Receiver(String service, Consumer<PieceOutcome> outcomes) {}
+    private record Receiver(PieceWork work, Consumer<PieceOutcome> outcomes) {}
 
     /**
      * Creates an executor without work.
@@ -77,7 +77,7 @@
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
-        mReceivers.put(work.id(), new Receiver(work.service(), receiver));
+        mReceivers.put(work.id(), new Receiver(work, receiver));
         long now = mState.nowMillis();
         queue(work.service()).add(work, now);
         waits(work.service()).recordArrival(work.rank(), now);
@@ -106,7 +106,7 @@
                 .removeIf(
                         entry ->
                                 entry.getKey().request().equals(request)
-                                        && services.contains(entry.getValue().service()));
+                                        && services.contains(entry.getValue().work().service()));
         services.forEach(service -> queue(service).cancel(request));
     }
 
@@ -241,7 +241,7 @@
         }
         String endpoint = call.endpoint().registration().name();
         for (PieceWork work : call.pieces()) {
-            if (!mRunning.hasTimelyCallWith(work.id()) && mayRepeat(work)) {
+            if (!mRunning.hasTimelyCallWith(work) && mayRepeat(work)) {
                 repeat(endpoint, work, "OVERDUE", true);
             }
         }
@@ -307,7 +307,7 @@
             String endpoint, PieceWork work, PieceOutcome.Failed failed, boolean executed) {
         boolean retryable =
                 failed.reason() == PieceFailure.ERROR || failed.reason() == PieceFailure.NO_ROOM;
-        if (retryable && mRunning.countWith(work.id()) == 0 && mayRepeat(work)) {
+        if (retryable && mRunning.countWith(work) == 0 && mayRepeat(work)) {
             repeat(endpoint, work, failed.reason().name(), executed);
         } else {
             failUnlessRunning(work, failed.reason());
@@ -316,7 +316,7 @@
 
     private boolean mayRepeat(PieceWork work) {
         long now = mState.nowMillis();
-        return mReceivers.containsKey(work.id())
+        return isOpen(work)
                 && !queue(work.service()).contains(work.id())
                 && work.deadlineMillis() > now
                 && mState.retryBudget().tryAcquire(work.service(), SENDERS_PER_SERVICE, now);
@@ -338,7 +338,7 @@
     /** Fails a piece, unless another call may still bring its result. */
     private void failUnlessRunning(PieceWork work, PieceFailure reason) {
         boolean waiting = queue(work.service()).contains(work.id());
-        if (!waiting && mRunning.countWith(work.id()) == 0) {
+        if (!waiting && mRunning.countWith(work) == 0) {
             fail(work, reason);
         }
     }
@@ -347,11 +347,16 @@
         deliver(work, new PieceOutcome.Failed(reason));
     }
 
+    /** Returns whether a result is waited for; not if its stage runs again with other inputs. */
+    private boolean isOpen(PieceWork work) {
+        Receiver receiver = mReceivers.get(work.id());
+        return receiver != null && receiver.work().hasResultOf(work);
+    }
+
     private void deliver(PieceWork work, PieceOutcome outcome) {
-        Receiver receiver = mReceivers.remove(work.id());
-        queue(work.service()).cancel(work.id());
-        if (receiver != null) {
-            receiver.outcomes().accept(outcome);
+        if (isOpen(work)) {
+            queue(work.service()).cancel(work.id());
+            mReceivers.remove(work.id()).outcomes().accept(outcome);
         } else if (outcome instanceof PieceOutcome.Produced produced) {
             release(List.of(produced.handle()));
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/RunningCalls.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
-import org.wasabilug.internal.serving.PieceId;
+import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.serving.EndpointRegistration;
 
@@ -33,19 +33,19 @@
     }
 
     /** Returns how many calls may bring the result of a piece. */
-    long countWith(PieceId piece) {
+    long countWith(PieceWork piece) {
         return mAttempts.keySet().stream()
                 .flatMap(call -> call.pieces().stream())
-                .filter(work -> work.id().equals(piece))
+                .filter(piece::hasResultOf)
                 .count();
     }
 
     /** Returns whether a call that is not overdue may bring the result of a piece. */
-    boolean hasTimelyCallWith(PieceId piece) {
+    boolean hasTimelyCallWith(PieceWork piece) {
         return mAttempts.values().stream()
                 .filter(attempt -> !attempt.overdue())
                 .flatMap(attempt -> attempt.call().pieces().stream())
-                .anyMatch(work -> work.id().equals(piece));
+                .anyMatch(piece::hasResultOf);
     }
 
     /** Returns the overdue calls to endpoints of a service. */
