Do not take the silence of a single endpoint for a cut

What callers would see: a group of one endpoint counts as silent after one connection attempt without a reply.

Cause: the evidence for a group that is cut off comes from several endpoints, of which such a group has one.

Routing through peers is unchanged. The test failed before: isSilent was true for a group of one.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ReachabilityMonitor.java
@@ -87,12 +87,13 @@
 
     /**
      * Returns whether packets to a group of endpoints seem to be lost, so that nothing more is to
-     * be expected on direct connections either.
+     * be expected on direct connections either. A group of one endpoint, which may be silent for a
+     * while, does not tell.
      *
      * @param group the group
      */
     public boolean isSilent(EndpointGroup group) {
-        return mReachability.isSilent(group);
+        return mReachability.isSilent(group) && mDirectory.inGroup(group).size() > 1;
     }
 
     /** Returns whether this instance can open connections to no endpoint and is not alone. */
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -118,6 +118,24 @@
         mLoops.submit(action).get();
     }
 
+    @Test
+    void aGroupIsSilentOnlyIfSeveralOfItsEndpointsAre() throws Exception {
+        List<EndpointRegistration> endpoints =
+                List.of(register("ledger"), register("ledger", 1), register("encoder"));
+        call(
+                () -> {
+                    for (EndpointRegistration endpoint : endpoints) {
+                        mState.reachability().attempted(endpoint, ConnectionResult.SILENT);
+                    }
+                    assertThat(mState.reachability().isSilent(GROUP)).isTrue();
+                    assertThat(
+                                    mState.reachability()
+                                            .isSilent(new EndpointGroup("encoder", "brest")))
+                            .isFalse();
+                    return null;
+                });
+    }
+
     private void refuse(String service) throws Exception {
         EndpointRegistration endpoint = register(service);
         call(
@@ -128,9 +146,14 @@
     }
 
     private EndpointRegistration register(String service) throws Exception {
+        return register(service, 0);
+    }
+
+    private EndpointRegistration register(String service, int number) throws Exception {
+        String name = service + "-" + number;
         EndpointRegistration endpoint =
                 new EndpointRegistration(
-                        service + "-0", service, "127.0.0.1", 1, "brest", 1, false, 0, 1, "v1", 1);
+                        name, service, "127.0.0.1", 1, "brest", 1, false, 0, 1, "v1", 1);
         call(() -> mState.directory().register(endpoint, GatewayState.clockMillis()));
         return endpoint;
     }
