--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -11,7 +11,6 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
-import org.wasabilug.internal.serving.FleetView;
 import org.wasabilug.internal.serving.PieceFailure;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
@@ -41,7 +40,7 @@
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<String, QueueWaits> mWaits = new HashMap<>();
     private final RunningCalls mRunning = new RunningCalls();
-    private final EndpointBackoff mBackoff = new EndpointBackoff();
+    private final StageEndpoints mEndpoints;
     private final Map<String, ServiceSpecification> mServices = new HashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
@@ -72,6 +71,7 @@
     public LocalStageExecutor(GatewayState state) {
         mState = state;
         mResults = new ResultRegistry(state, this::released);
+        mEndpoints = new StageEndpoints(state, SENDERS_PER_SERVICE);
         state.reachability().onSilent(this::abandonCalls);
     }
 
@@ -161,7 +161,7 @@
             queue.removeAll().forEach(work -> failUnlessRunning(work, PieceFailure.NO_ENDPOINT));
             return;
         }
-        List<EndpointState> usable = mRunning.withoutOverdueCall(usableNow(service, now));
+        List<EndpointState> usable = mRunning.withoutOverdueCall(mEndpoints.callable(service, now));
         for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
             send(specification, call);
         }
@@ -182,24 +182,6 @@
         return mServices.get(service);
     }
 
-    /** Returns the endpoints to which sends are not stopped because of recent refusals. */
-    private List<EndpointState> usableNow(String service, long now) {
-        FleetView senders = new FleetView(mState.settings().name(), SENDERS_PER_SERVICE, 1, 0);
-        List<EndpointState> usable = mBackoff.callable(mState.usable(service), now);
-        return mState.rejectionMonitor()
-                .services()
-                .rejectionsPerSecond(service, now)
-                .map(
-                        limit ->
-                                usable.stream()
-                                        .filter(
-                                                each ->
-                                                        !each.rejectionControl()
-                                                                .isStopped(limit, senders, now))
-                                        .toList())
-                .orElse(usable);
-    }
-
     /** Schedules a dispatch of a queue, unless one is already due by then. */
     private void scheduleDispatch(String service, long delayMillis) {
         long due = mState.nowMillis() + delayMillis;
@@ -254,7 +236,7 @@
         String endpoint = call.endpoint().registration().name();
         StageQueue queue = queue(service);
         queue.callEnded(endpoint);
-        recordBackoff(endpoint, result);
+        mEndpoints.callEnded(endpoint, result);
         reserveUnseenResults(service, call, result);
         for (int index = 0; index < call.pieces().size(); index++) {
             PieceWork work = call.pieces().get(index);
@@ -266,14 +248,6 @@
         dispatch(service);
     }
 
-    private void recordBackoff(String endpoint, StageCallResult result) {
-        if (result.refused()) {
-            mBackoff.refused(endpoint, mState.nowMillis());
-        } else if (!result.outcomes().isEmpty()) {
-            mBackoff.accepted(endpoint);
-        }
-    }
-
     /** Reserves capacity for results that the endpoint may hold although no response arrived. */
     private void reserveUnseenResults(String service, StageCall call, StageCallResult result) {
         String endpoint = call.endpoint().registration().name();
