Keep all crashes of a part when one interrupts many requests

Cause: a streak keeps 64 observations and dropped the eldest, whichever crash it told of. When most endpoints were down, the last crashes interrupted many requests with the part each and drove out the first crashes. All 40 endpoints had crashed within 1,058 ms, yet seven of eight instances had 28 or 29 crashes left that spanned less than the second that tells a cause from a fall of endpoints. They sent all waiting requests when the first endpoints were back.

A full streak now drops an observation of a crash that has another one, so the crashes and their span stay. Of 64 crashes with one observation each, the eldest still goes.

The new unit test failed before (ALLOWED).

--- a/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/CrashStreak.java
@@ -48,7 +48,7 @@
             mRestMillis = Math.min(MAX_REST_MILLIS, mRestMillis * REST_FACTOR);
         }
         if (mEvidence.size() >= MAX_EVIDENCE) {
-            removeEvidence(mEvidence.getFirst()::equals);
+            removeEvidence(leastNeeded()::equals);
         }
         mCrashes.add(crash);
         mEvidence.add(new Evidence(crash, observation.workspace(), observation.content()));
@@ -123,6 +123,18 @@
                 && nowMillis - mRecordedMillis > ARRIVAL_MILLIS;
     }
 
+    /** Returns the eldest evidence of a crash that has more, or else the eldest. */
+    private Evidence leastNeeded() {
+        Set<EndpointCrash> later = new HashSet<>();
+        Evidence leastNeeded = mEvidence.getFirst();
+        for (Evidence evidence : mEvidence.reversed()) {
+            if (!later.add(evidence.crash())) {
+                leastNeeded = evidence;
+            }
+        }
+        return leastNeeded;
+    }
+
     private void removeEvidence(Predicate<Evidence> condition) {
         mEvidence.removeIf(condition);
         mCrashes.clear();
--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsTest.java
@@ -129,6 +129,19 @@
         assertThat(judge(1_000, CALLER, 99, COMPANION)).isEqualTo(CrashVerdict.ALLOWED);
     }
 
+    @Test
+    void aCrashWithManyRequestsLeavesEarlierCrashesOfTheirPartCounted() {
+        mSuspects.recordAnswer(request(CALLER, 0, BAD), 0);
+        for (int i = 0; i < 4; i++) {
+            record("e" + i, 100 + 100 * i, CALLER, i, BAD);
+        }
+        for (int i = 0; i < 100; i++) {
+            record("e4", 900, CALLER, 100 + i, BAD);
+        }
+        record("e5", 1_200, CALLER, 5, BAD);
+        assertThat(judge(1_200, CALLER, 999, BAD)).isEqualTo(CrashVerdict.REFUSED);
+    }
+
     @Test
     void fiveCrashesAtOnceCondemnAPartThatWasNeverAnswered() {
         for (int i = 0; i < 4; i++) {
