--- a/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/CrashSuspectsFleetTest.java
@@ -49,7 +49,7 @@
                 .isLessThanOrEqualTo(MAX_LATE_SENDS);
     }
 
-    private static void assertAllSoundServed(CrashFleet fleet, long seed) {
+    static void assertAllSoundServed(CrashFleet fleet, long seed) {
         assertThat(fleet.soundRefusals()).as("refused with seed %d", seed).isEmpty();
         assertThat(fleet.soundUnserved()).as("unserved with seed %d", seed).isZero();
         assertThat(fleet.soundServed()).isPositive();
@@ -196,20 +196,27 @@
     void aPartThatWasAnsweredBeforeItTurnedBadStops(double rate) {
         forEachSeed(
                 seed -> {
-                    CrashFleet fleet = fleet(seed);
-                    addSound(fleet, 30);
-                    fleet.requests(
-                            0,
-                            END_MILLIS,
-                            rate,
-                            at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, BAD)));
-                    fleet.addBadPartAt(BAD_FROM_MILLIS, BAD);
-                    fleet.run(END_MILLIS);
+                    CrashFleet fleet = fleetWhosePartTurnsBad(seed, rate);
                     assertStopped(fleet, BAD, seed);
                     assertThat(fleet.soundRefusals()).isEmpty();
                 });
     }
 
+    @Test
+    void aPartThatWasAnsweredBeforeStopsAlsoIfEachCrashInterruptsManyRequests() {
+        long seed = 38;
+        assertStopped(fleetWhosePartTurnsBad(seed, 10), BAD, seed);
+    }
+
+    private static CrashFleet fleetWhosePartTurnsBad(long seed, double rate) {
+        CrashFleet fleet = fleet(seed);
+        addSound(fleet, 30);
+        fleet.requests(0, END_MILLIS, rate, at -> fleet.requestAt(at, CALLER, Set.of(SYSTEM, BAD)));
+        fleet.addBadPartAt(BAD_FROM_MILLIS, BAD);
+        fleet.run(END_MILLIS);
+        return fleet;
+    }
+
     @ParameterizedTest
     @ValueSource(doubles = {0.5, 2, 10})
     void aConstantCompanionOfABadPartIsServedAfterItsFirstAnswer(double rate) {
@@ -254,18 +261,20 @@
     @ValueSource(longs = {0, 500, 3_000, 10_000, 40_000})
     void noRequestIsRefusedWhenAllEndpointsFall(long spreadMillis) {
         forEachSeed(
-                seed -> {
-                    CrashFleet fleet = fleet(seed);
-                    addSound(fleet, 30);
-                    for (int domain = 0; domain < 4; domain++) {
-                        fleet.crashDomainAt(20_000, "d" + domain, spreadMillis);
-                    }
-                    fleet.run(END_MILLIS);
-                    assertAllSoundServed(fleet, seed);
-                });
+                seed -> assertAllSoundServed(fleetWhoseEndpointsFall(seed, spreadMillis), seed));
+    }
+
+    static CrashFleet fleetWhoseEndpointsFall(long seed, long spreadMillis) {
+        CrashFleet fleet = fleet(seed);
+        addSound(fleet, 30);
+        for (int domain = 0; domain < 4; domain++) {
+            fleet.crashDomainAt(20_000, "d" + domain, spreadMillis);
+        }
+        fleet.run(END_MILLIS);
+        return fleet;
     }
 
-    private static CrashFleet rareParts(long seed, int fallsPerSecond) {
+    static CrashFleet rareParts(long seed, int fallsPerSecond) {
         CrashFleet fleet = fleet(seed);
         Random random = new Random(seed);
         fleet.requests(
--- a/core/src/test/java/org/wasabilug/internal/serving/FormerlyAnsweredPartTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FormerlyAnsweredPartTest.java
@@ -17,7 +17,7 @@
     private static final long END_MILLIS = 60_000;
 
     @ParameterizedTest
-    @CsvSource({"116, 2", "38, 10"})
+    @CsvSource("116, 2")
     void aPartThatTurnsBadStopsAlsoIfItsFirstCrashesComeAtOnce(long seed, double rate) {
         CrashFleet fleet = new CrashFleet(seed, 8, 40, 4);
         fleet.requests(
