End the gateways of tests when their test ends

RequestPathTest.aFailureIsNotReportedAsNotRunAfterAnAttemptThatMayHaveRun failed once beside other runs: 503 in place of 502, as the broken answer that was meant for its first send had gone to somebody else. Trace: at that time a gateway that another process had stopped with TwoInstancesTest minutes before got answers at the port of its old store, 43475, which was now that of this test's store, and added its four endpoints. A stopped gateway keeps its event loop, as its process is about to end; in tests the process goes on, with one more such gateway for each test. What it sent there isn't logged, so that it took the answer is not shown.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -36,7 +36,7 @@
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** One gateway process; all its parts run on one event loop. */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
     private static final long HOUSEKEEPING_MILLIS = 250;
     private static final long LOOP_DELAY_TO_LOG_MILLIS = 100;
     private static final long CONFIGURATION_WAIT_MILLIS = 2_000;
@@ -46,6 +46,7 @@
     private static final long INSTANCE_WAIT_MILLIS = 15_000;
     private static final long INSTANCE_PAUSE_MILLIS = 200;
     private static final int MAX_TRACKED_PRODUCERS = 5_000;
+    private static final long CLOSE_MILLIS = 1_000;
 
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
@@ -206,6 +207,15 @@
         }
     }
 
+    /**
+     * Ends all connections and threads at once; to be called after {@link #stop()} if the process
+     * goes on.
+     */
+    @Override
+    public void close() {
+        mLoops.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
     private void startStop() {
         if (mState.stop().isEmpty()) {
             mState.startStop(new ShutdownSchedule(mState.nowMillis(), mSettings.stopMillis()));
