--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
@@ -108,4 +108,13 @@
                                 .with("table", mState.protocol().store().configurationTable())
                                 .with("reason", reason));
     }
+
+    @Override
+    public void rowsNotApplied(Throwable cause) {
+        mState.log()
+                .fault(
+                        LogLine.of("rows-not-applied")
+                                .with("table", mState.protocol().store().configurationTable()),
+                        cause);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -1,8 +1,12 @@
 package org.wasabilug.gateway.internal.fleet;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.store.TableEvents;
@@ -22,6 +26,10 @@
     private static final long REGISTRATION_GRACE_MILLIS = 2_000;
 
     private final GatewayState mState;
+
+    /** Versions of the rows that can't be read, by key. */
+    private final Map<String, Long> mUnreadable = new HashMap<>();
+
     private long mGraceUntilMillis = Long.MIN_VALUE;
     private boolean mStoreReachable;
     private boolean mEverReachable;
@@ -38,6 +46,9 @@
     @Override
     public void replaced(List<StoredRow> rows) {
         Set<String> missing = mState.directory().names();
+        mUnreadable
+                .keySet()
+                .retainAll(rows.stream().map(StoredRow::key).collect(Collectors.toSet()));
         for (StoredRow row : rows) {
             missing.remove(row.key());
             register(row);
@@ -79,11 +90,7 @@
         try {
             registration = mState.protocol().store().readRegistration(row);
         } catch (UnreadableException unreadable) {
-            mState.log()
-                    .process(
-                            LogLine.of("registration-unreadable")
-                                    .with("endpoint", row.key())
-                                    .with("reason", unreadable.getMessage()));
+            reportUnreadable(row, unreadable);
             mState.directory().remove(row.key());
             return;
         }
@@ -107,7 +114,19 @@
         }
     }
 
+    /** Logs an unreadable row once, not with each read of the table. */
+    private void reportUnreadable(StoredRow row, UnreadableException unreadable) {
+        if (!Objects.equals(mUnreadable.put(row.key(), row.version()), row.version())) {
+            mState.log()
+                    .process(
+                            LogLine.of("registration-unreadable")
+                                    .with("endpoint", row.key())
+                                    .with("reason", unreadable.getMessage()));
+        }
+    }
+
     private void removed(String name) {
+        mUnreadable.remove(name);
         long now = mState.nowMillis();
         boolean leaving =
                 mState.directory()
@@ -141,4 +160,13 @@
                                 .with("table", mState.protocol().store().endpointTable())
                                 .with("reason", reason));
     }
+
+    @Override
+    public void rowsNotApplied(Throwable cause) {
+        mState.log()
+                .fault(
+                        LogLine.of("rows-not-applied")
+                                .with("table", mState.protocol().store().endpointTable()),
+                        cause);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.fleet;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.wasabilug.gateway.internal.GatewayState;
@@ -54,8 +55,14 @@
     }
 
     private void apply(StoredRow row) {
-        if (!row.removed()) {
-            mNetwork.discovered(row.key(), host(row));
+        if (row.removed()) {
+            return;
+        }
+        String host = host(row);
+        if (NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)) {
+            mNetwork.discovered(row.key(), host);
+        } else {
+            mState.log().process(LogLine.of("instance-unreadable").with("name", row.key()));
         }
     }
 
@@ -72,4 +79,9 @@
     public void availabilityChanged(boolean available, String reason) {
         // The followers of the other tables already report the state of the store.
     }
+
+    @Override
+    public void rowsNotApplied(Throwable cause) {
+        mState.log().fault(LogLine.of("rows-not-applied").with("table", TABLE), cause);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
@@ -67,6 +67,11 @@
             public void availabilityChanged(boolean available, String reason) {
                 receiver.availabilityChanged(available, reason);
             }
+
+            @Override
+            public void rowsNotApplied(Throwable cause) {
+                receiver.rowsNotApplied(cause);
+            }
         };
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableEvents.java
@@ -26,4 +26,11 @@
      * @param reason what was observed
      */
     void availabilityChanged(boolean available, String reason);
+
+    /**
+     * Called when the receiver could not take rows in. The table is followed further.
+     *
+     * @param cause the exception that the receiver threw
+     */
+    void rowsNotApplied(Throwable cause);
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -88,8 +88,7 @@
         List<StoredRow> rows = List.copyOf(mPages);
         mPages.clear();
         responded();
-        mEvents.replaced(rows);
-        readChanges();
+        apply(() -> mEvents.replaced(rows), this::readChanges);
     }
 
     private void readChanges() {
@@ -114,12 +113,30 @@
         }
         mVersion = Math.max(mVersion, page.version());
         responded();
-        if (!page.rows().isEmpty()) {
-            mEvents.changed(page.rows());
+        if (page.rows().isEmpty()) {
+            pause();
+        } else {
+            apply(() -> mEvents.changed(page.rows()), this::pause);
         }
+    }
+
+    private void pause() {
         mLoops.next().schedule(this::readChanges, mTable.pauseMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Passes rows on as a task of its own, as a fault of their receiver must not end this. */
+    private void apply(Runnable rows, Runnable then) {
+        mLoops.next()
+                .submit(rows)
+                .addListener(
+                        applied -> {
+                            if (!applied.isSuccess()) {
+                                mEvents.rowsNotApplied(applied.cause());
+                            }
+                            then.run();
+                        });
+    }
+
     private StorePage pageOf(StoreResponse response) {
         if (!response.successful()) {
             unavailable(
