Drop requests whose callers left before they were read

Cause: a process that starts, or wakes after a pause, finds requests on connections whose callers have closed them meanwhile.

Change: connections of callers are read until there is nothing more, and a request is served after the read that brought it, so that a close behind the request is seen first.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -92,12 +92,14 @@
             if (mComplete.size() > MAX_PIPELINED_REQUESTS) {
                 mChannel.config().setAutoRead(false);
             }
-            serveNext();
+            // After the read, which may find that the caller has already left: this process may
+            // have been starting or paused since the request was sent.
+            mChannel.eventLoop().execute(this::serveNext);
         }
     }
 
     private void serveNext() {
-        if (mServing != null || mClosing) {
+        if (mServing != null || mClosing || !mChannel.isActive()) {
             return;
         }
         if (!mComplete.isEmpty()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -1,10 +1,12 @@
 package org.wasabilug.gateway.internal.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
@@ -22,6 +24,7 @@
 /** Accepts connections of callers and limits what they may send. */
 public final class CallerListener {
     private static final int BACKLOG = 1_024;
+    private static final int MAX_READS_AT_ONCE = 16;
 
     private final EventLoopGroup mLoops;
     private final Supplier<CallerLimits> mLimits;
@@ -65,6 +68,7 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
@@ -78,6 +82,16 @@
         return (InetSocketAddress) mServer.localAddress();
     }
 
+    /**
+     * Reads until there is nothing more, so that the end of a connection is seen together with the
+     * bytes before it.
+     */
+    private static RecvByteBufAllocator readingToTheEnd() {
+        return new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAX_READS_AT_ONCE);
+    }
+
     private void initPipeline(SocketChannel channel) {
         Queue<HttpMethod> methods = new ArrayDeque<>();
         channel.pipeline()
