Run the JDK by its installed path again

The build now checks that the path in system.toml is a JDK 25 for this kind of machine, and says what to write if not.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,8 +9,15 @@
 mkdir -p target/gateway
 cp -r platform/target/lib target/gateway/lib
 cp platform/target/platform-0.1.0-SNAPSHOT.jar target/gateway/wasabilug.jar
-# The JDK's folder is named after the kind of machine; system.toml names this link.
-ln -s "$JAVA_HOME/bin/java" target/gateway/java
+
+# system.toml can't choose by the kind of machine, and a link to the program costs the platform's
+# allowance for installed runtimes; so it is checked here that its path fits this machine.
+PROGRAM=$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' deploy/system.toml)
+if ! is_recent_jdk "$(dirname "$(dirname "$PROGRAM")")"; then
+    echo "deploy/system.toml runs $PROGRAM, which is no JDK $MINIMUM_JAVA_VERSION for this $(uname -m)" \
+        "machine: write $JAVA_HOME/bin/java there" >&2
+    exit 1
+fi
 
 # A short run without a store records the classes that every start loads. Without the archive the
 # program starts more slowly and is otherwise the same. The options are those of deploy/system.toml:
@@ -23,7 +30,7 @@
  "platform": {"address": "127.0.0.1:27744"}}
 SETTINGS
 WASABILUG_SETTINGS=target/gateway/rehearsal.json \
-    target/gateway/java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+    "$PROGRAM" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
     --sun-misc-unsafe-memory-access=allow \
     -XX:ArchiveClassesAtExit=target/gateway/classes.jsa \
     -jar target/gateway/wasabilug.jar > target/gateway/rehearsal.log 2>&1 &
