Exchange heartbeats with four neighbors in fleets of more than 13 instances

Cause: each instance sent a heartbeat to every peer, 166 messages a second each way at 95 instances, about half of what a running instance spent on its processor; heartbeats began to be slower than the limit after which a peer counts as lost. Each also polled the store twice a second and more.

Change: the instances stand in two rings, by hash and by failure domain, and exchange states with the neighbors in them every 150 ms; each state passes once over each link. A peer that is given pieces is watched directly, other connections open when they are used, and messages to all are passed on by the neighbors. One lost peer a second is tried again, so that parts of a fleet find each other. Polls of the store are spaced by the size of the fleet. Small fleets work as before.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.log.MetricsText;
+import org.wasabilug.gateway.internal.peer.LiveRelayPeers;
 import org.wasabilug.gateway.internal.peer.PeerEvents;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
 import org.wasabilug.gateway.internal.peer.SharedCrashSuspects;
@@ -33,16 +34,15 @@
 import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.WireProtocol;
 import org.wasabilug.internal.serving.ShutdownSchedule;
+import org.wasabilug.internal.serving.StorePolling;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** One gateway process; all its parts run on one event loop. */
 public final class Gateway implements AutoCloseable {
     private static final long HOUSEKEEPING_MILLIS = 250;
     private static final long LOOP_DELAY_TO_LOG_MILLIS = 100;
-    private static final long CONFIGURATION_WAIT_MILLIS = 2_000;
     private static final long CONFIGURATION_PAUSE_MILLIS = 20;
     private static final long ENDPOINT_WAIT_MILLIS = 1_000;
-    private static final long ENDPOINT_PAUSE_MILLIS = 500;
     private static final long INSTANCE_WAIT_MILLIS = 15_000;
     private static final long INSTANCE_PAUSE_MILLIS = 200;
     private static final int MAX_TRACKED_PRODUCERS = 5_000;
@@ -97,10 +97,10 @@
                         () -> !mEndpoints.storeReachable(),
                         mStages::predictWaits);
         mState.instances(mNetwork::instances);
-        mState.reachability().peers(mNetwork);
+        mState.reachability().peers(new LiveRelayPeers(mState, mNetwork));
         mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
-        mStoreRelay = new StoreRelay(mState, mNetwork);
+        mStoreRelay = new StoreRelay(mState, mNetwork, () -> !mEndpoints.storeReachable());
         mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
         mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
         mRejections = new SharedRejections(mState, mNetwork);
@@ -145,16 +145,20 @@
         follow(
                 new FollowedTable(
                         store.configurationTable(),
-                        CONFIGURATION_WAIT_MILLIS,
-                        CONFIGURATION_PAUSE_MILLIS),
+                        () -> StorePolling.waitMillis(mNetwork.instances()),
+                        () -> CONFIGURATION_PAUSE_MILLIS),
                 mStoreRelay.relay(store.configurationTable(), mConfiguration));
         follow(
                 new FollowedTable(
-                        store.endpointTable(), ENDPOINT_WAIT_MILLIS, ENDPOINT_PAUSE_MILLIS),
+                        store.endpointTable(),
+                        () -> ENDPOINT_WAIT_MILLIS,
+                        () -> StorePolling.pauseMillis(mNetwork.instances())),
                 mStoreRelay.relay(store.endpointTable(), mEndpoints));
         follow(
                 new FollowedTable(
-                        InstanceRegistry.TABLE, INSTANCE_WAIT_MILLIS, INSTANCE_PAUSE_MILLIS),
+                        InstanceRegistry.TABLE,
+                        () -> INSTANCE_WAIT_MILLIS,
+                        () -> INSTANCE_PAUSE_MILLIS),
                 new InstanceRegistry(mState, mLoops, mNetwork));
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -2,32 +2,44 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.wasabilug.gateway.internal.GatewayState;
-import org.wasabilug.gateway.internal.RelayPeers;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.gossip.GossipTiming;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.QueueWaits;
-import org.wasabilug.internal.serving.RelayCandidate;
-import org.wasabilug.internal.serving.StoreRelays;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
+import org.wasabilug.messages.gateway.HeartbeatExchange;
+import org.wasabilug.messages.gateway.InstanceState;
 
-/** Connections to the other instances; exchanges heartbeats and messages with them. */
-public final class PeerNetwork implements RelayPeers {
-    private static final long MIN_HEARTBEAT_INTERVAL_MILLIS = 200;
+/**
+ * Connections to the other instances; exchanges heartbeats and messages with them.
+ *
+ * <p>In a small fleet heartbeats go to all peers. In a larger one they go to a few neighbors, which
+ * pass them on, and to the peers that this instance has given work to.
+ */
+public final class PeerNetwork {
+    /** Largest number of peers to which heartbeats go directly. */
+    private static final int MAX_DIRECT_PEERS = 12;
 
-    /** Bounds the message rate of a process as the fleet grows. */
-    private static final long HEARTBEAT_INTERVAL_MILLIS_PER_PEER = 6;
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
+
+    /** Time between messages to a direct peer that is no neighbor. */
+    private static final long SLOW_EXCHANGE_MILLIS = 600;
+
+    /** Time for which heartbeats are exchanged with a peer that was given work. */
+    private static final long ATTENTION_MILLIS = 10_000;
+
+    private static final long PROBE_MILLIS = 1_500;
 
     /** Assumed of peers of a version that does not report it. */
     private static final double DEFAULT_PROCESSOR_SHARE = 1;
@@ -37,11 +49,13 @@
     private final PeerTransport mTransport;
     private final PeerEvents mEvents;
     private final BooleanSupplier mStopping;
-    private final BooleanSupplier mStoreUnreachable;
     private final HeartbeatWriter mHeartbeats;
     private final Map<String, Peer> mPeers = new TreeMap<>();
     private final Set<String> mReachable = new HashSet<>();
     private final Set<String> mLive = new HashSet<>();
+    private final HeartbeatGossip mGossip;
+    private final BroadcastHistory mBroadcasts = new BroadcastHistory();
+    private Set<String> mNeighbors = Set.of();
 
     /**
      * Creates a network without peers.
@@ -64,9 +78,9 @@
         mSharedLoads = new SharedLoads(state);
         mEvents = events;
         mStopping = stopping;
-        mStoreUnreachable = storeUnreachable;
         mHeartbeats =
                 new HeartbeatWriter(state, mSharedLoads, stopping, storeUnreachable, stageWaits);
+        mGossip = new HeartbeatGossip(state, mHeartbeats, stopping);
         mTransport = new PeerTransport(loops, this::received);
     }
 
@@ -77,7 +91,7 @@
      */
     public void start() throws InterruptedException {
         mTransport.listen(mState.settings().peers());
-        mState.loop().execute(this::sendHeartbeats);
+        mState.loop().execute(this::runRound);
     }
 
     /**
@@ -91,6 +105,8 @@
         boolean self = name.equals(mState.settings().name());
         if (!self && (peer == null || !peer.host().equals(host))) {
             mPeers.put(name, new Peer(name, host));
+            mGossip.discovered(name);
+            mGossip.reset(name);
             mState.log()
                     .process(LogLine.of("instance-known").with("name", name).with("host", host));
         }
@@ -132,20 +148,6 @@
         return shares;
     }
 
-    @Override
-    public Collection<RelayCandidate> candidates() {
-        return mLive.stream()
-                .map(mPeers::get)
-                .filter(peer -> peer.heartbeat().getRelaysConnections())
-                .map(this::relayCandidate)
-                .toList();
-    }
-
-    private RelayCandidate relayCandidate(Peer peer) {
-        return new RelayCandidate(
-                peer.name(), peer.heartbeat().getFailureDomain(), unreachable(peer.name()));
-    }
-
     /**
      * Returns the groups of endpoints to which an instance can open no connections.
      *
@@ -157,45 +159,24 @@
                 : PeerReachability.unreachable(mPeers.get(name).heartbeat());
     }
 
-    @Override
-    public InetSocketAddress address(String instance) {
-        return new InetSocketAddress(
-                mPeers.get(instance).host(), mState.settings().relays().getPort());
-    }
-
     private static double processorShare(GatewayHeartbeat heartbeat) {
         return heartbeat.hasProcessorShare()
                 ? heartbeat.getProcessorShare()
                 : DEFAULT_PROCESSOR_SHARE;
     }
 
-    /**
-     * Returns the names of the live peers that can't read the store and that this instance relays
-     * it to.
-     */
-    public List<String> peersToRelayTo() {
-        String local = mState.settings().name();
-        List<StoreRelays.Candidate> candidates = live().stream().map(this::candidate).toList();
-        return mPeers.values().stream()
-                .filter(peer -> mLive.contains(peer.name()))
-                .filter(peer -> peer.heartbeat().getStoreSilent())
-                .filter(peer -> relaysFor(peer, candidates).contains(local))
-                .map(Peer::name)
-                .toList();
+    /** Returns the host of a known peer. */
+    String host(String name) {
+        return mPeers.get(name).host();
     }
 
-    private static List<String> relaysFor(Peer peer, List<StoreRelays.Candidate> candidates) {
-        return StoreRelays.choose(peer.name(), peer.heartbeat().getFailureDomain(), candidates);
-    }
-
-    private StoreRelays.Candidate candidate(String name) {
-        if (name.equals(mState.settings().name())) {
-            String domain = mState.settings().failureDomain();
-            return new StoreRelays.Candidate(name, domain, !mStoreUnreachable.getAsBoolean());
-        }
-        GatewayHeartbeat heartbeat = mPeers.get(name).heartbeat();
-        return new StoreRelays.Candidate(
-                name, heartbeat.getFailureDomain(), !heartbeat.getStoreSilent());
+    /**
+     * Returns the last heartbeat of a peer.
+     *
+     * @param name name of a known peer
+     */
+    GatewayHeartbeat heartbeat(String name) {
+        return mPeers.get(name).heartbeat();
     }
 
     /**
@@ -203,20 +184,50 @@
      *
      * @param name name of the peer
      * @param envelope the message
-     * @return false if there is no connection that accepts it
+     * @return false if there is no connection that accepts it, and none can be opened for it
      */
     public boolean send(String name, GatewayEnvelope envelope) {
         Peer peer = mPeers.get(name);
-        return peer != null && peer.send(envelope);
+        if (peer == null) {
+            return false;
+        }
+        if (envelope.hasPieceOrders()) {
+            peer.attend(mState.nowMillis() + ATTENTION_MILLIS);
+        }
+        return peer.send(envelope) || sendLater(peer, envelope);
+    }
+
+    private boolean sendLater(Peer peer, GatewayEnvelope envelope) {
+        boolean opens = gossiping() && !peer.connected() && mReachable.contains(peer.name());
+        if (!opens || !peer.sendLater(envelope)) {
+            return false;
+        }
+        if (peer.needsConnection(mState.nowMillis())) {
+            connect(peer, mState.nowMillis());
+        }
+        return true;
     }
 
     /**
-     * Sends a message to all live peers.
+     * Sends a message to all live peers; in a large fleet by way of the neighbors.
      *
      * @param envelope the message
      */
     public void broadcast(GatewayEnvelope envelope) {
-        mLive.forEach(name -> send(name, envelope));
+        if (gossiping()) {
+            long id = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+            mBroadcasts.add(id);
+            passOn(envelope.toBuilder().setBroadcast(id).build());
+        } else {
+            mLive.forEach(name -> send(name, envelope));
+        }
+    }
+
+    private void passOn(GatewayEnvelope broadcast) {
+        mNeighbors.stream()
+                .filter(mLive::contains)
+                .filter(name -> !name.equals(broadcast.getSender()))
+                .forEach(name -> send(name, broadcast));
     }
 
     /** Returns a new message builder with this instance as the sender. */
@@ -224,28 +235,80 @@
         return GatewayEnvelope.newBuilder().setSender(mState.settings().name());
     }
 
-    private void sendHeartbeats() {
+    /** Returns whether the fleet is too large for heartbeats to all peers. */
+    private boolean gossiping() {
+        return mPeers.size() > MAX_DIRECT_PEERS;
+    }
+
+    private void runRound() {
         long now = mState.nowMillis();
+        long intervalMillis;
+        if (gossiping()) {
+            exchangeWithDirectPeers(now);
+            intervalMillis = GossipTiming.ROUND_MILLIS;
+        } else {
+            sendHeartbeats(now);
+            intervalMillis = HEARTBEAT_INTERVAL_MILLIS;
+        }
+        mState.loop().schedule(this::runRound, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void sendHeartbeats(long now) {
         GatewayHeartbeat heartbeat = mHeartbeats.regular();
         for (Peer peer : mPeers.values()) {
-            peer.closeStalled(now);
-            if (peer.needsConnection(now)) {
-                connect(peer, now);
-            }
+            keepConnected(peer, now);
             send(peer, heartbeat, now);
             updateState(peer, now);
         }
-        long intervalMillis =
-                Math.max(
-                        MIN_HEARTBEAT_INTERVAL_MILLIS,
-                        mPeers.size() * HEARTBEAT_INTERVAL_MILLIS_PER_PEER);
-        mState.loop().schedule(this::sendHeartbeats, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void exchangeWithDirectPeers(long now) {
+        mGossip.refresh(now);
+        mNeighbors = mGossip.neighbors(mLive);
+        mGossip.probe(mPeers.keySet(), mLive, now)
+                .ifPresent(name -> mPeers.get(name).attend(now + PROBE_MILLIS));
+        for (Peer peer : mPeers.values()) {
+            boolean neighbor = mNeighbors.contains(peer.name());
+            boolean wanted = neighbor || peer.attended(now);
+            peer.setDirect(wanted || peer.wantsExchange(now), now);
+            if (peer.direct()) {
+                keepConnected(peer, now);
+                long interval = neighbor ? GossipTiming.ROUND_MILLIS : SLOW_EXCHANGE_MILLIS;
+                if (peer.isDue(interval - GossipTiming.ROUND_MILLIS / 2, now)) {
+                    exchange(peer, wanted, neighbor, now);
+                }
+            }
+            updateState(peer, now);
+        }
+    }
+
+    private void keepConnected(Peer peer, long now) {
+        peer.closeStalled(now);
+        if (peer.needsConnection(now)) {
+            connect(peer, now);
+        }
+    }
+
+    private void exchange(Peer peer, boolean wanted, boolean withNews, long now) {
+        if (!peer.connected()) {
+            return;
+        }
+        HeartbeatExchange.Builder exchange =
+                HeartbeatExchange.newBuilder()
+                        .setHeard(peer.receivedRecently(now))
+                        .setWanted(wanted)
+                        .setIntervalMilliseconds(
+                                withNews ? GossipTiming.ROUND_MILLIS : SLOW_EXCHANGE_MILLIS);
+        if (withNews) {
+            mGossip.addNews(exchange, peer.name(), now);
+        }
+        peer.send(envelope().setHeartbeatExchange(exchange).build());
     }
 
     private void updateState(Peer peer, long now) {
-        updateLive(peer, now);
-        boolean reachable = peer.reachable(now);
+        boolean reachable = peer.reachable(now, gossiping() ? mGossip.maxAgeMillis() : 0);
         boolean changed = reachable ? mReachable.add(peer.name()) : mReachable.remove(peer.name());
+        updateLive(peer);
         if (changed && !reachable) {
             mSharedLoads.remove(peer.name());
             reportLostDomain(peer.heartbeat());
@@ -253,8 +316,8 @@
         }
     }
 
-    private void updateLive(Peer peer, long now) {
-        boolean live = peer.live(now);
+    private void updateLive(Peer peer) {
+        boolean live = mReachable.contains(peer.name()) && !peer.stopping();
         boolean changed = live ? mLive.add(peer.name()) : mLive.remove(peer.name());
         if (changed) {
             mState.log()
@@ -291,12 +354,25 @@
                 peer.host(),
                 mState.settings().peers().getPort(),
                 channel -> connected(peer, channel),
-                peer::connectFailed);
+                () -> connectFailed(peer));
+    }
+
+    private void connectFailed(Peer peer) {
+        long now = mState.nowMillis();
+        peer.connectFailed(now);
+        updateState(peer, now);
     }
 
     private void connected(Peer peer, Channel channel) {
         peer.connected(channel);
-        send(peer, mHeartbeats.greeting(), mState.nowMillis());
+        long now = mState.nowMillis();
+        if (gossiping()) {
+            mGossip.reset(peer.name());
+            exchange(peer, peer.direct(), true, now);
+        } else {
+            send(peer, mHeartbeats.greeting(), now);
+        }
+        peer.sendWaiting();
     }
 
     private void send(Peer peer, GatewayHeartbeat heartbeat, long now) {
@@ -305,20 +381,66 @@
     }
 
     private void received(GatewayEnvelope envelope) {
-        String sender = envelope.getSender();
-        if (!envelope.hasHeartbeat()) {
-            mEvents.received(envelope);
-            return;
+        switch (envelope.getBodyCase()) {
+            case HEARTBEAT -> heartbeatReceived(envelope.getSender(), envelope.getHeartbeat());
+            case HEARTBEAT_EXCHANGE ->
+                    exchangeReceived(envelope.getSender(), envelope.getHeartbeatExchange());
+            default -> messageReceived(envelope);
+        }
+    }
+
+    private void heartbeatReceived(String sender, GatewayHeartbeat heartbeat) {
+        boolean acknowledged = heartbeat.getHeardList().contains(mState.settings().name());
+        apply(sender, heartbeat, mState.nowMillis());
+        directReceived(sender, acknowledged, true, 0);
+    }
+
+    private void exchangeReceived(String sender, HeartbeatExchange exchange) {
+        long now = mState.nowMillis();
+        for (InstanceState state : exchange.getStatesList()) {
+            mGossip.received(sender, state, now)
+                    .ifPresent(
+                            heartbeat ->
+                                    apply(
+                                            state.getInstance(),
+                                            heartbeat,
+                                            now - state.getAgeMilliseconds()));
+        }
+        directReceived(
+                sender,
+                exchange.getHeard(),
+                exchange.getWanted(),
+                exchange.getIntervalMilliseconds());
+    }
+
+    private void apply(String name, GatewayHeartbeat heartbeat, long writtenMillis) {
+        discovered(name, heartbeat.getHost());
+        Peer peer = mPeers.get(name);
+        if (peer != null) {
+            peer.heartbeat(heartbeat, writtenMillis);
+            mSharedLoads.apply(name, heartbeat);
+            updateState(peer, mState.nowMillis());
         }
-        GatewayHeartbeat heartbeat = envelope.getHeartbeat();
-        discovered(sender, heartbeat.getHost());
+    }
+
+    private void directReceived(
+            String sender, boolean acknowledged, boolean wanted, long intervalMillis) {
         Peer peer = mPeers.get(sender);
-        if (peer == null) {
-            return;
+        if (peer != null) {
+            long now = mState.nowMillis();
+            peer.received(acknowledged, wanted, intervalMillis, now);
+            updateState(peer, now);
+        }
+    }
+
+    private void messageReceived(GatewayEnvelope envelope) {
+        if (envelope.getBroadcast() != 0) {
+            if (!mBroadcasts.add(envelope.getBroadcast())) {
+                return;
+            }
+            passOn(envelope);
         }
-        peer.heartbeatReceived(heartbeat, mState.settings().name(), mState.nowMillis());
-        mSharedLoads.apply(sender, heartbeat);
-        updateState(peer, mState.nowMillis());
+        mEvents.received(envelope);
     }
 
     /** Stops listening. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.peer;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,9 @@
 final class SharedLoads {
     private final GatewayState mState;
 
+    /** Endpoints to which a peer has sent load, by the name of the peer. */
+    private final Map<String, Set<String>> mLoadedEndpoints = new HashMap<>();
+
     SharedLoads(GatewayState state) {
         mState = state;
     }
@@ -100,6 +104,7 @@
 
     /** Removes the load of a lost peer. */
     void remove(String sender) {
+        mLoadedEndpoints.remove(sender);
         mState.directory().all().forEach(each -> each.setPeerLoad(sender, EndpointLoad.NONE));
     }
 
@@ -137,9 +142,13 @@
                     .find(load.getEndpoint())
                     .ifPresent(endpoint -> endpoint.setPeerLoad(sender, sent));
         }
-        for (EndpointState endpoint : mState.directory().all()) {
-            if (!loaded.contains(endpoint.registration().name())) {
-                endpoint.setPeerLoad(sender, EndpointLoad.NONE);
+        Set<String> unloaded = mLoadedEndpoints.getOrDefault(sender, Set.of());
+        mLoadedEndpoints.put(sender, loaded);
+        for (String endpoint : unloaded) {
+            if (!loaded.contains(endpoint)) {
+                mState.directory()
+                        .find(endpoint)
+                        .ifPresent(state -> state.setPeerLoad(sender, EndpointLoad.NONE));
             }
         }
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
@@ -6,9 +6,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.store.TableEvents;
 import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.internal.serving.StoreRelays;
+import org.wasabilug.messages.gateway.GatewayHeartbeat;
 import org.wasabilug.messages.gateway.TableRow;
 import org.wasabilug.messages.gateway.TableRows;
 
@@ -22,6 +26,7 @@
 
     private final GatewayState mState;
     private final PeerNetwork mNetwork;
+    private final BooleanSupplier mStoreUnreachable;
     private final Map<String, Map<String, StoredRow>> mTables = new HashMap<>();
     private final Map<String, TableEvents> mReceivers = new HashMap<>();
     private final Map<String, Long> mRelayedVersions = new HashMap<>();
@@ -32,10 +37,12 @@
      *
      * @param state state of this process
      * @param network the other instances
+     * @param storeUnreachable whether the store does not respond to this instance
      */
-    public StoreRelay(GatewayState state, PeerNetwork network) {
+    public StoreRelay(GatewayState state, PeerNetwork network, BooleanSupplier storeUnreachable) {
         mState = state;
         mNetwork = network;
+        mStoreUnreachable = storeUnreachable;
     }
 
     /**
@@ -86,7 +93,7 @@
     /** Sends new rows to the peers that need them; to be called several times a second. */
     public void relayChanges() {
         long now = mState.nowMillis();
-        List<String> peers = mNetwork.peersToRelayTo();
+        List<String> peers = peersToRelayTo();
         mRelayedVersions.keySet().retainAll(peers);
         if (!peers.isEmpty() && now - mLastRelayMillis >= RELAY_INTERVAL_MILLIS) {
             mLastRelayMillis = now;
@@ -94,6 +101,40 @@
         }
     }
 
+    /** Returns the live peers that can't read the store and that this instance relays it to. */
+    private List<String> peersToRelayTo() {
+        String local = mState.settings().name();
+        Set<String> live = mNetwork.live();
+        List<String> silent =
+                live.stream()
+                        .filter(name -> !name.equals(local))
+                        .filter(name -> mNetwork.heartbeat(name).getStoreSilent())
+                        .toList();
+        if (silent.isEmpty()) {
+            return silent;
+        }
+        List<StoreRelays.Candidate> candidates = live.stream().map(this::candidate).toList();
+        return silent.stream()
+                .filter(
+                        name ->
+                                StoreRelays.choose(
+                                                name,
+                                                mNetwork.heartbeat(name).getFailureDomain(),
+                                                candidates)
+                                        .contains(local))
+                .toList();
+    }
+
+    private StoreRelays.Candidate candidate(String name) {
+        if (name.equals(mState.settings().name())) {
+            String domain = mState.settings().failureDomain();
+            return new StoreRelays.Candidate(name, domain, !mStoreUnreachable.getAsBoolean());
+        }
+        GatewayHeartbeat heartbeat = mNetwork.heartbeat(name);
+        return new StoreRelays.Candidate(
+                name, heartbeat.getFailureDomain(), !heartbeat.getStoreSilent());
+    }
+
     private void relayTo(String peer) {
         long relayed = mRelayedVersions.getOrDefault(peer, -1L);
         long newest = relayed;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.endpoint.KeepAlive;
 
 /** One connection to the store; one call at a time, each with a timeout. */
 final class StoreConnection {
@@ -67,7 +68,10 @@
     }
 
     private void connect(DefaultFullHttpRequest request) {
-        new Bootstrap()
+        Bootstrap bootstrap = new Bootstrap();
+        // A connection that goes silent must be noticed before a long poll would end.
+        KeepAlive.apply(bootstrap::option);
+        bootstrap
                 .group(mLoops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -92,11 +92,12 @@
     }
 
     private void readChanges() {
+        long waitMillis = mTable.waitMillis().getAsLong();
         mConnection.call(
                 HttpMethod.GET,
-                mProtocol.changesTarget(mTable.name(), mVersion, mTable.waitMillis()),
+                mProtocol.changesTarget(mTable.name(), mVersion, waitMillis),
                 NO_BODY,
-                mTable.waitMillis() + READ_TIMEOUT_MILLIS,
+                waitMillis + READ_TIMEOUT_MILLIS,
                 this::changesRead);
     }
 
@@ -121,7 +122,9 @@
     }
 
     private void pause() {
-        mLoops.next().schedule(this::readChanges, mTable.pauseMillis(), TimeUnit.MILLISECONDS);
+        mLoops.next()
+                .schedule(
+                        this::readChanges, mTable.pauseMillis().getAsLong(), TimeUnit.MILLISECONDS);
     }
 
     /** Passes rows on as a task of its own, as a fault of their receiver must not end this. */
