Relay removed rows to instances that can't read the store

Cause: an instance that can't read the store follows it through its peers, which sent only rows that exist.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +26,7 @@
     private final GatewayState mState;
     private final PeerNetwork mNetwork;
     private final BooleanSupplier mStoreUnreachable;
-    private final Map<String, Map<String, StoredRow>> mTables = new HashMap<>();
+    private final Map<String, RelayedTable> mTables = new HashMap<>();
     private final Map<String, TableEvents> mReceivers = new HashMap<>();
     private final Map<String, Long> mRelayedVersions = new HashMap<>();
     private long mLastRelayMillis;
@@ -54,19 +53,18 @@
      */
     public TableEvents relay(String table, TableEvents receiver) {
         mReceivers.put(table, receiver);
-        Map<String, StoredRow> rows = new HashMap<>();
+        RelayedTable rows = new RelayedTable();
         mTables.put(table, rows);
         return new TableEvents() {
             @Override
             public void replaced(List<StoredRow> all) {
-                rows.clear();
-                all.forEach(row -> rows.put(row.key(), row));
+                rows.replace(all, mState.nowMillis());
                 receiver.replaced(all);
             }
 
             @Override
             public void changed(List<StoredRow> changes) {
-                changes.forEach(row -> apply(rows, row));
+                changes.forEach(row -> rows.apply(row, mState.nowMillis()));
                 receiver.changed(changes);
             }
 
@@ -82,14 +80,6 @@
         };
     }
 
-    private static void apply(Map<String, StoredRow> rows, StoredRow row) {
-        if (row.removed()) {
-            rows.remove(row.key());
-        } else {
-            rows.put(row.key(), row);
-        }
-    }
-
     /** Sends new rows to the peers that need them; to be called several times a second. */
     public void relayChanges() {
         long now = mState.nowMillis();
@@ -138,17 +128,16 @@
     private void relayTo(String peer) {
         long relayed = mRelayedVersions.getOrDefault(peer, -1L);
         long newest = relayed;
-        for (Map.Entry<String, Map<String, StoredRow>> table : mTables.entrySet()) {
+        for (Map.Entry<String, RelayedTable> table : mTables.entrySet()) {
             TableRows.Builder message = TableRows.newBuilder().setTable(table.getKey());
-            for (StoredRow row : table.getValue().values()) {
-                if (row.version() > relayed) {
-                    newest = Math.max(newest, row.version());
-                    message.addRows(
-                            TableRow.newBuilder()
-                                    .setKey(row.key())
-                                    .setValue(ByteString.copyFrom(row.value()))
-                                    .setVersion(row.version()));
-                }
+            for (StoredRow row : table.getValue().changesAfter(relayed, mState.nowMillis())) {
+                newest = Math.max(newest, row.version());
+                message.addRows(
+                        TableRow.newBuilder()
+                                .setKey(row.key())
+                                .setValue(ByteString.copyFrom(row.value()))
+                                .setVersion(row.version())
+                                .setRemoved(row.removed()));
             }
             if (message.getRowsCount() > 0) {
                 mNetwork.send(peer, mNetwork.envelope().setTableRows(message).build());
@@ -163,22 +152,21 @@
      * @param message the rows
      */
     public void received(TableRows message) {
-        Map<String, StoredRow> known = mTables.get(message.getTable());
+        RelayedTable known = mTables.get(message.getTable());
         if (known == null) {
             return;
         }
-        Collection<StoredRow> newer = new ArrayList<>();
+        List<StoredRow> newer = new ArrayList<>();
         for (TableRow row : message.getRowsList()) {
-            StoredRow old = known.get(row.getKey());
-            if (old == null || old.version() < row.getVersion()) {
-                StoredRow applied =
-                        new StoredRow(
-                                row.getKey(),
-                                row.getValue().toByteArray(),
-                                row.getVersion(),
-                                false);
-                known.put(row.getKey(), applied);
-                newer.add(applied);
+            StoredRow relayed =
+                    new StoredRow(
+                            row.getKey(),
+                            row.getValue().toByteArray(),
+                            row.getVersion(),
+                            row.getRemoved());
+            if (known.isNews(relayed)) {
+                known.apply(relayed, mState.nowMillis());
+                newer.add(relayed);
             }
         }
         if (!newer.isEmpty()) {
