Do not take a second copy of a stage's response for that of the next call

Change: the results of recent calls are remembered with their pieces; a response whose result belongs to another piece, or that can't be read, fails the call, and the idle connections to its endpoint are closed. A connection that brought a refusal of a call without id is not used again.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -160,7 +160,9 @@
         }
         mUnusableBytes = 0;
         boolean staysOpen = ResponseFraming.of(head) != ResponseFraming.CLOSE;
-        mReusable = mReusable && HttpUtil.isKeepAlive(head) && staysOpen;
+        // A refusal that is written again could not be told from that of the next call without id.
+        boolean told = !id.isEmpty() || head.status().codeClass() == HttpStatusClass.SUCCESS;
+        mReusable = mReusable && HttpUtil.isKeepAlive(head) && staysOpen && told;
         applyKeepAliveTimeout(head.headers().get("Keep-Alive"));
         if (!mCall.ended()) {
             mCall.listener().headReceived(head);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -124,6 +124,15 @@
         closeIdleIf(each -> each.endpoint().equals(endpoint) && each.relay().isEmpty());
     }
 
+    /**
+     * Closes the idle connections to an endpoint, as a response may still be due on one of them.
+     *
+     * @param endpoint name of the endpoint
+     */
+    public void closeIdle(String endpoint) {
+        closeIdleIf(each -> each.endpoint().equals(endpoint));
+    }
+
     private void closeIdleIf(Predicate<EndpointConnection> condition) {
         for (ArrayDeque<EndpointConnection> idle : mIdle.values()) {
             Iterator<EndpointConnection> iterator = idle.iterator();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -15,6 +15,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.ProducedHandles;
 import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
@@ -40,6 +41,7 @@
     private final Map<String, StageQueue> mQueues = new HashMap<>();
     private final Map<String, QueueWaits> mWaits = new HashMap<>();
     private final RunningCalls mRunning = new RunningCalls();
+    private final ProducedHandles mHandles = new ProducedHandles();
     private final StageEndpoints mEndpoints;
     private final Map<String, ServiceSpecification> mServices = new HashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
@@ -202,7 +204,8 @@
     }
 
     private void send(ServiceSpecification service, StageCall call) {
-        StageCallAttempt attempt = new StageCallAttempt(mState, service, call, mCallListener);
+        StageCallAttempt attempt =
+                new StageCallAttempt(mState, service, call, mHandles, mCallListener);
         mRunning.add(attempt);
         attempt.start();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -17,6 +17,7 @@
 import org.wasabilug.gateway.protocol.UnreadableException;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.ProducedHandles;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
@@ -42,6 +43,7 @@
     private final GatewayState mState;
     private final ServiceSpecification mService;
     private final StageCall mCall;
+    private final ProducedHandles mHandles;
     private final Listener mListener;
     private final ResponseBuffer mBody;
     private final long mSentMillis;
@@ -62,8 +64,13 @@
     }
 
     StageCallAttempt(
-            GatewayState state, ServiceSpecification service, StageCall call, Listener listener) {
+            GatewayState state,
+            ServiceSpecification service,
+            StageCall call,
+            ProducedHandles handles,
+            Listener listener) {
         mState = state;
+        mHandles = handles;
         mService = service;
         mCall = call;
         mListener = listener;
@@ -167,6 +174,10 @@
                     mState.protocol()
                             .stages()
                             .readResponse(mBody.toByteArray(), mCall.pieces().size());
+            if (!mHandles.record(mCall.pieces(), outcomes)) {
+                failForeign("response to another call");
+                return;
+            }
             double elapsedMillis = mState.nowMillis() - mSentMillis;
             mCall.endpoint().health().recordSuccess(elapsedMillis);
             mCall.endpoint()
@@ -174,10 +185,16 @@
                     .recordLatencyRatio(elapsedMillis / expectedMillis(), mState.nowMillis());
             finish(new StageCallResult(outcomes, true), "answered");
         } catch (UnreadableException unreadable) {
-            fail(unreadable.getMessage(), true);
+            failForeign(unreadable.getMessage());
         }
     }
 
+    /** Fails after a response to another call, as the one that is due may still follow it. */
+    private void failForeign(String reason) {
+        mState.connections().closeIdle(mCall.endpoint().registration().name());
+        fail(reason, true);
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (failure.nothingSent() && failure != CallFailure.NOT_RELAYED) {
