--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 . config/java25.sh || exit 2
-exec "$JAVA_HOME/bin/java" -Xmx1g -cp review/target Drill review/2
+exec "$JAVA_HOME/bin/java" -Xmx1g -cp review/target Versions review/2
--- a/review/stand/Engine.java
+++ b/review/stand/Engine.java
@@ -23,6 +23,9 @@
     private volatile boolean mRegistered = true;
     private volatile boolean mEnded;
     private volatile long mWorkMillis = 20;
+    private volatile int mEvents = 3;
+    private volatile long mEventMillis = 10;
+    private volatile String mVersion = "v1";
     private long mSequence;
 
     Engine(Store store, Journal record, String id, String service, String zone, boolean streams)
@@ -47,6 +50,22 @@
         mWorkMillis = millis;
     }
 
+    /** Sets how many events a stream has, and the time between them. */
+    void events(int count, long millis) {
+        mEvents = count;
+        mEventMillis = millis;
+    }
+
+    /** Sets the version of the engine's software, and registers with it. */
+    void version(String version) {
+        mVersion = version;
+        register();
+    }
+
+    int port() {
+        return mServer.getLocalPort();
+    }
+
     private void heartbeats() {
         try {
             Thread.sleep((long) (Math.random() * HEARTBEAT_MILLIS));
@@ -68,7 +87,7 @@
                 "servers",
                 mId,
                 "{\"service\":\"" + mService + "\",\"address\":\"127.0.0.1:" + mServer.getLocalPort()
-                        + "\",\"zone\":\"" + mZone + "\",\"version\":\"v1\",\"slots\":" + (mStreams ? 64 : 6) + ",\"state\":\""
+                        + "\",\"zone\":\"" + mZone + "\",\"version\":\"" + mVersion + "\",\"slots\":" + (mStreams ? 64 : 6) + ",\"state\":\""
                         + mState + "\",\"cold_left_ms\":0,\"seq_no\":" + mSequence + "}");
     }
 
@@ -151,11 +170,12 @@
             return;
         }
         out.write((head + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").getBytes());
-        for (int event = 1; event <= 3; event++) {
-            String text = "id: " + event + "\ndata: part " + event + " for " + id + "\n\n";
+        String last = request.header("Last-Event-Id");
+        for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= mEvents; event++) {
+            String text = "id: " + event + "\ndata: " + mVersion + " part " + event + " for " + id + "\n\n";
             out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes());
             out.flush();
-            Thread.sleep(mWorkMillis / 2);
+            Thread.sleep(mEventMillis);
         }
         out.write("0\r\n\r\n".getBytes());
         out.flush();
--- a/review/stand/Gateway.java
+++ b/review/stand/Gateway.java
@@ -154,6 +154,11 @@
         }
     }
 
+    /** Kills the process that this object started. */
+    void kill() {
+        mProcess.destroyForcibly();
+    }
+
     /** Ends the process that this object started. */
     void end() throws Exception {
         if (mProcess != null) {
--- a/review/stand/Http.java
+++ b/review/stand/Http.java
@@ -67,7 +67,7 @@
         return bytes;
     }
 
-    private static String line(InputStream in) throws IOException {
+    static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         int each;
         while ((each = in.read()) >= 0) {
--- a/review/stand/Site.java
+++ b/review/stand/Site.java
@@ -65,10 +65,14 @@
         return engine;
     }
 
+    static String name(int instance) {
+        return "front-" + instance;
+    }
+
     void start(int instances) throws Exception {
         Gateway.Ports ports = Gateway.Ports.free(instances);
         for (int number = 1; number <= instances; number++) {
-            String name = "front-" + number;
+            String name = name(number);
             String zone = number % 2 == 1 ? "zone-rennes" : "zone-brest";
             Gateway gateway = new Gateway(mFolder, name, number, zone, ports, store.listen(name));
             gateways.add(gateway);
--- a/review/stand/Store.java
+++ b/review/stand/Store.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -34,6 +35,7 @@
     private final Map<String, ServerSocket> mListeners = new HashMap<>();
     private final Set<Socket> mOpen = ConcurrentHashMap.newKeySet();
     private final Map<String, Long> mLastFeed = new ConcurrentHashMap<>();
+    private final Map<String, UnaryOperator<String>> mViews = new ConcurrentHashMap<>();
     private volatile Faults mFaults = (instance, target, rows) -> false;
     private volatile boolean mAway;
     private volatile Set<String> mTurnedAway = Set.of();
@@ -48,6 +50,11 @@
         return server.getLocalPort();
     }
 
+    /** Sets what one instance sees of a value, as links of its own lead it to the engines. */
+    void view(String instance, UnaryOperator<String> values) {
+        mViews.put(instance, values);
+    }
+
     void faults(Faults faults) {
         mFaults = faults;
     }
@@ -122,10 +129,10 @@
         String path = call.target().split("\\?")[0];
         switch (path) {
             case "/v1/rows-get":
-                return page(query.get("table"), -1, query.getOrDefault("from", ""));
+                return page(instance, query.get("table"), -1, query.getOrDefault("from", ""));
             case "/v1/rows-feed":
                 mLastFeed.put(instance + " " + query.get("table"), System.nanoTime());
-                return feed(query);
+                return feed(instance, query);
             case "/v1/rows-tx":
                 Matcher put = PUT.matcher(new String(call.body()));
                 while (put.find()) {
@@ -143,7 +150,7 @@
         return last == null ? Long.MAX_VALUE : (System.nanoTime() - last) / 1_000_000;
     }
 
-    private synchronized Answer feed(Map<String, String> query) throws InterruptedException {
+    private synchronized Answer feed(String instance, Map<String, String> query) throws InterruptedException {
         long after = Long.parseLong(query.get("after"));
         long until = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         int era = mEra;
@@ -151,7 +158,7 @@
             if (after > mVersion || era != mEra) {
                 return new Answer("410 Gone", "{}", List.of());
             }
-            Answer page = page(query.get("table"), after, "");
+            Answer page = page(instance, query.get("table"), after, "");
             long left = (until - System.nanoTime()) / 1_000_000;
             if (!page.rows().isEmpty() || left <= 0) {
                 return page;
@@ -160,7 +167,7 @@
         }
     }
 
-    private synchronized Answer page(String table, long after, String from) {
+    private synchronized Answer page(String instance, String table, long after, String from) {
         List<Row> rows = new ArrayList<>();
         for (Row row : mRows.values()) {
             boolean wanted = row.table().equals(table) && row.version() > after;
@@ -176,7 +183,7 @@
             text.append(text.charAt(text.length() - 1) == '[' ? "" : ",")
                     .append("{\"table\":\"").append(row.table())
                     .append("\",\"part\":\"\",\"key\":\"").append(row.key())
-                    .append("\",\"value\":\"").append(Base64.getEncoder().encodeToString(row.value()))
+                    .append("\",\"value\":\"").append(Base64.getEncoder().encodeToString(seen(instance, row)))
                     .append("\",\"ver\":").append(row.version())
                     .append(row.removed() ? ",\"removed\":true}" : "}");
         }
@@ -185,6 +192,11 @@
         return new Answer("200 OK", text.toString(), rows);
     }
 
+    private byte[] seen(String instance, Row row) {
+        UnaryOperator<String> view = mViews.get(instance);
+        return view == null ? row.value() : view.apply(new String(row.value())).getBytes();
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000_000;
     }
--- a/review/stand/StreamedBodies.java
+++ b/review/stand/StreamedBodies.java
@@ -63,9 +63,11 @@
             }
         }
         tell("ordinary rate over, ready answered " + ready + " times");
-        boolean broken = mAtTimeout.get() >= 8 && 2 * mPastTimeout.get() > mAtTimeout.get();
+        boolean unanswered = mAtTimeout.get() >= 8 && 2 * mPastTimeout.get() > mAtTimeout.get();
+        boolean broken = unanswered || !gateway.alive();
         mSite.journal.say("result   of " + mAtTimeout + " requests unanswered at timeout_ms " + mPastTimeout
-                + " have no answer " + SLACK_MILLIS + " ms later, " + mAnswered + " were answered; "
+                + " have no answer " + SLACK_MILLIS + " ms later, " + mAnswered + " were answered, process alive "
+                + gateway.alive() + "; "
                 + (broken ? "rule broken" : "rule held"));
         System.out.println(mAnswered + " answered, " + mPastTimeout + " unanswered half a second past timeout_ms");
         return broken ? 1 : 0;
