--- a/review/stand/CutLinks.java
+++ b/review/stand/CutLinks.java
@@ -45,12 +45,18 @@
             consumers.submit(() -> send(consumers));
             Thread.sleep(4_000);
             Link.State state =
-                    "reset".equals(System.getenv("LINKS")) ? Link.State.RESETTING : Link.State.HANGING;
+                    "reset".equals(System.getenv("LINKS"))
+                            ? Link.State.RESETTING
+                            : Link.State.HANGING;
             if (trouble) {
                 links.forEach(link -> link.state(state));
             }
             long begin = mSite.journal.millis();
-            mSite.journal.say("cut      the links of " + cut.name() + " to all engines: " + (trouble ? state : Link.State.OPEN));
+            mSite.journal.say(
+                    "cut      the links of "
+                            + cut.name()
+                            + " to all engines: "
+                            + (trouble ? state : Link.State.OPEN));
             mJudgedFrom = begin + CONTACT_MILLIS;
             // A first try is judged if the cut lasts until after its answer is due.
             mJudgedUntil = begin + CUT_MILLIS - 1_500;
@@ -73,11 +79,25 @@
         boolean less = 3L * served * otherTries < 2L * otherServed * tries;
         boolean many = tries - served > 10 + tries / 50;
         boolean broken = less && many;
-        mSite.journal.say("result   the machine that is cut off served " + served + " of " + tries
-                + " first tries, the others " + otherServed + " of " + otherTries + "; "
-                + (broken ? "rule broken" : "rule held"));
-        System.out.println(served + " of " + tries + " first tries served, at the others " + otherServed + " of "
-                + otherTries);
+        mSite.journal.say(
+                "result   the machine that is cut off served "
+                        + served
+                        + " of "
+                        + tries
+                        + " first tries, the others "
+                        + otherServed
+                        + " of "
+                        + otherTries
+                        + "; "
+                        + (broken ? "rule broken" : "rule held"));
+        System.out.println(
+                served
+                        + " of "
+                        + tries
+                        + " first tries served, at the others "
+                        + otherServed
+                        + " of "
+                        + otherTries);
         return broken ? 1 : 0;
     }
 
@@ -98,15 +118,17 @@
             links.add(link);
             addresses.put("127.0.0.1:" + engine.port() + "\"", "127.0.0.1:" + link.port() + "\"");
         }
-        mSite.store.view(instance, value -> {
-            String seen = value;
-            for (Map.Entry<String, String> address : addresses.entrySet()) {
-                if (seen.contains(address.getKey())) {
-                    return seen.replace(address.getKey(), address.getValue());
-                }
-            }
-            return seen;
-        });
+        mSite.store.view(
+                instance,
+                value -> {
+                    String seen = value;
+                    for (Map.Entry<String, String> address : addresses.entrySet()) {
+                        if (seen.contains(address.getKey())) {
+                            return seen.replace(address.getKey(), address.getValue());
+                        }
+                    }
+                    return seen;
+                });
         return links;
     }
 
@@ -126,11 +148,18 @@
         long sent = mSite.journal.millis();
         boolean judged = sent >= mJudgedFrom && sent <= mJudgedUntil;
         String head = streams ? Site.draft(id) : Site.lookup(id);
-        int status = mSite.send(gateway, head, id, new byte[streams ? 1_400 : 0], streams ? 7_000 : TIMEOUT_MILLIS);
+        int status =
+                mSite.send(
+                        gateway,
+                        head,
+                        id,
+                        new byte[streams ? 1_400 : 0],
+                        streams ? 7_000 : TIMEOUT_MILLIS);
         if (judged) {
             mTries.computeIfAbsent(gateway.name(), name -> new AtomicInteger()).incrementAndGet();
             if (status == 200) {
-                mServed.computeIfAbsent(gateway.name(), name -> new AtomicInteger()).incrementAndGet();
+                mServed.computeIfAbsent(gateway.name(), name -> new AtomicInteger())
+                        .incrementAndGet();
             }
         }
     }
--- a/review/stand/Drill.java
+++ b/review/stand/Drill.java
@@ -25,10 +25,18 @@
         // As many engines as the sheet of the smaller deployment has: their heartbeats are what
         // the counter of the store counts.
         for (int number = 1; number <= 3; number++) {
-            site.engine("i-livre" + number, "livre", number % 2 == 0 ? "zone-brest" : "zone-rennes", false);
+            site.engine(
+                    "i-livre" + number,
+                    "livre",
+                    number % 2 == 0 ? "zone-brest" : "zone-rennes",
+                    false);
         }
         for (int number = 1; number <= 8; number++) {
-            site.engine("i-flotte" + number, "flotte", number % 2 == 0 ? "zone-brest" : "zone-rennes", true);
+            site.engine(
+                    "i-flotte" + number,
+                    "flotte",
+                    number % 2 == 0 ? "zone-brest" : "zone-rennes",
+                    true);
         }
         for (String service : List.of("portail", "export", "alerte")) {
             for (int number = 1; number <= (service.equals("portail") ? 3 : 4); number++) {
@@ -52,8 +60,11 @@
                 site.store.goAway();
                 Thread.sleep(AWAY_MILLIS);
                 site.store.comeBack(copy);
-                site.journal.say("store    back from the copy, version " + site.store.version() + ", era "
-                        + site.store.era());
+                site.journal.say(
+                        "store    back from the copy, version "
+                                + site.store.version()
+                                + ", era "
+                                + site.store.era());
                 // What the operator and the engines wrote is written again.
                 site.configure(7);
                 for (Engine engine : site.engines) {
@@ -65,7 +76,8 @@
             leaving = busiest(site);
             long version = leaving.drain();
             confirmed = site.journal.millis();
-            site.journal.say("drain    " + leaving.id() + " is draining, confirmed with version " + version);
+            site.journal.say(
+                    "drain    " + leaving.id() + " is draining, confirmed with version " + version);
             Thread.sleep(SERVES_ON_MILLIS);
             traffic.stop();
             sender.join();
@@ -73,14 +85,26 @@
         long late = 0;
         for (Journal.Run run : site.journal.allRuns()) {
             Long sent = sentMillis.get(run.request());
-            if (run.engine().equals(leaving.id()) && sent != null && sent > confirmed + DRAIN_MILLIS) {
-                site.journal.say("late     " + run.request() + " sent " + (sent - confirmed) + " ms and run "
-                        + (run.millis() - confirmed) + " ms after the confirmation, at " + run.engine());
+            if (run.engine().equals(leaving.id())
+                    && sent != null
+                    && sent > confirmed + DRAIN_MILLIS) {
+                site.journal.say(
+                        "late     "
+                                + run.request()
+                                + " sent "
+                                + (sent - confirmed)
+                                + " ms and run "
+                                + (run.millis() - confirmed)
+                                + " ms after the confirmation, at "
+                                + run.engine());
                 late++;
             }
         }
-        site.journal.say("result   " + late + " requests reached the draining engine later than drain_ms; "
-                + (late > 0 ? "rule broken" : "rule held"));
+        site.journal.say(
+                "result   "
+                        + late
+                        + " requests reached the draining engine later than drain_ms; "
+                        + (late > 0 ? "rule broken" : "rule held"));
         System.out.println(late + " late requests");
         return late > 0 ? 1 : 0;
     }
@@ -98,7 +122,8 @@
     }
 
     /** Safe requests to both instances, 70 a second each. */
-    private record Traffic(Site site, ExecutorService consumers, Map<String, Long> sentMillis, boolean[] stopped)
+    private record Traffic(
+            Site site, ExecutorService consumers, Map<String, Long> sentMillis, boolean[] stopped)
             implements Runnable {
         Traffic(Site site, ExecutorService consumers, Map<String, Long> sentMillis) {
             this(site, consumers, sentMillis, new boolean[1]);
@@ -112,11 +137,12 @@
         public void run() {
             while (!stopped[0]) {
                 for (Gateway gateway : site.gateways) {
-                    consumers.submit(() -> {
-                        String id = site.nextId();
-                        sentMillis.put(id, site.journal.millis());
-                        site.send(gateway, Site.lookup(id), id, new byte[0], 3_000);
-                    });
+                    consumers.submit(
+                            () -> {
+                                String id = site.nextId();
+                                sentMillis.put(id, site.journal.millis());
+                                site.send(gateway, Site.lookup(id), id, new byte[0], 3_000);
+                            });
                 }
                 try {
                     Thread.sleep(14);
--- a/review/stand/Engine.java
+++ b/review/stand/Engine.java
@@ -86,9 +86,21 @@
         return mStore.put(
                 "servers",
                 mId,
-                "{\"service\":\"" + mService + "\",\"address\":\"127.0.0.1:" + mServer.getLocalPort()
-                        + "\",\"zone\":\"" + mZone + "\",\"version\":\"" + mVersion + "\",\"slots\":" + (mStreams ? 64 : 6) + ",\"state\":\""
-                        + mState + "\",\"cold_left_ms\":0,\"seq_no\":" + mSequence + "}");
+                "{\"service\":\""
+                        + mService
+                        + "\",\"address\":\"127.0.0.1:"
+                        + mServer.getLocalPort()
+                        + "\",\"zone\":\""
+                        + mZone
+                        + "\",\"version\":\""
+                        + mVersion
+                        + "\",\"slots\":"
+                        + (mStreams ? 64 : 6)
+                        + ",\"state\":\""
+                        + mState
+                        + "\",\"cold_left_ms\":0,\"seq_no\":"
+                        + mSequence
+                        + "}");
     }
 
     /** Reports that the engine leaves. */
@@ -155,24 +167,41 @@
         if (!expected.isEmpty() && !expected.equals(mId)) {
             Http.write(
                     out,
-                    "HTTP/1.1 421 Misdirected Request\r\nX-Wasabilug-Request-Id: " + id
-                            + "\r\nX-Wasabilug-Instance-Id: " + mId,
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Wasabilug-Request-Id: "
+                            + id
+                            + "\r\nX-Wasabilug-Instance-Id: "
+                            + mId,
                     new byte[0]);
             return;
         }
         mRecord.ran(id, mId, request);
         Thread.sleep(mWorkMillis);
         String head =
-                "HTTP/1.1 200 OK\r\nX-Wasabilug-Request-Id: " + id
-                        + "\r\nX-Wasabilug-Response-Seal: " + Integer.toHexString(id.hashCode());
+                "HTTP/1.1 200 OK\r\nX-Wasabilug-Request-Id: "
+                        + id
+                        + "\r\nX-Wasabilug-Response-Seal: "
+                        + Integer.toHexString(id.hashCode());
         if (!mStreams) {
             Http.write(out, head, ("answer of " + mId + " to " + id + "\n").getBytes());
             return;
         }
-        out.write((head + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").getBytes());
+        out.write(
+                (head + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+                        .getBytes());
         String last = request.header("Last-Event-Id");
-        for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= mEvents; event++) {
-            String text = "id: " + event + "\ndata: " + mVersion + " part " + event + " for " + id + "\n\n";
+        for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+                event <= mEvents;
+                event++) {
+            String text =
+                    "id: "
+                            + event
+                            + "\ndata: "
+                            + mVersion
+                            + " part "
+                            + event
+                            + " for "
+                            + id
+                            + "\n\n";
             out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes());
             out.flush();
             Thread.sleep(mEventMillis);
--- a/review/stand/Gateway.java
+++ b/review/stand/Gateway.java
@@ -24,7 +24,10 @@
     record Ports(int front, int ready, int peers) {
         static Ports free(int hosts) throws Exception {
             for (int first = 21000 + (int) (Math.random() * 8000); first < 30000; first += 7) {
-                if (free(hosts, first) && free(hosts, first + 1) && free(hosts, first + 2) && free(hosts, first + 3)) {
+                if (free(hosts, first)
+                        && free(hosts, first + 1)
+                        && free(hosts, first + 2)
+                        && free(hosts, first + 3)) {
                     return new Ports(first, first + 1, first + 2);
                 }
             }
@@ -43,7 +46,8 @@
         }
     }
 
-    Gateway(Path folder, String name, int number, String zone, Ports ports, int storePort) throws Exception {
+    Gateway(Path folder, String name, int number, String zone, Ports ports, int storePort)
+            throws Exception {
         mName = name;
         mHost = "127.0.0." + (number + 1);
         mPorts = ports;
@@ -111,7 +115,8 @@
     /** Returns whether the process counts as ready, as the platform asks it. */
     boolean ready() {
         try (Socket socket = connect(mPorts.ready(), 1_000)) {
-            socket.getOutputStream().write(("GET /v1/ready HTTP/1.1\r\nHost: " + mHost + "\r\n\r\n").getBytes());
+            socket.getOutputStream()
+                    .write(("GET /v1/ready HTTP/1.1\r\nHost: " + mHost + "\r\n\r\n").getBytes());
             Http.Message answer = Http.read(socket.getInputStream());
             return answer != null && answer.target().equals("200");
         } catch (Exception noAnswer) {
--- a/review/stand/Journal.java
+++ b/review/stand/Journal.java
@@ -3,8 +3,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** What was sent, answered and run, in order of time, also as a file. */
 final class Journal implements AutoCloseable {
@@ -29,10 +29,21 @@
     }
 
     void ran(String request, String engine, Http.Message message) {
-        mRuns.computeIfAbsent(request, id -> java.util.Collections.synchronizedList(new ArrayList<>()))
+        mRuns.computeIfAbsent(
+                        request, id -> java.util.Collections.synchronizedList(new ArrayList<>()))
                 .add(new Run(request, engine, millis(), message));
-        say("run      " + request + " at " + engine + ", " + message.method() + " " + message.target()
-                + ", " + message.body().length + " bytes");
+        say(
+                "run      "
+                        + request
+                        + " at "
+                        + engine
+                        + ", "
+                        + message.method()
+                        + " "
+                        + message.target()
+                        + ", "
+                        + message.body().length
+                        + " bytes");
     }
 
     List<Run> runs(String request) {
--- a/review/stand/Link.java
+++ b/review/stand/Link.java
@@ -74,7 +74,8 @@
     }
 
     private void forward(Socket from, Socket to) {
-        try (from; to) {
+        try (from;
+                to) {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             byte[] buffer = new byte[16_384];
--- a/review/stand/LostAnswer.java
+++ b/review/stand/LostAnswer.java
@@ -17,7 +17,11 @@
     private static int play(Site site, boolean trouble) throws Exception {
         site.configure(7);
         for (int number = 1; number <= 3; number++) {
-            site.engine("i-livre" + number, "livre", number % 2 == 0 ? "zone-brest" : "zone-rennes", false);
+            site.engine(
+                    "i-livre" + number,
+                    "livre",
+                    number % 2 == 0 ? "zone-brest" : "zone-rennes",
+                    false);
         }
         site.engine("i-flotte1", "flotte", "zone-rennes", true);
         site.start(2);
@@ -31,8 +35,11 @@
             // The next change comes in steady state.
             Thread.sleep(6_000);
         }
-        site.journal.say("result   " + broken + " requests handled as only an older version allows; "
-                + (broken > 0 ? "rule broken" : "rule held"));
+        site.journal.say(
+                "result   "
+                        + broken
+                        + " requests handled as only an older version allows; "
+                        + (broken > 0 ? "rule broken" : "rule held"));
         System.out.println(broken + " requests handled as only an older version allows");
         return broken > 0 ? 1 : 0;
     }
@@ -43,23 +50,26 @@
         Gateway gateway = site.gateways.getFirst();
         AtomicReference<Long> lost = new AtomicReference<>();
         if (trouble) {
-            site.store.faults((instance, target, rows) -> {
-                boolean brings = instance.equals(gateway.name())
-                        && target.contains("table=op")
-                        && rows.stream().anyMatch(row -> row.key().equals("config"))
-                        && lost.compareAndSet(null, site.journal.millis());
-                if (brings) {
-                    site.journal.say("store    answer to " + instance + " lost: " + target);
-                }
-                return brings;
-            });
+            site.store.faults(
+                    (instance, target, rows) -> {
+                        boolean brings =
+                                instance.equals(gateway.name())
+                                        && target.contains("table=op")
+                                        && rows.stream().anyMatch(row -> row.key().equals("config"))
+                                        && lost.compareAndSet(null, site.journal.millis());
+                        if (brings) {
+                            site.journal.say("store    answer to " + instance + " lost: " + target);
+                        }
+                        return brings;
+                    });
         }
         while (site.store.sinceLastFeed(gateway.name(), "op") > 300) {
             Thread.sleep(10);
         }
         site.store.put("op", "config", Site.configuration(version, "", Site.keys(next)));
         long confirmed = site.journal.millis();
-        site.journal.say("config   version " + version + " confirmed, holds " + next + " instead of " + old);
+        site.journal.say(
+                "config   version " + version + " confirmed, holds " + next + " instead of " + old);
         int broken = 0;
         while (site.journal.millis() < confirmed + WATCHED_MILLIS) {
             broken += ask(site, gateway, old, 401, confirmed, lost.get());
@@ -82,9 +92,18 @@
         boolean ran = !site.journal.runs(id).isEmpty();
         boolean older = expected == 401 ? ran : status == 401;
         if (older) {
-            site.journal.say("older    " + id + " sent " + (sent - confirmed) + " ms after the confirmation"
-                    + (lost == null ? "" : " and " + (sent - lost) + " ms after the lost answer")
-                    + (expected == 401 ? ": run with the dropped key" : ": refused with 401, the key is there"));
+            site.journal.say(
+                    "older    "
+                            + id
+                            + " sent "
+                            + (sent - confirmed)
+                            + " ms after the confirmation"
+                            + (lost == null
+                                    ? ""
+                                    : " and " + (sent - lost) + " ms after the lost answer")
+                            + (expected == 401
+                                    ? ": run with the dropped key"
+                                    : ": refused with 401, the key is there"));
         }
         return older ? 1 : 0;
     }
--- a/review/stand/Store.java
+++ b/review/stand/Store.java
@@ -100,7 +100,10 @@
                     return;
                 }
                 if (mTurnedAway.contains(instance)) {
-                    Http.write(out, "HTTP/1.1 503 Service Unavailable\r\nStore-Era: " + era(), new byte[0]);
+                    Http.write(
+                            out,
+                            "HTTP/1.1 503 Service Unavailable\r\nStore-Era: " + era(),
+                            new byte[0]);
                     continue;
                 }
                 Answer answer = answer(instance, call);
@@ -112,7 +115,10 @@
                 }
                 Http.write(
                         out,
-                        "HTTP/1.1 " + answer.status() + "\r\nContent-Type: application/json\r\nStore-Era: " + era(),
+                        "HTTP/1.1 "
+                                + answer.status()
+                                + "\r\nContent-Type: application/json\r\nStore-Era: "
+                                + era(),
                         answer.body().getBytes());
             }
         } catch (Exception closed) {
@@ -138,7 +144,10 @@
                 while (put.find()) {
                     put(put.group(1), put.group(2), Base64.getDecoder().decode(put.group(3)));
                 }
-                return new Answer("200 OK", "{\"ver\":" + version() + ",\"now_ms\":" + now() + "}", List.of());
+                return new Answer(
+                        "200 OK",
+                        "{\"ver\":" + version() + ",\"now_ms\":" + now() + "}",
+                        List.of());
             default:
                 return new Answer("404 Not Found", "{}", List.of());
         }
@@ -150,7 +159,8 @@
         return last == null ? Long.MAX_VALUE : (System.nanoTime() - last) / 1_000_000;
     }
 
-    private synchronized Answer feed(String instance, Map<String, String> query) throws InterruptedException {
+    private synchronized Answer feed(String instance, Map<String, String> query)
+            throws InterruptedException {
         long after = Long.parseLong(query.get("after"));
         long until = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         int era = mEra;
@@ -181,14 +191,21 @@
         StringBuilder text = new StringBuilder("{\"rows\":[");
         for (Row row : rows) {
             text.append(text.charAt(text.length() - 1) == '[' ? "" : ",")
-                    .append("{\"table\":\"").append(row.table())
-                    .append("\",\"part\":\"\",\"key\":\"").append(row.key())
-                    .append("\",\"value\":\"").append(Base64.getEncoder().encodeToString(seen(instance, row)))
-                    .append("\",\"ver\":").append(row.version())
+                    .append("{\"table\":\"")
+                    .append(row.table())
+                    .append("\",\"part\":\"\",\"key\":\"")
+                    .append(row.key())
+                    .append("\",\"value\":\"")
+                    .append(Base64.getEncoder().encodeToString(seen(instance, row)))
+                    .append("\",\"ver\":")
+                    .append(row.version())
                     .append(row.removed() ? ",\"removed\":true}" : "}");
         }
-        text.append("],\"more_pages\":false,\"ver\":").append(mVersion)
-                .append(",\"now_ms\":").append(now()).append("}");
+        text.append("],\"more_pages\":false,\"ver\":")
+                .append(mVersion)
+                .append(",\"now_ms\":")
+                .append(now())
+                .append("}");
         return new Answer("200 OK", text.toString(), rows);
     }
 
--- a/review/stand/StreamedBodies.java
+++ b/review/stand/StreamedBodies.java
@@ -55,7 +55,8 @@
             mAtTimeout.set(0);
             mPastTimeout.set(0);
             consumers.submit(() -> send(consumers, ORDINARY_PER_SECOND, ORDINARY_MILLIS));
-            for (long end = mSite.journal.millis() + ORDINARY_MILLIS; mSite.journal.millis() < end; ) {
+            for (long end = mSite.journal.millis() + ORDINARY_MILLIS;
+                    mSite.journal.millis() < end; ) {
                 boolean isReady = gateway.ready();
                 mSite.journal.say("ready    " + isReady + ", process alive " + gateway.alive());
                 ready += isReady ? 1 : 0;
@@ -63,19 +64,38 @@
             }
         }
         tell("ordinary rate over, ready answered " + ready + " times");
-        boolean unanswered = mAtTimeout.get() >= 8 && 2 * mPastTimeout.get() > mAtTimeout.get();
-        boolean broken = unanswered || !gateway.alive();
-        mSite.journal.say("result   of " + mAtTimeout + " requests unanswered at timeout_ms " + mPastTimeout
-                + " have no answer " + SLACK_MILLIS + " ms later, " + mAnswered + " were answered, process alive "
-                + gateway.alive() + "; "
-                + (broken ? "rule broken" : "rule held"));
-        System.out.println(mAnswered + " answered, " + mPastTimeout + " unanswered half a second past timeout_ms");
+        boolean broken = mAtTimeout.get() >= 8 && 2 * mPastTimeout.get() > mAtTimeout.get();
+        mSite.journal.say(
+                "result   of "
+                        + mAtTimeout
+                        + " requests unanswered at timeout_ms "
+                        + mPastTimeout
+                        + " have no answer "
+                        + SLACK_MILLIS
+                        + " ms later, "
+                        + mAnswered
+                        + " were answered, process alive "
+                        + gateway.alive()
+                        + "; "
+                        + (broken ? "rule broken" : "rule held"));
+        System.out.println(
+                mAnswered
+                        + " answered, "
+                        + mPastTimeout
+                        + " unanswered half a second past timeout_ms");
         return broken ? 1 : 0;
     }
 
     private void tell(String when) {
-        mSite.journal.say("state    " + when + ": answered " + mAnswered + ", unanswered at timeout_ms "
-                + mAtTimeout + ", half a second later " + mPastTimeout);
+        mSite.journal.say(
+                "state    "
+                        + when
+                        + ": answered "
+                        + mAnswered
+                        + ", unanswered at timeout_ms "
+                        + mAtTimeout
+                        + ", half a second later "
+                        + mPastTimeout);
     }
 
     private Void send(ExecutorService consumers, int perSecond, long millis) throws Exception {
@@ -93,7 +113,13 @@
         String id = mSite.nextId();
         String head = mStreams ? Site.draft(id) : Site.transfer(id);
         long sent = mSite.journal.millis();
-        int status = mSite.send(mSite.gateways.getFirst(), head, id, new byte[BODY_BYTES], timeout + SLACK_MILLIS);
+        int status =
+                mSite.send(
+                        mSite.gateways.getFirst(),
+                        head,
+                        id,
+                        new byte[BODY_BYTES],
+                        timeout + SLACK_MILLIS);
         long elapsed = mSite.journal.millis() - sent;
         if (status != 0) {
             mAnswered.incrementAndGet();
--- a/review/stand/Versions.java
+++ b/review/stand/Versions.java
@@ -25,8 +25,8 @@
     private static final int ALLOWED = 2;
     private static final String ROUTE =
             "{\"name\":\"r-chat\",\"host\":\"pule25.example\",\"prefix\":\"/lofa12/\",\"kind\":\"streaming\","
-                    + "\"timeout_ms\":15000,\"goal_ms\":2700,\"priority\":2,\"service\":\"flotte\",\"max_attempts\":2,"
-                    + "\"public\":false,\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":400},";
+                + "\"timeout_ms\":15000,\"goal_ms\":2700,\"priority\":2,\"service\":\"flotte\",\"max_attempts\":2,"
+                + "\"public\":false,\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":400},";
 
     public static void main(String[] arguments) {
         Play.run(arguments[0], Versions::play);
@@ -61,9 +61,13 @@
                 mixed += stream.mVersions.size() > 1 ? 1 : 0;
             }
         }
-        site.journal.say("result   " + mixed + " streams hold events of two software versions; "
-                + (mixed > ALLOWED ? "rule broken" : "rule held"));
-        System.out.println(mixed + " of " + STREAMS + " streams hold events of two software versions");
+        site.journal.say(
+                "result   "
+                        + mixed
+                        + " streams hold events of two software versions; "
+                        + (mixed > ALLOWED ? "rule broken" : "rule held"));
+        System.out.println(
+                mixed + " of " + STREAMS + " streams hold events of two software versions");
         return mixed > ALLOWED ? 1 : 0;
     }
 
@@ -81,7 +85,10 @@
             site.journal.say("release  i-new" + number + " with version v2 starts");
             Thread.sleep(300);
             old.get(number - 1).unregister();
-            site.journal.say("release  the entry of " + old.get(number - 1).id() + " is removed, it serves on");
+            site.journal.say(
+                    "release  the entry of "
+                            + old.get(number - 1).id()
+                            + " is removed, it serves on");
             Thread.sleep(300);
         }
     }
@@ -130,14 +137,26 @@
         private void attempt(Gateway gateway, int left) {
             String id = mSite.nextId();
             StringBuilder head =
-                    new StringBuilder(Site.head("POST", "pule25.example", "/lofa12/2f", id, Site.KEY, left));
+                    new StringBuilder(
+                            Site.head("POST", "pule25.example", "/lofa12/2f", id, Site.KEY, left));
             head.append("\r\nX-Wasabilug-Model: m\r\nX-Wasabilug-Token-Counts: 715,280")
-                    .append("\r\nX-Wasabilug-Prefix-Hash: 5c1e07a2:172,").append(id.substring(8)).append(":543");
+                    .append("\r\nX-Wasabilug-Prefix-Hash: 5c1e07a2:172,")
+                    .append(id.substring(8))
+                    .append(":543");
             if (mLast > 0) {
-                head.append("\r\nLast-Event-Id: ").append(mLast).append("\r\nResumes: ").append(mBegunBy);
+                head.append("\r\nLast-Event-Id: ")
+                        .append(mLast)
+                        .append("\r\nResumes: ")
+                        .append(mBegunBy);
             }
-            mSite.journal.say("send     " + id + " to " + gateway.name()
-                    + (mLast > 0 ? ", goes on after event " + mLast + " of " + mBegunBy : ""));
+            mSite.journal.say(
+                    "send     "
+                            + id
+                            + " to "
+                            + gateway.name()
+                            + (mLast > 0
+                                    ? ", goes on after event " + mLast + " of " + mBegunBy
+                                    : ""));
             String status = "none";
             try (Socket socket = gateway.connect(left)) {
                 Http.write(socket.getOutputStream(), head.toString(), new byte[1_400]);
@@ -154,8 +173,16 @@
                 status = status + " broken";
             }
             mTries.append(' ').append(id).append('=').append(status);
-            mSite.journal.say("answer   " + id + " " + status + ", events until " + mLast + " of versions " + mVersions
-                    + (mComplete ? ", complete" : ""));
+            mSite.journal.say(
+                    "answer   "
+                            + id
+                            + " "
+                            + status
+                            + ", events until "
+                            + mLast
+                            + " of versions "
+                            + mVersions
+                            + (mComplete ? ", complete" : ""));
         }
 
         private void readChunks(InputStream in, String id) throws IOException {
@@ -184,8 +211,15 @@
 
         @Override
         public String toString() {
-            return "begun by " + mBegunBy + ", " + mLast + " events of versions " + mVersions
-                    + (mComplete ? ", complete" : ", not complete") + "; tries" + mTries;
+            return "begun by "
+                    + mBegunBy
+                    + ", "
+                    + mLast
+                    + " events of versions "
+                    + mVersions
+                    + (mComplete ? ", complete" : ", not complete")
+                    + "; tries"
+                    + mTries;
         }
     }
 }
