Keep streams at their software version after all instances were killed

Cause: an instance that knows neither a stream nor another version takes the only registered version for the one that began it. After a restart of all instances nobody remembers the version that has just left; what was not seen counted as not existing.

Change: an instance knows since when it has watched the endpoints' rows without a gap, and tells peers that ask. Few instances record the versions of services with resumable streams in the store, with the time at which they left. Where no one asked has watched for a minute, these records are read, and without them the stream is refused as not run. So the guess is made only with the history that it needs, and a fleet of one version still takes up streams after a restart.

--- a/core/src/test/java/org/wasabilug/internal/serving/SoftwareVersionsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SoftwareVersionsTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.EndpointRegistration;
 
@@ -22,4 +24,35 @@
         assertThat(mVersions.recent("service", 60_001)).containsExactly("v2");
         assertThat(mVersions.recent("other", 0)).isEmpty();
     }
+
+    @Test
+    void anInstanceKnowsAllVersionsOnlyAfterAMinute() {
+        assertThat(mVersions.complete(Long.MAX_VALUE / 2)).as("nothing was read").isFalse();
+
+        mVersions.watchedSince(10_000);
+
+        assertThat(mVersions.complete(70_000)).isFalse();
+        assertThat(mVersions.complete(70_001)).isTrue();
+    }
+
+    @Test
+    void anInstanceThatHasReadTheRecordsKnowsAllVersionsUntilItMissesChanges() {
+        mVersions.watchedSince(10_000);
+        mVersions.add(
+                "service",
+                new SoftwareVersionRecord(
+                        Map.of("v1", Optional.of(5_000L), "v2", Optional.empty())),
+                25_000,
+                11_000);
+        mVersions.historyRead();
+
+        assertThat(mVersions.complete(11_000)).isTrue();
+        assertThat(mVersions.recent("service", 11_000)).containsExactlyInAnyOrder("v1", "v2");
+        assertThat(mVersions.recent("service", 51_001))
+                .as("the first left 20 s before the record was read")
+                .containsExactly("v2");
+
+        mVersions.watchedSince(12_000);
+        assertThat(mVersions.complete(12_000)).isFalse();
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -13,6 +13,9 @@
 import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
 import org.wasabilug.gateway.internal.fleet.EndpointWatch;
 import org.wasabilug.gateway.internal.fleet.InstanceRegistry;
+import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
+import org.wasabilug.gateway.internal.fleet.SoftwareVersionRecorder;
+import org.wasabilug.gateway.internal.fleet.SoftwareVersionTable;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.log.MetricsText;
@@ -58,6 +61,7 @@
     private final SharedStageExecutor mSharedStages;
     private final PeerNetwork mNetwork;
     private final SharedStreamOrigins mStreamOrigins;
+    private final SoftwareVersionRecorder mSoftwareVersions;
     private final SharedCrashSuspects mCrashSuspects;
     private final SharedRejections mRejections;
     private final StoreRelay mStoreRelay;
@@ -101,7 +105,13 @@
         mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
         mStoreRelay = new StoreRelay(mState, mNetwork, () -> !mEndpoints.storeReachable());
-        mStreamOrigins = new SharedStreamOrigins(mState, mNetwork);
+        SoftwareVersionTable versions = new SoftwareVersionTable(mState, mLoops);
+        mStreamOrigins =
+                new SharedStreamOrigins(
+                        mState, mNetwork, new SoftwareVersionHistory(mState, versions));
+        mSoftwareVersions =
+                new SoftwareVersionRecorder(
+                        mState, versions, mNetwork::live, mEndpoints::storeReachable);
         mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
         mRejections = new SharedRejections(mState, mNetwork);
         RequestReceiver receiver =
@@ -181,6 +191,7 @@
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
         mStreamOrigins.removeExpired();
+        mSoftwareVersions.recordChanges();
         mCrashSuspects.removeExpired();
         mStoreRelay.relayChanges();
         mState.reachability().probe();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -45,6 +45,7 @@
 
     @Override
     public void replaced(List<StoredRow> rows) {
+        mState.softwareVersions().watchedSince(mState.nowMillis());
         Set<String> missing = mState.directory().names();
         mUnreadable
                 .keySet()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.request.StreamOriginRegistry;
 import org.wasabilug.internal.serving.EndpointState;
@@ -39,6 +40,7 @@
 
     private final GatewayState mState;
     private final PeerNetwork mNetwork;
+    private final SoftwareVersionHistory mHistory;
     private final StreamOrigins mOrigins = new StreamOrigins();
     private final Map<String, Search> mSearches = new HashMap<>();
 
@@ -47,10 +49,13 @@
      *
      * @param state state of this process
      * @param network the other instances
+     * @param history the recorded software versions
      */
-    public SharedStreamOrigins(GatewayState state, PeerNetwork network) {
+    public SharedStreamOrigins(
+            GatewayState state, PeerNetwork network, SoftwareVersionHistory history) {
         mState = state;
         mNetwork = network;
+        mHistory = history;
     }
 
     @Override
@@ -123,7 +128,8 @@
         StreamOriginReply.Builder reply =
                 StreamOriginReply.newBuilder()
                         .setAttempt(query.getAttempt())
-                        .addAllRecentVersions(recentVersions(query.getService()));
+                        .addAllRecentVersions(recentVersions(query.getService()))
+                        .setHistoryComplete(historyComplete());
         mOrigins.find(query.getAttempt()).ifPresent(reply::setSoftwareVersion);
         mNetwork.send(peer, mNetwork.envelope().setStreamOriginReply(reply).build());
     }
@@ -139,6 +145,10 @@
         return versions;
     }
 
+    private boolean historyComplete() {
+        return mState.softwareVersions().complete(mState.nowMillis());
+    }
+
     /**
      * Applies the reply of a peer.
      *
@@ -165,6 +175,8 @@
         private final Set<String> mUnanswered = new HashSet<>();
         private final Set<String> mRecentVersions;
         private ScheduledFuture<?> mTimeout;
+        private boolean mPeerHistoryComplete;
+        private boolean mEnding;
 
         private Search(String attempt, String service) {
             mAttempt = attempt;
@@ -186,30 +198,56 @@
                         .forEach(mUnanswered::add);
             }
             if (mUnanswered.isEmpty()) {
-                endUnknown();
+                unknownToPeers();
                 return;
             }
             mTimeout =
                     mState.loop()
                             .schedule(
-                                    this::endUnknown, REPLY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                                    this::unknownToPeers,
+                                    REPLY_TIMEOUT_MILLIS,
+                                    TimeUnit.MILLISECONDS);
         }
 
         private void replyReceived(String peer, StreamOriginReply reply) {
             mRecentVersions.addAll(reply.getRecentVersionsList());
+            mPeerHistoryComplete |= reply.getHistoryComplete();
             if (reply.hasSoftwareVersion()) {
                 end(Optional.of(reply.getSoftwareVersion()), "peer " + peer);
             } else if (mUnanswered.remove(peer) && mUnanswered.isEmpty()) {
-                endUnknown();
+                unknownToPeers();
+            }
+        }
+
+        private void unknownToPeers() {
+            if (mEnding) {
+                return;
+            }
+            mEnding = true;
+            if (mPeerHistoryComplete) {
+                endUnknown(true);
+            } else {
+                mHistory.complete(() -> endUnknown(historyComplete()));
             }
         }
 
-        private void endUnknown() {
+        /** Goes on at the only version of late, if it is sure that there was no other. */
+        private void endUnknown(boolean historyComplete) {
+            if (mSearches.get(mAttempt) != this) {
+                return;
+            }
+            mRecentVersions.addAll(recentVersions(mService));
+            boolean single = historyComplete && mRecentVersions.size() == 1;
             Optional<String> only =
-                    mRecentVersions.size() == 1
-                            ? mRecentVersions.stream().findFirst()
-                            : Optional.empty();
-            end(only, only.isPresent() ? "only version" : "unknown");
+                    single ? mRecentVersions.stream().findFirst() : Optional.empty();
+            end(only, source(historyComplete, single));
+        }
+
+        private static String source(boolean historyComplete, boolean single) {
+            if (!historyComplete) {
+                return "unknown, without history";
+            }
+            return single ? "only version" : "unknown";
         }
 
         private void end(Optional<String> softwareVersion, String source) {
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
@@ -43,6 +43,15 @@
      */
     byte[] writeBody(String table, String key, byte[] value);
 
+    /**
+     * Encodes the body of a write that the store refuses if the row has changed.
+     *
+     * @param table name of the table
+     * @param row key and content of the row, and the version that is to be replaced; 0 if the row
+     *     must not exist
+     */
+    byte[] conditionalWriteBody(String table, StoredRow row);
+
     /**
      * Decodes a page of rows.
      *
