Compare versions of the store only within one era

Cause: the store gives its versions out again after the drill, and each row with a version below the one from before was dropped as outdated. Nothing read `Store-Era`.

Change: a revision is an era and a version, in rows, registrations and relays between instances. One place knows the newest era; a response or relayed row of an earlier one is not applied. When the era rises, tables are read anew, what was known stays in use while rows are written again, and a row that would bring back an endpoint that has left is believed only once it is written in the new era. The same cause on related paths: an instance's own row was lost for good, followers missed changes without a 410 where the new numbers had overtaken them, failure domains out of service came back into use. A row of an older instance has no era and counts as of the newest.

`store-came-back-older` tells both eras.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -20,6 +20,7 @@
     private final Map<String, List<EndpointState>> mByService = new HashMap<>();
     private final Map<String, EndpointState> mByAddress = new HashMap<>();
     private final Map<String, Long> mMissingUntilMillis = new LinkedHashMap<>();
+    private final DepartedEndpoints mDeparted = new DepartedEndpoints();
     private Set<String> mDomainsOutOfService = Set.of();
 
     /** Effect of a registration. */
@@ -31,7 +32,9 @@
         /** A known endpoint accepts no further requests. */
         LEAVING,
         /** A known endpoint now belongs to another service. */
-        UPDATED
+        UPDATED,
+        /** Not applied: it may come from a copy of the store that is older than a departure. */
+        DOUBTED
     }
 
     /**
@@ -42,15 +45,29 @@
      * @return the effect
      */
     public Change register(EndpointRegistration registration, long nowMillis) {
+        if (mDeparted.doubts(registration)) {
+            return Change.DOUBTED;
+        }
         mMissingUntilMillis.remove(registration.name());
+        Change change = apply(registration, nowMillis);
+        EndpointRegistration inUse = mEndpoints.get(registration.name()).registration();
+        if (inUse.leaving()) {
+            mDeparted.departed(inUse, nowMillis);
+        } else {
+            mDeparted.returned(inUse.name());
+        }
+        return change;
+    }
+
+    private Change apply(EndpointRegistration registration, long nowMillis) {
         EndpointState known = mEndpoints.get(registration.name());
-        if (known == null || isNewIncarnation(known.registration(), registration)) {
+        if (known == null || registration.isOtherIncarnationThan(known.registration())) {
             mEndpoints.put(registration.name(), new EndpointState(registration, nowMillis));
             reindex();
             return Change.ADDED;
         }
         EndpointRegistration old = known.registration();
-        if (registration.revision() < old.revision()) {
+        if (old.revision().isAfter(registration.revision())) {
             return Change.NONE;
         }
         known.update(registration, nowMillis);
@@ -68,15 +85,18 @@
      * Removes an endpoint.
      *
      * @param name name of the endpoint
+     * @param nowMillis current monotonic time, in milliseconds
      * @return true if the endpoint was known
      */
-    public boolean remove(String name) {
+    public boolean remove(String name, long nowMillis) {
         mMissingUntilMillis.remove(name);
-        boolean known = mEndpoints.remove(name) != null;
-        if (known) {
-            reindex();
+        EndpointState known = mEndpoints.remove(name);
+        if (known == null) {
+            return false;
         }
-        return known;
+        mDeparted.departed(known.registration(), nowMillis);
+        reindex();
+        return true;
     }
 
     /**
@@ -106,7 +126,8 @@
                         expired.add(name);
                     }
                 });
-        expired.forEach(this::remove);
+        expired.forEach(name -> remove(name, nowMillis));
+        mDeparted.removeExpired(nowMillis);
         return expired;
     }
 
@@ -246,13 +267,6 @@
         return new HashSet<>(mEndpoints.keySet());
     }
 
-    private static boolean isNewIncarnation(
-            EndpointRegistration old, EndpointRegistration registration) {
-        return registration.startedAtMillis() > old.startedAtMillis()
-                || !old.host().equals(registration.host())
-                || old.port() != registration.port();
-    }
-
     private void reindex() {
         mByService.clear();
         mByAddress.clear();
--- a/core/src/main/java/org/wasabilug/serving/EndpointRegistration.java
+++ b/core/src/main/java/org/wasabilug/serving/EndpointRegistration.java
@@ -27,4 +27,15 @@
         long coldMillis,
         long startedAtMillis,
         String softwareVersion,
-        long revision) {}
+        StoreRevision revision) {
+    /**
+     * Returns whether this registration belongs to another process of the endpoint.
+     *
+     * @param other an earlier registration under the same name
+     */
+    public boolean isOtherIncarnationThan(EndpointRegistration other) {
+        return startedAtMillis > other.startedAtMillis()
+                || !host.equals(other.host())
+                || port != other.port();
+    }
+}
--- a/core/src/test/java/org/wasabilug/internal/serving/BrittleFleet.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/BrittleFleet.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.wasabilug.serving.EndpointRegistration;
 import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.StoreRevision;
 
 /**
  * Instances in virtual time in front of the engines of one service, which may announce from the
@@ -215,7 +216,17 @@
 
         private EndpointRegistration registration(String name) {
             return new EndpointRegistration(
-                    name, SERVICE, "10.0.0.1", 80, "", mShape.slots(), false, 0, 0, "v1", 1);
+                    name,
+                    SERVICE,
+                    "10.0.0.1",
+                    80,
+                    "",
+                    mShape.slots(),
+                    false,
+                    0,
+                    0,
+                    "v1",
+                    new StoreRevision(0, 1));
         }
 
         void send(Set<String> tried) {
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 class EndpointDirectoryTest {
     private final EndpointDirectory mDirectory = new EndpointDirectory();
@@ -13,7 +14,17 @@
     private static EndpointRegistration registered(
             String name, boolean leaving, long startedAt, long version) {
         return new EndpointRegistration(
-                name, "service", "10.0.0.1", 80, "rennes", 1, leaving, 0, startedAt, "v1", version);
+                name,
+                "service",
+                "10.0.0.1",
+                80,
+                "rennes",
+                1,
+                leaving,
+                0,
+                startedAt,
+                "v1",
+                new StoreRevision(0, version));
     }
 
     @Test
@@ -72,7 +83,17 @@
         mDirectory.register(registered("near", false, 0, 1), 0);
         mDirectory.register(
                 new EndpointRegistration(
-                        "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2),
+                        "far",
+                        "service",
+                        "10.0.0.2",
+                        80,
+                        "brest",
+                        1,
+                        false,
+                        0,
+                        0,
+                        "v1",
+                        new StoreRevision(0, 2)),
                 0);
         assertThat(mDirectory.usable("service", in("rennes"), in("brest")))
                 .extracting(each -> each.registration().name())
@@ -85,7 +106,17 @@
         mDirectory.register(registered("near", false, 0, 1), 0);
         mDirectory.register(
                 new EndpointRegistration(
-                        "far", "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2),
+                        "far",
+                        "service",
+                        "10.0.0.2",
+                        80,
+                        "brest",
+                        1,
+                        false,
+                        0,
+                        0,
+                        "v1",
+                        new StoreRevision(0, 2)),
                 0);
 
         assertThat(mDirectory.usable("service", group -> false, in("brest")))
@@ -94,6 +125,58 @@
         assertThat(mDirectory.usable("service", group -> false, group -> false)).hasSize(2);
     }
 
+    /** Guards against a draining endpoint in use after the store came back from an older copy. */
+    @Test
+    void aLeaveOfALaterEraCountsThoughItsVersionIsLower() {
+        mDirectory.register(inEra(1, 90, false), 0);
+
+        assertThat(mDirectory.register(inEra(2, 40, true), 0))
+                .isEqualTo(EndpointDirectory.Change.LEAVING);
+        assertThat(mDirectory.register(inEra(1, 91, false), 0))
+                .as("a late row of the earlier era")
+                .isNotEqualTo(EndpointDirectory.Change.ADDED);
+        assertThat(mDirectory.usable("service")).isEmpty();
+    }
+
+    @Test
+    void anOlderCopyDoesNotTakeALeaveBackButALaterRowDoes() {
+        mDirectory.register(inEra(1, 90, true), 0);
+
+        assertThat(mDirectory.register(inEra(2, 40, false), 0))
+                .isEqualTo(EndpointDirectory.Change.DOUBTED);
+        mDirectory.register(inEra(2, 40, false), 0);
+        assertThat(mDirectory.usable("service")).isEmpty();
+
+        mDirectory.register(inEra(2, 41, false), 0);
+        assertThat(mDirectory.usable("service")).hasSize(1);
+    }
+
+    @Test
+    void anOlderCopyDoesNotBringAnEndpointBackThatIsGone() {
+        mDirectory.register(inEra(1, 90, false), 0);
+        mDirectory.remove("a", 0);
+
+        mDirectory.register(inEra(2, 40, false), 0);
+        assertThat(mDirectory.usable("service")).isEmpty();
+        mDirectory.register(inEra(2, 41, false), 0);
+        assertThat(mDirectory.usable("service")).hasSize(1);
+    }
+
+    @Test
+    void anEndpointThatIsGoneMayRegisterAgainInTheSameEra() {
+        mDirectory.register(inEra(1, 90, false), 0);
+        mDirectory.remove("a", 0);
+
+        mDirectory.register(inEra(1, 91, false), 0);
+        assertThat(mDirectory.usable("service")).hasSize(1);
+    }
+
+    private static EndpointRegistration inEra(long era, long version, boolean leaving) {
+        StoreRevision revision = new StoreRevision(era, version);
+        return new EndpointRegistration(
+                "a", "service", "10.0.0.1", 80, "rennes", 1, leaving, 0, 0, "v1", revision);
+    }
+
     private static Predicate<EndpointGroup> in(String domain) {
         return group -> group.failureDomain().equals(domain);
     }
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointReachabilityTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointReachabilityTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 class EndpointReachabilityTest {
     private static final int MANY = 11;
@@ -86,6 +87,16 @@
 
     private static EndpointRegistration endpoint(String name) {
         return new EndpointRegistration(
-                name, "service", "10.0.0.2", 80, "brest", 1, false, 0, 0, "v1", 2);
+                name,
+                "service",
+                "10.0.0.2",
+                80,
+                "brest",
+                1,
+                false,
+                0,
+                0,
+                "v1",
+                new StoreRevision(0, 2));
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
@@ -7,6 +7,7 @@
 import org.wasabilug.serving.PromptPart;
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
+import org.wasabilug.serving.StoreRevision;
 
 /** Test data for the tests of this package. */
 final class ServingFixtures {
@@ -16,7 +17,17 @@
 
     static EndpointRegistration registration(String name, String domain) {
         return new EndpointRegistration(
-                name, "service", "10.0.0.1", 80, domain, 2, false, 0, 0, "v1", 1);
+                name,
+                "service",
+                "10.0.0.1",
+                80,
+                domain,
+                2,
+                false,
+                0,
+                0,
+                "v1",
+                new StoreRevision(0, 1));
     }
 
     static EndpointState endpoint(String name, String domain) {
--- a/core/src/test/java/org/wasabilug/internal/serving/SoftwareVersionsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SoftwareVersionsTest.java
@@ -6,13 +6,24 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 class SoftwareVersionsTest {
     private final SoftwareVersions mVersions = new SoftwareVersions();
 
     private static EndpointRegistration registration(String softwareVersion) {
         return new EndpointRegistration(
-                "name", "service", "10.0.0.1", 80, "rennes", 1, false, 0, 0, softwareVersion, 1);
+                "name",
+                "service",
+                "10.0.0.1",
+                80,
+                "rennes",
+                1,
+                false,
+                0,
+                0,
+                softwareVersion,
+                new StoreRevision(0, 1));
     }
 
     @Test
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -32,6 +32,8 @@
 import org.wasabilug.gateway.internal.request.RequestReceiver;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.store.FollowedTable;
+import org.wasabilug.gateway.internal.store.StoreAccess;
+import org.wasabilug.gateway.internal.store.StoreEra;
 import org.wasabilug.gateway.internal.store.TableEvents;
 import org.wasabilug.gateway.internal.store.TableFollower;
 import org.wasabilug.gateway.protocol.StoreProtocol;
@@ -65,6 +67,7 @@
     private final SharedCrashSuspects mCrashSuspects;
     private final SharedRejections mRejections;
     private final StoreRelay mStoreRelay;
+    private final StoreAccess mStore;
     private final RelayListener mRelays;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
@@ -104,8 +107,11 @@
         mState.reachability().peers(new LiveRelayPeers(mState, mNetwork));
         mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
-        mStoreRelay = new StoreRelay(mState, mNetwork, () -> !mEndpoints.storeReachable());
-        SoftwareVersionTable versions = new SoftwareVersionTable(mState, mLoops);
+        mStore = new StoreAccess(mLoops, settings.store(), protocol.store(), new StoreEra());
+        mStore.era().addListener(this::storeCameBackOlder);
+        mStoreRelay =
+                new StoreRelay(mState, mNetwork, mStore.era(), () -> !mEndpoints.storeReachable());
+        SoftwareVersionTable versions = new SoftwareVersionTable(mState, mStore);
         mStreamOrigins =
                 new SharedStreamOrigins(
                         mState, mNetwork, new SoftwareVersionHistory(mState, versions));
@@ -169,12 +175,23 @@
                         InstanceRegistry.TABLE,
                         () -> INSTANCE_WAIT_MILLIS,
                         () -> INSTANCE_PAUSE_MILLIS),
-                new InstanceRegistry(mState, mLoops, mNetwork));
+                new InstanceRegistry(mState, mStore, mNetwork));
     }
 
     private void follow(FollowedTable table, TableEvents events) {
-        new TableFollower(mLoops, mSettings.store(), mState.protocol().store(), table, events)
-                .start();
+        new TableFollower(mStore, table, events).start();
+    }
+
+    private void storeCameBackOlder(long before, long era) {
+        mState.log()
+                .process(
+                        LogLine.of("store-came-back-older")
+                                .with("era", era)
+                                .with("before", before)
+                                .with("endpoints", mState.directory().all().size()));
+        mEndpoints.storeCameBackOlder();
+        mConfiguration.storeCameBackOlder();
+        mSoftwareVersions.storeCameBackOlder();
     }
 
     private boolean ready() {
@@ -186,6 +203,7 @@
     private void runHousekeeping() {
         logLoopDelay();
         mEndpoints.removeExpired();
+        mConfiguration.removeExpired();
         mCallers.enforceTimeouts();
         mState.connections().closeExpired();
         mStages.evictExpired();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
@@ -18,9 +18,17 @@
  * Activates newer configurations and applies which failure domains operators take out of service.
  */
 public final class ConfigurationWatch implements TableEvents {
+    /** Time in which operators write again what the store has lost. */
+    private static final long REWRITE_GRACE_MILLIS = 5_000;
+
     private final GatewayState mState;
     private final Set<String> mOutOfServiceDomains = new TreeSet<>();
 
+    /** Domains whose rows the store has lost, which stay out of service for a while. */
+    private final Set<String> mMissingDomains = new TreeSet<>();
+
+    private long mGraceUntilMillis = Long.MIN_VALUE;
+
     /**
      * Creates a watch.
      *
@@ -32,11 +40,36 @@
 
     @Override
     public void replaced(List<StoredRow> rows) {
+        Set<String> before = Set.copyOf(mOutOfServiceDomains);
         mOutOfServiceDomains.clear();
         rows.forEach(this::apply);
+        if (mState.nowMillis() < mGraceUntilMillis) {
+            before.stream()
+                    .filter(domain -> !mOutOfServiceDomains.contains(domain))
+                    .forEach(mMissingDomains::add);
+        }
         publishDomains();
     }
 
+    /**
+     * Keeps failure domains out of service for a while though their rows are missing, as the store
+     * came back from an older copy.
+     */
+    public void storeCameBackOlder() {
+        mGraceUntilMillis = mState.nowMillis() + REWRITE_GRACE_MILLIS;
+    }
+
+    /**
+     * Takes back domains whose rows were not written again; to be called several times a second.
+     */
+    public void removeExpired() {
+        if (!mMissingDomains.isEmpty() && mState.nowMillis() >= mGraceUntilMillis) {
+            mMissingDomains.forEach(domain -> logDomain(domain, true));
+            mMissingDomains.clear();
+            publishDomains();
+        }
+    }
+
     @Override
     public void changed(List<StoredRow> rows) {
         rows.forEach(this::apply);
@@ -61,18 +94,25 @@
     }
 
     private void applyDomain(String domain, boolean removed) {
+        boolean missing = mMissingDomains.remove(domain);
         boolean changed =
-                removed ? mOutOfServiceDomains.remove(domain) : mOutOfServiceDomains.add(domain);
+                removed
+                        ? mOutOfServiceDomains.remove(domain) || missing
+                        : mOutOfServiceDomains.add(domain) && !missing;
         if (changed) {
-            mState.log()
-                    .process(
-                            LogLine.of(removed ? "domain-back" : "domain-out")
-                                    .with("domain", domain));
+            logDomain(domain, removed);
         }
     }
 
+    private void logDomain(String domain, boolean back) {
+        mState.log()
+                .process(LogLine.of(back ? "domain-back" : "domain-out").with("domain", domain));
+    }
+
     private void publishDomains() {
-        mState.directory().setDomainsOutOfService(mOutOfServiceDomains);
+        Set<String> domains = new TreeSet<>(mOutOfServiceDomains);
+        domains.addAll(mMissingDomains);
+        mState.directory().setDomainsOutOfService(domains);
     }
 
     /** Activates a configuration unless the active one is at least as new. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -14,12 +14,13 @@
 import org.wasabilug.gateway.protocol.UnreadableException;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 /**
  * Keeps the endpoint directory consistent with the endpoint table of the store.
  *
- * <p>Entries may expire while the store is unavailable although their endpoints are alive. Missing
- * entries therefore get a grace period after the store becomes available again.
+ * <p>Entries may be missing although their endpoints are alive after the store was unavailable or
+ * came back from an older copy. They therefore get a grace period.
  */
 public final class EndpointWatch implements TableEvents {
     /** Time after a recovery of the store within which every live endpoint registers again. */
@@ -27,8 +28,8 @@
 
     private final GatewayState mState;
 
-    /** Versions of the rows that can't be read, by key. */
-    private final Map<String, Long> mUnreadable = new HashMap<>();
+    /** Revisions of the rows that can't be read, by key. */
+    private final Map<String, StoreRevision> mUnreadable = new HashMap<>();
 
     private long mGraceUntilMillis = Long.MIN_VALUE;
     private boolean mStoreReachable;
@@ -77,10 +78,15 @@
                                     .with("endpoint", name)
                                     .with(
                                             "reason",
-                                            "not re-registered after the store was unavailable"));
+                                            "not registered again after the store was away"));
         }
     }
 
+    /** Gives missing entries a grace period, as the store came back from an older copy. */
+    public void storeCameBackOlder() {
+        mGraceUntilMillis = mState.nowMillis() + REGISTRATION_GRACE_MILLIS;
+    }
+
     /** Returns whether the store responds; false before its first response. */
     public boolean storeReachable() {
         return mStoreReachable;
@@ -92,7 +98,7 @@
             registration = mState.protocol().store().readRegistration(row);
         } catch (UnreadableException unreadable) {
             reportUnreadable(row, unreadable);
-            mState.directory().remove(row.key());
+            mState.directory().remove(row.key(), mState.nowMillis());
             return;
         }
         long now = mState.nowMillis();
@@ -111,13 +117,13 @@
                                     .with("leaving", registration.leaving())
                                     .with("cold", registration.coldMillis())
                                     .with("software", registration.softwareVersion())
-                                    .with("revision", registration.revision()));
+                                    .with("revision", registration.revision().toString()));
         }
     }
 
     /** Logs an unreadable row once, not with each read of the table. */
     private void reportUnreadable(StoredRow row, UnreadableException unreadable) {
-        if (!Objects.equals(mUnreadable.put(row.key(), row.version()), row.version())) {
+        if (!Objects.equals(mUnreadable.put(row.key(), row.revision()), row.revision())) {
             mState.log()
                     .process(
                             LogLine.of("registration-unreadable")
@@ -139,7 +145,7 @@
             return;
         }
         mState.prefixCaches().remove(name);
-        if (mState.directory().remove(name)) {
+        if (mState.directory().remove(name, now)) {
             mState.log()
                     .process(
                             LogLine.of("endpoint-gone")
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -4,49 +4,95 @@
 import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
 import org.wasabilug.gateway.internal.store.RowWriter;
+import org.wasabilug.gateway.internal.store.StoreAccess;
+import org.wasabilug.gateway.internal.store.StoreEra;
 import org.wasabilug.gateway.internal.store.TableEvents;
 import org.wasabilug.gateway.protocol.StoredRow;
 
-/** Discovery of the instances of a fleet: each writes its host to a table of the store. */
+/**
+ * Discovery of the instances of a fleet: each writes its host to a table of the store, and again if
+ * the store has lost it.
+ */
 public final class InstanceRegistry implements TableEvents {
     /** Name of the table; the key is the name of the instance, the value its host. */
     public static final String TABLE = "instances";
 
+    /** Share of an instance in the time over which all write their rows at once. */
+    private static final long WRITE_INTERVAL_MILLIS = 5;
+
     private final GatewayState mState;
     private final PeerNetwork mNetwork;
+    private final EventLoopGroup mLoops;
     private final RowWriter mWriter;
-    private boolean mRegistered;
+    private final StoreEra mEra;
+    private Registration mRegistration = Registration.NONE;
+
+    private enum Registration {
+        NONE,
+        IN_PROGRESS,
+        DONE
+    }
 
     /**
      * Creates a registry.
      *
      * @param state state of this process
-     * @param loops event loop
+     * @param store how the store is reached
      * @param network receives the discovered instances
      */
-    public InstanceRegistry(GatewayState state, EventLoopGroup loops, PeerNetwork network) {
+    public InstanceRegistry(GatewayState state, StoreAccess store, PeerNetwork network) {
         mState = state;
         mNetwork = network;
-        mWriter = new RowWriter(loops, state.settings().store(), state.protocol().store());
+        mLoops = store.loops();
+        mWriter = new RowWriter(store);
+        mEra = store.era();
+        mEra.addListener((before, era) -> storeCameBackOlder());
+    }
+
+    private void storeCameBackOlder() {
+        if (mRegistration == Registration.DONE) {
+            mRegistration = Registration.NONE;
+        }
     }
 
     @Override
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
         boolean present = rows.stream().anyMatch(this::isThisInstance);
-        if (!present && !mRegistered) {
-            mRegistered = true;
-            String host = mState.settings().peers().getHostString();
-            mWriter.write(
-                    TABLE,
-                    mState.settings().name(),
-                    host.getBytes(StandardCharsets.UTF_8),
-                    () -> mState.log().process(LogLine.of("instance-registered")));
+        if (!present && mRegistration == Registration.NONE) {
+            mRegistration = Registration.IN_PROGRESS;
+            long spreadMillis = mNetwork.instances() * WRITE_INTERVAL_MILLIS;
+            mLoops.next()
+                    .schedule(
+                            this::register,
+                            ThreadLocalRandom.current().nextLong(spreadMillis),
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void register() {
+        long era = mEra.newest();
+        mWriter.write(
+                TABLE,
+                mState.settings().name(),
+                mState.settings().peers().getHostString().getBytes(StandardCharsets.UTF_8),
+                () -> registered(era));
+    }
+
+    /** A write that was begun in an earlier era may be lost, so it is repeated. */
+    private void registered(long era) {
+        if (era != mEra.newest()) {
+            register();
+            return;
         }
+        mRegistration = Registration.DONE;
+        mState.log().process(LogLine.of("instance-registered").with("era", era));
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
@@ -19,6 +19,7 @@
 import org.wasabilug.serving.EndpointRegistration;
 import org.wasabilug.serving.RequestKind;
 import org.wasabilug.serving.Route;
+import org.wasabilug.serving.StoreRevision;
 import org.wasabilug.serving.WeightedService;
 
 /**
@@ -91,6 +92,11 @@
         }
     }
 
+    /** Has all records compared again, as the store came back from an older copy. */
+    public void storeCameBackOlder() {
+        mRecorded = Map.of();
+    }
+
     private Map<String, Set<String>> registeredVersions() {
         Map<String, Set<String>> versions = new TreeMap<>();
         servicesWithResumableStreams().forEach(each -> versions.put(each, new TreeSet<>()));
@@ -137,7 +143,7 @@
         writeNext(writes, registered);
     }
 
-    private record Write(String service, SoftwareVersionRecord record, long replacedVersion) {}
+    private record Write(String service, SoftwareVersionRecord record, StoreRevision replaced) {}
 
     private List<Write> writes(
             Map<String, Set<String>> registered, SoftwareVersionTable.Contents contents) {
@@ -153,7 +159,7 @@
                                             mState.softwareVersions().recent(service, now),
                                             contents.storeMillis());
                     if (!updated.equals(row.record())) {
-                        writes.add(new Write(service, updated, row.version()));
+                        writes.add(new Write(service, updated, row.revision()));
                     }
                 });
         return writes;
@@ -170,7 +176,7 @@
         mTable.write(
                 write.service(),
                 write.record(),
-                write.replacedVersion(),
+                write.replaced(),
                 written -> {
                     if (!written) {
                         retryLater();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionTable.java
@@ -1,19 +1,21 @@
 package org.wasabilug.gateway.internal.fleet;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.gateway.internal.store.StoreAccess;
+import org.wasabilug.gateway.internal.store.StoreEra;
 import org.wasabilug.gateway.internal.store.TableClient;
 import org.wasabilug.gateway.protocol.StorePage;
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.internal.serving.SoftwareVersionRecord;
 import org.wasabilug.messages.gateway.RecordedSoftwareVersion;
 import org.wasabilug.messages.gateway.SoftwareVersionRow;
+import org.wasabilug.serving.StoreRevision;
 
 /** Table of the store with a record of software versions for each service. */
 public final class SoftwareVersionTable {
@@ -24,34 +26,32 @@
     private static final long TIMEOUT_MILLIS = 500;
 
     private final GatewayState mState;
+    private final StoreEra mEra;
     private final TableClient mClient;
 
     /**
      * Creates access to the table.
      *
      * @param state state of this process
-     * @param loops event loop
+     * @param store how the store is reached
      */
-    public SoftwareVersionTable(GatewayState state, EventLoopGroup loops) {
+    public SoftwareVersionTable(GatewayState state, StoreAccess store) {
         mState = state;
-        mClient =
-                new TableClient(
-                        loops,
-                        state.settings().store(),
-                        state.protocol().store(),
-                        TABLE,
-                        TIMEOUT_MILLIS);
+        mEra = store.era();
+        mClient = new TableClient(store, TABLE, TIMEOUT_MILLIS);
     }
 
     /**
      * The records of all services at one moment.
      *
      * @param rows the records by service
+     * @param era era of the store
      * @param storeMillis time of the store's clock, in milliseconds
      */
-    record Contents(Map<String, Row> rows, long storeMillis) {
+    record Contents(Map<String, Row> rows, long era, long storeMillis) {
         Row row(String service) {
-            return rows.getOrDefault(service, Row.MISSING);
+            Row missing = new Row(SoftwareVersionRecord.EMPTY, new StoreRevision(era, 0));
+            return rows.getOrDefault(service, missing);
         }
     }
 
@@ -59,11 +59,9 @@
      * Record of one service.
      *
      * @param record the record
-     * @param version version of its row; 0 if there is none
+     * @param revision revision of its row; that of no row has version 0
      */
-    record Row(SoftwareVersionRecord record, long version) {
-        private static final Row MISSING = new Row(SoftwareVersionRecord.EMPTY, 0);
-    }
+    record Row(SoftwareVersionRecord record, StoreRevision revision) {}
 
     /** Reads the table; the receiver gets empty if that fails. */
     void read(Consumer<Optional<Contents>> receiver) {
@@ -73,9 +71,9 @@
     private Contents contents(StorePage page) {
         Map<String, Row> rows = new HashMap<>();
         for (StoredRow row : page.rows()) {
-            rows.put(row.key(), new Row(decode(row), row.version()));
+            rows.put(row.key(), new Row(decode(row), row.revision()));
         }
-        return new Contents(rows, page.storeMillis());
+        return new Contents(rows, mEra.newest(), page.storeMillis());
     }
 
     /** Returns an empty record for a row that can't be read; the next write replaces it. */
@@ -99,13 +97,20 @@
         return new SoftwareVersionRecord(left);
     }
 
-    /** Writes a record unless its row has changed; the receiver gets true once it is written. */
+    /**
+     * Writes a record unless its row has changed or was read in an earlier era; the receiver gets
+     * true once it is written.
+     */
     void write(
             String service,
             SoftwareVersionRecord record,
-            long replacedVersion,
+            StoreRevision replaced,
             Consumer<Boolean> receiver) {
-        mClient.write(new StoredRow(service, encode(record), replacedVersion, false), receiver);
+        if (replaced.era() != mEra.newest()) {
+            receiver.accept(false);
+            return;
+        }
+        mClient.write(new StoredRow(service, encode(record), replaced, false), receiver);
     }
 
     private static byte[] encode(SoftwareVersionRecord record) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/RelayedTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/RelayedTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.serving.StoreRevision;
 
 /** Rows of one table of the store, and those that were removed lately, as they are relayed. */
 final class RelayedTable {
@@ -29,8 +30,9 @@
         all.forEach(row -> missing.remove(row.key()));
         for (String key : missing) {
             // The version of the removal is not known; it is above that of the row.
-            long version = mRows.get(key).version() + 1;
-            apply(new StoredRow(key, new byte[0], version, true), nowMillis);
+            StoreRevision last = mRows.get(key).revision();
+            StoreRevision removal = new StoreRevision(last.era(), last.version() + 1);
+            apply(new StoredRow(key, new byte[0], removal, true), nowMillis);
         }
         all.forEach(row -> apply(row, nowMillis));
     }
@@ -50,16 +52,16 @@
     boolean isNews(StoredRow row) {
         StoredRow known = mRows.get(row.key());
         Removal removal = mRemovals.get(row.key());
-        return (known == null || known.version() < row.version())
-                && (removal == null || removal.row().version() < row.version())
+        return (known == null || row.revision().isAfter(known.revision()))
+                && (removal == null || row.revision().isAfter(removal.row().revision()))
                 && !(row.removed() && known == null);
     }
 
-    /** Returns the rows that changed after a version, and all removals to be relayed. */
-    List<StoredRow> changesAfter(long version, long nowMillis) {
+    /** Returns the rows that changed after a revision, and all removals to be relayed. */
+    List<StoredRow> changesAfter(StoreRevision revision, long nowMillis) {
         List<StoredRow> changes = new ArrayList<>();
         for (StoredRow row : mRows.values()) {
-            if (row.version() > version) {
+            if (row.revision().isAfter(revision)) {
                 changes.add(row);
             }
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
@@ -5,20 +5,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.store.StoreEra;
 import org.wasabilug.gateway.internal.store.TableEvents;
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.internal.serving.StoreRelays;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 import org.wasabilug.messages.gateway.TableRow;
 import org.wasabilug.messages.gateway.TableRows;
+import org.wasabilug.serving.StoreRevision;
 
 /**
  * Relays store rows to peers that can't read the store.
  *
- * <p>Rows are compared by version on both sides, so an older row never replaces a newer one.
+ * <p>Rows are compared by revision on both sides, so an older row never replaces a newer one.
  */
 public final class StoreRelay {
     private static final long RELAY_INTERVAL_MILLIS = 700;
@@ -28,7 +31,8 @@
     private final BooleanSupplier mStoreUnreachable;
     private final Map<String, RelayedTable> mTables = new HashMap<>();
     private final Map<String, TableEvents> mReceivers = new HashMap<>();
-    private final Map<String, Long> mRelayedVersions = new HashMap<>();
+    private final Map<String, StoreRevision> mRelayedRevisions = new HashMap<>();
+    private final StoreEra mEra;
     private long mLastRelayMillis;
 
     /**
@@ -36,11 +40,17 @@
      *
      * @param state state of this process
      * @param network the other instances
+     * @param era newest era of the store that is known
      * @param storeUnreachable whether the store does not respond to this instance
      */
-    public StoreRelay(GatewayState state, PeerNetwork network, BooleanSupplier storeUnreachable) {
+    public StoreRelay(
+            GatewayState state,
+            PeerNetwork network,
+            StoreEra era,
+            BooleanSupplier storeUnreachable) {
         mState = state;
         mNetwork = network;
+        mEra = era;
         mStoreUnreachable = storeUnreachable;
     }
 
@@ -84,7 +94,7 @@
     public void relayChanges() {
         long now = mState.nowMillis();
         List<String> peers = peersToRelayTo();
-        mRelayedVersions.keySet().retainAll(peers);
+        mRelayedRevisions.keySet().retainAll(peers);
         if (!peers.isEmpty() && now - mLastRelayMillis >= RELAY_INTERVAL_MILLIS) {
             mLastRelayMillis = now;
             peers.forEach(this::relayTo);
@@ -126,24 +136,25 @@
     }
 
     private void relayTo(String peer) {
-        long relayed = mRelayedVersions.getOrDefault(peer, -1L);
-        long newest = relayed;
+        StoreRevision relayed = mRelayedRevisions.getOrDefault(peer, StoreRevision.NONE);
+        StoreRevision newest = relayed;
         for (Map.Entry<String, RelayedTable> table : mTables.entrySet()) {
             TableRows.Builder message = TableRows.newBuilder().setTable(table.getKey());
             for (StoredRow row : table.getValue().changesAfter(relayed, mState.nowMillis())) {
-                newest = Math.max(newest, row.version());
+                newest = row.revision().isAfter(newest) ? row.revision() : newest;
                 message.addRows(
                         TableRow.newBuilder()
                                 .setKey(row.key())
                                 .setValue(ByteString.copyFrom(row.value()))
-                                .setVersion(row.version())
+                                .setVersion(row.revision().version())
+                                .setEra(row.revision().era())
                                 .setRemoved(row.removed()));
             }
             if (message.getRowsCount() > 0) {
                 mNetwork.send(peer, mNetwork.envelope().setTableRows(message).build());
             }
         }
-        mRelayedVersions.put(peer, newest);
+        mRelayedRevisions.put(peer, newest);
     }
 
     /**
@@ -162,7 +173,7 @@
                     new StoredRow(
                             row.getKey(),
                             row.getValue().toByteArray(),
-                            row.getVersion(),
+                            revision(row),
                             row.getRemoved());
             if (known.isNews(relayed)) {
                 known.apply(relayed, mState.nowMillis());
@@ -173,4 +184,13 @@
             mReceivers.get(message.getTable()).changed(List.copyOf(newer));
         }
     }
+
+    /** Returns the revision of a relayed row; one without an era counts as of the newest. */
+    private StoreRevision revision(TableRow row) {
+        if (row.hasEra()) {
+            mEra.observe(OptionalLong.of(row.getEra()));
+            return new StoreRevision(row.getEra(), row.getVersion());
+        }
+        return new StoreRevision(mEra.newest(), row.getVersion());
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/RowWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/RowWriter.java
@@ -2,11 +2,10 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.protocol.StoreProtocol;
 
-/** Writes single rows, retrying until the store confirms them. */
+/** Writes single rows, one at a time, retrying until the store confirms them. */
 public final class RowWriter {
     private static final long WRITE_TIMEOUT_MILLIS = 2_500;
     private static final long MIN_RETRY_MILLIS = 300;
@@ -19,14 +18,12 @@
     /**
      * Creates a writer.
      *
-     * @param loops event loop
-     * @param store address of the store
-     * @param protocol formats of the store
+     * @param store how the store is reached
      */
-    public RowWriter(EventLoopGroup loops, InetSocketAddress store, StoreProtocol protocol) {
-        mLoops = loops;
-        mConnection = new StoreConnection(loops, store);
-        mProtocol = protocol;
+    public RowWriter(StoreAccess store) {
+        mLoops = store.loops();
+        mConnection = new StoreConnection(store);
+        mProtocol = store.protocol();
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,17 +29,20 @@
 /** One connection to the store; one call at a time, each with a timeout. */
 final class StoreConnection {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_ERA_DIGITS = 18;
     private static final int MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
     private final EventLoopGroup mLoops;
     private final InetSocketAddress mStore;
+    private final String mEraHeader;
     private Channel mChannel;
     private Consumer<StoreResponse> mReceiver;
     private ScheduledFuture<?> mTimeout;
 
-    StoreConnection(EventLoopGroup loops, InetSocketAddress store) {
-        mLoops = loops;
-        mStore = store;
+    StoreConnection(StoreAccess store) {
+        mLoops = store.loops();
+        mStore = store.address();
+        mEraHeader = store.protocol().eraHeader();
     }
 
     /** Sends a call. If it fails or times out, the receiver gets {@link StoreResponse#failed}. */
@@ -140,7 +144,15 @@
             if (!HttpUtil.isKeepAlive(response)) {
                 close();
             }
-            deliver(new StoreResponse(response.status().code(), body, ""));
+            deliver(new StoreResponse(response.status().code(), body, era(response), ""));
+        }
+
+        private OptionalLong era(FullHttpResponse response) {
+            String value = response.headers().get(mEraHeader, "").trim();
+            boolean number = !value.isEmpty() && value.length() <= MAX_ERA_DIGITS;
+            return number && value.chars().allMatch(each -> each >= '0' && each <= '9')
+                    ? OptionalLong.of(Long.parseLong(value))
+                    : OptionalLong.empty();
         }
 
         @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
@@ -1,8 +1,6 @@
 package org.wasabilug.gateway.internal.store;
 
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -18,6 +16,7 @@
 
     private final StoreConnection mConnection;
     private final StoreProtocol mProtocol;
+    private final StoreEra mEra;
     private final String mTable;
     private final long mTimeoutMillis;
     private final Queue<Call> mWaiting = new ArrayDeque<>();
@@ -29,20 +28,14 @@
     /**
      * Creates a client without a connection.
      *
-     * @param loops event loop
-     * @param store address of the store
-     * @param protocol formats of the store
+     * @param store how the store is reached
      * @param table name of the table
      * @param timeoutMillis time after which a call counts as failed, in milliseconds
      */
-    public TableClient(
-            EventLoopGroup loops,
-            InetSocketAddress store,
-            StoreProtocol protocol,
-            String table,
-            long timeoutMillis) {
-        mConnection = new StoreConnection(loops, store);
-        mProtocol = protocol;
+    public TableClient(StoreAccess store, String table, long timeoutMillis) {
+        mConnection = new StoreConnection(store);
+        mProtocol = store.protocol();
+        mEra = store.era();
         mTable = table;
         mTimeoutMillis = timeoutMillis;
     }
@@ -62,11 +55,12 @@
     }
 
     private Optional<StorePage> pageOf(StoreResponse response) {
-        if (!response.successful()) {
+        if (!response.successful() || !mEra.observe(response.era())) {
             return Optional.empty();
         }
         try {
-            return Optional.of(mProtocol.readPage(response.body())).filter(page -> !page.more());
+            return Optional.of(mProtocol.readPage(response.body(), mEra.newest()))
+                    .filter(page -> !page.more());
         } catch (UnreadableException unreadable) {
             return Optional.empty();
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +13,8 @@
 /**
  * Follows one table of the store: reads the whole table, then polls for changes.
  *
- * <p>The follower pauses after each response, so that one call returns many small changes.
+ * <p>The follower pauses after each response, so that one call returns many small changes. When the
+ * store comes back from an older copy, the whole table is read anew.
  */
 public final class TableFollower {
     private static final byte[] NO_BODY = {};
@@ -27,30 +27,29 @@
     private final StoreProtocol mProtocol;
     private final FollowedTable mTable;
     private final TableEvents mEvents;
+    private final StoreEra mEra;
     private final RetryBackoff mRetryBackoff = new RetryBackoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private final List<StoredRow> mPages = new ArrayList<>();
     private long mVersion = -1;
+
+    /** Era in which the table was read; versions mean nothing in another one. */
+    private long mTableEra;
+
     private boolean mAvailable;
     private boolean mEverReported;
 
     /**
      * Creates a follower that is not running yet.
      *
-     * @param loops event loop
-     * @param store address of the store
-     * @param protocol formats of the store
+     * @param store how the store is reached
      * @param table table to follow, with the timing of its polls
      * @param events receives the rows
      */
-    public TableFollower(
-            EventLoopGroup loops,
-            InetSocketAddress store,
-            StoreProtocol protocol,
-            FollowedTable table,
-            TableEvents events) {
-        mLoops = loops;
-        mConnection = new StoreConnection(loops, store);
-        mProtocol = protocol;
+    public TableFollower(StoreAccess store, FollowedTable table, TableEvents events) {
+        mLoops = store.loops();
+        mConnection = new StoreConnection(store);
+        mProtocol = store.protocol();
+        mEra = store.era();
         mTable = table;
         mEvents = events;
     }
@@ -78,6 +77,11 @@
             retry(() -> readTable(""));
             return;
         }
+        if (!mPages.isEmpty() && mTableEra != mEra.newest()) {
+            readTable("");
+            return;
+        }
+        mTableEra = mEra.newest();
         // Later pages may be newer than the first; the changes since the first are read again.
         mVersion = mPages.isEmpty() ? page.version() : Math.min(mVersion, page.version());
         mPages.addAll(page.rows());
@@ -103,6 +107,7 @@
 
     private void changesRead(StoreResponse response) {
         if (response.historyExpired()) {
+            mEra.observe(response.era());
             readTable("");
             return;
         }
@@ -112,6 +117,11 @@
             retry(() -> readTable(""));
             return;
         }
+        if (mTableEra != mEra.newest()) {
+            // The store's versions began anew, so this page may lack changes.
+            readTable("");
+            return;
+        }
         mVersion = Math.max(mVersion, page.version());
         responded();
         if (page.rows().isEmpty()) {
@@ -148,8 +158,12 @@
                             : response.reason());
             return null;
         }
+        if (!mEra.observe(response.era())) {
+            unavailable("response of an earlier era");
+            return null;
+        }
         try {
-            return mProtocol.readPage(response.body());
+            return mProtocol.readPage(response.body(), mEra.newest());
         } catch (UnreadableException unreadable) {
             unavailable(unreadable.getMessage());
             return null;
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/StorePage.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/StorePage.java
@@ -6,7 +6,7 @@
  * A page of rows from the store.
  *
  * @param rows rows in order of their keys or of their changes
- * @param version newest version of the store
+ * @param version newest version of the store, within its era
  * @param storeMillis time of the store's steady clock, in milliseconds
  * @param more true if further rows follow
  */
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
@@ -52,13 +52,20 @@
      */
     byte[] conditionalWriteBody(String table, StoredRow row);
 
+    /**
+     * Returns the name of the header of all responses that tells the era: how often the store came
+     * back from an older copy.
+     */
+    String eraHeader();
+
     /**
      * Decodes a page of rows.
      *
      * @param body body of the response
+     * @param era era of the store that the response tells
      * @throws UnreadableException if the body does not have this format
      */
-    StorePage readPage(byte[] body);
+    StorePage readPage(byte[] body, long era);
 
     /**
      * Decodes the configuration if a row of the configuration table holds it.
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -26,6 +26,7 @@
 import org.wasabilug.internal.serving.RetryLimits;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 class ReachabilityMonitorTest {
     private static final InetSocketAddress UNUSED = new InetSocketAddress("127.0.0.1", 1);
@@ -153,7 +154,17 @@
         String name = service + "-" + number;
         EndpointRegistration endpoint =
                 new EndpointRegistration(
-                        name, service, "127.0.0.1", 1, "brest", 1, false, 0, 1, "v1", 1);
+                        name,
+                        service,
+                        "127.0.0.1",
+                        1,
+                        "brest",
+                        1,
+                        false,
+                        0,
+                        1,
+                        "v1",
+                        new StoreRevision(0, 1));
         call(() -> mState.directory().register(endpoint, GatewayState.clockMillis()));
         return endpoint;
     }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/peer/RelayedTableTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/peer/RelayedTableTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.gateway.protocol.StoredRow;
+import org.wasabilug.serving.StoreRevision;
 
 class RelayedTableTest {
     private static final long SETTLED_MILLIS = 2_500;
@@ -12,15 +13,15 @@
     private final RelayedTable mTable = new RelayedTable();
 
     private static StoredRow row(String key, long version) {
-        return new StoredRow(key, new byte[] {1}, version, false);
+        return new StoredRow(key, new byte[] {1}, new StoreRevision(1, version), false);
     }
 
     private static StoredRow removed(String key, long version) {
-        return new StoredRow(key, new byte[0], version, true);
+        return new StoredRow(key, new byte[0], new StoreRevision(1, version), true);
     }
 
     private List<String> changes(long version, long nowMillis) {
-        return mTable.changesAfter(version, nowMillis).stream()
+        return mTable.changesAfter(new StoreRevision(1, version), nowMillis).stream()
                 .map(row -> (row.removed() ? "-" : "+") + row.key())
                 .toList();
     }
@@ -70,4 +71,17 @@
         mTable.apply(removed("a", 6), 0);
         assertThat(mTable.isNews(row("a", 5))).isFalse();
     }
+
+    /** Guards against news that are ignored after the store came back with lower versions. */
+    @Test
+    void aRowOfALaterEraIsNewsThoughItsVersionIsLower() {
+        mTable.apply(row("a", 50), 0);
+
+        StoredRow later = new StoredRow("a", new byte[] {2}, new StoreRevision(2, 3), false);
+        assertThat(mTable.isNews(later)).isTrue();
+        mTable.apply(later, 0);
+
+        assertThat(mTable.isNews(row("a", 51))).isFalse();
+        assertThat(changes(50, SETTLED_MILLIS)).containsExactly("+a");
+    }
 }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayRoutingCost.java
@@ -19,6 +19,7 @@
 import org.wasabilug.internal.serving.RelayCandidate;
 import org.wasabilug.messages.gateway.GatewayHeartbeat;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 /** Prints the time to list the usable endpoints at an instance that reaches none of them. */
 final class RelayRoutingCost {
@@ -82,7 +83,7 @@
                 0,
                 1,
                 "v1",
-                1);
+                new StoreRevision(0, 1));
     }
 
     private static RelayPeers peers(int instances) {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/SocketEndpoint.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/SocketEndpoint.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.wasabilug.serving.EndpointRegistration;
+import org.wasabilug.serving.StoreRevision;
 
 /** An endpoint whose connections a test reads and writes byte by byte. */
 final class SocketEndpoint implements AutoCloseable {
@@ -34,7 +35,17 @@
 
     static EndpointRegistration registration(String name, int port, boolean leaving) {
         return new EndpointRegistration(
-                name, "ledger", "127.0.0.1", port, DOMAIN, 4, leaving, 0, 1, "v1", 1);
+                name,
+                "ledger",
+                "127.0.0.1",
+                port,
+                DOMAIN,
+                4,
+                leaving,
+                0,
+                1,
+                "v1",
+                new StoreRevision(0, 1));
     }
 
     Socket accept() throws IOException {
