Remember a software version from when its endpoint left, not from its last row

Callers could get a stream of two software versions: an endpoint whose row was over a minute old, as the store or the endpoint had been silent, left, and its version was forgotten at the same moment. A stream of it that nobody else knew then went on at the only version that was left.

Cause: a version counts as recent from the last row that told it, not from the end of its use.

Change: an endpoint whose entry goes away has been seen until now.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/EndpointWatch.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.wasabilug.gateway.internal.GatewayState;
@@ -13,6 +14,7 @@
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.gateway.protocol.UnreadableException;
 import org.wasabilug.internal.serving.EndpointDirectory;
+import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.serving.EndpointRegistration;
 import org.wasabilug.serving.StoreRevision;
 
@@ -135,11 +137,11 @@
     private void removed(String name) {
         mUnreadable.remove(name);
         long now = mState.nowMillis();
-        boolean leaving =
-                mState.directory()
-                        .find(name)
-                        .map(endpoint -> endpoint.registration().leaving())
-                        .orElse(true);
+        Optional<EndpointRegistration> last =
+                mState.directory().find(name).map(EndpointState::registration);
+        // Its row may be older than versions are remembered.
+        last.ifPresent(registration -> mState.softwareVersions().record(registration, now));
+        boolean leaving = last.map(EndpointRegistration::leaving).orElse(true);
         if (!leaving && now < mGraceUntilMillis) {
             mState.directory().markMissing(name, mGraceUntilMillis);
             return;
