Let go of a streaming request when it ends

Cause: a weak map from the exchange to its flow, whose values hold their keys, so that no entry was ever collected: each streaming request stayed for good with its body, its attempts and the configurations that followed.

Evidence: on one instance 10,000 requests left about 9,000 more live attempts than 1,000 did, for the five kinds of streaming requests, and none for buffered and refused ones.

Change: the exchange holds what serves it and lets go of it at its end; the table is gone.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -190,7 +190,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (mServing != null) {
-            mListener.writabilityChanged(mServing);
+            mServing.writabilityChanged();
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
@@ -11,13 +11,6 @@
      */
     void received(CallerExchange exchange);
 
-    /**
-     * Called when the connection of a caller became writable or unwritable.
-     *
-     * @param exchange the request being served
-     */
-    void writabilityChanged(CallerExchange exchange);
-
     /**
      * Called when a connection is closed although whole requests arrived that get no response.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
@@ -33,6 +33,7 @@
     private byte[] mBody = NO_BODY;
     private Runnable mOnClose = () -> {};
     private Runnable mOnStop = () -> {};
+    private Runnable mOnWritabilityChange = () -> {};
     private boolean mResponseStarted;
     private boolean mChunked;
     private boolean mEnded;
@@ -76,6 +77,15 @@
         mOnStop = action;
     }
 
+    /**
+     * Sets the action that runs when written parts have accumulated, or have been sent.
+     *
+     * @param action the action
+     */
+    public void onWritabilityChange(Runnable action) {
+        mOnWritabilityChange = action;
+    }
+
     /**
      * Returns whether a response can still be sent; false once it is complete or the caller has
      * disconnected.
@@ -204,21 +214,28 @@
 
     void callerDisconnected() {
         if (!mEnded) {
-            mEnded = true;
-            mOnClose.run();
+            Runnable onClose = mOnClose;
+            end();
+            onClose.run();
         }
     }
 
+    void writabilityChanged() {
+        mOnWritabilityChange.run();
+    }
+
     void stopped() {
         if (!mEnded) {
             mOnStop.run();
         }
     }
 
+    /** Lets go of what serves the request, so that nothing of it outlives the response. */
     private void end() {
         mEnded = true;
         mOnClose = () -> {};
         mOnStop = () -> {};
+        mOnWritabilityChange = () -> {};
     }
 
     private boolean setConnectionHeaders(HttpResponse response) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -171,8 +171,4 @@
     void refused(HttpResponseStatus status) {
         mEvents.refused(status);
     }
-
-    void writabilityChanged(CallerExchange exchange) {
-        mEvents.writabilityChanged(exchange);
-    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -3,9 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.WeakHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
@@ -36,7 +34,6 @@
     private final StreamOriginRegistry mOrigins;
     private final CrashSuspectRegistry mCrashSuspects;
     private final GatewayResponses mGatewayResponses;
-    private final Map<CallerExchange, StreamFlow> mStreams = new WeakHashMap<>();
 
     /**
      * Creates a receiver.
@@ -128,10 +125,7 @@
             mGatewayResponses.notRun(
                     request.exchange(), CrashGuard.REASON, CrashGuard.RETRY_MILLIS);
         } else if (request.route().kind() == RequestKind.STREAM) {
-            StreamFlow flow =
-                    new StreamFlow(mState, request, guard, mGatewayResponses, mStages, mOrigins);
-            mStreams.put(request.exchange(), flow);
-            flow.start();
+            new StreamFlow(mState, request, guard, mGatewayResponses, mStages, mOrigins).start();
         } else {
             new BufferedFlow(mState, request, guard, mGatewayResponses).start();
         }
@@ -213,14 +207,6 @@
         return mState.protocol().headers();
     }
 
-    @Override
-    public void writabilityChanged(CallerExchange exchange) {
-        StreamFlow flow = mStreams.get(exchange);
-        if (flow != null) {
-            flow.writabilityChanged();
-        }
-    }
-
     @Override
     public void unanswered(String reason, int requests) {
         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -59,6 +59,7 @@
 
     @Override
     void begin() {
+        exchange().onWritabilityChange(this::writabilityChanged);
         if (mSoftwareVersion.resumed()) {
             mSoftwareVersion.find(this::beginStages, this::refuse);
         } else {
@@ -85,8 +86,8 @@
                 .orElse("");
     }
 
-    /** Called when the caller's connection became writable or unwritable. */
-    void writabilityChanged() {
+    /** Reads from the endpoints no faster than the caller does. */
+    private void writabilityChanged() {
         for (Attempt attempt : pending()) {
             attempt.setReadable(exchange().writable());
             mReaders.get(attempt).readOn(state().nowMillis());
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/DepartedCallerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/DepartedCallerTest.java
@@ -39,9 +39,6 @@
                             mStaying.countDown();
                         }
 
-                        @Override
-                        public void writabilityChanged(CallerExchange exchange) {}
-
                         @Override
                         public void unanswered(String reason, int requests) {}
 
