Notice a lost answer of the store before the next poll would end

Cause: a call for changes is held for 2 s or more, and its answer was waited for 2.5 s beyond that. Peers knew the configuration and told it only to instances that can't read the endpoints either.

Change: heartbeats tell the version of the active configuration, and an instance that is still behind 0.3 s later reads the table anew on a new connection. The answer to a poll is waited for 0.5 s beyond the hold, longer where the store is slow. No call is added while nothing is lost. A connection that opens after its call was given up no longer carries it.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
 import org.wasabilug.gateway.internal.fleet.EndpointWatch;
 import org.wasabilug.gateway.internal.fleet.InstanceRegistry;
+import org.wasabilug.gateway.internal.fleet.MissedConfiguration;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionRecorder;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionTable;
@@ -68,6 +69,8 @@
     private final SharedRejections mRejections;
     private final StoreRelay mStoreRelay;
     private final StoreAccess mStore;
+    private final TableFollower mConfigurationFollower;
+    private final MissedConfiguration mMissedConfiguration;
     private final RelayListener mRelays;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
@@ -95,14 +98,7 @@
         mStages = new LocalStageExecutor(mState);
         mEndpoints = new EndpointWatch(mState);
         mConfiguration = new ConfigurationWatch(mState);
-        mNetwork =
-                new PeerNetwork(
-                        mState,
-                        mLoops,
-                        new PeerMessages(),
-                        () -> mState.stop().isPresent(),
-                        () -> !mEndpoints.storeReachable(),
-                        mStages::predictWaits);
+        mNetwork = peerNetwork();
         mState.instances(mNetwork::instances);
         mState.reachability().peers(new LiveRelayPeers(mState, mNetwork));
         mRelays = new RelayListener(mState, mLoops);
@@ -111,6 +107,8 @@
         mStore.era().addListener(this::storeCameBackOlder);
         mStoreRelay =
                 new StoreRelay(mState, mNetwork, mStore.era(), () -> !mEndpoints.storeReachable());
+        mConfigurationFollower = configurationFollower(protocol.store().configurationTable());
+        mMissedConfiguration = new MissedConfiguration(mState, mConfigurationFollower::readAnew);
         SoftwareVersionTable versions = new SoftwareVersionTable(mState, mStore);
         mStreamOrigins =
                 new SharedStreamOrigins(
@@ -130,6 +128,16 @@
                         protocol.readinessPath(), this::ready, () -> MetricsText.of(mMetrics));
     }
 
+    private PeerNetwork peerNetwork() {
+        return new PeerNetwork(
+                mState,
+                mLoops,
+                new PeerMessages(),
+                () -> mState.stop().isPresent(),
+                () -> !mEndpoints.storeReachable(),
+                mStages::predictWaits);
+    }
+
     /**
      * Starts to serve.
      *
@@ -158,12 +166,7 @@
 
     private void follow() {
         StoreProtocol store = mState.protocol().store();
-        follow(
-                new FollowedTable(
-                        store.configurationTable(),
-                        () -> StorePolling.waitMillis(mNetwork.instances()),
-                        () -> CONFIGURATION_PAUSE_MILLIS),
-                mStoreRelay.relay(store.configurationTable(), mConfiguration));
+        mConfigurationFollower.start();
         follow(
                 new FollowedTable(
                         store.endpointTable(),
@@ -182,6 +185,16 @@
         new TableFollower(mStore, table, events).start();
     }
 
+    private TableFollower configurationFollower(String table) {
+        return new TableFollower(
+                mStore,
+                new FollowedTable(
+                        table,
+                        () -> StorePolling.waitMillis(mNetwork.instances()),
+                        () -> CONFIGURATION_PAUSE_MILLIS),
+                mStoreRelay.relay(table, mConfiguration));
+    }
+
     private void storeCameBackOlder(long before, long era) {
         mState.log()
                 .process(
@@ -324,5 +337,10 @@
         public void lost(String name) {
             mSharedStages.peerLost(name);
         }
+
+        @Override
+        public void configurationActive(String name, long version) {
+            mMissedConfiguration.heard(name, version);
+        }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerEvents.java
@@ -25,4 +25,12 @@
      * @param name its name
      */
     void lost(String name);
+
+    /**
+     * Called when a peer tells which configuration is active there.
+     *
+     * @param name its name
+     * @param version version of the configuration
+     */
+    void configurationActive(String name, long version);
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -41,9 +41,6 @@
 
     private static final long PROBE_MILLIS = 1_500;
 
-    /** Assumed of peers of a version that does not report it. */
-    private static final double DEFAULT_PROCESSOR_SHARE = 1;
-
     private final GatewayState mState;
     private final SharedLoads mSharedLoads;
     private final PeerTransport mTransport;
@@ -143,7 +140,7 @@
                     name,
                     self
                             ? mState.settings().processorShare()
-                            : processorShare(mPeers.get(name).heartbeat()));
+                            : PeerProcessor.share(mPeers.get(name).heartbeat()));
         }
         return shares;
     }
@@ -159,12 +156,6 @@
                 : PeerReachability.unreachable(mPeers.get(name).heartbeat());
     }
 
-    private static double processorShare(GatewayHeartbeat heartbeat) {
-        return heartbeat.hasProcessorShare()
-                ? heartbeat.getProcessorShare()
-                : DEFAULT_PROCESSOR_SHARE;
-    }
-
     /** Returns the host of a known peer. */
     String host(String name) {
         return mPeers.get(name).host();
@@ -420,6 +411,9 @@
             peer.heartbeat(heartbeat, writtenMillis);
             mSharedLoads.apply(name, heartbeat);
             updateState(peer, mState.nowMillis());
+            if (heartbeat.hasConfigurationVersion()) {
+                mEvents.configurationActive(name, heartbeat.getConfigurationVersion());
+            }
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreConnection.java
@@ -67,11 +67,11 @@
         if (mChannel != null && mChannel.isActive()) {
             mChannel.writeAndFlush(request);
         } else {
-            connect(request);
+            connect(request, receiver);
         }
     }
 
-    private void connect(DefaultFullHttpRequest request) {
+    private void connect(DefaultFullHttpRequest request, Consumer<StoreResponse> receiver) {
         Bootstrap bootstrap = new Bootstrap();
         // A connection that goes silent must be noticed before a long poll would end.
         KeepAlive.apply(bootstrap::option);
@@ -93,12 +93,13 @@
                 .connect(mStore)
                 .addListener(
                         (io.netty.channel.ChannelFuture future) -> {
-                            if (!future.isSuccess()) {
-                                request.release();
-                                fail("connection to the store failed");
-                            } else if (mReceiver == null) {
+                            if (mReceiver != receiver) {
+                                // The call was given up while the connection was opened.
                                 request.release();
                                 future.channel().close();
+                            } else if (!future.isSuccess()) {
+                                request.release();
+                                fail("connection to the store failed");
                             } else {
                                 mChannel = future.channel();
                                 mChannel.writeAndFlush(request);
@@ -122,6 +123,15 @@
         deliver(StoreResponse.failed(reason));
     }
 
+    /** Gives up the call in progress, whose receiver is not called any more. */
+    void abandon() {
+        mReceiver = null;
+        if (mTimeout != null) {
+            mTimeout.cancel(false);
+        }
+        close();
+    }
+
     void close() {
         if (mChannel != null) {
             mChannel.close();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreResponse.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/StoreResponse.java
@@ -18,6 +18,10 @@
         return new StoreResponse(0, new byte[0], OptionalLong.empty(), reason);
     }
 
+    boolean answered() {
+        return status != 0;
+    }
+
     boolean successful() {
         return status == OK;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.protocol.StorePage;
 import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.StoredRow;
@@ -35,6 +36,9 @@
     /** Era in which the table was read; versions mean nothing in another one. */
     private long mTableEra;
 
+    private final PollPatience mPatience = new PollPatience(READ_TIMEOUT_MILLIS);
+    private boolean mPolling;
+    private long mPolledMillis;
     private boolean mAvailable;
     private boolean mEverReported;
 
@@ -95,17 +99,34 @@
         apply(() -> mEvents.replaced(rows), this::readChanges);
     }
 
+    /** Reads the whole table now on a new connection, as the answer to a poll seems to be lost. */
+    public void readAnew() {
+        if (mPolling) {
+            mPolling = false;
+            mConnection.abandon();
+            readTable("");
+        }
+    }
+
     private void readChanges() {
         long waitMillis = mTable.waitMillis().getAsLong();
+        mPolling = true;
+        mPolledMillis = GatewayState.clockMillis();
         mConnection.call(
                 HttpMethod.GET,
                 mProtocol.changesTarget(mTable.name(), mVersion, waitMillis),
                 NO_BODY,
-                waitMillis + READ_TIMEOUT_MILLIS,
-                this::changesRead);
+                waitMillis + mPatience.millis(),
+                response -> changesRead(response, waitMillis));
     }
 
-    private void changesRead(StoreResponse response) {
+    private void changesRead(StoreResponse response, long waitMillis) {
+        mPolling = false;
+        if (response.answered()) {
+            mPatience.answered(GatewayState.clockMillis() - mPolledMillis - waitMillis);
+        } else {
+            mPatience.unanswered();
+        }
         if (response.historyExpired()) {
             mEra.observe(response.era());
             readTable("");
