Send nothing new to endpoints that say in an answer that they leave

Cause: no code read the header.

Change: one such answer, of any kind, ends what this incarnation of the endpoint gets from the instance, whatever its row says later, and peers are told.

--- a/core/src/main/java/org/wasabilug/internal/serving/DepartedEndpoints.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/DepartedEndpoints.java
@@ -20,17 +20,33 @@
     private static final class Departure {
         private final EndpointRegistration mLast;
         private final long mDepartedMillis;
+        private final boolean mAnnounced;
         private StoreRevision mDoubted = StoreRevision.NONE;
 
-        private Departure(EndpointRegistration last, long departedMillis) {
+        private Departure(EndpointRegistration last, long departedMillis, boolean announced) {
             mLast = last;
             mDepartedMillis = departedMillis;
+            mAnnounced = announced;
         }
     }
 
     /** Records that an endpoint accepts no further requests, or is gone. */
     void departed(EndpointRegistration last, long nowMillis) {
-        mDepartures.put(last.name(), new Departure(last, nowMillis));
+        boolean announced = hasAnnounced(last);
+        mDepartures.put(last.name(), new Departure(last, nowMillis, announced));
+    }
+
+    /** Records that an endpoint said itself that it leaves, which no row takes back. */
+    void announced(EndpointRegistration last, long nowMillis) {
+        mDepartures.put(last.name(), new Departure(last, nowMillis, true));
+    }
+
+    /** Returns whether this incarnation of an endpoint said itself that it leaves. */
+    boolean hasAnnounced(EndpointRegistration registration) {
+        Departure departure = mDepartures.get(registration.name());
+        return departure != null
+                && departure.mAnnounced
+                && !registration.isOtherIncarnationThan(departure.mLast);
     }
 
     /** Records that an endpoint is in use. */
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointDirectory.java
@@ -50,15 +50,33 @@
         }
         mMissingUntilMillis.remove(registration.name());
         Change change = apply(registration, nowMillis);
-        EndpointRegistration inUse = mEndpoints.get(registration.name()).registration();
+        EndpointState inUse = mEndpoints.get(registration.name());
+        if (mDeparted.hasAnnounced(inUse.registration())) {
+            inUse.announceLeave();
+        }
         if (inUse.leaving()) {
-            mDeparted.departed(inUse, nowMillis);
+            mDeparted.departed(inUse.registration(), nowMillis);
         } else {
-            mDeparted.returned(inUse.name());
+            mDeparted.returned(registration.name());
         }
         return change;
     }
 
+    /**
+     * Records that an endpoint said in an answer that it leaves. This incarnation of it receives no
+     * further requests, whatever its registrations say.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return true if it was not known to leave
+     */
+    public boolean announceLeave(EndpointState endpoint, long nowMillis) {
+        boolean news = !endpoint.leaving();
+        endpoint.announceLeave();
+        mDeparted.announced(endpoint.registration(), nowMillis);
+        return news;
+    }
+
     private Change apply(EndpointRegistration registration, long nowMillis) {
         EndpointState known = mEndpoints.get(registration.name());
         if (known == null || registration.isOtherIncarnationThan(known.registration())) {
@@ -177,7 +195,7 @@
     public List<EndpointState> inGroup(EndpointGroup group) {
         return mByService.getOrDefault(group.service(), List.of()).stream()
                 .filter(each -> EndpointGroup.of(each.registration()).equals(group))
-                .filter(each -> !each.registration().leaving())
+                .filter(each -> !each.leaving())
                 .toList();
     }
 
@@ -220,7 +238,7 @@
     public boolean mayReceiveRequests(EndpointState endpoint) {
         EndpointRegistration registration = endpoint.registration();
         return mEndpoints.get(registration.name()) == endpoint
-                && !registration.leaving()
+                && !endpoint.leaving()
                 && !mDomainsOutOfService.contains(registration.failureDomain());
     }
 
@@ -253,7 +271,7 @@
     public List<EndpointState> inDomain(String domain) {
         return mEndpoints.values().stream()
                 .filter(endpoint -> endpoint.registration().failureDomain().equals(domain))
-                .filter(endpoint -> !endpoint.registration().leaving())
+                .filter(endpoint -> !endpoint.leaving())
                 .toList();
     }
 
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
@@ -19,6 +19,7 @@
     private EndpointLoad mLocalLoad = EndpointLoad.NONE;
     private EndpointLoad mPeerLoad = EndpointLoad.NONE;
     private long mColdUntilMillis = Long.MIN_VALUE;
+    private boolean mLeaveAnnounced;
 
     /**
      * Creates the state of a newly registered endpoint.
@@ -59,6 +60,18 @@
         return mRegistration;
     }
 
+    /**
+     * Records that the endpoint said in an answer that it leaves, whatever its registration says.
+     */
+    void announceLeave() {
+        mLeaveAnnounced = true;
+    }
+
+    /** Returns whether the endpoint accepts no further requests. */
+    public boolean leaving() {
+        return mLeaveAnnounced || mRegistration.leaving();
+    }
+
     /** Returns the health of the endpoint. */
     public EndpointHealth health() {
         return mHealth;
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointDirectoryTest.java
@@ -171,6 +171,33 @@
         assertThat(mDirectory.usable("service")).hasSize(1);
     }
 
+    /** Guards against requests to an endpoint that said in an answer that it leaves. */
+    @Test
+    void noRegistrationTakesBackWhatAnEndpointSaidItself() {
+        mDirectory.register(inEra(1, 90, false), 0);
+        assertThat(mDirectory.announceLeave(mDirectory.find("a").orElseThrow(), 0)).isTrue();
+
+        mDirectory.register(inEra(1, 91, false), 0);
+        assertThat(mDirectory.usable("service")).isEmpty();
+        mDirectory.remove("a", 0);
+        mDirectory.register(inEra(1, 92, false), 0);
+        assertThat(mDirectory.usable("service")).isEmpty();
+
+        mDirectory.register(registered("b", false, 0, 93), 0);
+        assertThat(mDirectory.usable("service"))
+                .as("another endpoint at the same address")
+                .hasSize(1);
+    }
+
+    @Test
+    void aLaterIncarnationOfAnEndpointThatLeftIsUsable() {
+        mDirectory.register(registered("a", false, 10, 1), 0);
+        mDirectory.announceLeave(mDirectory.find("a").orElseThrow(), 0);
+
+        mDirectory.register(registered("a", false, 20, 2), 0);
+        assertThat(mDirectory.usable("service")).hasSize(1);
+    }
+
     private static EndpointRegistration inEra(long era, long version, boolean leaving) {
         StoreRevision revision = new StoreRevision(era, version);
         return new EndpointRegistration(
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.wasabilug.gateway.internal.peer.PeerEvents;
 import org.wasabilug.gateway.internal.peer.PeerNetwork;
 import org.wasabilug.gateway.internal.peer.SharedCrashSuspects;
+import org.wasabilug.gateway.internal.peer.SharedLeaves;
 import org.wasabilug.gateway.internal.peer.SharedRejections;
 import org.wasabilug.gateway.internal.peer.SharedStageExecutor;
 import org.wasabilug.gateway.internal.peer.SharedStreamOrigins;
@@ -67,6 +68,7 @@
     private final SoftwareVersionRecorder mSoftwareVersions;
     private final SharedCrashSuspects mCrashSuspects;
     private final SharedRejections mRejections;
+    private final SharedLeaves mLeaves;
     private final StoreRelay mStoreRelay;
     private final StoreAccess mStore;
     private final TableFollower mConfigurationFollower;
@@ -118,6 +120,7 @@
                         mState, versions, mNetwork::live, mEndpoints::storeReachable);
         mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
         mRejections = new SharedRejections(mState, mNetwork);
+        mLeaves = new SharedLeaves(mState, mNetwork);
         RequestReceiver receiver =
                 new RequestReceiver(mState, mSharedStages, mStreamOrigins, mCrashSuspects);
         mCallers =
@@ -318,6 +321,7 @@
                         mStreamOrigins.replyReceived(peer, envelope.getStreamOriginReply());
                 case ENDPOINT_REJECTION ->
                         mRejections.reportReceived(peer, envelope.getEndpointRejection());
+                case ENDPOINT_LEAVE -> mLeaves.reportReceived(peer, envelope.getEndpointLeave());
                 case TABLE_ROWS -> mStoreRelay.received(envelope.getTableRows());
                 default ->
                         mState.log()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -41,6 +41,7 @@
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
     private final RetryBudget mRetryBudget;
     private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
+    private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
@@ -161,6 +162,22 @@
         return mRejectionMonitor;
     }
 
+    /** Returns the monitor of endpoints that say in their answers that they leave. */
+    public LeaveMonitor leaveMonitor() {
+        return mLeaveMonitor;
+    }
+
+    /**
+     * Records what the head of an endpoint's answer says about the endpoint.
+     *
+     * @param endpoint the endpoint
+     * @param head the head
+     */
+    public void recordResponse(EndpointState endpoint, HttpResponse head) {
+        mRejectionMonitor.recordResponse(endpoint, head);
+        mLeaveMonitor.recordResponse(endpoint, head);
+    }
+
     /** Returns the software versions of the services' endpoints. */
     public SoftwareVersions softwareVersions() {
         return mSoftwareVersions;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -184,7 +184,7 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
-        mState.rejectionMonitor().recordResponse(mEndpoint, head);
+        mState.recordResponse(mEndpoint, head);
         mNotExecuted = mState.notExecuted(head);
         if (!mNotExecuted) {
             mState.rejectionMonitor().recordAccepted(mEndpoint, mLoadAtSend);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -150,7 +150,7 @@
 
     @Override
     public void headReceived(HttpResponse head) {
-        mState.rejectionMonitor().recordResponse(mCall.endpoint(), head);
+        mState.recordResponse(mCall.endpoint(), head);
         mStatus = head.status().code();
         mNotExecuted = mState.notExecuted(head);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -21,6 +21,7 @@
  * @param resumes id of the attempt that brought the first event of a stream that is resumed
  * @param authorization key of the caller
  * @param brittle number of rejections within a second that an endpoint tolerates, set by it
+ * @param leaving set to 1 by an endpoint that leaves
  * @param reserved headers that a caller may not set, in lower case
  */
 public record HeaderNames(
@@ -40,6 +41,7 @@
         String resumes,
         String authorization,
         String brittle,
+        String leaving,
         Set<String> reserved) {
     /** Copies the set of reserved headers. */
     public HeaderNames {
