Judge streams without an attempt by their own service

Callers that took up a stream without naming its attempt were refused with 503, or could go on at another service's version: while the recorded versions were read for one service, a caller of another one shared its search.

Cause: searches were listed by the attempt alone, which is empty for all these callers.

Change: a search is that of an attempt and a service.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
@@ -42,7 +42,12 @@
     private final PeerNetwork mNetwork;
     private final SoftwareVersionHistory mHistory;
     private final StreamOrigins mOrigins = new StreamOrigins();
-    private final Map<String, Search> mSearches = new HashMap<>();
+    private final Map<Stream, Search> mSearches = new HashMap<>();
+
+    /**
+     * A stream that is taken up; callers that name no attempt share only their service's search.
+     */
+    private record Stream(String attempt, String service) {}
 
     /**
      * Creates a registry without streams.
@@ -82,10 +87,11 @@
             receiver.accept(known);
             return;
         }
-        Search search = mSearches.get(attempt);
+        Stream stream = new Stream(attempt, service);
+        Search search = mSearches.get(stream);
         if (search == null) {
-            search = new Search(attempt, service);
-            mSearches.put(attempt, search);
+            search = new Search(stream);
+            mSearches.put(stream, search);
             search.mReceivers.add(receiver);
             search.start();
         } else {
@@ -156,10 +162,9 @@
      * @param reply the reply
      */
     public void replyReceived(String peer, StreamOriginReply reply) {
-        Search search = mSearches.get(reply.getAttempt());
-        if (search != null) {
-            search.replyReceived(peer, reply);
-        }
+        List.copyOf(mSearches.values()).stream()
+                .filter(search -> search.mStream.attempt().equals(reply.getAttempt()))
+                .forEach(search -> search.replyReceived(peer, reply));
     }
 
     /** Forgets streams that can't be resumed any more; to be called several times a second. */
@@ -169,19 +174,17 @@
 
     /** Asks peers for one stream. */
     private final class Search {
-        private final String mAttempt;
-        private final String mService;
+        private final Stream mStream;
         private final List<Consumer<Optional<String>>> mReceivers = new ArrayList<>();
         private final Set<String> mUnanswered = new HashSet<>();
         private final Set<String> mRecentVersions;
         private ScheduledFuture<?> mTimeout;
         private boolean mPeerHistoryComplete;
-        private boolean mEnding;
+        private boolean mHistoryAwaited;
 
-        private Search(String attempt, String service) {
-            mAttempt = attempt;
-            mService = service;
-            mRecentVersions = recentVersions(service);
+        private Search(Stream stream) {
+            mStream = stream;
+            mRecentVersions = recentVersions(stream.service());
         }
 
         private void start() {
@@ -189,11 +192,11 @@
                     mNetwork.envelope()
                             .setStreamOriginQuery(
                                     StreamOriginQuery.newBuilder()
-                                            .setAttempt(mAttempt)
-                                            .setService(mService))
+                                            .setAttempt(mStream.attempt())
+                                            .setService(mStream.service()))
                             .build();
-            if (!mAttempt.isEmpty()) {
-                peersFor(mAttempt, ASKED_PEERS).stream()
+            if (!mStream.attempt().isEmpty()) {
+                peersFor(mStream.attempt(), ASKED_PEERS).stream()
                         .filter(peer -> mNetwork.send(peer, query))
                         .forEach(mUnanswered::add);
             }
@@ -220,10 +223,10 @@
         }
 
         private void unknownToPeers() {
-            if (mEnding) {
+            if (mHistoryAwaited) {
                 return;
             }
-            mEnding = true;
+            mHistoryAwaited = true;
             if (mPeerHistoryComplete) {
                 endUnknown(true);
             } else {
@@ -233,10 +236,10 @@
 
         /** Goes on at the only version of late, if it is sure that there was no other. */
         private void endUnknown(boolean historyComplete) {
-            if (mSearches.get(mAttempt) != this) {
+            if (mSearches.get(mStream) != this) {
                 return;
             }
-            mRecentVersions.addAll(recentVersions(mService));
+            mRecentVersions.addAll(recentVersions(mStream.service()));
             boolean single = historyComplete && mRecentVersions.size() == 1;
             Optional<String> only =
                     single ? mRecentVersions.stream().findFirst() : Optional.empty();
@@ -251,11 +254,11 @@
         }
 
         private void end(Optional<String> softwareVersion, String source) {
-            mSearches.remove(mAttempt);
+            mSearches.remove(mStream);
             if (mTimeout != null) {
                 mTimeout.cancel(false);
             }
-            logFound(mAttempt, softwareVersion, source);
+            logFound(mStream.attempt(), softwareVersion, source);
             mReceivers.forEach(receiver -> receiver.accept(softwareVersion));
         }
     }
