Do not apply rows that a peer knows only from before the store came back older

Callers of an instance that can't read the store could have their requests sent to an endpoint that was gone: a peer that had not noticed the drill yet relayed the endpoint's row of the earlier era, and an instance that knew neither the row nor its removal took it for news.

Cause: the era of a relayed row was noted, but what StoreEra says of it was not used. A removal that was noticed by reading the table anew carried the earlier era too.

Change: a row of an era below the newest that is known is passed over; a removal carries the era in which the table was read, before all later rows of that era.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/RelayedTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/RelayedTable.java
@@ -24,19 +24,22 @@
 
     private record Removal(StoredRow row, long removedMillis) {}
 
-    /** Replaces all rows. */
-    void replace(List<StoredRow> all, long nowMillis) {
+    /** Replaces all rows by those that were read in an era of the store. */
+    void replace(List<StoredRow> all, long era, long nowMillis) {
         Set<String> missing = new HashSet<>(mRows.keySet());
         all.forEach(row -> missing.remove(row.key()));
         for (String key : missing) {
-            // The version of the removal is not known; it is above that of the row.
-            StoreRevision last = mRows.get(key).revision();
-            StoreRevision removal = new StoreRevision(last.era(), last.version() + 1);
-            apply(new StoredRow(key, new byte[0], removal, true), nowMillis);
+            apply(new StoredRow(key, new byte[0], removal(key, era), true), nowMillis);
         }
         all.forEach(row -> apply(row, nowMillis));
     }
 
+    /** Returns a revision after that of a known row and before that of any later one. */
+    private StoreRevision removal(String key, long era) {
+        StoreRevision last = mRows.get(key).revision();
+        return new StoreRevision(era, last.era() == era ? last.version() + 1 : 0);
+    }
+
     /** Applies a change. */
     void apply(StoredRow row, long nowMillis) {
         if (row.removed()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/StoreRelay.java
@@ -68,7 +68,7 @@
         return new TableEvents() {
             @Override
             public void replaced(List<StoredRow> all) {
-                rows.replace(all, mState.nowMillis());
+                rows.replace(all, mEra.newest(), mState.nowMillis());
                 receiver.replaced(all);
             }
 
@@ -175,7 +175,7 @@
                             row.getValue().toByteArray(),
                             revision(row),
                             row.getRemoved());
-            if (known.isNews(relayed)) {
+            if (!outdated(row) && known.isNews(relayed)) {
                 known.apply(relayed, mState.nowMillis());
                 newer.add(relayed);
             }
@@ -185,12 +185,13 @@
         }
     }
 
+    /** Returns whether a peer knows a row only from before the store came back older. */
+    private boolean outdated(TableRow row) {
+        return row.hasEra() && !mEra.observe(OptionalLong.of(row.getEra()));
+    }
+
     /** Returns the revision of a relayed row; one without an era counts as of the newest. */
     private StoreRevision revision(TableRow row) {
-        if (row.hasEra()) {
-            mEra.observe(OptionalLong.of(row.getEra()));
-            return new StoreRevision(row.getEra(), row.getVersion());
-        }
-        return new StoreRevision(mEra.newest(), row.getVersion());
+        return new StoreRevision(row.hasEra() ? row.getEra() : mEra.newest(), row.getVersion());
     }
 }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/fleet/DisconnectedState.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/DisconnectedState.java
@@ -1,4 +1,4 @@
-package org.wasabilug.gateway.internal.fleet;
+package org.wasabilug.gateway.internal;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -6,14 +6,13 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import org.wasabilug.gateway.GatewaySettings;
-import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.internal.serving.ColdLimits;
 import org.wasabilug.internal.serving.RetryLimits;
 
 /** State of an instance that has no connections and knows no protocol. */
-final class DisconnectedState implements AutoCloseable {
+public final class DisconnectedState implements AutoCloseable {
     private static final InetSocketAddress UNUSED_ADDRESS = new InetSocketAddress("127.0.0.1", 1);
 
     private final EventLoopGroup mLoops =
@@ -37,7 +36,8 @@
                     new EndpointConnections(mLoops, "Id", GatewayState::clockMillis, "gateway-1"),
                     new DecisionLog(new MetricRegistry(), GatewayState::clockMillis));
 
-    GatewayState state() {
+    /** Returns the state. */
+    public GatewayState state() {
         return mState;
     }
 
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/fleet/EndpointWatchTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/fleet/EndpointWatchTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.internal.DisconnectedState;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.serving.EndpointRegistration;
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/peer/RelayedTableTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/peer/RelayedTableTest.java
@@ -46,8 +46,8 @@
 
     @Test
     void aRowThatIsMissingFromTheWholeTableIsRemoved() {
-        mTable.replace(List.of(row("a", 1), row("b", 2)), 0);
-        mTable.replace(List.of(row("b", 2)), 0);
+        mTable.replace(List.of(row("a", 1), row("b", 2)), 1, 0);
+        mTable.replace(List.of(row("b", 2)), 1, 0);
 
         assertThat(changes(2, SETTLED_MILLIS)).containsExactly("-a");
     }
@@ -84,4 +84,17 @@
         assertThat(mTable.isNews(row("a", 51))).isFalse();
         assertThat(changes(50, SETTLED_MILLIS)).containsExactly("+a");
     }
+
+    /** Guards against a lost row that peers don't hear of after the store came back older. */
+    @Test
+    void aRowThatIsMissingInALaterEraIsRemovedInThatEraAndMayComeBack() {
+        mTable.replace(List.of(row("a", 50)), 1, 0);
+        mTable.replace(List.of(), 2, 0);
+
+        assertThat(mTable.changesAfter(new StoreRevision(1, 50), SETTLED_MILLIS))
+                .extracting(StoredRow::revision)
+                .containsExactly(new StoreRevision(2, 0));
+        StoredRow back = new StoredRow("a", new byte[] {1}, new StoreRevision(2, 1), false);
+        assertThat(mTable.isNews(back)).isTrue();
+    }
 }
