Make no guess from records of software versions of which some can't be read

Callers could get a stream of two versions after a restart of all instances, where a record in the store was damaged: it counted as empty, so the only registered version was taken for the only one of late.

Cause: a record that can't be read and one without versions looked the same.

Change: the records count as read only if all of them are. The next write of a service still replaces a row of its own that can't be read.

Result: StreamOfOneSoftwareVersionTest#aStreamThatNobodyKnowsIsRefusedWhileARecordCannotBeRead fails without the check and passes now.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionHistory.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionHistory.java
@@ -61,6 +61,8 @@
                 .forEach(
                         (service, row) ->
                                 versions.add(service, row.record(), contents.storeMillis(), now));
-        versions.historyRead();
+        if (contents.whole()) {
+            versions.historyRead();
+        }
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionTable.java
@@ -44,11 +44,12 @@
     /**
      * The records of all services at one moment.
      *
-     * @param rows the records by service
+     * @param rows the records by service; one that can't be read counts as empty
+     * @param whole whether all records could be read
      * @param era era of the store
      * @param storeMillis time of the store's clock, in milliseconds
      */
-    record Contents(Map<String, Row> rows, long era, long storeMillis) {
+    record Contents(Map<String, Row> rows, boolean whole, long era, long storeMillis) {
         Row row(String service) {
             Row missing = new Row(SoftwareVersionRecord.EMPTY, new StoreRevision(era, 0));
             return rows.getOrDefault(service, missing);
@@ -70,14 +71,18 @@
 
     private Contents contents(StorePage page) {
         Map<String, Row> rows = new HashMap<>();
+        boolean whole = true;
         for (StoredRow row : page.rows()) {
-            rows.put(row.key(), new Row(decode(row), row.revision()));
+            Optional<SoftwareVersionRecord> record = decode(row);
+            whole &= record.isPresent();
+            // The next write of the service replaces a row that can't be read.
+            SoftwareVersionRecord known = record.orElse(SoftwareVersionRecord.EMPTY);
+            rows.put(row.key(), new Row(known, row.revision()));
         }
-        return new Contents(rows, mEra.newest(), page.storeMillis());
+        return new Contents(rows, whole, mEra.newest(), page.storeMillis());
     }
 
-    /** Returns an empty record for a row that can't be read; the next write replaces it. */
-    private SoftwareVersionRecord decode(StoredRow row) {
+    private Optional<SoftwareVersionRecord> decode(StoredRow row) {
         Map<String, Optional<Long>> left = new HashMap<>();
         try {
             for (RecordedSoftwareVersion each :
@@ -88,13 +93,14 @@
                                 ? Optional.of(each.getLeftMilliseconds())
                                 : Optional.empty());
             }
+            return Optional.of(new SoftwareVersionRecord(left));
         } catch (InvalidProtocolBufferException unreadable) {
             mState.log()
                     .fault(
                             LogLine.of("software-versions-unreadable").with("service", row.key()),
                             unreadable);
+            return Optional.empty();
         }
-        return new SoftwareVersionRecord(left);
     }
 
     /**
