Decode pages of the store, and tell the active version, in one place each

Change: StoreAccess.page, GatewayState.configurationVersion, SoftwareVersionRecord.recentAgesMillis and DisconnectedState serve them.

--- a/core/src/main/java/org/wasabilug/internal/serving/SoftwareVersionRecord.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SoftwareVersionRecord.java
@@ -32,12 +32,8 @@
             Set<String> registered, Collection<String> recent, long storeMillis) {
         Map<String, Optional<Long>> updated = new TreeMap<>();
         recent.forEach(version -> updated.put(version, Optional.of(storeMillis)));
-        leftMillis.forEach(
-                (version, left) -> {
-                    if (ageMillis(left, storeMillis) <= SoftwareVersions.RETENTION_MILLIS) {
-                        updated.put(version, Optional.of(left.orElse(storeMillis)));
-                    }
-                });
+        recentAgesMillis(storeMillis)
+                .forEach((version, age) -> updated.put(version, Optional.of(storeMillis - age)));
         registered.forEach(version -> updated.put(version, Optional.empty()));
         return new SoftwareVersionRecord(updated);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -230,6 +230,11 @@
         return mConfiguration.routes();
     }
 
+    /** Returns the version of the active configuration; empty before the first is loaded. */
+    public Optional<Long> configurationVersion() {
+        return routes().map(routes -> routes.configuration().version());
+    }
+
     /** Returns the active configuration, from which later ones can be found. */
     public ConfigurationInForce configurationInForce() {
         return mConfiguration;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/ConfigurationWatch.java
@@ -117,8 +117,7 @@
 
     /** Activates a configuration unless the active one is at least as new. */
     void activate(ServingConfiguration configuration) {
-        long activeVersion =
-                mState.routes().map(routes -> routes.configuration().version()).orElse(-1L);
+        long activeVersion = mState.configurationVersion().orElse(-1L);
         if (configuration.version() <= activeVersion) {
             return;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/MissedConfiguration.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/MissedConfiguration.java
@@ -55,6 +55,6 @@
     }
 
     private long activeVersion() {
-        return mState.routes().map(routes -> routes.configuration().version()).orElse(-1L);
+        return mState.configurationVersion().orElse(-1L);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
@@ -124,7 +124,7 @@
     }
 
     private static boolean resumable(Route route) {
-        return route.kind() == RequestKind.STREAM && route.idempotent();
+        return route.kind() == RequestKind.STREAM && route.resumable();
     }
 
     private int positionAmongWriters() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
@@ -72,9 +72,7 @@
                         .addAllUnreachable(
                                 PeerReachability.messages(mState.reachability().unreachable()))
                         .setStoreSilent(mStoreUnreachable.getAsBoolean());
-        mState.routes()
-                .map(routes -> routes.configuration().version())
-                .ifPresent(heartbeat::setConfigurationVersion);
+        mState.configurationVersion().ifPresent(heartbeat::setConfigurationVersion);
         mSharedLoads.addLoads(heartbeat);
         mSharedLoads.addBrittleServices(heartbeat);
         return heartbeat;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
@@ -6,7 +6,6 @@
 import java.util.Queue;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.protocol.StorePage;
-import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.gateway.protocol.UnreadableException;
 
@@ -15,8 +14,7 @@
     private static final byte[] NO_BODY = {};
 
     private final StoreConnection mConnection;
-    private final StoreProtocol mProtocol;
-    private final StoreEra mEra;
+    private final StoreAccess mStore;
     private final String mTable;
     private final long mTimeoutMillis;
     private final Queue<Call> mWaiting = new ArrayDeque<>();
@@ -34,8 +32,7 @@
      */
     public TableClient(StoreAccess store, String table, long timeoutMillis) {
         mConnection = new StoreConnection(store);
-        mProtocol = store.protocol();
-        mEra = store.era();
+        mStore = store;
         mTable = table;
         mTimeoutMillis = timeoutMillis;
     }
@@ -49,18 +46,14 @@
         submit(
                 new Call(
                         HttpMethod.GET,
-                        mProtocol.readTarget(mTable, ""),
+                        mStore.protocol().readTarget(mTable, ""),
                         NO_BODY,
                         response -> receiver.accept(pageOf(response))));
     }
 
     private Optional<StorePage> pageOf(StoreResponse response) {
-        if (!response.successful() || !mEra.observe(response.era())) {
-            return Optional.empty();
-        }
         try {
-            return Optional.of(mProtocol.readPage(response.body(), mEra.newest()))
-                    .filter(page -> !page.more());
+            return Optional.of(mStore.page(response)).filter(page -> !page.more());
         } catch (UnreadableException unreadable) {
             return Optional.empty();
         }
@@ -78,8 +71,8 @@
         submit(
                 new Call(
                         HttpMethod.POST,
-                        mProtocol.writeTarget(),
-                        mProtocol.conditionalWriteBody(mTable, row),
+                        mStore.protocol().writeTarget(),
+                        mStore.protocol().conditionalWriteBody(mTable, row),
                         response -> receiver.accept(response.successful())));
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -1,13 +1,11 @@
 package org.wasabilug.gateway.internal.store;
 
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.protocol.StorePage;
-import org.wasabilug.gateway.protocol.StoreProtocol;
 import org.wasabilug.gateway.protocol.StoredRow;
 import org.wasabilug.gateway.protocol.UnreadableException;
 
@@ -23,20 +21,18 @@
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 800;
 
-    private final EventLoopGroup mLoops;
+    private final StoreAccess mStore;
     private final StoreConnection mConnection;
-    private final StoreProtocol mProtocol;
     private final FollowedTable mTable;
     private final TableEvents mEvents;
-    private final StoreEra mEra;
     private final RetryBackoff mRetryBackoff = new RetryBackoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private final List<StoredRow> mPages = new ArrayList<>();
-    private long mVersion = -1;
+    private final PollPatience mPatience = new PollPatience(READ_TIMEOUT_MILLIS);
 
-    /** Era in which the table was read; versions mean nothing in another one. */
-    private long mTableEra;
+    /** Version up to which the table is known, and the era in which that version was given out. */
+    private long mVersion = -1;
 
-    private final PollPatience mPatience = new PollPatience(READ_TIMEOUT_MILLIS);
+    private long mEra;
     private boolean mPolling;
     private long mPolledMillis;
     private boolean mAvailable;
@@ -50,10 +46,8 @@
      * @param events receives the rows
      */
     public TableFollower(StoreAccess store, FollowedTable table, TableEvents events) {
-        mLoops = store.loops();
+        mStore = store;
         mConnection = new StoreConnection(store);
-        mProtocol = store.protocol();
-        mEra = store.era();
         mTable = table;
         mEvents = events;
     }
@@ -69,7 +63,7 @@
         }
         mConnection.call(
                 HttpMethod.GET,
-                mProtocol.readTarget(mTable.name(), fromKey),
+                mStore.protocol().readTarget(mTable.name(), fromKey),
                 NO_BODY,
                 READ_TIMEOUT_MILLIS,
                 this::tableRead);
@@ -81,11 +75,11 @@
             retry(() -> readTable(""));
             return;
         }
-        if (!mPages.isEmpty() && mTableEra != mEra.newest()) {
+        if (!mPages.isEmpty() && mEra != mStore.era().newest()) {
             readTable("");
             return;
         }
-        mTableEra = mEra.newest();
+        mEra = mStore.era().newest();
         // Later pages may be newer than the first; the changes since the first are read again.
         mVersion = mPages.isEmpty() ? page.version() : Math.min(mVersion, page.version());
         mPages.addAll(page.rows());
@@ -114,7 +108,7 @@
         mPolledMillis = GatewayState.clockMillis();
         mConnection.call(
                 HttpMethod.GET,
-                mProtocol.changesTarget(mTable.name(), mVersion, waitMillis),
+                mStore.protocol().changesTarget(mTable.name(), mVersion, waitMillis),
                 NO_BODY,
                 waitMillis + mPatience.millis(),
                 response -> changesRead(response, waitMillis));
@@ -128,7 +122,7 @@
             mPatience.unanswered();
         }
         if (response.historyExpired()) {
-            mEra.observe(response.era());
+            mStore.era().observe(response.era());
             readTable("");
             return;
         }
@@ -138,7 +132,7 @@
             retry(() -> readTable(""));
             return;
         }
-        if (mTableEra != mEra.newest()) {
+        if (mEra != mStore.era().newest()) {
             // The store's versions began anew, so this page may lack changes.
             readTable("");
             return;
@@ -153,14 +147,16 @@
     }
 
     private void pause() {
-        mLoops.next()
+        mStore.loops()
+                .next()
                 .schedule(
                         this::readChanges, mTable.pauseMillis().getAsLong(), TimeUnit.MILLISECONDS);
     }
 
     /** Passes rows on as a task of its own, as a fault of their receiver must not end this. */
     private void apply(Runnable rows, Runnable then) {
-        mLoops.next()
+        mStore.loops()
+                .next()
                 .submit(rows)
                 .addListener(
                         applied -> {
@@ -172,19 +168,8 @@
     }
 
     private StorePage pageOf(StoreResponse response) {
-        if (!response.successful()) {
-            unavailable(
-                    response.reason().isEmpty()
-                            ? "status " + response.status()
-                            : response.reason());
-            return null;
-        }
-        if (!mEra.observe(response.era())) {
-            unavailable("response of an earlier era");
-            return null;
-        }
         try {
-            return mProtocol.readPage(response.body(), mEra.newest());
+            return mStore.page(response);
         } catch (UnreadableException unreadable) {
             unavailable(unreadable.getMessage());
             return null;
@@ -209,6 +194,6 @@
     }
 
     private void retry(Runnable step) {
-        mLoops.next().schedule(step, mRetryBackoff.next(), TimeUnit.MILLISECONDS);
+        mStore.loops().next().schedule(step, mRetryBackoff.next(), TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -2,10 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.Collection;
@@ -15,15 +11,10 @@
 import java.util.concurrent.Callable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
-import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
-import org.wasabilug.gateway.internal.log.DecisionLog;
-import org.wasabilug.internal.serving.ColdLimits;
 import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.RelayCandidate;
-import org.wasabilug.internal.serving.RetryLimits;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.serving.EndpointRegistration;
 import org.wasabilug.serving.StoreRevision;
@@ -37,30 +28,12 @@
 
     private static final Relay PEER = new Relay("peer", UNUSED);
 
-    private final EventLoopGroup mLoops =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final GatewayState mState =
-            new GatewayState(
-                    new GatewaySettings(
-                            "local",
-                            "rennes",
-                            UNUSED,
-                            UNUSED,
-                            UNUSED,
-                            UNUSED,
-                            UNUSED,
-                            new RetryLimits(0.2, 50, 10_000),
-                            new ColdLimits(1.5, 5),
-                            1,
-                            8_000),
-                    null,
-                    mLoops.next(),
-                    new EndpointConnections(mLoops, "Id", GatewayState::clockMillis, "local"),
-                    new DecisionLog(new MetricRegistry(), GatewayState::clockMillis));
+    private final DisconnectedState mDisconnected = new DisconnectedState();
+    private final GatewayState mState = mDisconnected.state();
 
     @AfterEach
     void stop() {
-        mLoops.shutdownGracefully();
+        mDisconnected.close();
     }
 
     @Test
@@ -116,7 +89,7 @@
     }
 
     private void run(Runnable action) throws Exception {
-        mLoops.submit(action).get();
+        mState.loop().submit(action).get();
     }
 
     @Test
@@ -170,7 +143,7 @@
     }
 
     private <T> T call(Callable<T> action) throws Exception {
-        return mLoops.submit(action).get();
+        return mState.loop().submit(action).get();
     }
 
     private static RelayPeers peer(Set<EndpointGroup> unreachable) {
