Count an unmarked end of a response only if the endpoint outlived it

Cause: only the close of the connection marks the end of a response without length and chunks, and the kernel closes the connections of a killed process in the same way. The gateway looked 40 ms later whether the endpoint had crashed, but told only the protection against crashing requests.

A log line "unmarked-end" tells the evidence of each decision now.

Change: such an end counts 40 ms later if another connection to the endpoint is still open, or else if a new one is accepted (a peer tells where the connection was relayed or nothing answers). It is cut if the other connections closed at the same moment, which also tells a new process at the same port.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -18,6 +18,8 @@
     BROKEN,
     /** The response ended properly, but its content is not whole. */
     CUT_SHORT,
+    /** The response ended with its connection, and so did the endpoint's process. */
+    ENDED_WITH_ENDPOINT,
     /** The response exceeds a limit of its size. */
     TOO_LARGE,
     /** The received bytes are not a valid HTTP response. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -39,6 +39,7 @@
     private boolean mIgnoringResponse;
     private boolean mReusable = true;
     private boolean mWritten;
+    private boolean mClosedHere;
     private long mMaxIdleMillis = DEFAULT_MAX_IDLE_MILLIS;
     private long mIdleSinceMillis;
 
@@ -105,6 +106,7 @@
 
     void close() {
         mReusable = false;
+        mClosedHere = true;
         if (mChannel != null) {
             mChannel.close();
         }
@@ -218,7 +220,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mOwner.closed(this);
+        mOwner.closed(this, !mClosedHere);
         failCall(CallFailure.BROKEN);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -31,6 +31,7 @@
  */
 public final class EndpointConnections {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    private static final long ENDS_KEPT_MILLIS = 1_000;
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEAD_BYTES = 65_536;
@@ -47,6 +48,7 @@
     private final LongSupplier mClockMillis;
     private final RelayedConnections mRelays;
     private final Map<String, ArrayDeque<EndpointConnection>> mIdle = new HashMap<>();
+    private final ConnectionEnds mEnds = new ConnectionEnds();
     private ConnectionRouter mRouter;
 
     /**
@@ -113,6 +115,7 @@
     public void closeExpired() {
         long now = nowMillis();
         closeIdleIf(connection -> !usable(connection, now));
+        mEnds.forgetBefore(now - ENDS_KEPT_MILLIS);
     }
 
     /**
@@ -156,7 +159,13 @@
                 .addFirst(connection);
     }
 
-    void closed(EndpointConnection connection) {
+    /**
+     * Called when a connection has ended.
+     *
+     * @param byEndpoint whether the endpoint closed it, but not as the end of a response
+     */
+    void closed(EndpointConnection connection, boolean byEndpoint) {
+        mEnds.closed(connection, byEndpoint, nowMillis());
         ArrayDeque<EndpointConnection> idle = mIdle.get(connection.endpoint());
         if (idle != null) {
             idle.remove(connection);
@@ -268,6 +277,7 @@
         }
         EndpointConnection connection =
                 new EndpointConnection(this, endpoint, relay, mRequestIdHeader);
+        mEnds.opened(connection);
         channel.pipeline()
                 .addLast(new ReceivedBytesMeter(connection))
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
@@ -275,6 +285,17 @@
         connection.send(call, channel);
     }
 
+    /**
+     * Returns whether an endpoint outlived a connection, as far as other connections tell.
+     *
+     * @param endpoint name of the endpoint
+     * @param direct whether no other instance relayed the connection
+     * @param endedMillis when the connection ended
+     */
+    public EndpointSurvival survival(String endpoint, boolean direct, long endedMillis) {
+        return mEnds.survival(endpoint, direct, endedMillis);
+    }
+
     /**
      * Checks whether an endpoint accepts connections of this instance.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -15,7 +15,6 @@
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RejectionControl;
-import org.wasabilug.serving.RequestKind;
 
 /** One send of a request to one endpoint; maintains the load and health of that endpoint. */
 final class Attempt implements CallListener {
@@ -225,19 +224,45 @@
             failed(CallFailure.CUT_SHORT);
             return;
         }
+        long millis = mState.nowMillis() - mSentMillis;
+        if (ResponseFraming.of(mHead) == ResponseFraming.CLOSE && !mNotExecuted) {
+            checkEnd(millis);
+        } else {
+            finish(millis);
+        }
+    }
+
+    /** The connection of an endpoint whose process was killed may end in the same way. */
+    private void checkEnd(long millis) {
+        new UnmarkedEndCheck(
+                        mState,
+                        mRequest.id(),
+                        mEndpoint.registration(),
+                        mCall.direct(),
+                        survived -> endChecked(survived, millis))
+                .start();
+    }
+
+    private void endChecked(boolean survived, long millis) {
+        if (mEnded) {
+            return;
+        }
+        if (survived) {
+            finish(millis);
+        } else {
+            failed(CallFailure.ENDED_WITH_ENDPOINT);
+        }
+    }
+
+    private void finish(long millis) {
         mWholeBody = mBody.toByteArray();
         end();
-        if (ResponseFraming.of(mHead) != ResponseFraming.CLOSE) {
-            answerWentOn();
-        } else if (!mAnswerWentOn && mRequest.route().kind() == RequestKind.STREAM) {
-            // The connection of a crashed endpoint may end in the same way.
-            checkCrashSoon(this::answerWentOn);
-        }
+        answerWentOn();
         if (!mNotExecuted) {
             if (mHead.status().code() >= SERVER_ERROR) {
                 mEndpoint.health().recordFailure(mState.nowMillis());
             } else {
-                mEndpoint.health().recordSuccess(mState.nowMillis() - mSentMillis);
+                mEndpoint.health().recordSuccess(millis);
             }
         }
         mOwner.completed(this);
@@ -258,8 +283,8 @@
         }
         end();
         recordFailure(failure);
-        if (!mAnswerWentOn && (failure == CallFailure.BROKEN || failure == CallFailure.CUT_SHORT)) {
-            checkCrashSoon(() -> {});
+        if (!mAnswerWentOn && mayBeCrash(failure)) {
+            mState.loop().schedule(checkCrash(), CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
         mOwner.failed(this, failure);
     }
@@ -275,18 +300,18 @@
         }
     }
 
-    private void checkCrashSoon(Runnable survived) {
-        long endedMillis = mState.nowMillis();
-        mState.loop()
-                .schedule(
-                        () -> checkCrash(endedMillis, survived),
-                        CRASH_CHECK_MILLIS,
-                        TimeUnit.MILLISECONDS);
+    private static boolean mayBeCrash(CallFailure failure) {
+        return switch (failure) {
+            case BROKEN, CUT_SHORT, ENDED_WITH_ENDPOINT -> true;
+            case NOT_CONNECTED, SILENT, NOT_RELAYED, TOO_LARGE, GARBLED -> false;
+        };
     }
 
-    private void checkCrash(long endedMillis, Runnable survived) {
-        new CrashCheck(mState, mEndpoint.registration())
-                .start(survived, () -> mGuard.crashed(mEndpoint.registration(), endedMillis));
+    private Runnable checkCrash() {
+        long endedMillis = mState.nowMillis();
+        return () ->
+                new CrashCheck(mState, mEndpoint.registration())
+                        .start(() -> mGuard.crashed(mEndpoint.registration(), endedMillis));
     }
 
     private void end() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/CrashCheck.java
@@ -20,15 +20,13 @@
         mEndpoint = endpoint;
     }
 
-    /** Starts the check and runs one of the actions when the result is known. */
-    void start(Runnable survived, Runnable crashed) {
+    /** Starts the check and runs the action if the endpoint has crashed. */
+    void start(Runnable crashed) {
         mState.connections()
                 .probe(
                         mEndpoint,
                         result -> {
-                            if (result == ConnectionResult.OPENED) {
-                                survived.run();
-                            } else {
+                            if (result != ConnectionResult.OPENED) {
                                 checkOthers(crashed);
                             }
                         });
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/UnmarkedEndCheck.java
@@ -0,0 +1,114 @@
+package org.wasabilug.gateway.internal.request;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.serving.EndpointRegistration;
+
+/**
+ * Checks whether a response is whole whose end only the close of its connection marks.
+ *
+ * <p>The kernel closes the connections of a process that was killed in the same way, so such an end
+ * counts only if the process outlived it. Where nothing can tell, the response counts as cut.
+ */
+final class UnmarkedEndCheck {
+    /** When a process ends, its other connections and its port close within this. */
+    private static final long SETTLE_MILLIS = 40;
+
+    private final GatewayState mState;
+    private final String mRequest;
+    private final EndpointRegistration mEndpoint;
+    private final boolean mDirect;
+    private final long mEndedMillis;
+    private final Consumer<Boolean> mReceiver;
+
+    /** What tells whether the endpoint outlived its response; the names appear in the log. */
+    private enum Evidence {
+        OTHER_CONNECTION_OPEN(true),
+        CONNECTED(true),
+        PEER_CONNECTED(true),
+        OTHERS_CLOSED_AT_ONCE(false),
+        REFUSED(false),
+        PEER_NOT_CONNECTED(false);
+
+        private final boolean mSurvived;
+
+        Evidence(boolean survived) {
+            mSurvived = survived;
+        }
+    }
+
+    /**
+     * Creates a check of a response that has ended now.
+     *
+     * @param request id of the request, for the log
+     * @param endpoint the endpoint that responded
+     * @param direct whether no other instance relayed the connection
+     * @param receiver receives whether the endpoint outlived its response
+     */
+    UnmarkedEndCheck(
+            GatewayState state,
+            String request,
+            EndpointRegistration endpoint,
+            boolean direct,
+            Consumer<Boolean> receiver) {
+        mState = state;
+        mRequest = request;
+        mEndpoint = endpoint;
+        mDirect = direct;
+        mEndedMillis = state.nowMillis();
+        mReceiver = receiver;
+    }
+
+    void start() {
+        mState.loop().schedule(this::check, SETTLE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check() {
+        switch (mState.connections().survival(mEndpoint.name(), mDirect, mEndedMillis)) {
+            case SURVIVED -> finish(Evidence.OTHER_CONNECTION_OPEN);
+            case ENDED -> finish(Evidence.OTHERS_CLOSED_AT_ONCE);
+            default -> connect();
+        }
+    }
+
+    private void connect() {
+        if (mDirect) {
+            mState.connections().probe(mEndpoint, this::connected);
+        } else {
+            askPeer();
+        }
+    }
+
+    private void connected(ConnectionResult result) {
+        switch (result) {
+            case OPENED -> finish(Evidence.CONNECTED);
+            case REFUSED -> finish(Evidence.REFUSED);
+            default -> askPeer();
+        }
+    }
+
+    private void askPeer() {
+        mState.connections()
+                .askWitness(
+                        mEndpoint,
+                        result ->
+                                finish(
+                                        result.filter(ConnectionResult.OPENED::equals).isPresent()
+                                                ? Evidence.PEER_CONNECTED
+                                                : Evidence.PEER_NOT_CONNECTED));
+    }
+
+    private void finish(Evidence evidence) {
+        mState.log()
+                .request(
+                        LogLine.of("unmarked-end")
+                                .with("request", mRequest)
+                                .with("endpoint", mEndpoint.name())
+                                .with("whole", evidence.mSurvived)
+                                .with("evidence", evidence.name()));
+        mReceiver.accept(evidence.mSurvived);
+    }
+}
