Pass on no event whose id is not greater than those before

Cause: ids of events increase by the protocol, and nothing checked it.

"stream-resumed" logs the ids on both sides of a resumption.

Change: an id that is a number must be greater than the last one that the caller has. The event that breaks this and all after it are not passed on; the attempt fails as OUT_OF_ORDER, and the stream is resumed at another endpoint or breaks off.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallFailure.java
@@ -20,6 +20,8 @@
     CUT_SHORT,
     /** The response ended with its connection, and so did the endpoint's process. */
     ENDED_WITH_ENDPOINT,
+    /** The id of an event of a stream is not greater than that of the one before. */
+    OUT_OF_ORDER,
     /** The response exceeds a limit of its size. */
     TOO_LARGE,
     /** The received bytes are not a valid HTTP response. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -303,7 +303,7 @@
     private static boolean mayBeCrash(CallFailure failure) {
         return switch (failure) {
             case BROKEN, CUT_SHORT, ENDED_WITH_ENDPOINT -> true;
-            case NOT_CONNECTED, SILENT, NOT_RELAYED, TOO_LARGE, GARBLED -> false;
+            case NOT_CONNECTED, SILENT, NOT_RELAYED, OUT_OF_ORDER, TOO_LARGE, GARBLED -> false;
         };
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
@@ -7,7 +7,7 @@
 final class EventReader {
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
-    private final EventSplitter mEvents = new EventSplitter();
+    private final EventSplitter mEvents;
     private final ResponseMemory.Account mMemory;
     private boolean mDelivered;
     private long mLastProgressMillis;
@@ -17,8 +17,10 @@
      *
      * @param memory limits what is kept of an incomplete event
      * @param sentMillis when the attempt was sent, in milliseconds of the monotonic clock
+     * @param lastEventId id of the last event that the caller has; empty if it has none
      */
-    EventReader(ResponseMemory memory, long sentMillis) {
+    EventReader(ResponseMemory memory, long sentMillis, String lastEventId) {
+        mEvents = new EventSplitter(lastEventId);
         mMemory = memory.open(MAX_EVENT_BYTES);
         mLastProgressMillis = sentMillis;
     }
@@ -42,6 +44,16 @@
         return mMemory.resize(mEvents.allocatedBytes());
     }
 
+    /** Returns whether the ids of the events increase. */
+    boolean inOrder() {
+        return mEvents.inOrder();
+    }
+
+    /** Returns the id of the first event that has one; empty before it is read. */
+    String firstEventId() {
+        return mEvents.firstEventId();
+    }
+
     /** Returns whether the last event is incomplete. */
     boolean insideEvent() {
         return mEvents.partialBytes() > 0;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventSplitter.java
@@ -13,12 +13,32 @@
     private static final String ID_FIELD = "id:";
     private static final int INITIAL_CAPACITY = 256;
 
+    private final EventOrder mOrder;
     private ByteBuf mPending = Unpooled.buffer(INITIAL_CAPACITY);
     private int mScanned;
     private int mLineStart;
     private String mEventId = "";
     private String mLastEventId = "";
 
+    /**
+     * Creates a splitter of the events that follow another one.
+     *
+     * @param lastEventId id of the event before; empty if there is none
+     */
+    EventSplitter(String lastEventId) {
+        mOrder = new EventOrder(lastEventId);
+    }
+
+    /** Returns whether the ids increase; from the first that does not on, no event is returned. */
+    boolean inOrder() {
+        return mOrder.kept();
+    }
+
+    /** Returns the id of the first event that has one; empty before it is read. */
+    String firstEventId() {
+        return mOrder.firstId();
+    }
+
     /**
      * Appends received bytes and returns the events that are now complete.
      *
@@ -27,7 +47,7 @@
     ByteBuf append(ByteBuf content) {
         mPending.writeBytes(content);
         int complete = 0;
-        while (mScanned < mPending.writerIndex()) {
+        while (mOrder.kept() && mScanned < mPending.writerIndex()) {
             boolean lineEnds = mPending.getByte(mScanned) == '\n';
             mScanned++;
             if (lineEnds && endLine()) {
@@ -70,6 +90,7 @@
         boolean empty = end == mLineStart;
         if (empty) {
             mLastEventId = mEventId.isEmpty() ? mLastEventId : mEventId;
+            mOrder.eventComplete();
         } else {
             readId(end);
         }
@@ -83,6 +104,7 @@
             String line = mPending.toString(mLineStart, length, StandardCharsets.UTF_8);
             if (line.startsWith(ID_FIELD)) {
                 mEventId = line.substring(ID_FIELD.length()).trim();
+                mOrder.idRead(mEventId);
             }
         }
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -41,6 +41,10 @@
     private final InputLocator mInputs;
     private final Map<Attempt, EventReader> mReaders = new HashMap<>();
     private String mLastEventId = "";
+
+    /** The attempt that brought the last events. */
+    private Attempt mWritingAttempt;
+
     private long mFirstEventMillis = -1;
 
     StreamFlow(
@@ -135,11 +139,19 @@
         if (!started(attempt)) {
             return;
         }
-        mReaders.put(attempt, new EventReader(state().responseMemory(), attempt.sentMillis()));
+        mReaders.put(
+                attempt,
+                new EventReader(state().responseMemory(), attempt.sentMillis(), lastEventId()));
         double timeout = FIRST_EVENT_FACTOR * attempt.predictedMillis();
         watch(attempt, Math.max(MIN_FIRST_EVENT_TIMEOUT_MILLIS, (long) timeout));
     }
 
+    /** Returns the id of the last event that the caller has; empty if it has none. */
+    private String lastEventId() {
+        String asked = state().protocol().headers().lastEventId();
+        return mLastEventId.isEmpty() ? exchange().head().headers().get(asked, "") : mLastEventId;
+    }
+
     private void addStreamHeaders(HttpHeaders headers) {
         if (!mStages.inputs().isEmpty()) {
             headers.set(state().protocol().headers().inputs(), String.join(",", mStages.inputs()));
@@ -234,17 +246,34 @@
         ByteBuf events = reader.append(content, state().nowMillis());
         if (events.isReadable()) {
             goOnWith(attempt);
+            logResumption(attempt, reader);
             attempt.answerBegun();
             mLastEventId = reader.lastEventId().isEmpty() ? mLastEventId : reader.lastEventId();
             startResponse(attempt);
             mSoftwareVersion.eventReceived(attempt);
             exchange().write(events);
         }
-        if (!reader.keepsPartial()) {
+        if (!reader.inOrder()) {
+            attempt.reject(CallFailure.OUT_OF_ORDER);
+        } else if (!reader.keepsPartial()) {
             attempt.reject(CallFailure.TOO_LARGE);
         }
     }
 
+    /** Logs where the stream goes on, before the first events of a later attempt. */
+    private void logResumption(Attempt attempt, EventReader reader) {
+        if (mWritingAttempt != attempt && !mLastEventId.isEmpty()) {
+            state().log()
+                    .request(
+                            LogLine.of("stream-resumed")
+                                    .with("request", request().id())
+                                    .with("endpoint", attempt.endpoint().registration().name())
+                                    .with("after", mLastEventId)
+                                    .with("next", reader.firstEventId()));
+        }
+        mWritingAttempt = attempt;
+    }
+
     /**
      * Sends the head of the endpoint that brings the first event, unless a head was sent before.
      */
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventReaderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventReaderTest.java
@@ -31,7 +31,7 @@
 
         boolean room = true;
         while (room) {
-            EventReader reader = new EventReader(memory, 0);
+            EventReader reader = new EventReader(memory, 0, "");
             room = receive(reader, received);
             if (room) {
                 readers.add(reader);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventSplitterTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventSplitterTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class EventSplitterTest {
-    private final EventSplitter mSplitter = new EventSplitter();
+    private final EventSplitter mSplitter = new EventSplitter("");
 
     private String append(String text) {
         ByteBuf events = mSplitter.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -56,4 +56,17 @@
         mSplitter.discardPartial();
         assertThat(mSplitter.partialBytes()).isZero();
     }
+
+    /** Guards against events that come twice after a resumption. */
+    @Test
+    void noEventIsReturnedFromTheFirstIdOnThatIsNotGreater() {
+        EventSplitter splitter = new EventSplitter("2");
+        String stream = "id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n";
+
+        ByteBuf events = splitter.append(Unpooled.copiedBuffer(stream, StandardCharsets.UTF_8));
+
+        assertThat(events.toString(StandardCharsets.UTF_8)).isEqualTo("id: 3\ndata: c\n\n");
+        assertThat(splitter.inOrder()).isFalse();
+        assertThat(splitter.firstEventId()).isEqualTo("3");
+    }
 }
