Notice a lost answer of the store as soon after answers that were late or lost

Cause: the wait for an answer beyond the hold grows by up to 2 s after answers that were late or lost, and the hold stayed as it was.

Change: the hold shrinks by as much as the wait beyond it grows, to 0.5 s at the least; the wait grows to 2 s at the most.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableFollower.java
@@ -18,6 +18,7 @@
 public final class TableFollower {
     private static final byte[] NO_BODY = {};
     private static final long READ_TIMEOUT_MILLIS = 2_500;
+    private static final long MAX_PATIENCE_MILLIS = 2_000;
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 800;
 
@@ -27,7 +28,7 @@
     private final TableEvents mEvents;
     private final RetryBackoff mRetryBackoff = new RetryBackoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private final List<StoredRow> mPages = new ArrayList<>();
-    private final PollPatience mPatience = new PollPatience(READ_TIMEOUT_MILLIS);
+    private final PollPatience mPatience = new PollPatience(MAX_PATIENCE_MILLIS);
 
     /** Version up to which the table is known, and the era in which that version was given out. */
     private long mVersion = -1;
@@ -103,21 +104,21 @@
     }
 
     private void readChanges() {
-        long waitMillis = mTable.waitMillis().getAsLong();
+        long holdMillis = mPatience.holdMillis(mTable.waitMillis().getAsLong());
         mPolling = true;
         mPolledMillis = GatewayState.clockMillis();
         mConnection.call(
                 HttpMethod.GET,
-                mStore.protocol().changesTarget(mTable.name(), mVersion, waitMillis),
+                mStore.protocol().changesTarget(mTable.name(), mVersion, holdMillis),
                 NO_BODY,
-                waitMillis + mPatience.millis(),
-                response -> changesRead(response, waitMillis));
+                holdMillis + mPatience.millis(),
+                response -> changesRead(response, holdMillis));
     }
 
-    private void changesRead(StoreResponse response, long waitMillis) {
+    private void changesRead(StoreResponse response, long holdMillis) {
         mPolling = false;
         if (response.answered()) {
-            mPatience.answered(GatewayState.clockMillis() - mPolledMillis - waitMillis);
+            mPatience.answered(GatewayState.clockMillis() - mPolledMillis - holdMillis);
         } else {
             mPatience.unanswered();
         }
