Let only connections that would have ended as well tell that an endpoint lives

Change: a connection tells only if it was opened before the end and is being read, and one that has ended already is not recorded.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionEnds.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionEnds.java
@@ -1,9 +1,8 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import io.netty.channel.Channel;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Tells from the connections to an endpoint whether its process outlived one of them: when a
@@ -13,13 +12,24 @@
     /** Connections of one process that ends are noticed within this. */
     private static final long AT_ONCE_MILLIS = 50;
 
-    private final Map<String, Set<EndpointConnection>> mOpen = new HashMap<>();
+    private final Map<String, Map<EndpointConnection, Opening>> mOpen = new HashMap<>();
 
     /** When the endpoint last closed a connection that owed a marked end, or was idle. */
     private final Map<String, Long> mClosedMillis = new HashMap<>();
 
-    void opened(EndpointConnection connection) {
-        mOpen.computeIfAbsent(connection.endpoint(), name -> new HashSet<>()).add(connection);
+    private record Opening(Channel channel, long millis) {
+        /** Returns whether the connection would have been seen to end like an older one. */
+        boolean tells(long endedMillis) {
+            return millis < endedMillis && channel.config().isAutoRead();
+        }
+    }
+
+    /** Records a connection; one that has ended already is left out, as its end isn't told. */
+    void opened(EndpointConnection connection, Channel channel, long nowMillis) {
+        if (channel.isActive()) {
+            mOpen.computeIfAbsent(connection.endpoint(), name -> new HashMap<>())
+                    .put(connection, new Opening(channel, nowMillis));
+        }
     }
 
     /**
@@ -49,8 +59,9 @@
      */
     EndpointSurvival survival(String endpoint, boolean direct, long endedMillis) {
         boolean open =
-                mOpen.getOrDefault(endpoint, Set.of()).stream()
-                        .anyMatch(each -> each.relay().isEmpty() == direct);
+                mOpen.getOrDefault(endpoint, Map.of()).entrySet().stream()
+                        .filter(each -> each.getKey().relay().isEmpty() == direct)
+                        .anyMatch(each -> each.getValue().tells(endedMillis));
         if (open) {
             return EndpointSurvival.SURVIVED;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -277,7 +277,7 @@
         }
         EndpointConnection connection =
                 new EndpointConnection(this, endpoint, relay, mRequestIdHeader);
-        mEnds.opened(connection);
+        mEnds.opened(connection, channel, nowMillis());
         channel.pipeline()
                 .addLast(new ReceivedBytesMeter(connection))
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointSurvival.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointSurvival.java
@@ -4,8 +4,8 @@
 public enum EndpointSurvival {
     /** Another connection that was open before is still open. */
     SURVIVED,
-    /** All others have ended, one of them at the same time. */
+    /** No other that was open before is still open, and one of them ended at the same time. */
     ENDED,
-    /** There were no others. */
+    /** No other can tell. */
     UNKNOWN
 }
