--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -44,15 +44,17 @@
      * @param service service to which the retry would be sent
      * @param instances number of instances that may share the limit
      * @param nowMillis current monotonic time, in milliseconds
-     * @return true if the retry may be sent
+     * @return whether the retry may be sent, and of how many
      */
-    public boolean tryAcquire(String service, int instances, long nowMillis) {
+    public RetryDecision tryAcquire(String service, int instances, long nowMillis) {
         Counts counts = counts(service);
-        if (counts.mRetries.count(nowMillis) + 1 > limit(counts, instances, nowMillis)) {
-            return false;
+        int acquired = counts.mRetries.count(nowMillis);
+        double limit = limit(counts, instances, nowMillis);
+        boolean granted = acquired + 1 <= limit;
+        if (granted) {
+            counts.mRetries.add(nowMillis);
         }
-        counts.mRetries.add(nowMillis);
-        return true;
+        return new RetryDecision(granted, acquired, limit, instances);
     }
 
     private double limit(Counts counts, int instances, long nowMillis) {
--- a/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -22,7 +22,7 @@
             for (int request = 0; request < requests; request++) {
                 budget.recordFirstAttempt("service", request);
             }
-            while (budget.tryAcquire("service", instances, 500)) {
+            while (budget.tryAcquire("service", instances, 500).granted()) {
                 retries++;
             }
         }
@@ -33,9 +33,9 @@
     void retriesAreAvailableAgainWhenTheWindowHasPassed() {
         RetryBudget budget = new RetryBudget(new RetryLimits(0, 2, 1_000));
 
-        assertThat(budget.tryAcquire("service", 1, 0)).isTrue();
-        assertThat(budget.tryAcquire("service", 1, 500)).isFalse();
-        assertThat(budget.tryAcquire("service", 1, 1_001)).isTrue();
+        assertThat(budget.tryAcquire("service", 1, 0).granted()).isTrue();
+        assertThat(budget.tryAcquire("service", 1, 500).granted()).isFalse();
+        assertThat(budget.tryAcquire("service", 1, 1_001).granted()).isTrue();
     }
 
     @Property(tries = 200)
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -39,7 +39,7 @@
     private final StageTimes mStageTimes = new StageTimes();
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
-    private final RetryBudget mRetryBudget;
+    private final RetryPermits mRetryPermits;
     private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final EndpointSelector mSelector;
@@ -71,7 +71,7 @@
         mLog = log;
         mReachability = new ReachabilityMonitor(this, mDirectory, connections);
         connections.router(mReachability);
-        mRetryBudget = new RetryBudget(settings.retryLimits());
+        mRetryPermits = new RetryPermits(this, new RetryBudget(settings.retryLimits()));
         mSelector =
                 new EndpointSelector(
                         settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
@@ -136,9 +136,9 @@
         return mDirectory;
     }
 
-    /** Returns this instance's share of the fleet-wide retry limit. */
-    public RetryBudget retryBudget() {
-        return mRetryBudget;
+    /** Returns what permits retries within this instance's share of the fleet-wide limit. */
+    public RetryPermits retryPermits() {
+        return mRetryPermits;
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
@@ -223,9 +224,14 @@
     }
 
     private void resubmit(RemotePiece piece) {
-        String service = piece.work().service();
-        if (mState.retryBudget().tryAcquire(service, mState.instances(), mState.nowMillis())) {
-            submit(piece.work().repeated(), piece.receiver());
+        PieceWork work = piece.work();
+        if (mState.retryPermits()
+                .tryAcquire(
+                        work.service(),
+                        work.id().request(),
+                        RetryReason.LOST_SENDER,
+                        mState.instances())) {
+            submit(work.repeated(), piece.receiver());
         } else {
             piece.receiver().accept(new PieceOutcome.Failed(PieceFailure.ERROR));
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.Selection;
@@ -114,7 +115,7 @@
         HttpHeaders headers = mHeaders.toEndpoint(mRequest, endpoint);
         additions.accept(headers);
         if (mSends == 0) {
-            mState.retryBudget().recordFirstAttempt(mRequest.service().name(), now);
+            mState.retryPermits().recordFirstAttempt(mRequest.service().name(), now);
         }
         mSends++;
         mPossibleRuns++;
@@ -161,7 +162,7 @@
      * without an endpoint to send to.
      */
     boolean tryAcquireRetry() {
-        return mayRetry() && tryAcquireBudget();
+        return mayRetry() && tryAcquireBudget(RetryReason.FAILED_ATTEMPT);
     }
 
     private boolean mayRetry() {
@@ -176,9 +177,9 @@
         return mAttempts.stream().filter(Attempt::cutOff).count();
     }
 
-    private boolean tryAcquireBudget() {
-        return mState.retryBudget()
-                .tryAcquire(mRequest.service().name(), mState.instances(), mState.nowMillis());
+    private boolean tryAcquireBudget(RetryReason reason) {
+        return mState.retryPermits()
+                .tryAcquire(mRequest.service().name(), mRequest.id(), reason, mState.instances());
     }
 
     /** Returns whether {@link #sendHedge} would find an endpoint now, if the budget allows it. */
@@ -195,7 +196,7 @@
         long now = mState.nowMillis();
         if (mayRetry()
                 && selectToSend(inputs, now) instanceof Selection.Chosen chosen
-                && tryAcquireBudget()) {
+                && tryAcquireBudget(RetryReason.OVERDUE_ATTEMPT)) {
             return Optional.of(send(chosen, additions, now));
         }
         return Optional.empty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
@@ -226,7 +227,7 @@
         }
         String endpoint = call.endpoint().registration().name();
         for (PieceWork work : call.pieces()) {
-            if (!mRunning.hasTimelyCallWith(work) && mayRepeat(work)) {
+            if (!mRunning.hasTimelyCallWith(work) && mayRepeat(work, RetryReason.OVERDUE_PIECE)) {
                 repeat(endpoint, work, "OVERDUE", true);
             }
         }
@@ -284,19 +285,22 @@
             String endpoint, PieceWork work, PieceOutcome.Failed failed, boolean executed) {
         boolean retryable =
                 failed.reason() == PieceFailure.ERROR || failed.reason() == PieceFailure.NO_ROOM;
-        if (retryable && mRunning.countWith(work) == 0 && mayRepeat(work)) {
+        if (retryable
+                && mRunning.countWith(work) == 0
+                && mayRepeat(work, RetryReason.FAILED_PIECE)) {
             repeat(endpoint, work, failed.reason().name(), executed);
         } else {
             failUnlessRunning(work, failed.reason());
         }
     }
 
-    private boolean mayRepeat(PieceWork work) {
-        long now = mState.nowMillis();
+    private boolean mayRepeat(PieceWork work, RetryReason reason) {
         return isOpen(work)
                 && !queue(work.service()).contains(work.id())
-                && work.deadlineMillis() > now
-                && mState.retryBudget().tryAcquire(work.service(), SENDERS_PER_SERVICE, now);
+                && work.deadlineMillis() > mState.nowMillis()
+                && mState.retryPermits()
+                        .tryAcquire(
+                                work.service(), work.id().request(), reason, SENDERS_PER_SERVICE);
     }
 
     private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -81,7 +81,7 @@
     void start() {
         for (PieceWork work : mCall.pieces()) {
             if (!work.repeat()) {
-                mState.retryBudget().recordFirstAttempt(work.service(), mSentMillis);
+                mState.retryPermits().recordFirstAttempt(work.service(), mSentMillis);
             }
         }
         mCall.endpoint().recordSent(CALL_LOAD, mSentMillis);
