Log which connection brought an answer, and responses that belong to other calls

The line answered now has the seal and the connection, and response-ignored names each response to another call. A response without any event is logged with first -1 instead of a large negative time. No decision changes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/CallListener.java
@@ -19,6 +19,13 @@
      */
     void contentReceived(ByteBuf content);
 
+    /**
+     * Called when a response to another call has arrived on the connection; it is ignored.
+     *
+     * @param head status and headers
+     */
+    default void responseIgnored(HttpResponse head) {}
+
     /** Called when the response is complete. */
     void completed();
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -1,5 +1,7 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import java.util.Optional;
+
 /** A call in progress. */
 public final class EndpointCall {
     private final CallListener mListener;
@@ -39,6 +41,11 @@
         return mConnection != null && mConnection.relay().isEmpty();
     }
 
+    /** Returns the connection that carries the call; empty before there is one. */
+    public Optional<CallTrace> trace() {
+        return Optional.ofNullable(mConnection).map(EndpointConnection::trace);
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -42,6 +42,9 @@
     private boolean mClosedHere;
     private long mMaxIdleMillis = DEFAULT_MAX_IDLE_MILLIS;
     private long mIdleSinceMillis;
+    private final long mNumber;
+    private int mCalls;
+    private int mIgnoredResponses;
 
     /** Bytes received since the last that belonged to a response to a call. */
     private int mUnusableBytes;
@@ -55,6 +58,7 @@
         mEndpoint = endpoint;
         mRelay = relay;
         mRequestIdHeader = requestIdHeader;
+        mNumber = owner.nextNumber();
     }
 
     String endpoint() {
@@ -76,6 +80,8 @@
         mCall = call;
         mIgnoringResponse = false;
         mWritten = false;
+        mCalls++;
+        mIgnoredResponses = 0;
         call.assignConnection(this);
         OutgoingRequest request = call.request();
         DefaultFullHttpRequest message =
@@ -104,6 +110,11 @@
         return nowMillis - mIdleSinceMillis;
     }
 
+    /** Returns how the call in progress, or the last one, is carried. */
+    CallTrace trace() {
+        return new CallTrace(mNumber, mCalls - 1, mIgnoredResponses, mRelay.isPresent());
+    }
+
     void close() {
         mReusable = false;
         mClosedHere = true;
@@ -158,6 +169,10 @@
         mIgnoringResponse =
                 interim || !id.isEmpty() && !id.equals(head.headers().get(mRequestIdHeader));
         if (mIgnoringResponse) {
+            if (!interim) {
+                mIgnoredResponses++;
+                mCall.listener().responseIgnored(head);
+            }
             return;
         }
         mUnusableBytes = 0;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -50,6 +50,7 @@
     private final Map<String, ArrayDeque<EndpointConnection>> mIdle = new HashMap<>();
     private final ConnectionEnds mEnds = new ConnectionEnds();
     private ConnectionRouter mRouter;
+    private long mConnectionsOpened;
 
     /**
      * Creates an empty pool.
@@ -150,6 +151,11 @@
         mIdle.values().removeIf(ArrayDeque::isEmpty);
     }
 
+    /** Returns a number for a new connection. */
+    long nextNumber() {
+        return ++mConnectionsOpened;
+    }
+
     long nowMillis() {
         return mClockMillis.getAsLong();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -11,6 +11,7 @@
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
+import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
@@ -180,6 +181,34 @@
         failed(failure);
     }
 
+    @Override
+    public void responseIgnored(HttpResponse ignored) {
+        HttpHeaders headers = ignored.headers();
+        mState.log()
+                .request(
+                        LogLine.of("response-ignored")
+                                .with("request", mRequest.id())
+                                .with("endpoint", mEndpoint.registration().name())
+                                .with("status", ignored.status().code())
+                                .with(
+                                        "of",
+                                        headers.get(mState.protocol().headers().requestId(), "")));
+    }
+
+    /** Adds to a log line which response was delivered, and how it arrived. */
+    LogLine traced(LogLine line) {
+        line.with("status", mHead.status().code())
+                .with("seal", mHead.headers().get(mState.protocol().headers().seal(), ""));
+        mCall.trace()
+                .ifPresent(
+                        trace ->
+                                line.with("connection", trace.connection())
+                                        .with("calls_before", trace.callsBefore())
+                                        .with("ignored", trace.responsesIgnored())
+                                        .with("relayed", trace.relayed()));
+        return line;
+    }
+
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -178,7 +178,7 @@
 
     /** Starts the log line of a delivered response. */
     final LogLine answeredLine(Attempt attempt) {
-        return line("answered", attempt).with("status", attempt.head().status().code());
+        return attempt.traced(line("answered", attempt));
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -366,11 +366,16 @@
                 .request(
                         answeredLine(attempt)
                                 .with("sent", attempt.sentMillis() - exchange().receivedMillis())
-                                .with("first", mFirstEventMillis - exchange().receivedMillis())
+                                .with("first", firstEventMillis())
                                 .with("framing", ResponseFraming.of(attempt.head()).name())
                                 .with("millis", now - exchange().receivedMillis()));
     }
 
+    /** Returns when the first event arrived, since the request did; -1 if none has. */
+    private long firstEventMillis() {
+        return mFirstEventMillis < 0 ? -1 : mFirstEventMillis - exchange().receivedMillis();
+    }
+
     private boolean streams(Attempt attempt) {
         return attempt.head().status().codeClass() == HttpStatusClass.SUCCESS
                 && attempt.deliverable();
