Use the reserve of retries only once the number of instances is known

An instance takes the reserve divided by the number of known instances, and that is 1 until it has read the table of instances: with the store away or slow each instance that starts takes the whole reserve.

The reserve is closed until the table was read once. What first attempts have earned is available from the start, so the limit needs no knowledge of others until then.

--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -7,7 +7,8 @@
  * This instance's share of the retries that all instances together may send to each service.
  *
  * <p>The share depends only on the number of instances, so the common limit also holds for
- * instances that cannot reach each other.
+ * instances that cannot reach each other. What was used is not kept beyond the process, so a
+ * process opens the reserve only when no process before it can have used it within the same window.
  */
 public final class RetryBudget {
     /**
@@ -18,9 +19,10 @@
 
     private final RetryLimits mLimits;
     private final Map<String, Counts> mServices = new HashMap<>();
+    private long mReserveFromMillis = Long.MAX_VALUE;
 
     /**
-     * Creates an unused budget.
+     * Creates an unused budget whose reserve is closed.
      *
      * @param limits limits for all instances together
      */
@@ -28,6 +30,15 @@
         mLimits = limits;
     }
 
+    /**
+     * Opens the reserve; until then only what first attempts have earned may be used.
+     *
+     * @param fromMillis monotonic time from which it may be used, in milliseconds
+     */
+    public void openReserve(long fromMillis) {
+        mReserveFromMillis = fromMillis;
+    }
+
     /**
      * Records the first attempt of a request.
      *
@@ -59,7 +70,8 @@
 
     private double limit(Counts counts, int instances, long nowMillis) {
         double earned = mLimits.ratio() * counts.mFirstAttempts.count(nowMillis);
-        double reserve = mLimits.reserve() / Math.max(1, instances);
+        boolean open = nowMillis >= mReserveFromMillis;
+        double reserve = open ? mLimits.reserve() / Math.max(1, instances) : 0;
         return SAFETY_FACTOR * (earned + reserve);
     }
 
--- a/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -19,6 +19,7 @@
         int retries = 0;
         for (int instance = 0; instance < instances; instance++) {
             RetryBudget budget = new RetryBudget(RETRIES);
+            budget.openReserve(0);
             for (int request = 0; request < requests; request++) {
                 budget.recordFirstAttempt("service", request);
             }
@@ -32,12 +33,23 @@
     @Test
     void retriesAreAvailableAgainWhenTheWindowHasPassed() {
         RetryBudget budget = new RetryBudget(new RetryLimits(0, 2, 1_000));
+        budget.openReserve(0);
 
         assertThat(budget.tryAcquire("service", 1, 0).granted()).isTrue();
         assertThat(budget.tryAcquire("service", 1, 500).granted()).isFalse();
         assertThat(budget.tryAcquire("service", 1, 1_001).granted()).isTrue();
     }
 
+    @Test
+    void theReserveIsNotUsedBeforeItIsOpen() {
+        RetryBudget budget = new RetryBudget(new RetryLimits(0, 2, 1_000));
+
+        assertThat(budget.tryAcquire("service", 1, 0).granted()).isFalse();
+        budget.openReserve(1_000);
+        assertThat(budget.tryAcquire("service", 1, 999).granted()).isFalse();
+        assertThat(budget.tryAcquire("service", 1, 1_000).granted()).isTrue();
+    }
+
     @Property(tries = 200)
     void sharesOfAColdEndpointsLimitAddUpToAtMostTheLimit(
             @ForAll @IntRange(min = 1, max = 17) int instances) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -15,7 +15,6 @@
 import org.wasabilug.internal.serving.EndpointSelector;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.PrefixCacheEstimator;
-import org.wasabilug.internal.serving.RetryBudget;
 import org.wasabilug.internal.serving.RouteTable;
 import org.wasabilug.internal.serving.ShutdownSchedule;
 import org.wasabilug.internal.serving.SoftwareVersions;
@@ -71,7 +70,7 @@
         mLog = log;
         mReachability = new ReachabilityMonitor(this, mDirectory, connections);
         connections.router(mReachability);
-        mRetryPermits = new RetryPermits(this, new RetryBudget(settings.retryLimits()));
+        mRetryPermits = new RetryPermits(this, settings.retryLimits());
         mSelector =
                 new EndpointSelector(
                         settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -3,21 +3,32 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.RetryBudget;
 import org.wasabilug.internal.serving.RetryDecision;
+import org.wasabilug.internal.serving.RetryLimits;
 
 /** Asks the retry budget of this instance, and logs each answer. */
 public final class RetryPermits {
     private final GatewayState mState;
     private final RetryBudget mBudget;
+    private boolean mFleetKnown;
 
     /**
-     * Creates the permits of one process.
+     * Creates the permits of a process that has just started.
      *
      * @param state state of the process
-     * @param budget its share of the fleet-wide limit
+     * @param limits limits for all instances together
      */
-    RetryPermits(GatewayState state, RetryBudget budget) {
+    RetryPermits(GatewayState state, RetryLimits limits) {
         mState = state;
-        mBudget = budget;
+        mBudget = new RetryBudget(limits);
+    }
+
+    /** Called when it is known how many instances share the reserve. */
+    public void fleetKnown() {
+        if (!mFleetKnown) {
+            mFleetKnown = true;
+            mBudget.openReserve(mState.nowMillis());
+            mState.log().process(LogLine.of("retry-reserve"));
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -64,6 +64,7 @@
     @Override
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
+        mState.retryPermits().fleetKnown();
         boolean present = rows.stream().anyMatch(this::isThisInstance);
         if (!present && mRegistration == Registration.NONE) {
             mRegistration = Registration.IN_PROGRESS;
