Let a start wait a window before it uses its share of the reserve again

It now stays below, without state that outlives a process: an instance that finds its own row in the table of instances was there before and uses the reserve only a window after its start, when no process before it can have used it within the same window. An instance that isn't there yet, as in a new fleet, need not wait. Rows of instances are never removed, so the share of one that was replaced stays its own.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -8,7 +8,9 @@
 /** Asks the retry budget of this instance, and logs each answer. */
 public final class RetryPermits {
     private final GatewayState mState;
+    private final RetryLimits mLimits;
     private final RetryBudget mBudget;
+    private final long mStartMillis;
     private boolean mFleetKnown;
 
     /**
@@ -19,16 +21,29 @@
      */
     RetryPermits(GatewayState state, RetryLimits limits) {
         mState = state;
+        mLimits = limits;
         mBudget = new RetryBudget(limits);
+        mStartMillis = state.nowMillis();
     }
 
-    /** Called when it is known how many instances share the reserve. */
-    public void fleetKnown() {
-        if (!mFleetKnown) {
-            mFleetKnown = true;
-            mBudget.openReserve(mState.nowMillis());
-            mState.log().process(LogLine.of("retry-reserve"));
+    /**
+     * Called when it is known how many instances share the reserve.
+     *
+     * @param startedBefore whether an earlier process of this instance may have used its share
+     */
+    public void fleetKnown(boolean startedBefore) {
+        if (mFleetKnown) {
+            return;
         }
+        mFleetKnown = true;
+        long now = mState.nowMillis();
+        long from = startedBefore ? mStartMillis + mLimits.windowMillis() : now;
+        mBudget.openReserve(from);
+        mState.log()
+                .process(
+                        LogLine.of("retry-reserve")
+                                .with("started_before", startedBefore)
+                                .with("opens_in", Math.max(0, from - now)));
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -64,7 +64,8 @@
     @Override
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
-        mState.retryPermits().fleetKnown();
+        mState.retryPermits()
+                .fleetKnown(rows.stream().anyMatch(row -> row.key().equals(ownName())));
         boolean present = rows.stream().anyMatch(this::isThisInstance);
         if (!present && mRegistration == Registration.NONE) {
             mRegistration = Registration.IN_PROGRESS;
@@ -81,7 +82,7 @@
         long era = mEra.newest();
         mWriter.write(
                 TABLE,
-                mState.settings().name(),
+                ownName(),
                 mState.settings().peers().getHostString().getBytes(StandardCharsets.UTF_8),
                 () -> registered(era));
     }
@@ -113,8 +114,12 @@
         }
     }
 
+    private String ownName() {
+        return mState.settings().name();
+    }
+
     private boolean isThisInstance(StoredRow row) {
-        return row.key().equals(mState.settings().name())
+        return row.key().equals(ownName())
                 && host(row).equals(mState.settings().peers().getHostString());
     }
 
