Ask the retry budget before a request is sent again whose inputs were gone

A request that an endpoint refused as its inputs are gone ran its stages again and was then sent again without a question to the budget: RepeatedStagesBudgetTest, 100 requests to endpoints that answer 409: 100 arrivals beyond the first, 70 are allowed. Such a refusal now takes the way of all others, and the stages run again only if the retry is granted. A request whose stages can't run again is told that it did not run, if that is so.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -319,10 +319,8 @@
         sender().sendNotExecuted();
         boolean inputsGone = attempt.head().status().code() == CONFLICT;
         if (inputsGone && isOnlyPending(attempt)) {
-            drop(attempt);
-            if (mStages.restart()) {
-                return;
-            }
+            // A retry then runs the stages again.
+            mStages.end();
         }
         retryOr(attempt, () -> respondNotRunOrFailed("endpoint refused the request"));
     }
@@ -342,7 +340,7 @@
             send();
         } else if (!mStages.restart()) {
             end();
-            respondFailed("stage results of the stream are no longer available");
+            respondNotRunOrFailed("stage results of the stream are no longer available");
         }
     }
 
