Ask the retry budget of the sender before pieces are ordered again

The instance that sends pieces to endpoints now asks for each that is ordered again, whatever the reason, so they and the repeats of calls are one sum. It asks instead of the instance that ordered the piece of a lost sender, which draws on what the first pieces have earned at the sender.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
@@ -10,6 +10,6 @@
     FAILED_PIECE,
     /** A call with the piece takes too long, and goes on. */
     OVERDUE_PIECE,
-    /** The instance that was to send the piece is lost. */
-    LOST_SENDER
+    /** The piece was ordered again, as its stage runs again or its sender was lost. */
+    ORDERED_AGAIN
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -9,11 +9,9 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
-import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
-import org.wasabilug.internal.serving.PieceFailure;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
@@ -211,7 +209,7 @@
         }
         for (RemotePiece piece : open) {
             mRemotePieces.remove(piece.work().id());
-            resubmit(piece);
+            submit(piece.work().repeated(), piece.receiver());
         }
         mOrdersToSend.remove(peer);
         if (!open.isEmpty()) {
@@ -223,20 +221,6 @@
         }
     }
 
-    private void resubmit(RemotePiece piece) {
-        PieceWork work = piece.work();
-        if (mState.retryPermits()
-                .tryAcquire(
-                        work.service(),
-                        work.id().request(),
-                        RetryReason.LOST_SENDER,
-                        mState.instances())) {
-            submit(work.repeated(), piece.receiver());
-        } else {
-            piece.receiver().accept(new PieceOutcome.Failed(PieceFailure.ERROR));
-        }
-    }
-
     /** Batches pieces that are submitted at the same time into one message. */
     private void scheduleFlush() {
         if (!mFlushScheduled) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -343,7 +343,7 @@
         if (deadline <= work.deadlineMillis() || startBy <= mState.nowMillis()) {
             return false;
         }
-        submit(work.withTime(startBy, deadline));
+        submit(work.repeated().withTime(startBy, deadline));
         return true;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -80,6 +80,12 @@
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
+        if (work.repeat() && !tryAcquireRetry(work, RetryReason.ORDERED_AGAIN)) {
+            // After the order is complete, as its failure ends the request.
+            mState.loop()
+                    .execute(() -> receiver.accept(new PieceOutcome.Failed(PieceFailure.ERROR)));
+            return;
+        }
         mReceivers.put(work.id(), new Receiver(work, receiver));
         long now = mState.nowMillis();
         queue(work.service()).add(work, now);
@@ -298,9 +304,12 @@
         return isOpen(work)
                 && !queue(work.service()).contains(work.id())
                 && work.deadlineMillis() > mState.nowMillis()
-                && mState.retryPermits()
-                        .tryAcquire(
-                                work.service(), work.id().request(), reason, SENDERS_PER_SERVICE);
+                && tryAcquireRetry(work, reason);
+    }
+
+    private boolean tryAcquireRetry(PieceWork work, RetryReason reason) {
+        return mState.retryPermits()
+                .tryAcquire(work.service(), work.id().request(), reason, SENDERS_PER_SERVICE);
     }
 
     private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
