--- a/core/src/main/java/org/wasabilug/internal/serving/RetryDecision.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/BudgetDecision.java
@@ -8,4 +8,4 @@
  * @param limit retries that this instance may send within the window
  * @param instances number of instances among which the reserve was divided
  */
-public record RetryDecision(boolean granted, int acquired, double limit, int instances) {}
+public record BudgetDecision(boolean granted, int acquired, double limit, int instances) {}
--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -57,7 +57,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      * @return whether the retry may be sent, and of how many
      */
-    public RetryDecision tryAcquire(String service, int instances, long nowMillis) {
+    public BudgetDecision tryAcquire(String service, int instances, long nowMillis) {
         Counts counts = counts(service);
         int acquired = counts.mRetries.count(nowMillis);
         double limit = limit(counts, instances, nowMillis);
@@ -65,7 +65,7 @@
         if (granted) {
             counts.mRetries.add(nowMillis);
         }
-        return new RetryDecision(granted, acquired, limit, instances);
+        return new BudgetDecision(granted, acquired, limit, instances);
     }
 
     private double limit(Counts counts, int instances, long nowMillis) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -1,8 +1,8 @@
 package org.wasabilug.gateway.internal;
 
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.BudgetDecision;
 import org.wasabilug.internal.serving.RetryBudget;
-import org.wasabilug.internal.serving.RetryDecision;
 import org.wasabilug.internal.serving.RetryLimits;
 
 /** Asks the retry budget of this instance, and logs each answer. */
@@ -66,7 +66,7 @@
      * @return true if the retry may be sent
      */
     public boolean tryAcquire(String service, String request, RetryReason reason, int instances) {
-        RetryDecision decision = mBudget.tryAcquire(service, instances, mState.nowMillis());
+        BudgetDecision decision = mBudget.tryAcquire(service, instances, mState.nowMillis());
         mState.log()
                 .request(
                         LogLine.of(decision.granted() ? "retry-granted" : "retry-denied")
