--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -48,8 +48,7 @@
     private final BooleanSupplier mStopping;
     private final HeartbeatWriter mHeartbeats;
     private final Map<String, Peer> mPeers = new TreeMap<>();
-    private final Set<String> mReachable = new HashSet<>();
-    private final Set<String> mLive = new HashSet<>();
+    private final PeerLiveness mLiveness;
     private final HeartbeatGossip mGossip;
     private final BroadcastHistory mBroadcasts = new BroadcastHistory();
     private Set<String> mNeighbors = Set.of();
@@ -73,6 +72,7 @@
             Supplier<Map<String, List<QueueWaits.Wait>>> stageWaits) {
         mState = state;
         mSharedLoads = new SharedLoads(state);
+        mLiveness = new PeerLiveness(state, mSharedLoads, events);
         mEvents = events;
         mStopping = stopping;
         mHeartbeats =
@@ -119,7 +119,7 @@
      * stopping.
      */
     public Set<String> live() {
-        Set<String> live = new HashSet<>(mLive);
+        Set<String> live = new HashSet<>(mLiveness.live());
         if (!mStopping.getAsBoolean()) {
             live.add(mState.settings().name());
         }
@@ -128,7 +128,7 @@
 
     /** Returns the names of the peers that messages reach, including those that are stopping. */
     public Set<String> reachable() {
-        return Set.copyOf(mReachable);
+        return Set.copyOf(mLiveness.reachable());
     }
 
     /** Returns the processor share, in cores, of each instance that accepts new work. */
@@ -189,7 +189,8 @@
     }
 
     private boolean sendLater(Peer peer, GatewayEnvelope envelope) {
-        boolean opens = gossiping() && !peer.connected() && mReachable.contains(peer.name());
+        boolean opens =
+                gossiping() && !peer.connected() && mLiveness.reachable().contains(peer.name());
         if (!opens || !peer.sendLater(envelope)) {
             return false;
         }
@@ -210,13 +211,13 @@
             mBroadcasts.add(id);
             passOn(envelope.toBuilder().setBroadcast(id).build());
         } else {
-            mLive.forEach(name -> send(name, envelope));
+            mLiveness.live().forEach(name -> send(name, envelope));
         }
     }
 
     private void passOn(GatewayEnvelope broadcast) {
         mNeighbors.stream()
-                .filter(mLive::contains)
+                .filter(mLiveness.live()::contains)
                 .filter(name -> !name.equals(broadcast.getSender()))
                 .forEach(name -> send(name, broadcast));
     }
@@ -255,8 +256,8 @@
 
     private void exchangeWithDirectPeers(long now) {
         mGossip.refresh(now);
-        mNeighbors = mGossip.neighbors(mLive);
-        mGossip.probe(mPeers.keySet(), mLive, now)
+        mNeighbors = mGossip.neighbors(mLiveness.live());
+        mGossip.probe(mPeers.keySet(), mLiveness.live(), now)
                 .ifPresent(name -> mPeers.get(name).attend(now + PROBE_MILLIS));
         for (Peer peer : mPeers.values()) {
             boolean neighbor = mNeighbors.contains(peer.name());
@@ -297,46 +298,7 @@
     }
 
     private void updateState(Peer peer, long now) {
-        boolean reachable = peer.reachable(now, gossiping() ? mGossip.maxAgeMillis() : 0);
-        boolean changed = reachable ? mReachable.add(peer.name()) : mReachable.remove(peer.name());
-        updateLive(peer);
-        if (changed && !reachable) {
-            mSharedLoads.remove(peer.name());
-            reportLostDomain(peer.heartbeat());
-            mEvents.lost(peer.name());
-        }
-    }
-
-    private void updateLive(Peer peer) {
-        boolean live = mReachable.contains(peer.name()) && !peer.stopping();
-        boolean changed = live ? mLive.add(peer.name()) : mLive.remove(peer.name());
-        if (changed) {
-            mState.log()
-                    .process(
-                            LogLine.of(live ? "instance-live" : "instance-lost")
-                                    .with("name", peer.name())
-                                    .with("connected", peer.connected())
-                                    .with("stopping", peer.heartbeat().getStopping()));
-        }
-        if (changed && live) {
-            mEvents.live(peer.name());
-        }
-    }
-
-    /**
-     * Records that a failure domain lost its last reachable peer, as the domain may be unreachable
-     * as a whole. A peer that stopped gracefully is no such sign.
-     */
-    private void reportLostDomain(GatewayHeartbeat last) {
-        String domain = last.getFailureDomain();
-        boolean reachable =
-                mPeers.values().stream()
-                        .filter(peer -> mReachable.contains(peer.name()))
-                        .anyMatch(peer -> peer.heartbeat().getFailureDomain().equals(domain));
-        boolean local = domain.equals(mState.settings().failureDomain());
-        if (!reachable && !local && !last.getStopping()) {
-            mState.reachability().recordPeersLost(domain);
-        }
+        mLiveness.update(peer, gossiping() ? mGossip.maxAgeMillis() : 0, mPeers.values(), now);
     }
 
     private void connect(Peer peer, long now) {
