--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -42,7 +42,7 @@
     private boolean mClosedHere;
     private long mMaxIdleMillis = DEFAULT_MAX_IDLE_MILLIS;
     private long mIdleSinceMillis;
-    private final long mNumber;
+    private long mNumber;
     private int mCalls;
     private int mIgnoredResponses;
 
@@ -58,7 +58,6 @@
         mEndpoint = endpoint;
         mRelay = relay;
         mRequestIdHeader = requestIdHeader;
-        mNumber = owner.nextNumber();
     }
 
     String endpoint() {
@@ -80,6 +79,9 @@
         mCall = call;
         mIgnoringResponse = false;
         mWritten = false;
+        if (mCalls == 0) {
+            mNumber = mOwner.nextNumber();
+        }
         mCalls++;
         mIgnoredResponses = 0;
         call.assignConnection(this);
