Divide the reserve for repeats of pieces by all instances

An instance that sends pieces took a third of a service's reserve whatever the number of instances, while requests take the reserve divided by all, from the same sum. What first pieces earn at the instance that sends them stays with it.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -62,11 +62,11 @@
      * @param service service to which the retry would be sent
      * @param request ID of the request
      * @param reason why it is sent once more
-     * @param instances number of instances among which the reserve is divided
      * @return true if the retry may be sent
      */
-    public boolean tryAcquire(String service, String request, RetryReason reason, int instances) {
-        BudgetDecision decision = mBudget.tryAcquire(service, instances, mState.nowMillis());
+    public boolean tryAcquire(String service, String request, RetryReason reason) {
+        BudgetDecision decision =
+                mBudget.tryAcquire(service, mState.instances(), mState.nowMillis());
         mState.log()
                 .request(
                         LogLine.of(decision.granted() ? "retry-granted" : "retry-denied")
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -178,8 +178,7 @@
     }
 
     private boolean tryAcquireBudget(RetryReason reason) {
-        return mState.retryPermits()
-                .tryAcquire(mRequest.service().name(), mRequest.id(), reason, mState.instances());
+        return mState.retryPermits().tryAcquire(mRequest.service().name(), mRequest.id(), reason);
     }
 
     /** Returns whether {@link #sendHedge} would find an endpoint now, if the budget allows it. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -30,8 +30,8 @@
     private static final long NO_CAPACITY_HOLD_MILLIS = 400;
 
     /**
-     * Number of instances assumed to share the retry limit of a service: in a partitioned fleet,
-     * one instance in each part sends to it.
+     * Number of instances assumed to share the limit of rejections of a service: in a partitioned
+     * fleet, one instance in each part sends to it.
      */
     private static final int SENDERS_PER_SERVICE = 3;
 
@@ -308,8 +308,7 @@
     }
 
     private boolean tryAcquireRetry(PieceWork work, RetryReason reason) {
-        return mState.retryPermits()
-                .tryAcquire(work.service(), work.id().request(), reason, SENDERS_PER_SERVICE);
+        return mState.retryPermits().tryAcquire(work.service(), work.id().request(), reason);
     }
 
     private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
