Use the reserve of retries only after the row of the instance is known to be written

The reserve now opens when the row is there, and a window after the start, whatever the table said; only the first start of the whole fleet, which the platform tells, with no row of the instance in the table, need not wait. The settings of tests that start a fleet say so.

--- a/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param retryLimits limits of retries
  * @param coldLimits limits of cold endpoints
  * @param processorShare processor time available to the process, in cores
+ * @param firstStart true only when the whole fleet starts for the first time
  * @param stopMillis time in milliseconds between the stop signal and the forced end of the process
  */
 public record GatewaySettings(
@@ -31,4 +32,5 @@
         RetryLimits retryLimits,
         ColdLimits coldLimits,
         double processorShare,
+        boolean firstStart,
         long stopMillis) {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -11,7 +11,7 @@
     private final RetryLimits mLimits;
     private final RetryBudget mBudget;
     private final long mStartMillis;
-    private boolean mFleetKnown;
+    private boolean mRegistered;
 
     /**
      * Creates the permits of a process that has just started.
@@ -27,15 +27,16 @@
     }
 
     /**
-     * Called when it is known how many instances share the reserve.
+     * Called when the table of instances has the row of this one, so that the others that share the
+     * reserve are known as well.
      *
      * @param startedBefore whether an earlier process of this instance may have used its share
      */
-    public void fleetKnown(boolean startedBefore) {
-        if (mFleetKnown) {
+    public void registered(boolean startedBefore) {
+        if (mRegistered) {
             return;
         }
-        mFleetKnown = true;
+        mRegistered = true;
         long now = mState.nowMillis();
         long from = startedBefore ? mStartMillis + mLimits.windowMillis() : now;
         mBudget.openReserve(from);
@@ -43,7 +44,8 @@
                 .process(
                         LogLine.of("retry-reserve")
                                 .with("started_before", startedBefore)
-                                .with("opens_in", Math.max(0, from - now)));
+                                .with("opens_in", Math.max(0, from - now))
+                                .with("instances", mState.instances()));
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -64,8 +64,9 @@
     @Override
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
-        mState.retryPermits()
-                .fleetKnown(rows.stream().anyMatch(row -> row.key().equals(ownName())));
+        if (rows.stream().anyMatch(row -> row.key().equals(ownName()))) {
+            mState.retryPermits().registered(true);
+        }
         boolean present = rows.stream().anyMatch(this::isThisInstance);
         if (!present && mRegistration == Registration.NONE) {
             mRegistration = Registration.IN_PROGRESS;
@@ -94,6 +95,7 @@
             return;
         }
         mRegistration = Registration.DONE;
+        mState.retryPermits().registered(!mState.settings().firstStart());
         mState.log().process(LogLine.of("instance-registered").with("era", era));
     }
 
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/DisconnectedState.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/DisconnectedState.java
@@ -30,6 +30,7 @@
                             new RetryLimits(0.2, 50, 10_000),
                             new ColdLimits(1.5, 5),
                             1,
+                            true,
                             8_000),
                     null,
                     mLoops.next(),
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
@@ -60,6 +60,7 @@
                 new RetryLimits(0.2, 50, 10_000),
                 new ColdLimits(1.5, 5),
                 1,
+                true,
                 STOP_MILLIS);
     }
 
