Permit pieces that are ordered again by stage, and those of a lost sender where they came from

Two faults of the permits for pieces that are ordered again, found in review. They were asked piece by piece, though a stage is of use only whole: of 30 pieces 20 were granted and 10 denied, the request ended and the 20 permits were spent for nothing. And the pieces of a lost sender were charged to the next sender alone, which has earned nothing yet: of 54 pieces 34 were denied.

A stage that runs again is now permitted whole or not at all. The instance that ordered the pieces of a lost sender asks its own budget again, and tells the next sender of the permit, which asks its own where there is none. A stage that never ran is not taken for a repeat. A denial is logged once a request.

--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -17,7 +17,7 @@
  * @param preferredDomain failure domain in which running the piece avoids transfers; empty if there
  *     is no preference
  * @param localityWaitMillis how long the piece waits for an endpoint in the preferred domain
- * @param repeat true if the piece was run before
+ * @param repetition whether it is sent once more
  */
 public record PieceWork(
         PieceId id,
@@ -30,7 +30,7 @@
         double resultBytes,
         String preferredDomain,
         long localityWaitMillis,
-        boolean repeat) {
+        Repetition repetition) {
     /** Copies the inputs. */
     public PieceWork {
         inputs = List.copyOf(inputs);
@@ -46,20 +46,18 @@
         return id.equals(other.id) && inputs.equals(other.inputs);
     }
 
-    /** Returns a copy that is marked as run before. */
-    public PieceWork repeated() {
-        return new PieceWork(
-                id,
-                service,
-                key,
-                inputs,
-                startByMillis,
-                rank,
-                deadlineMillis,
-                resultBytes,
-                preferredDomain,
-                localityWaitMillis,
-                true);
+    /** Returns whether it may have been sent before. */
+    public boolean repeat() {
+        return repetition != Repetition.NONE;
+    }
+
+    /**
+     * Returns a copy that is sent once more.
+     *
+     * @param again whether the retry budget was asked
+     */
+    public PieceWork repeated(Repetition again) {
+        return with(startByMillis, deadlineMillis, again);
     }
 
     /**
@@ -69,6 +67,10 @@
      * @param deadline time, in milliseconds, after which the result is not needed
      */
     public PieceWork withTime(long startBy, long deadline) {
+        return with(startBy, deadline, repetition);
+    }
+
+    private PieceWork with(long startBy, long deadline, Repetition again) {
         return new PieceWork(
                 id,
                 service,
@@ -80,6 +82,6 @@
                 resultBytes,
                 preferredDomain,
                 localityWaitMillis,
-                repeat);
+                again);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -50,19 +50,20 @@
     }
 
     /**
-     * Acquires one retry if the budget allows it.
+     * Acquires retries if the budget allows all of them.
      *
-     * @param service service to which the retry would be sent
+     * @param service service to which they would be sent
+     * @param count number of retries
      * @param instances number of instances that may share the limit
      * @param nowMillis current monotonic time, in milliseconds
-     * @return whether the retry may be sent, and of how many
+     * @return whether they may be sent, and of how many
      */
-    public BudgetDecision tryAcquire(String service, int instances, long nowMillis) {
+    public BudgetDecision tryAcquire(String service, int count, int instances, long nowMillis) {
         Counts counts = counts(service);
         int acquired = counts.mRetries.count(nowMillis);
         double limit = limit(counts, instances, nowMillis);
-        boolean granted = acquired + 1 <= limit;
-        if (granted) {
+        boolean granted = acquired + count <= limit;
+        for (int retry = 0; granted && retry < count; retry++) {
             counts.mRetries.add(nowMillis);
         }
         return new BudgetDecision(granted, acquired, limit, instances);
--- a/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
@@ -64,6 +64,6 @@
                 1_000,
                 "",
                 0,
-                false);
+                Repetition.NONE);
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
@@ -101,7 +101,7 @@
                 800_000,
                 "",
                 0,
-                false);
+                Repetition.NONE);
     }
 
     @Test
@@ -139,7 +139,7 @@
                         1_000,
                         "rennes",
                         300,
-                        false);
+                        Repetition.NONE);
         mQueue.add(work, 0);
         mQueue.add(ServingFixtures.piece("other", 0, 10_000, 0), 0);
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -1,5 +1,7 @@
 package org.wasabilug.gateway.internal;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.BudgetDecision;
 import org.wasabilug.internal.serving.RetryBudget;
@@ -11,6 +13,7 @@
     private final RetryLimits mLimits;
     private final RetryBudget mBudget;
     private final long mStartMillis;
+    private final Map<String, String> mLastDenied = new HashMap<>();
     private boolean mRegistered;
 
     /**
@@ -59,25 +62,42 @@
     }
 
     /**
-     * Acquires one retry if the budget allows it.
+     * Acquires retries if the budget allows all of them.
      *
-     * @param service service to which the retry would be sent
+     * @param service service to which they would be sent
      * @param request ID of the request
-     * @param reason why it is sent once more
-     * @return true if the retry may be sent
+     * @param reason why it, or its pieces, are sent once more
+     * @param count number of retries
+     * @return true if they may be sent
      */
-    public boolean tryAcquire(String service, String request, RetryReason reason) {
+    public boolean tryAcquire(String service, String request, RetryReason reason, int count) {
         BudgetDecision decision =
-                mBudget.tryAcquire(service, mState.instances(), mState.nowMillis());
+                mBudget.tryAcquire(service, count, mState.instances(), mState.nowMillis());
+        if (decision.granted()) {
+            log("retry-granted", service, request, reason, count, decision);
+        } else if (!request.equals(mLastDenied.put(service, request))) {
+            // Retries of overdue pieces are asked for several times a second.
+            log("retry-denied", service, request, reason, count, decision);
+        }
+        return decision.granted();
+    }
+
+    private void log(
+            String event,
+            String service,
+            String request,
+            RetryReason reason,
+            int count,
+            BudgetDecision decision) {
         mState.log()
                 .request(
-                        LogLine.of(decision.granted() ? "retry-granted" : "retry-denied")
+                        LogLine.of(event)
                                 .with("request", request)
                                 .with("service", service)
                                 .with("reason", reason.name())
+                                .with("count", count)
                                 .with("acquired", decision.acquired())
                                 .with("limit", (long) decision.limit())
                                 .with("instances", decision.instances()));
-        return decision.granted();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
@@ -10,6 +10,8 @@
     FAILED_PIECE,
     /** A call with the piece takes too long, and goes on. */
     OVERDUE_PIECE,
-    /** The piece was ordered again, as its stage runs again or its sender was lost. */
-    ORDERED_AGAIN
+    /** The stage runs again. */
+    STAGE_AGAIN,
+    /** The instance that was to send the pieces is lost. */
+    LOST_SENDER
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
@@ -4,6 +4,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.Repetition;
 import org.wasabilug.messages.gateway.PieceOrder;
 import org.wasabilug.messages.gateway.PieceResult;
 
@@ -26,6 +27,7 @@
                 .setDomain(work.preferredDomain())
                 .setDomainPatienceMilliseconds(work.localityWaitMillis())
                 .setRepeat(work.repeat())
+                .setRepeatPermitted(work.repetition() == Repetition.PERMITTED)
                 .build();
     }
 
@@ -41,7 +43,15 @@
                 order.getResultBytes(),
                 order.getDomain(),
                 order.getDomainPatienceMilliseconds(),
-                order.getRepeat());
+                repetition(order));
+    }
+
+    /** An older sender of orders tells of no permit, so that the budget is asked once more. */
+    private static Repetition repetition(PieceOrder order) {
+        if (!order.getRepeat()) {
+            return Repetition.NONE;
+        }
+        return order.getRepeatPermitted() ? Repetition.PERMITTED : Repetition.UNPERMITTED;
     }
 
     static PieceResult result(PieceId id, PieceOutcome outcome) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -9,12 +9,14 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.stage.LocalStageExecutor;
 import org.wasabilug.gateway.internal.stage.StageExecutor;
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.Repetition;
 import org.wasabilug.internal.serving.StageSenders;
 import org.wasabilug.messages.gateway.PieceCancellation;
 import org.wasabilug.messages.gateway.PieceOrder;
@@ -209,7 +211,7 @@
         }
         for (RemotePiece piece : open) {
             mRemotePieces.remove(piece.work().id());
-            submit(piece.work().repeated(), piece.receiver());
+            resubmit(piece);
         }
         mOrdersToSend.remove(peer);
         if (!open.isEmpty()) {
@@ -221,6 +223,18 @@
         }
     }
 
+    /** Orders a piece again; without a permit of this instance its next sender has to ask. */
+    private void resubmit(RemotePiece piece) {
+        PieceWork work = piece.work();
+        boolean permitted =
+                mState.retryPermits()
+                        .tryAcquire(
+                                work.service(), work.id().request(), RetryReason.LOST_SENDER, 1);
+        submit(
+                work.repeated(permitted ? Repetition.PERMITTED : Repetition.UNPERMITTED),
+                piece.receiver());
+    }
+
     /** Batches pieces that are submitted at the same time into one message. */
     private void scheduleFlush() {
         if (!mFlushScheduled) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -178,7 +178,8 @@
     }
 
     private boolean tryAcquireBudget(RetryReason reason) {
-        return mState.retryPermits().tryAcquire(mRequest.service().name(), mRequest.id(), reason);
+        return mState.retryPermits()
+                .tryAcquire(mRequest.service().name(), mRequest.id(), reason, 1);
     }
 
     /** Returns whether {@link #sendHedge} would find an endpoint now, if the budget allows it. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -12,6 +12,7 @@
 import org.wasabilug.internal.serving.PieceId;
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
+import org.wasabilug.internal.serving.Repetition;
 import org.wasabilug.internal.serving.StageGraph;
 import org.wasabilug.internal.serving.StagePlan;
 import org.wasabilug.internal.serving.StageTimes;
@@ -210,6 +211,8 @@
         List<String> inputs = mGraph.inputs(stage);
         PiecePlacement place = placement(stage, inputs);
         long startBy = latestStartMillis(stage);
+        Repetition repetition =
+                mSubmittedMillis[stage] == 0 ? Repetition.NONE : Repetition.UNPERMITTED;
         mSubmittedMillis[stage] = mState.nowMillis();
         logSubmitted(stage, startBy);
         for (int piece = 0; piece < mGraph.pieceCount(stage); piece++) {
@@ -225,7 +228,7 @@
                             specification.resultBytes(),
                             place.domain(),
                             place.localityWaitMillis(),
-                            timesStartedOver() > 0));
+                            repetition));
         }
     }
 
@@ -343,7 +346,7 @@
         if (deadline <= work.deadlineMillis() || startBy <= mState.nowMillis()) {
             return false;
         }
-        submit(work.repeated().withTime(startBy, deadline));
+        submit(work.withTime(startBy, deadline));
         return true;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.ProducedHandles;
 import org.wasabilug.internal.serving.QueueWaits;
+import org.wasabilug.internal.serving.Repetition;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
@@ -47,6 +49,10 @@
     private final Map<String, ServiceSpecification> mServices = new HashMap<>();
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
+
+    /** Submitted pieces for which the retry budget was not asked yet. */
+    private final Map<StageOfRequest, List<PieceWork>> mUnpermitted = new LinkedHashMap<>();
+
     private final StageCallAttempt.Listener mCallListener = new CallListener();
     private long mNextQueueLogMillis = Long.MIN_VALUE;
 
@@ -63,6 +69,8 @@
         }
     }
 
+    private record StageOfRequest(String request, int stage) {}
+
     /** Receiver of the outcome of a piece. */
     private record Receiver(PieceWork work, Consumer<PieceOutcome> outcomes) {}
 
@@ -80,13 +88,15 @@
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
-        if (work.repeat() && !tryAcquireRetry(work, RetryReason.ORDERED_AGAIN)) {
-            // After the order is complete, as its failure ends the request.
-            mState.loop()
-                    .execute(() -> receiver.accept(new PieceOutcome.Failed(PieceFailure.ERROR)));
-            return;
-        }
         mReceivers.put(work.id(), new Receiver(work, receiver));
+        if (work.repetition() == Repetition.UNPERMITTED) {
+            permitLater(work);
+        } else {
+            enqueue(work);
+        }
+    }
+
+    private void enqueue(PieceWork work) {
         long now = mState.nowMillis();
         queue(work.service()).add(work, now);
         waits(work.service()).recordArrival(work.rank(), now);
@@ -94,6 +104,36 @@
         scheduleDispatch(work.service(), 0);
     }
 
+    /** Asks the retry budget once all pieces of the stage are submitted, for all or none. */
+    private void permitLater(PieceWork work) {
+        if (mUnpermitted.isEmpty()) {
+            mState.loop().execute(this::permitStages);
+        }
+        mUnpermitted
+                .computeIfAbsent(
+                        new StageOfRequest(work.id().request(), work.id().stage()),
+                        stage -> new ArrayList<>())
+                .add(work);
+    }
+
+    private void permitStages() {
+        List<List<PieceWork>> stages = new ArrayList<>(mUnpermitted.values());
+        mUnpermitted.clear();
+        stages.forEach(this::permitStage);
+    }
+
+    private void permitStage(List<PieceWork> pieces) {
+        List<PieceWork> open = pieces.stream().filter(this::isOpen).toList();
+        if (open.isEmpty()) {
+            return;
+        }
+        if (tryAcquireRetries(open.getFirst(), RetryReason.STAGE_AGAIN, open.size())) {
+            open.forEach(this::enqueue);
+        } else {
+            open.forEach(work -> fail(work, PieceFailure.ERROR));
+        }
+    }
+
     @Override
     public void cancel(String request, List<PieceWork> pieces) {
         pieces.forEach(work -> mReceivers.remove(work.id()));
@@ -304,11 +344,11 @@
         return isOpen(work)
                 && !queue(work.service()).contains(work.id())
                 && work.deadlineMillis() > mState.nowMillis()
-                && tryAcquireRetry(work, reason);
+                && tryAcquireRetries(work, reason, 1);
     }
 
-    private boolean tryAcquireRetry(PieceWork work, RetryReason reason) {
-        return mState.retryPermits().tryAcquire(work.service(), work.id().request(), reason);
+    private boolean tryAcquireRetries(PieceWork work, RetryReason reason, int count) {
+        return mState.retryPermits().tryAcquire(work.service(), work.id().request(), reason, count);
     }
 
     private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
@@ -321,7 +361,7 @@
                                 .with("failed_at", endpoint)
                                 .with("executed", executed)
                                 .with("reason", reason));
-        queue(work.service()).add(work.repeated(), mState.nowMillis());
+        queue(work.service()).add(work.repeated(Repetition.PERMITTED), mState.nowMillis());
     }
 
     /** Fails a piece, unless another call may still bring its result. */
