Take the smallest share of an endpoint's limits until the instances are known

Until the table was read, an instance takes its share of the largest fleet, and one that was there before does so for 1.1 s from its start, which is as long as sends count. The cost: such an instance sends each endpoint with a cold limit 1 request per second while cold and 2 while warm, and brittle endpoints are used in turns.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -270,6 +270,16 @@
         return Math.max(1, mInstances.getAsInt());
     }
 
+    /**
+     * Called when it is known how many instances share fleet-wide limits.
+     *
+     * @param startedBefore whether an earlier process of this instance may have used its shares
+     */
+    public void fleetKnown(boolean startedBefore) {
+        mRetryPermits.fleetKnown(startedBefore);
+        mRejectionMonitor.fleetKnown(startedBefore);
+    }
+
     /**
      * Sets the source of the number of instances.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
@@ -16,8 +16,16 @@
 public final class RejectionMonitor {
     private static final long VIEW_VALID_MILLIS = 100;
 
+    /** Assumed until the instances are known, so that this one takes the smallest share. */
+    private static final int LARGEST_FLEET = 100;
+
+    /** Time for which sends of an earlier process of this instance may count. */
+    private static final long LIMIT_WINDOW_MILLIS = 1_100;
+
     private final BrittleServices mServices = new BrittleServices();
     private final GatewayState mState;
+    private final long mStartMillis;
+    private long mFleetKnownFromMillis = Long.MAX_VALUE;
     private Supplier<Collection<String>> mHeardPeers = List::of;
     private RejectionListener mListener = (endpoint, limit) -> {};
     private FleetView mView;
@@ -36,6 +44,18 @@
 
     RejectionMonitor(GatewayState state) {
         mState = state;
+        mStartMillis = state.nowMillis();
+    }
+
+    /**
+     * Called when it is known how many instances share the limits.
+     *
+     * @param startedBefore whether an earlier process of this instance may have used its share
+     */
+    public void fleetKnown(boolean startedBefore) {
+        if (mFleetKnownFromMillis == Long.MAX_VALUE) {
+            mFleetKnownFromMillis = mStartMillis + (startedBefore ? LIMIT_WINDOW_MILLIS : 0);
+        }
     }
 
     /** Returns the services whose endpoints tolerate few rejections. */
@@ -65,7 +85,9 @@
     public FleetView fleet() {
         long now = mState.nowMillis();
         if (mView == null || now - mViewMillis >= VIEW_VALID_MILLIS) {
-            mView = FleetView.of(mState.settings().name(), mState.instances(), mHeardPeers.get());
+            boolean known = now >= mFleetKnownFromMillis;
+            int instances = known ? mState.instances() : LARGEST_FLEET;
+            mView = FleetView.of(mState.settings().name(), instances, mHeardPeers.get());
             mViewMillis = now;
         }
         return mView;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -64,8 +64,7 @@
     @Override
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
-        mState.retryPermits()
-                .fleetKnown(rows.stream().anyMatch(row -> row.key().equals(ownName())));
+        mState.fleetKnown(rows.stream().anyMatch(row -> row.key().equals(ownName())));
         boolean present = rows.stream().anyMatch(this::isThisInstance);
         if (!present && mRegistration == Registration.NONE) {
             mRegistration = Registration.IN_PROGRESS;
