Divide the limit of refusals of a stage's endpoint by the instances that send

RefusedPiecesOfCutOffInstancesTest, eight instances that don't reach each other, 24 pieces, an endpoint that tolerates 12 refusals in a second: 16 in a second; it now stays within 12. The part of an instance is now that of the instances it hears, as they send through one of them, and still at most a third.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageEndpoints.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageEndpoints.java
@@ -15,7 +15,7 @@
      * Creates a chooser that has seen no call.
      *
      * @param state state of this process
-     * @param sendersPerService number of instances that share the limits of a service
+     * @param sendersPerService least number of instances assumed to share the limits of a service
      */
     StageEndpoints(GatewayState state, int sendersPerService) {
         mState = state;
@@ -33,12 +33,19 @@
     }
 
     private List<EndpointState> withinLimit(List<EndpointState> usable, int limit, long nowMillis) {
-        FleetView senders = new FleetView(mState.settings().name(), mSendersPerService, 1, 0);
+        FleetView senders = senders();
         return usable.stream()
                 .filter(each -> !each.rejectionControl().isStopped(limit, senders, nowMillis))
                 .toList();
     }
 
+    /** The instances that hear each other send through one of them. */
+    private FleetView senders() {
+        FleetView fleet = mState.rejectionMonitor().fleet();
+        int instances = Math.max(fleet.instances(), mSendersPerService * fleet.heard());
+        return new FleetView(fleet.instance(), instances, fleet.heard(), 0);
+    }
+
     /** Records how a call to an endpoint ended. */
     void callEnded(String endpoint, StageCallResult result) {
         if (result.refused()) {
