Test that a late relay does not carry a request that was reported as not sent

The case without a test was a relay that opens a connection after the call failed through another one; the test passes on the code as it is.

--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayChoiceTest.java
@@ -154,6 +154,25 @@
         }
     }
 
+    /** Guards against a request that arrives although it was counted as not sent. */
+    @Test
+    void aRequestReportedAsNotSentIsNotSentWhenALateRelayOpensAConnectionForIt() throws Exception {
+        try (SocketEndpoint gone = new SocketEndpoint();
+                SocketEndpoint beside = new SocketEndpoint();
+                ServerSocket slow = listen()) {
+            mSecond.register(gone.registration());
+            mSecond.register(beside.registration("beside"));
+            gone.close();
+            mAsking.relayThrough(relay("slow", slow), mSecond.relay());
+            RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+            assertThat(answer.end()).isEqualTo("NOT_CONNECTED");
+            try (Socket late = slow.accept()) {
+                RelayMessages.open(late);
+                assertThat(late.getInputStream().read()).isNegative();
+            }
+        }
+    }
+
     @Test
     void aRelayThatRepliesWithOtherBytesLeadsToTheNextAtOnce() throws Exception {
         try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.5"))) {
