--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -270,6 +270,17 @@
         return Math.max(1, mInstances.getAsInt());
     }
 
+    /**
+     * Called when the table of instances has the row of this one, so that the others that share
+     * fleet-wide limits are known as well.
+     *
+     * @param startedBefore whether an earlier process of this instance may have used its shares
+     */
+    public void registered(boolean startedBefore) {
+        mRetryPermits.registered(startedBefore);
+        mRejectionMonitor.registered(startedBefore);
+    }
+
     /**
      * Sets the source of the number of instances.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/InstanceRegistry.java
@@ -65,7 +65,7 @@
     public void replaced(List<StoredRow> rows) {
         rows.forEach(this::apply);
         if (rows.stream().anyMatch(row -> row.key().equals(ownName()))) {
-            mState.retryPermits().registered(true);
+            mState.registered(true);
         }
         boolean present = rows.stream().anyMatch(this::isThisInstance);
         if (!present && mRegistration == Registration.NONE) {
@@ -95,7 +95,7 @@
             return;
         }
         mRegistration = Registration.DONE;
-        mState.retryPermits().registered(!mState.settings().firstStart());
+        mState.registered(!mState.settings().firstStart());
         mState.log().process(LogLine.of("instance-registered").with("era", era));
     }
 
