Take only a response without an id for a call without one

Cause: a response counted for a call with pieces, or a release of results, whatever its id, as such calls have none. An endpoint that serves both requests and pieces and answers a request a second time, where the response to such a call is due, had that answer taken for it: the call failed, and its pieces were sent again. After a second refusal with X-Wasabilug-Not-Executed the run did not even count as one.

Change: a response counts only if its id equals that of the call; an absent header equals the empty id. An answer that belongs to a request is passed over, and the response that follows is taken.

Before: SecondAnswerToPieceCallTest, 3 of 4 kinds failed (a second answer with 200, 500 and a refusal, each before the response to a call with pieces): 6 calls with pieces for 3 requests. The fourth (before the response to a release) held. After: 4 of 4 pass, 3 calls for 3 requests; RepeatedResponseTest passes.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -22,8 +22,9 @@
  * One connection to an endpoint; it carries one call at a time.
  *
  * <p>A response whose request id differs from that of the call belongs to an earlier call and is
- * ignored. Bytes that arrive while no call is in progress close the connection, and so do too many
- * bytes of which none belongs to the response.
+ * ignored; a call without an id takes only a response without one. Bytes that arrive while no call
+ * is in progress close the connection, and so do too many bytes of which none belongs to the
+ * response.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final long DEFAULT_MAX_IDLE_MILLIS = 4_000;
@@ -168,8 +169,7 @@
     private void headReceived(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         String id = mCall.request().id();
-        mIgnoringResponse =
-                interim || !id.isEmpty() && !id.equals(head.headers().get(mRequestIdHeader));
+        mIgnoringResponse = interim || !id.equals(head.headers().get(mRequestIdHeader, ""));
         if (mIgnoringResponse) {
             if (!interim) {
                 mIgnoredResponses++;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/OutgoingRequest.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/OutgoingRequest.java
@@ -6,7 +6,7 @@
 /**
  * A request to an endpoint.
  *
- * @param id request id that the response must repeat; empty if it need not
+ * @param id request id that the response must repeat; empty if the response must have none
  * @param method HTTP method
  * @param target path and query
  * @param headers headers, without hop-by-hop headers
