Refuse the head of a response in which another head begins

What callers saw: a success where their endpoint had answered with a failure.

Cause: an endpoint that answers a request a second time, where the next answer is due, may truncate the second answer amid its head. The head of the next answer then goes on where that one ended. If the cut is within the reason phrase, or within the value of a header that precedes the id, the two make one valid head: the status of the second answer (and its seal), with the id, the length and the body of the next one. The id is that of the call, so the response counted as its answer.

Change: a status line within the reason phrase or the value of a header marks the joint; such a head is GARBLED and closes the connection. The decoder itself refuses a joint within the status code, the length or the name of a header.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -140,7 +140,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (message.decoderResult().isFailure()) {
+        boolean joined = message instanceof HttpResponse head && JoinedHeads.in(head);
+        if (message.decoderResult().isFailure() || joined) {
             failCall(CallFailure.GARBLED);
             close();
             return;
