Carry no id again on a connection that has carried it

What callers would see: the answer to an earlier request of the same id, so also a success where the endpoint had failed, or a refusal of a request that then runs.

Cause: the id tells the answers on a connection apart only if it is sent there once. Two requests of one id, one after the other, went over the same kept connection, and a second answer to the first was taken for the answer to the second.

Change: a connection remembers the last 64 ids that it carried; an idle one that carried the id of a request is closed, and another or a new one carries the request.

Before: RepeatedIdTest, 4 of 4 cases failed (200 then 500, 500 then 200, 404 then 200, a refusal then 200). After: 4 of 4 pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
 import org.wasabilug.internal.serving.EndpointGroup;
@@ -31,10 +33,14 @@
     private static final long IDLE_MARGIN_MILLIS = 500;
     private static final int MAX_UNUSABLE_BYTES = 1 << 20;
 
+    /** How many of the last ids sent are remembered. */
+    private static final int MAX_CARRIED_IDS = 64;
+
     private final EndpointConnections mOwner;
     private final EndpointRegistration mEndpoint;
     private final Optional<Relay> mRelay;
     private final String mRequestIdHeader;
+    private final Deque<String> mCarriedIds = new ArrayDeque<>();
     private Channel mChannel;
     private EndpointCall mCall;
     private boolean mIgnoringResponse;
@@ -87,6 +93,7 @@
         mIgnoredResponses = 0;
         call.assignConnection(this);
         OutgoingRequest request = call.request();
+        remember(request.id());
         DefaultFullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -98,6 +105,20 @@
         channel.writeAndFlush(message).addListener(future -> written(call, future.isSuccess()));
     }
 
+    private void remember(String id) {
+        if (!id.isEmpty()) {
+            mCarriedIds.addLast(id);
+        }
+        if (mCarriedIds.size() > MAX_CARRIED_IDS) {
+            mCarriedIds.removeFirst();
+        }
+    }
+
+    /** Returns whether an id would not tell the responses to two calls on this connection apart. */
+    boolean carried(String id) {
+        return mCarriedIds.contains(id);
+    }
+
     void reuse(EndpointCall call) {
         send(call, mChannel);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -101,7 +101,7 @@
         request.headers().set(HttpHeaderNames.HOST, hostHeader(endpoint, request));
         EndpointCall call = new EndpointCall(request, listener);
         Iterator<Relay> relays = mRouter.relaysTo(EndpointGroup.of(endpoint)).iterator();
-        EndpointConnection idle = takeIdle(endpoint.name(), request.repeatable(), relays.hasNext());
+        EndpointConnection idle = takeIdle(endpoint.name(), request, relays.hasNext());
         if (idle != null) {
             idle.reuse(call);
         } else if (relays.hasNext()) {
@@ -183,11 +183,12 @@
         return original == null ? endpoint.host() + ":" + endpoint.port() : original;
     }
 
-    private EndpointConnection takeIdle(String endpoint, boolean repeatable, boolean relaying) {
+    private EndpointConnection takeIdle(
+            String endpoint, OutgoingRequest request, boolean relaying) {
         ArrayDeque<EndpointConnection> idle = mIdle.get(endpoint);
         while (idle != null && !idle.isEmpty()) {
             EndpointConnection connection = idle.removeFirst();
-            if (mayCarry(connection, repeatable, relaying)) {
+            if (mayCarry(connection, request, relaying)) {
                 return connection;
             }
             connection.close();
@@ -198,14 +199,18 @@
     /**
      * Returns whether an idle connection may carry a request. A relayed one may not while the
      * endpoint is reached directly. A direct one to an endpoint that seems unreachable may be
-     * broken.
+     * broken. One that carried the id before could bring the earlier response a second time.
      */
-    private boolean mayCarry(EndpointConnection connection, boolean repeatable, boolean relaying) {
+    private boolean mayCarry(
+            EndpointConnection connection, OutgoingRequest request, boolean relaying) {
         long now = nowMillis();
         boolean relayed = connection.relay().isPresent();
         boolean fresh = connection.idleMillis(now) < NON_REPEATABLE_MAX_IDLE_MILLIS;
-        boolean sound = repeatable || fresh && relayed == relaying;
-        return usable(connection, now) && sound && (relaying || !relayed);
+        boolean sound = request.repeatable() || fresh && relayed == relaying;
+        return usable(connection, now)
+                && sound
+                && (relaying || !relayed)
+                && !connection.carried(request.id());
     }
 
     /** Returns whether an idle connection is open, and still the way to its endpoint if relayed. */
