--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/IdleRelayedConnectionTest.java
@@ -18,7 +18,7 @@
     void serveOneRequest() throws Exception {
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
         mIdle = mEndpoint.acceptRequest();
-        respond(mIdle, answer);
+        respond(mIdle, "id", answer);
     }
 
     @AfterEach
@@ -28,10 +28,10 @@
 
     @Test
     void itIsUsedAgainWhileTheEndpointIsReachedThroughOthersOnly() throws Exception {
-        RecordedAnswer answer = mAsking.send(mEndpoint.registration());
+        RecordedAnswer answer = mAsking.send(mEndpoint.registration(), "id-2", false, new byte[0]);
         SocketEndpoint.readHead(mIdle);
 
-        respond(mIdle, answer);
+        respond(mIdle, "id-2", answer);
     }
 
     @Test
@@ -39,7 +39,7 @@
         mAsking.relayThrough();
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
         try (Socket direct = mEndpoint.acceptRequest()) {
-            respond(direct, answer);
+            respond(direct, "id", answer);
         }
 
         assertThat(mAsking.attempts()).hasSize(1);
@@ -62,7 +62,7 @@
             mAsking.stopped(mRelay);
             RecordedAnswer answer = mAsking.send(mEndpoint.registration());
             try (Socket socket = mEndpoint.acceptRequest()) {
-                respond(socket, answer);
+                respond(socket, "id", answer);
             }
 
             assertThat(other.logged("connection-relayed")).isEqualTo(1);
@@ -89,12 +89,12 @@
         mAsking.closeExpired();
         RecordedAnswer answer = mAsking.send(mEndpoint.registration());
         try (Socket socket = mEndpoint.acceptRequest()) {
-            respond(socket, answer);
+            respond(socket, "id", answer);
         }
     }
 
-    private static void respond(Socket socket, RecordedAnswer answer) throws Exception {
-        SocketEndpoint.respond(socket, "id", "whole");
+    private static void respond(Socket socket, String id, RecordedAnswer answer) throws Exception {
+        SocketEndpoint.respond(socket, id, "whole");
         assertThat(answer.end()).isEqualTo(RecordedAnswer.COMPLETE);
     }
 
