Keep the limit of a cold endpoint in a fleet of more instances than it allows

Endpoints: a cold endpoint got one request per second from each instance that had one for it. Where 8.2 x 1.5 + 5 = 17 are allowed, ColdFleetTest counted 18, 62, 95 and 450 arrivals in a second from fleets of 18, 62, 95 and 450 instances, whether they hear each other or not, and 62 from 62 that do not know their fleet.

Cause: the share of an instance was the limit over the number of instances, but at least 1, so that the shares add up to the number of instances.

Fix: in a fleet of more, 7/8 of the limit is the number of instances that may send one request each while the endpoint is cold; the others send none. They are chosen for each endpoint by rendezvous hashing of the names in the table of instances, reachable or not, so that no message is needed and parts that do not hear each other agree. The rest of the limit is for instances that the others do not know yet and for starts of an instance within the second. An instance that does not know its fleet sends to the endpoints for which its hash is in the highest part (15 of the 100 instances that it assumes). One that knows its fleet, but whose earlier process may have used its share, sends one request if it is among the chosen, as before in a small fleet.

The limit of a warm endpoint is as before, twice the share and at least 2 for each instance: the rule binds while the endpoint is cold, and fewer would refuse requests of large fleets all the time.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -108,9 +108,13 @@
         if (rate <= 0) {
             return true;
         }
-        int share = mColdLimits.share(rate, request.fleet().instances());
-        int limit = endpoint.isCold(nowMillis) ? share : share * WARM_RATE_FACTOR;
-        return endpoint.sendsInLastSecond(nowMillis) < limit;
+        FleetView fleet = request.fleet();
+        boolean cold = endpoint.isCold(nowMillis);
+        if (cold && !endpoint.isColdSender(fleet, mColdLimits.senders(rate))) {
+            return false;
+        }
+        int share = mColdLimits.share(rate, fleet.instances());
+        return endpoint.sendsInLastSecond(nowMillis) < (cold ? share : share * WARM_RATE_FACTOR);
     }
 
     /** Removes the brittle endpoints that must not get another request at the moment. */
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
@@ -13,6 +13,7 @@
 
     private final EndpointHealth mHealth = new EndpointHealth();
     private final RejectionControl mRejectionControl;
+    private final ColdSender mColdSender;
     private final SlidingWindow mSends = new SlidingWindow(RATE_WINDOW_MILLIS);
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private EndpointRegistration mRegistration;
@@ -29,6 +30,7 @@
      */
     public EndpointState(EndpointRegistration registration, long nowMillis) {
         mRejectionControl = new RejectionControl(registration.name());
+        mColdSender = new ColdSender(registration.name());
         update(registration, nowMillis);
     }
 
@@ -91,6 +93,16 @@
         return nowMillis < mColdUntilMillis;
     }
 
+    /**
+     * Returns whether this instance is one of those that may send while the endpoint is cold.
+     *
+     * @param fleet this instance and the others that share the limit
+     * @param count number of instances that may send
+     */
+    boolean isColdSender(FleetView fleet, int count) {
+        return fleet.instances() <= count || mColdSender.isChosen(fleet, count);
+    }
+
     /**
      * Returns the number of requests that this instance sent in the last second.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -101,7 +101,7 @@
         mEndpoints = new EndpointWatch(mState);
         mConfiguration = new ConfigurationWatch(mState);
         mNetwork = peerNetwork();
-        mState.instances(mNetwork::instances);
+        mState.instances(mNetwork::names);
         mState.reachability().peers(new LiveRelayPeers(mState, mNetwork));
         mRelays = new RelayListener(mState, mLoops);
         mSharedStages = new SharedStageExecutor(mState, mNetwork, mStages);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -5,7 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
@@ -43,7 +44,7 @@
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
-    private IntSupplier mInstances = () -> 1;
+    private Supplier<Set<String>> mInstances;
     private Optional<ShutdownSchedule> mStop = Optional.empty();
     private ConfigurationInForce mConfiguration = ConfigurationInForce.none();
     private final List<PromptRead> mUnsentPrompts = new ArrayList<>();
@@ -64,6 +65,8 @@
             EndpointConnections connections,
             DecisionLog log) {
         mSettings = settings;
+        Set<String> alone = Set.of(settings.name());
+        mInstances = () -> alone;
         mProtocol = protocol;
         mLoop = loop;
         mConnections = connections;
@@ -267,7 +270,12 @@
      * Returns the number of instances that share fleet-wide limits, reachable or not; at least 1.
      */
     public int instances() {
-        return Math.max(1, mInstances.getAsInt());
+        return Math.max(1, instanceNames().size());
+    }
+
+    /** Returns the names of these instances, the same set as long as it does not change. */
+    public Set<String> instanceNames() {
+        return mInstances.get();
     }
 
     /**
@@ -282,11 +290,11 @@
     }
 
     /**
-     * Sets the source of the number of instances.
+     * Sets the source of the names of the instances.
      *
-     * @param instances returns the number of instances
+     * @param instances returns the names, the same set as long as it does not change
      */
-    public void instances(IntSupplier instances) {
+    public void instances(Supplier<Set<String>> instances) {
         mInstances = instances;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
@@ -16,7 +16,7 @@
 public final class RejectionMonitor {
     private static final long VIEW_VALID_MILLIS = 100;
 
-    /** Assumed until the instances are known, so that this one takes the smallest share. */
+    /** Assumed until the shares count, so that this instance takes the smallest one. */
     private static final int LARGEST_FLEET = 100;
 
     /** Time for which sends of an earlier process of this instance may count. */
@@ -85,14 +85,21 @@
     public FleetView fleet() {
         long now = mState.nowMillis();
         if (mView == null || now - mViewMillis >= VIEW_VALID_MILLIS) {
-            boolean known = now >= mSharesFromMillis;
-            int instances = known ? mState.instances() : LARGEST_FLEET;
-            mView = FleetView.of(mState.settings().name(), instances, mHeardPeers.get());
+            mView = view(now);
             mViewMillis = now;
         }
         return mView;
     }
 
+    private FleetView view(long now) {
+        String name = mState.settings().name();
+        if (mSharesFromMillis == Long.MAX_VALUE) {
+            return FleetView.of(name, LARGEST_FLEET, mHeardPeers.get());
+        }
+        FleetView known = FleetView.of(name, mState.instanceNames(), mHeardPeers.get());
+        return now >= mSharesFromMillis ? known : known.withInstances(LARGEST_FLEET);
+    }
+
     /**
      * Records the head of an endpoint's response.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -52,6 +52,7 @@
     private final HeartbeatGossip mGossip;
     private final BroadcastHistory mBroadcasts = new BroadcastHistory();
     private Set<String> mNeighbors = Set.of();
+    private Set<String> mNames;
 
     /**
      * Creates a network without peers.
@@ -71,6 +72,7 @@
             BooleanSupplier storeUnreachable,
             Supplier<Map<String, List<QueueWaits.Wait>>> stageWaits) {
         mState = state;
+        mNames = Set.of(state.settings().name());
         mSharedLoads = new SharedLoads(state);
         mLiveness = new PeerLiveness(state, mSharedLoads, events);
         mEvents = events;
@@ -102,6 +104,7 @@
         boolean self = name.equals(mState.settings().name());
         if (!self && (peer == null || !peer.host().equals(host))) {
             mPeers.put(name, new Peer(name, host));
+            addName(name);
             mGossip.discovered(name);
             mGossip.reset(name);
             mState.log()
@@ -109,6 +112,19 @@
         }
     }
 
+    private void addName(String name) {
+        if (!mNames.contains(name)) {
+            Set<String> names = new HashSet<>(mNames);
+            names.add(name);
+            mNames = Set.copyOf(names);
+        }
+    }
+
+    /** Returns the names of the known instances, reachable or not, including this one. */
+    public Set<String> names() {
+        return mNames;
+    }
+
     /** Returns the number of known instances, reachable or not, including this one. */
     public int instances() {
         return mPeers.size() + 1;
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/ReachabilityMonitorTest.java
@@ -47,7 +47,7 @@
 
     @Test
     void anInstanceThatReachesNoEndpointAndHearsNoneOfTheOthersIsCutOff() throws Exception {
-        mState.instances(() -> 2);
+        mState.instances(() -> Set.of("gateway-1", "gateway-2"));
         refuse("ledger");
 
         assertThat(call(mState.reachability()::isCutOff)).isTrue();
@@ -58,7 +58,7 @@
         refuse("ledger");
         assertThat(call(mState.reachability()::isCutOff)).isFalse();
 
-        mState.instances(() -> 2);
+        mState.instances(() -> Set.of("gateway-1", "gateway-2"));
         register("encoder");
         assertThat(call(mState.reachability()::isCutOff)).isFalse();
     }
