Keep the moment from which shares count in a class of its own

Endpoints saw nothing of it: RejectionMonitor and RetryPermits each kept the start of the process and the moment from which its shares of fleet-wide limits count, so that a correction of one could miss the other. ShareStart keeps them; RejectionMonitor uses it. An instance without an earlier process counts from the moment at which its row is there, rather than from its start, which is the same from that moment on.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
@@ -24,8 +24,7 @@
 
     private final BrittleServices mServices = new BrittleServices();
     private final GatewayState mState;
-    private final long mStartMillis;
-    private long mSharesFromMillis = Long.MAX_VALUE;
+    private final ShareStart mShareStart;
     private Supplier<Collection<String>> mHeardPeers = List::of;
     private RejectionListener mListener = (endpoint, limit) -> {};
     private FleetView mView;
@@ -44,7 +43,7 @@
 
     RejectionMonitor(GatewayState state) {
         mState = state;
-        mStartMillis = state.nowMillis();
+        mShareStart = new ShareStart(state.nowMillis(), LIMIT_WINDOW_MILLIS);
     }
 
     /**
@@ -53,9 +52,7 @@
      * @param startedBefore whether an earlier process of this instance may have used its share
      */
     public void registered(boolean startedBefore) {
-        if (mSharesFromMillis == Long.MAX_VALUE) {
-            mSharesFromMillis = mStartMillis + (startedBefore ? LIMIT_WINDOW_MILLIS : 0);
-        }
+        mShareStart.registered(startedBefore, mState.nowMillis());
     }
 
     /** Returns the services whose endpoints tolerate few rejections. */
@@ -93,11 +90,11 @@
 
     private FleetView view(long now) {
         String name = mState.settings().name();
-        if (mSharesFromMillis == Long.MAX_VALUE) {
+        if (!mShareStart.isFleetKnown()) {
             return FleetView.of(name, LARGEST_FLEET, mHeardPeers.get());
         }
         FleetView known = FleetView.of(name, mState.instanceNames(), mHeardPeers.get());
-        return now >= mSharesFromMillis ? known : known.withInstances(LARGEST_FLEET);
+        return now >= mShareStart.fromMillis() ? known : known.withInstances(LARGEST_FLEET);
     }
 
     /**
