Assume the design size while an instance does not know its fleet

Endpoints: instances that could not read the table of instances each took the part of one of 100, so that a fleet of about that size or more goes above the limits. ColdFleetTest: up to 25 arrivals in a second from 95 instances, 17 are allowed (5 of 40 endpoints above).

Cause: 100 was assumed, while the design size is 450.

Fix: 450, in FleetView, for cold and for brittle endpoints alike.

After: ColdFleetTest passes, and that more than half of 40 endpoints are served from 62 and 95 such instances.

An instance that knows its fleet isn't affected, nor is a cold endpoint while one that has started again waits, as it then still sends one request if it is among the chosen.

--- a/core/src/main/java/org/wasabilug/internal/serving/FleetView.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FleetView.java
@@ -13,6 +13,9 @@
  * @param names names of the known instances, including this one; empty if they are not known
  */
 public record FleetView(String instance, int instances, int heard, int rank, Set<String> names) {
+    /** Assumed while shares must be the smallest ones. */
+    private static final int LARGEST_FLEET = 450;
+
     /** Ensures that there is at least this instance, and that no more are heard than known. */
     public FleetView {
         instances = Math.max(1, instances);
@@ -56,12 +59,19 @@
     }
 
     /**
-     * Returns this view with another number of instances, from which shares are computed.
+     * Returns the view of an instance that does not know its fleet, so that its shares are those of
+     * an instance of the largest fleet.
      *
-     * @param assumed the number
+     * @param instance name of the instance
+     * @param heardPeers names of the peers that it hears from, without its own
      */
-    public FleetView withInstances(int assumed) {
-        return new FleetView(instance, assumed, heard, rank, names);
+    public static FleetView ofUnknownFleet(String instance, Collection<String> heardPeers) {
+        return of(instance, LARGEST_FLEET, heardPeers);
+    }
+
+    /** Returns this view with the shares of an instance of the largest fleet. */
+    public FleetView withSmallestShares() {
+        return new FleetView(instance, LARGEST_FLEET, heard, rank, names);
     }
 
     private static int rank(String instance, Collection<String> heardPeers) {
--- a/core/src/test/java/org/wasabilug/internal/serving/ColdFleetTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ColdFleetTest.java
@@ -128,9 +128,16 @@
     }
 
     /** Guards against a share of at least one for each instance that does not know its fleet. */
-    @Test
-    void instancesThatDoNotKnowTheirFleetKeepTheLimit() {
-        assertWithinLimit(fleet(62, number -> FleetView.of(name(number), 100, List.of())), 1);
+    @ParameterizedTest
+    @ValueSource(ints = {62, 95})
+    void instancesThatDoNotKnowTheirFleetKeepTheLimitAndServeMostEndpoints(int instances) {
+        List<FleetView> fleet =
+                fleet(instances, number -> FleetView.ofUnknownFleet(name(number), List.of()));
+
+        assertWithinLimit(fleet, 0);
+        assertThat(IntStream.range(0, ENDPOINTS))
+                .filteredOn(number -> mostInASecond("ledger-" + number, fleet) > 0)
+                .hasSizeGreaterThan(ENDPOINTS / 2);
     }
 
     /** Guards against instances that may send to no cold endpoint of a service. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
@@ -16,9 +16,6 @@
 public final class RejectionMonitor {
     private static final long VIEW_VALID_MILLIS = 100;
 
-    /** Assumed until the shares count, so that this instance takes the smallest one. */
-    private static final int LARGEST_FLEET = 100;
-
     /** Time for which sends of an earlier process of this instance may count. */
     private static final long LIMIT_WINDOW_MILLIS = 1_100;
 
@@ -91,10 +88,10 @@
     private FleetView view(long now) {
         String name = mState.settings().name();
         if (!mShareStart.isFleetKnown()) {
-            return FleetView.of(name, LARGEST_FLEET, mHeardPeers.get());
+            return FleetView.ofUnknownFleet(name, mHeardPeers.get());
         }
         FleetView known = FleetView.of(name, mState.instanceNames(), mHeardPeers.get());
-        return now >= mShareStart.fromMillis() ? known : known.withInstances(LARGEST_FLEET);
+        return now >= mShareStart.fromMillis() ? known : known.withSmallestShares();
     }
 
     /**
