Use the common moment from which shares count in RetryPermits

Endpoints saw nothing of it. RetryPermits kept the start of the process and whether it is registered beside the same in RejectionMonitor; ShareStart does both, with the same moments as before.

RetriesAcrossStartsTest and Repeated*Test pass.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -10,11 +10,9 @@
 /** Asks the retry budget of this instance, and logs each answer. */
 public final class RetryPermits {
     private final GatewayState mState;
-    private final RetryLimits mLimits;
     private final RetryBudget mBudget;
-    private final long mStartMillis;
+    private final ShareStart mShareStart;
     private final Map<String, String> mLastDenied = new HashMap<>();
-    private boolean mRegistered;
 
     /**
      * Creates the permits of a process that has just started.
@@ -24,9 +22,8 @@
      */
     RetryPermits(GatewayState state, RetryLimits limits) {
         mState = state;
-        mLimits = limits;
         mBudget = new RetryBudget(limits);
-        mStartMillis = state.nowMillis();
+        mShareStart = new ShareStart(state.nowMillis(), limits.windowMillis());
     }
 
     /**
@@ -36,12 +33,11 @@
      * @param startedBefore whether an earlier process of this instance may have used its share
      */
     public void registered(boolean startedBefore) {
-        if (mRegistered) {
+        long now = mState.nowMillis();
+        if (!mShareStart.registered(startedBefore, now)) {
             return;
         }
-        mRegistered = true;
-        long now = mState.nowMillis();
-        long from = startedBefore ? mStartMillis + mLimits.windowMillis() : now;
+        long from = mShareStart.fromMillis();
         mBudget.openReserve(from);
         mState.log()
                 .process(
