--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RejectionMonitor.java
@@ -16,16 +16,12 @@
 public final class RejectionMonitor {
     private static final long VIEW_VALID_MILLIS = 100;
 
-    /** Assumed until the instances are known, so that this one takes the smallest share. */
-    private static final int LARGEST_FLEET = 100;
-
     /** Time for which sends of an earlier process of this instance may count. */
     private static final long LIMIT_WINDOW_MILLIS = 1_100;
 
     private final BrittleServices mServices = new BrittleServices();
     private final GatewayState mState;
-    private final long mStartMillis;
-    private long mSharesFromMillis = Long.MAX_VALUE;
+    private final ShareStart mShareStart;
     private Supplier<Collection<String>> mHeardPeers = List::of;
     private RejectionListener mListener = (endpoint, limit) -> {};
     private FleetView mView;
@@ -44,7 +40,7 @@
 
     RejectionMonitor(GatewayState state) {
         mState = state;
-        mStartMillis = state.nowMillis();
+        mShareStart = new ShareStart(state.nowMillis(), LIMIT_WINDOW_MILLIS);
     }
 
     /**
@@ -53,9 +49,7 @@
      * @param startedBefore whether an earlier process of this instance may have used its share
      */
     public void registered(boolean startedBefore) {
-        if (mSharesFromMillis == Long.MAX_VALUE) {
-            mSharesFromMillis = mStartMillis + (startedBefore ? LIMIT_WINDOW_MILLIS : 0);
-        }
+        mShareStart.registered(startedBefore, mState.nowMillis());
     }
 
     /** Returns the services whose endpoints tolerate few rejections. */
@@ -85,14 +79,21 @@
     public FleetView fleet() {
         long now = mState.nowMillis();
         if (mView == null || now - mViewMillis >= VIEW_VALID_MILLIS) {
-            boolean known = now >= mSharesFromMillis;
-            int instances = known ? mState.instances() : LARGEST_FLEET;
-            mView = FleetView.of(mState.settings().name(), instances, mHeardPeers.get());
+            mView = view(now);
             mViewMillis = now;
         }
         return mView;
     }
 
+    private FleetView view(long now) {
+        String name = mState.settings().name();
+        if (!mShareStart.isFleetKnown()) {
+            return FleetView.ofUnknownFleet(name, mHeardPeers.get());
+        }
+        FleetView known = FleetView.of(name, mState.instanceNames(), mHeardPeers.get());
+        return now >= mShareStart.fromMillis() ? known : known.withSmallestShares();
+    }
+
     /**
      * Records the head of an endpoint's response.
      *
