--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
@@ -1,15 +1,22 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * Tells the head of one response from parts of two: a head that was truncated on a kept connection
- * goes on with the head of the next response, which begins with a status line.
+ * Tells one response from parts of two: one that was truncated on a kept connection, or has no
+ * length, goes on with the head of the next response, which begins with a status line.
  */
-final class JoinedHeads {
+public final class JoinedHeads {
+    private static final String PROTOCOL = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    private static final Pattern WHOLE_STATUS_LINE =
+            Pattern.compile(STATUS_LINE + "[^\\r\\n]{0,200}\\r\\n");
+    private static final String LINE_END = "\r\n";
 
     private JoinedHeads() {}
 
@@ -30,6 +37,53 @@
     }
 
     private static boolean holdsStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+        return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+    }
+
+    /**
+     * Returns whether the head of a response to a request begins within the content of a response.
+     * A head that the content quotes has no request id; one at the end, where the content could end
+     * before the id, counts from its whole status line on.
+     *
+     * @param content content as received; not changed
+     * @param requestIdHeader header that each response to a request has
+     */
+    public static boolean in(ByteBuf content, String requestIdHeader) {
+        String text = content.toString(StandardCharsets.ISO_8859_1);
+        int start = text.indexOf(PROTOCOL);
+        if (start < 0) {
+            return false;
+        }
+        Matcher statusLine = WHOLE_STATUS_LINE.matcher(text);
+        while (start >= 0) {
+            statusLine.region(start, text.length());
+            int end = start + 1;
+            if (statusLine.lookingAt()) {
+                end = endOfHeaders(text, statusLine.end(), requestIdHeader + ":");
+                if (end < 0) {
+                    return true;
+                }
+            }
+            start = text.indexOf(PROTOCOL, end);
+        }
+        return false;
+    }
+
+    /**
+     * Returns where lines end that are headers; -1 at a header that is sought, or the text's end.
+     */
+    private static int endOfHeaders(String text, int start, String sought) {
+        int line = start;
+        while (!text.regionMatches(true, line, sought, 0, sought.length())) {
+            int lineEnd = text.indexOf(LINE_END, line);
+            if (lineEnd < 0) {
+                return -1;
+            }
+            if (text.indexOf(':', line, lineEnd) <= line) {
+                return line;
+            }
+            line = lineEnd + LINE_END.length();
+        }
+        return -1;
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal.request;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.concurrent.TimeUnit;
@@ -8,6 +9,7 @@
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
+import org.wasabilug.gateway.internal.endpoint.JoinedHeads;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
@@ -175,6 +177,11 @@
         return mWholeBody;
     }
 
+    /** Returns whether another response begins within content of this one. */
+    boolean holdsAnother(ByteBuf content) {
+        return JoinedHeads.in(content, mState.protocol().headers().requestId());
+    }
+
     /** Gives up a response that can't be used and records a failure for the endpoint. */
     void reject(CallFailure failure) {
         mCall.cancel();
@@ -285,6 +292,11 @@
 
     private void finish(long millis) {
         mWholeBody = mBody.toByteArray();
+        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody))) {
+            mState.connections().closeIdle(mEndpoint.registration().name());
+            failed(CallFailure.GARBLED);
+            return;
+        }
         end();
         answerWentOn();
         if (!mNotExecuted) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -244,6 +244,11 @@
         mStages.end();
         EventReader reader = mReaders.get(attempt);
         ByteBuf events = reader.append(content, state().nowMillis());
+        if (attempt.holdsAnother(events)) {
+            events.release();
+            attempt.reject(CallFailure.GARBLED);
+            return;
+        }
         if (events.isReadable()) {
             goOnWith(attempt);
             logResumption(attempt, reader);
