Close a connection on which bytes follow a response

What callers saw: a request that must not be repeated was sent on a kept connection on which the endpoint had already begun to write something else behind its last response. Its own answer was then lost: 502 with GARBLED. The same place is where a joined head begins.

Cause: bytes that make no whole message yet are not told of by the decoder, so the connection looked idle. Those of the same read were left in the decoder, those of a later one were only counted.

Change: bytes that arrive without a call close the connection, and one whose decoder still holds bytes after a response is not used again. The decoder is our own subclass for that. It also tells by the id which responses are to HEAD requests, where the codec kept a queue of methods from which a second response took one out.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -40,7 +41,13 @@
     private final EndpointRegistration mEndpoint;
     private final Optional<Relay> mRelay;
     private final String mRequestIdHeader;
+    private final EndpointResponseDecoder mDecoder = new EndpointResponseDecoder(this::isToHead);
+
     private final Deque<String> mCarriedIds = new ArrayDeque<>();
+
+    /** Those of them that are ids of HEAD requests. */
+    private final Deque<String> mHeadIds = new ArrayDeque<>();
+
     private Channel mChannel;
     private EndpointCall mCall;
     private boolean mIgnoringResponse;
@@ -67,6 +74,11 @@
         mRequestIdHeader = requestIdHeader;
     }
 
+    /** Returns the decoder that precedes this handler. */
+    EndpointResponseDecoder decoder() {
+        return mDecoder;
+    }
+
     String endpoint() {
         return mEndpoint.name();
     }
@@ -93,7 +105,7 @@
         mIgnoredResponses = 0;
         call.assignConnection(this);
         OutgoingRequest request = call.request();
-        remember(request.id());
+        remember(request);
         DefaultFullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -105,12 +117,20 @@
         channel.writeAndFlush(message).addListener(future -> written(call, future.isSuccess()));
     }
 
-    private void remember(String id) {
-        if (!id.isEmpty()) {
-            mCarriedIds.addLast(id);
+    private void remember(OutgoingRequest request) {
+        if (request.id().isEmpty()) {
+            return;
+        }
+        remember(mCarriedIds, request.id());
+        if (request.method().equals(HttpMethod.HEAD)) {
+            remember(mHeadIds, request.id());
         }
-        if (mCarriedIds.size() > MAX_CARRIED_IDS) {
-            mCarriedIds.removeFirst();
+    }
+
+    private static void remember(Deque<String> ids, String id) {
+        ids.addLast(id);
+        if (ids.size() > MAX_CARRIED_IDS) {
+            ids.removeFirst();
         }
     }
 
@@ -119,6 +139,14 @@
         return mCarriedIds.contains(id);
     }
 
+    private boolean isToHead(HttpResponse head) {
+        return mHeadIds.contains(requestId(head));
+    }
+
+    private String requestId(HttpResponse head) {
+        return head.headers().get(mRequestIdHeader, "");
+    }
+
     void reuse(EndpointCall call) {
         send(call, mChannel);
     }
@@ -179,8 +207,15 @@
         }
     }
 
-    /** Counts bytes before they are decoded; closes the connection if none has been of use. */
+    /**
+     * Counts bytes before they are decoded; closes the connection if no call is in progress, or if
+     * none of many bytes has been of use.
+     */
     void bytesReceived(int bytes) {
+        if (mCall == null) {
+            close();
+            return;
+        }
         mUnusableBytes += bytes;
         if (mUnusableBytes > MAX_UNUSABLE_BYTES) {
             failCall(CallFailure.GARBLED);
@@ -191,7 +226,7 @@
     private void headReceived(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         String id = mCall.request().id();
-        mIgnoringResponse = interim || !id.equals(head.headers().get(mRequestIdHeader, ""));
+        mIgnoringResponse = interim || !id.equals(requestId(head));
         if (mIgnoringResponse) {
             if (!interim) {
                 mIgnoredResponses++;
@@ -231,7 +266,7 @@
         boolean pending = !call.ended();
         call.markEnded();
         mIdleSinceMillis = mOwner.nowMillis();
-        if (mReusable && mWritten) {
+        if (mReusable && mWritten && !mDecoder.holdsBytes()) {
             // The call may have ended while its response was not read on.
             setReadable(true);
             mOwner.returnIdle(this);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -8,8 +8,8 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -32,9 +32,6 @@
 public final class EndpointConnections {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final long ENDS_KEPT_MILLIS = 1_000;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_HEAD_BYTES = 65_536;
 
     /**
      * A non-repeatable request is sent only on a new connection or one that was idle for less than
@@ -291,7 +288,8 @@
         mEnds.opened(connection, channel, nowMillis());
         channel.pipeline()
                 .addLast(new ReceivedBytesMeter(connection))
-                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection.decoder())
+                .addLast(new HttpRequestEncoder())
                 .addLast(connection);
         connection.send(call, channel);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointResponseDecoder.java
@@ -0,0 +1,37 @@
+package org.wasabilug.gateway.internal.endpoint;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.function.Predicate;
+
+/**
+ * Decodes the responses on one connection to an endpoint, which may be more than there are calls.
+ */
+final class EndpointResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final Predicate<HttpResponse> mToHead;
+
+    /**
+     * Creates the decoder of a new connection.
+     *
+     * @param toHead whether a response is one to a HEAD request
+     */
+    EndpointResponseDecoder(Predicate<HttpResponse> toHead) {
+        super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        mToHead = toHead;
+    }
+
+    /** Returns whether bytes were received that belong to nothing decoded so far. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return super.isContentAlwaysEmpty(message) || mToHead.test((HttpResponse) message);
+    }
+}
