Leave endpoints alone for as long as they ask

Callers and endpoints: an endpoint that turned a request away with 503 and a Retry-After got further requests, calls with pieces and releases from the same instance until the end of the pause that it had asked for.

Cause: the header was read nowhere.

Change: the pause is kept with the incarnation of the endpoint. Until its end no request, call or release is sent there; one request goes first after it. What nobody else can take is refused at once as not run.

Measured: PausedEndpointTest on the code before: 3 of 10 failed (requests, calls with pieces, no refusal while the only endpoint pauses); the cases with odd values passed there too. Now all pass, with EndpointPauseTest and BrittleEnginesTest.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -2,6 +2,7 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 import org.wasabilug.serving.EngineCapacity;
@@ -37,6 +38,8 @@
     private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
     private static final long COLD_RETRY_MILLIS = 400;
     private static final long BRITTLE_RETRY_MILLIS = 400;
+    private static final long MIN_PAUSE_RETRY_MILLIS = 50;
+    private static final int PAUSE_SPREAD_MILLIS = 500;
 
     /** A warm endpoint may turn cold without notice, so its request rate is limited too. */
     private static final int WARM_RATE_FACTOR = 2;
@@ -72,8 +75,14 @@
         if (allowed.isEmpty()) {
             return new Selection.Unavailable("no-endpoint", NO_ENDPOINT_RETRY_MILLIS);
         }
+        List<EndpointState> open =
+                allowed.stream().filter(each -> each.pause().maySend(nowMillis)).toList();
+        if (open.isEmpty()) {
+            return new Selection.Unavailable(
+                    "endpoints-paused", resumptionMillis(allowed, nowMillis));
+        }
         List<EndpointState> admitted =
-                allowed.stream().filter(each -> withinRate(each, request, nowMillis)).toList();
+                open.stream().filter(each -> withinRate(each, request, nowMillis)).toList();
         if (admitted.isEmpty()) {
             return new Selection.Unavailable("cold-limit", COLD_RETRY_MILLIS);
         }
@@ -86,6 +95,24 @@
         return cheapest(healthy.isEmpty() ? withRoom : healthy, request, nowMillis);
     }
 
+    /**
+     * Returns in how many milliseconds the first endpoint takes requests again, and a little more,
+     * so that callers do not return all at once.
+     */
+    private static long resumptionMillis(List<EndpointState> paused, long nowMillis) {
+        EndpointState first =
+                paused.stream()
+                        .min(
+                                Comparator.comparingLong(
+                                        each -> each.pause().remainingMillis(nowMillis)))
+                        .orElseThrow();
+        int spread =
+                Math.floorMod(
+                        Hashing.murmur3_32_fixed().hashLong(nowMillis).asInt(),
+                        PAUSE_SPREAD_MILLIS);
+        return first.pause().remainingMillis(nowMillis) + MIN_PAUSE_RETRY_MILLIS + spread;
+    }
+
     private Selection cheapest(
             List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
         EndpointState preferred = affinityOwner(endpoints, request.prompt());
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
@@ -13,6 +13,7 @@
 
     private final EndpointHealth mHealth = new EndpointHealth();
     private final RejectionControl mRejectionControl;
+    private final EndpointPause mPause = new EndpointPause();
     private final SlidingWindow mSends = new SlidingWindow(RATE_WINDOW_MILLIS);
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private EndpointRegistration mRegistration;
@@ -82,6 +83,11 @@
         return mRejectionControl;
     }
 
+    /** Returns the time for which the endpoint wants nothing from this instance. */
+    public EndpointPause pause() {
+        return mPause;
+    }
+
     /**
      * Returns whether the endpoint is cold and can handle only a low request rate.
      *
@@ -108,6 +114,7 @@
      */
     public void recordSent(EndpointLoad load, long nowMillis) {
         mSends.add(nowMillis);
+        mPause.recordSent(nowMillis);
         mLocalLoad = mLocalLoad.plus(load);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -41,6 +41,7 @@
     private final RetryPermits mRetryPermits;
     private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
+    private final PauseMonitor mPauseMonitor = new PauseMonitor(this);
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private IntSupplier mInstances = () -> 1;
@@ -175,6 +176,7 @@
     public void recordResponse(EndpointState endpoint, HttpResponse head) {
         mRejectionMonitor.recordResponse(endpoint, head);
         mLeaveMonitor.recordResponse(endpoint, head);
+        mPauseMonitor.recordResponse(endpoint, head);
     }
 
     /** Returns the software versions of the services' endpoints. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -106,7 +106,10 @@
 
     /** Returns whether there is an endpoint left that may receive the request, if not busy. */
     boolean hasEndpoint() {
-        return usable().stream().anyMatch(selectionRequest(ANYWHERE)::allows);
+        long now = mState.nowMillis();
+        return usable().stream()
+                .filter(selectionRequest(ANYWHERE)::allows)
+                .anyMatch(each -> each.pause().maySend(now));
     }
 
     private Attempt send(Selection.Chosen chosen, Consumer<HttpHeaders> additions, long now) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageEndpoints.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageEndpoints.java
@@ -22,9 +22,14 @@
         mSendersPerService = sendersPerService;
     }
 
-    /** Returns the endpoints to which sends are not stopped because of recent refusals. */
+    /**
+     * Returns the endpoints to which sends are not stopped because of recent refusals or pauses.
+     */
     List<EndpointState> callable(String service, long nowMillis) {
-        List<EndpointState> usable = mBackoff.callable(mState.usable(service), nowMillis);
+        List<EndpointState> usable =
+                mBackoff.callable(mState.usable(service), nowMillis).stream()
+                        .filter(each -> each.pause().maySend(nowMillis))
+                        .toList();
         return mState.rejectionMonitor()
                 .services()
                 .rejectionsPerSecond(service, nowMillis)
