Count a retry that waits as reserved, and at its send for a window

What endpoints saw: repeats that were permitted in one window and waited (in the queue of a stage, at the next sender, or for the stages of their request) arrived with those of the next window, up to twice the limit. What callers saw: a permit was spent though the stream then could not be resumed, its stages did not run again, or the piece expired, was cancelled or had its result first; retries were denied that nobody had sent.

Cause: a permit counted at the time at which it was granted, and only then.

Now RetryBudget hands out a RetryPermit that has one owner, which ends it: used at the send, or given back. While it waits it counts however old it is, and then for a window from the send. The owner is the Sender of a request until it sends or the request ends; the StageQueue while a piece waits, where all ways out are one method; and SharedStageExecutor for a piece that a peer sends, until its outcome, its cancellation or the loss of the peer. That permit counts as used then, as nothing tells whether the peer has sent the piece.

SharedLimitsTest says when a retry is sent, as the budget now asks for that; its bounds and times are the same.

--- a/core/src/main/java/org/wasabilug/internal/serving/BudgetDecision.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/BudgetDecision.java
@@ -1,11 +1,25 @@
 package org.wasabilug.internal.serving;
 
+import java.util.List;
+
 /**
  * Answer of a {@link RetryBudget}.
  *
- * @param granted true if the retry may be sent
- * @param acquired retries that were acquired within the window before
- * @param limit retries that this instance may send within the window
+ * @param permits one for each retry if all of them may be sent, else none
+ * @param reserved retries that were permitted before and not sent yet
+ * @param used retries that were sent within the window before
+ * @param limit retries that may be reserved or sent within the window at this instance
  * @param instances number of instances among which the reserve was divided
  */
-public record BudgetDecision(boolean granted, int acquired, double limit, int instances) {}
+public record BudgetDecision(
+        List<RetryPermit> permits, int reserved, int used, double limit, int instances) {
+    /** Copies the permits. */
+    public BudgetDecision {
+        permits = List.copyOf(permits);
+    }
+
+    /** Returns whether the retries may be sent. */
+    public boolean granted() {
+        return !permits.isEmpty();
+    }
+}
--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -1,6 +1,8 @@
 package org.wasabilug.internal.serving;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -18,7 +20,7 @@
     private static final double SAFETY_FACTOR = 0.8;
 
     private final RetryLimits mLimits;
-    private final Map<String, Counts> mServices = new HashMap<>();
+    private final Map<String, RetryCounts> mServices = new HashMap<>();
     private long mReserveFromMillis = Long.MAX_VALUE;
 
     /**
@@ -46,48 +48,44 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordFirstAttempt(String service, long nowMillis) {
-        counts(service).mFirstAttempts.add(nowMillis);
+        counts(service).recordFirstAttempt(nowMillis);
     }
 
     /**
-     * Acquires retries if the budget allows all of them.
+     * Reserves retries if the budget allows all of them. Those that are reserved count however long
+     * they wait, so that what waited is not sent beside what a later window allows.
      *
      * @param service service to which they would be sent
-     * @param count number of retries
+     * @param count number of retries, at least 1
      * @param instances number of instances that may share the limit
      * @param nowMillis current monotonic time, in milliseconds
-     * @return whether they may be sent, and of how many
+     * @return the permits, which the caller ends
      */
-    public BudgetDecision tryAcquire(String service, int count, int instances, long nowMillis) {
-        Counts counts = counts(service);
-        int acquired = counts.mRetries.count(nowMillis);
+    public BudgetDecision tryReserve(String service, int count, int instances, long nowMillis) {
+        RetryCounts counts = counts(service);
+        int reserved = counts.reserved();
+        int used = counts.repeats(nowMillis);
         double limit = limit(counts, instances, nowMillis);
-        boolean granted = acquired + count <= limit;
-        for (int retry = 0; granted && retry < count; retry++) {
-            counts.mRetries.add(nowMillis);
+        List<RetryPermit> permits = new ArrayList<>();
+        while (reserved + used + count <= limit && permits.size() < count) {
+            permits.add(new RetryPermit(counts));
         }
-        return new BudgetDecision(granted, acquired, limit, instances);
+        return new BudgetDecision(permits, reserved, used, limit, instances);
     }
 
-    private double limit(Counts counts, int instances, long nowMillis) {
-        double earned = mLimits.ratio() * counts.mFirstAttempts.count(nowMillis);
+    private double limit(RetryCounts counts, int instances, long nowMillis) {
+        double earned = mLimits.ratio() * counts.firstAttempts(nowMillis);
         boolean open = nowMillis >= mReserveFromMillis;
         double reserve = open ? mLimits.reserve() / Math.max(1, instances) : 0;
         return SAFETY_FACTOR * (earned + reserve);
     }
 
-    private Counts counts(String service) {
-        return mServices.computeIfAbsent(service, name -> new Counts(mLimits.windowMillis()));
+    private RetryCounts counts(String service) {
+        return mServices.computeIfAbsent(service, name -> new RetryCounts(mLimits.windowMillis()));
     }
 
-    /** Attempts sent to one service within the current window. */
-    private static final class Counts {
-        private final SlidingWindow mFirstAttempts;
-        private final SlidingWindow mRetries;
-
-        Counts(long windowMillis) {
-            mFirstAttempts = new SlidingWindow(windowMillis);
-            mRetries = new SlidingWindow(windowMillis);
-        }
+    /** Returns the retries at all services that are permitted and not sent yet. */
+    public int reserved() {
+        return mServices.values().stream().mapToInt(RetryCounts::reserved).sum();
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -67,10 +67,23 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void add(PieceWork work, long nowMillis) {
+        add(work, RetryPermit.NONE, nowMillis);
+    }
+
+    /**
+     * Adds a piece unless it is already waiting, and from then on holds its permit: it is used when
+     * the piece is sent, and given back when the piece leaves the queue in another way.
+     *
+     * @param work the piece
+     * @param permit permission to send it once more
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void add(PieceWork work, RetryPermit permit, long nowMillis) {
         if (mById.containsKey(work.id())) {
+            permit.giveBack();
             return;
         }
-        WaitingPiece waiting = new WaitingPiece(work, nowMillis, mNextOrder++);
+        WaitingPiece waiting = new WaitingPiece(work, permit, nowMillis, mNextOrder++);
         mById.put(work.id(), waiting);
         mWaiting.add(waiting);
         mByLatestStart.add(waiting);
@@ -254,15 +267,18 @@
         int maximum = capacity.piecesPerCall();
         call.fill(mWaiting, maximum);
         call.fill(mLate, maximum);
+        call.mPieces.forEach(waiting -> waiting.mPermit.use(nowMillis));
         return remove(call.mPieces);
     }
 
+    /** Removes pieces; permits that were not used are not needed any more. */
     private List<PieceWork> remove(List<WaitingPiece> pieces) {
         for (WaitingPiece waiting : pieces) {
             mWaiting.remove(waiting);
             mByLatestStart.remove(waiting);
             mLate.remove(waiting);
             mById.remove(waiting.mWork.id());
+            waiting.mPermit.giveBack();
         }
         return pieces.stream().map(waiting -> waiting.mWork).toList();
     }
@@ -327,11 +343,13 @@
     /** A piece and the time at which it was added. */
     private static final class WaitingPiece {
         private final PieceWork mWork;
+        private final RetryPermit mPermit;
         private final long mSinceMillis;
         private final long mOrder;
 
-        WaitingPiece(PieceWork work, long sinceMillis, long order) {
+        WaitingPiece(PieceWork work, RetryPermit permit, long sinceMillis, long order) {
             mWork = work;
+            mPermit = permit;
             mSinceMillis = sinceMillis;
             mOrder = order;
         }
--- a/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/SharedLimitsTest.java
@@ -23,7 +23,7 @@
             for (int request = 0; request < requests; request++) {
                 budget.recordFirstAttempt("service", request);
             }
-            while (budget.tryAcquire("service", 1, instances, 500).granted()) {
+            while (budget.tryReserve("service", 1, instances, 500).granted()) {
                 retries++;
             }
         }
@@ -35,19 +35,19 @@
         RetryBudget budget = new RetryBudget(new RetryLimits(0, 2, 1_000));
         budget.openReserve(0);
 
-        assertThat(budget.tryAcquire("service", 1, 1, 0).granted()).isTrue();
-        assertThat(budget.tryAcquire("service", 1, 1, 500).granted()).isFalse();
-        assertThat(budget.tryAcquire("service", 1, 1, 1_001).granted()).isTrue();
+        budget.tryReserve("service", 1, 1, 0).permits().getFirst().use(0);
+        assertThat(budget.tryReserve("service", 1, 1, 500).granted()).isFalse();
+        assertThat(budget.tryReserve("service", 1, 1, 1_001).granted()).isTrue();
     }
 
     @Test
     void theReserveIsNotUsedBeforeItIsOpen() {
         RetryBudget budget = new RetryBudget(new RetryLimits(0, 2, 1_000));
 
-        assertThat(budget.tryAcquire("service", 1, 1, 0).granted()).isFalse();
+        assertThat(budget.tryReserve("service", 1, 1, 0).granted()).isFalse();
         budget.openReserve(1_000);
-        assertThat(budget.tryAcquire("service", 1, 1, 999).granted()).isFalse();
-        assertThat(budget.tryAcquire("service", 1, 1, 1_000).granted()).isTrue();
+        assertThat(budget.tryReserve("service", 1, 1, 999).granted()).isFalse();
+        assertThat(budget.tryReserve("service", 1, 1, 1_000).granted()).isTrue();
     }
 
     @Property(tries = 200)
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -126,9 +126,12 @@
         mCallers =
                 new CallerListener(
                         mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
-        mReadiness =
-                new ReadinessServer(
-                        protocol.readinessPath(), this::ready, () -> MetricsText.of(mMetrics));
+        mReadiness = new ReadinessServer(protocol.readinessPath(), this::ready, this::metricsText);
+    }
+
+    private String metricsText() {
+        mState.log().level("retries-waiting", mState.retryPermits().reserved());
+        return MetricsText.of(mMetrics);
     }
 
     private PeerNetwork peerNetwork() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -1,11 +1,14 @@
 package org.wasabilug.gateway.internal;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.BudgetDecision;
 import org.wasabilug.internal.serving.RetryBudget;
 import org.wasabilug.internal.serving.RetryLimits;
+import org.wasabilug.internal.serving.RetryPermit;
 
 /** Asks the retry budget of this instance, and logs each answer. */
 public final class RetryPermits {
@@ -62,24 +65,42 @@
     }
 
     /**
-     * Acquires retries if the budget allows all of them.
+     * Reserves retries if the budget allows all of them.
      *
      * @param service service to which they would be sent
      * @param request ID of the request
      * @param reason why it, or its pieces, are sent once more
      * @param count number of retries
-     * @return true if they may be sent
+     * @return a permit for each, which the caller ends; none if they may not be sent
      */
-    public boolean tryAcquire(String service, String request, RetryReason reason, int count) {
+    public List<RetryPermit> tryReserve(
+            String service, String request, RetryReason reason, int count) {
         BudgetDecision decision =
-                mBudget.tryAcquire(service, count, mState.instances(), mState.nowMillis());
+                mBudget.tryReserve(service, count, mState.instances(), mState.nowMillis());
         if (decision.granted()) {
             log("retry-granted", service, request, reason, count, decision);
         } else if (!request.equals(mLastDenied.put(service, request))) {
             // Retries of overdue pieces are asked for several times a second.
             log("retry-denied", service, request, reason, count, decision);
         }
-        return decision.granted();
+        return decision.permits();
+    }
+
+    /**
+     * Reserves one retry if the budget allows it.
+     *
+     * @param service service to which it would be sent
+     * @param request ID of the request
+     * @param reason why it, or its piece, is sent once more
+     * @return the permit, which the caller ends; empty if it may not be sent
+     */
+    public Optional<RetryPermit> tryReserve(String service, String request, RetryReason reason) {
+        return tryReserve(service, request, reason, 1).stream().findFirst();
+    }
+
+    /** Returns the retries that are permitted and not sent yet. */
+    public int reserved() {
+        return mBudget.reserved();
     }
 
     private void log(
@@ -96,7 +117,8 @@
                                 .with("service", service)
                                 .with("reason", reason.name())
                                 .with("count", count)
-                                .with("acquired", decision.acquired())
+                                .with("acquired", decision.reserved() + decision.used())
+                                .with("waiting", decision.reserved())
                                 .with("limit", (long) decision.limit())
                                 .with("instances", decision.instances()));
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/log/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.wasabilug.gateway.internal.log;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -65,6 +66,17 @@
         mMetrics.counter("count." + event).inc();
     }
 
+    /**
+     * Sets what there is of something at present.
+     *
+     * @param name what it is
+     * @param value how many there are
+     */
+    public void level(String name, long value) {
+        Counter counter = mMetrics.counter("count." + name);
+        counter.inc(value - counter.getCount());
+    }
+
     /**
      * Records the duration of a step of a request.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -17,6 +18,7 @@
 import org.wasabilug.internal.serving.PieceOutcome;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.Repetition;
+import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.StageSenders;
 import org.wasabilug.messages.gateway.PieceCancellation;
 import org.wasabilug.messages.gateway.PieceOrder;
@@ -54,23 +56,42 @@
         mLocal = local;
     }
 
-    /** A piece that another instance sends to endpoints. */
-    private record RemotePiece(PieceWork work, String sender, Consumer<PieceOutcome> receiver) {}
+    /**
+     * A piece that another instance sends to endpoints.
+     *
+     * @param work the piece
+     * @param permit permit of this instance; the other one may use it until the piece has ended
+     * @param sender the other instance
+     * @param receiver receives the outcome
+     */
+    private record RemotePiece(
+            PieceWork work, RetryPermit permit, String sender, Consumer<PieceOutcome> receiver) {}
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
+        submit(work, RetryPermit.NONE, receiver);
+    }
+
+    private void submit(PieceWork work, RetryPermit permit, Consumer<PieceOutcome> receiver) {
         String sender = chooseSender(work.service());
         if (sender.equals(mState.settings().name())) {
-            mLocal.submit(work, receiver);
+            mLocal.submit(work, permit, receiver);
             return;
         }
-        mRemotePieces.put(work.id(), new RemotePiece(work, sender, receiver));
+        ended(mRemotePieces.put(work.id(), new RemotePiece(work, permit, sender, receiver)));
         mOrdersToSend
                 .computeIfAbsent(sender, name -> new ArrayList<>())
                 .add(PieceMessages.order(work, mState.nowMillis()));
         scheduleFlush();
     }
 
+    /** Ends the permit of a piece, if there is one: it may have been sent until now. */
+    private void ended(RemotePiece piece) {
+        if (piece != null) {
+            piece.permit().use(mState.nowMillis());
+        }
+    }
+
     private String chooseSender(String service) {
         Map<String, Double> live = mNetwork.liveProcessorShares();
         if (live.isEmpty()) {
@@ -88,6 +109,7 @@
         List<PieceWork> local = new ArrayList<>();
         for (PieceWork work : pieces) {
             RemotePiece piece = mRemotePieces.remove(work.id());
+            ended(piece);
             if (piece == null) {
                 local.add(work);
             } else {
@@ -171,6 +193,7 @@
                 mProducers.put(produced.handle(), peer);
             }
             RemotePiece piece = mRemotePieces.remove(PieceMessages.id(result));
+            ended(piece);
             if (piece != null) {
                 piece.receiver().accept(outcome);
             } else if (outcome instanceof PieceOutcome.Produced produced) {
@@ -211,6 +234,7 @@
         }
         for (RemotePiece piece : open) {
             mRemotePieces.remove(piece.work().id());
+            ended(piece);
             resubmit(piece);
         }
         mOrdersToSend.remove(peer);
@@ -226,12 +250,12 @@
     /** Orders a piece again; without a permit of this instance its next sender has to ask. */
     private void resubmit(RemotePiece piece) {
         PieceWork work = piece.work();
-        boolean permitted =
+        Optional<RetryPermit> permit =
                 mState.retryPermits()
-                        .tryAcquire(
-                                work.service(), work.id().request(), RetryReason.LOST_SENDER, 1);
+                        .tryReserve(work.service(), work.id().request(), RetryReason.LOST_SENDER);
         submit(
-                work.repeated(permitted ? Repetition.PERMITTED : Repetition.UNPERMITTED),
+                work.repeated(permit.isPresent() ? Repetition.PERMITTED : Repetition.UNPERMITTED),
+                permit.orElse(RetryPermit.NONE),
                 piece.receiver());
     }
 
@@ -283,7 +307,7 @@
             PieceWork work = PieceMessages.work(order, mState.nowMillis());
             RemotePiece piece = mRemotePieces.remove(work.id());
             if (piece != null) {
-                mLocal.submit(piece.work(), piece.receiver());
+                mLocal.submit(piece.work(), piece.permit(), piece.receiver());
             }
         }
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -189,7 +189,7 @@
         drop(failed);
         if (!mPending.isEmpty()) {
             log("attempt-dropped", failed);
-        } else if (mSender.tryAcquireRetry()) {
+        } else if (mSender.tryReserveRetry()) {
             retry();
         } else {
             end();
@@ -271,6 +271,7 @@
     /** Stops waiting for a response; may be called more than once. */
     final void end() {
         mTimeout.cancel(false);
+        mSender.end();
         releaseResources();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -11,6 +11,7 @@
 import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.Selection;
 import org.wasabilug.internal.serving.SelectionRequest;
 
@@ -27,6 +28,10 @@
     private final Set<String> mExcluded = new HashSet<>();
     private final List<Attempt> mAttempts = new ArrayList<>();
     private Optional<String> mSoftwareVersion = Optional.empty();
+
+    /** Permits the next send if that is a retry. */
+    private RetryPermit mPermit = RetryPermit.NONE;
+
     private int mSends;
 
     /** Sends that may have run; excludes those that certainly did not. */
@@ -114,6 +119,7 @@
         long remaining = mRequest.deadline().millis() - now;
         HttpHeaders headers = mHeaders.toEndpoint(mRequest, endpoint);
         additions.accept(headers);
+        mPermit.use(now);
         if (mSends == 0) {
             mState.retryPermits().recordFirstAttempt(mRequest.service().name(), now);
         }
@@ -158,11 +164,16 @@
     }
 
     /**
-     * Acquires permission for another send after one that reached an endpoint. There is none
-     * without an endpoint to send to.
+     * Reserves another send after one that reached an endpoint. There is none without an endpoint
+     * to send to.
      */
-    boolean tryAcquireRetry() {
-        return mayRetry() && tryAcquireBudget(RetryReason.FAILED_ATTEMPT);
+    boolean tryReserveRetry() {
+        return mayRetry() && tryReserve(RetryReason.FAILED_ATTEMPT);
+    }
+
+    /** Gives back the retry that was reserved and not sent, as the request has ended. */
+    void end() {
+        mPermit.giveBack();
     }
 
     private boolean mayRetry() {
@@ -177,9 +188,16 @@
         return mAttempts.stream().filter(Attempt::cutOff).count();
     }
 
-    private boolean tryAcquireBudget(RetryReason reason) {
-        return mState.retryPermits()
-                .tryAcquire(mRequest.service().name(), mRequest.id(), reason, 1);
+    private boolean tryReserve(RetryReason reason) {
+        Optional<RetryPermit> permit =
+                mState.retryPermits().tryReserve(mRequest.service().name(), mRequest.id(), reason);
+        permit.ifPresent(this::hold);
+        return permit.isPresent();
+    }
+
+    private void hold(RetryPermit permit) {
+        mPermit.giveBack();
+        mPermit = permit;
     }
 
     /** Returns whether {@link #sendHedge} would find an endpoint now, if the budget allows it. */
@@ -196,7 +214,7 @@
         long now = mState.nowMillis();
         if (mayRetry()
                 && selectToSend(inputs, now) instanceof Selection.Chosen chosen
-                && tryAcquireBudget(RetryReason.OVERDUE_ATTEMPT)) {
+                && tryReserve(RetryReason.OVERDUE_ATTEMPT)) {
             return Optional.of(send(chosen, additions, now));
         }
         return Optional.empty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
@@ -20,6 +20,7 @@
 import org.wasabilug.internal.serving.ProducedHandles;
 import org.wasabilug.internal.serving.QueueWaits;
 import org.wasabilug.internal.serving.Repetition;
+import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
@@ -37,8 +38,6 @@
      */
     private static final int SENDERS_PER_SERVICE = 3;
 
-    private static final long QUEUE_LOG_INTERVAL_MILLIS = 1_000;
-
     private final GatewayState mState;
     private final ResultRegistry mResults;
     private final Map<String, StageQueue> mQueues = new HashMap<>();
@@ -50,11 +49,9 @@
     private final Map<String, Long> mNextDispatchMillis = new HashMap<>();
     private final Map<PieceId, Receiver> mReceivers = new HashMap<>();
 
-    /** Submitted pieces for which the retry budget was not asked yet. */
-    private final Map<StageOfRequest, List<PieceWork>> mUnpermitted = new LinkedHashMap<>();
-
+    private final RepeatedStages mRepeatedStages;
+    private final StageQueueLog mQueueLog;
     private final StageCallAttempt.Listener mCallListener = new CallListener();
-    private long mNextQueueLogMillis = Long.MIN_VALUE;
 
     /** Passes on what becomes of the calls. */
     private final class CallListener implements StageCallAttempt.Listener {
@@ -69,7 +66,23 @@
         }
     }
 
-    private record StageOfRequest(String request, int stage) {}
+    /** Passes on the answers of the retry budget. */
+    private final class StageListener implements RepeatedStages.Listener {
+        @Override
+        public boolean isOpen(PieceWork work) {
+            return isWaitedFor(work);
+        }
+
+        @Override
+        public void permitted(PieceWork work, RetryPermit permit) {
+            enqueue(work, permit);
+        }
+
+        @Override
+        public void denied(PieceWork work) {
+            fail(work, PieceFailure.ERROR);
+        }
+    }
 
     /** Receiver of the outcome of a piece. */
     private record Receiver(PieceWork work, Consumer<PieceOutcome> outcomes) {}
@@ -83,57 +96,40 @@
         mState = state;
         mResults = new ResultRegistry(state, this::released);
         mEndpoints = new StageEndpoints(state, SENDERS_PER_SERVICE);
+        mRepeatedStages = new RepeatedStages(state, new StageListener());
+        mQueueLog = new StageQueueLog(state);
         state.reachability().onSilent(this::abandonCalls);
     }
 
     @Override
     public void submit(PieceWork work, Consumer<PieceOutcome> receiver) {
+        submit(work, RetryPermit.NONE, receiver);
+    }
+
+    /**
+     * Submits a piece with the permit of this instance to send it once more, and ends the permit.
+     *
+     * @param work the piece
+     * @param permit the permit; none if the piece isn't a repeat or another instance was asked
+     * @param receiver receives the outcome, once
+     */
+    public void submit(PieceWork work, RetryPermit permit, Consumer<PieceOutcome> receiver) {
         mReceivers.put(work.id(), new Receiver(work, receiver));
         if (work.repetition() == Repetition.UNPERMITTED) {
-            permitLater(work);
+            mRepeatedStages.add(work);
         } else {
-            enqueue(work);
+            enqueue(work, permit);
         }
     }
 
-    private void enqueue(PieceWork work) {
+    private void enqueue(PieceWork work, RetryPermit permit) {
         long now = mState.nowMillis();
-        queue(work.service()).add(work, now);
+        queue(work.service()).add(work, permit, now);
         waits(work.service()).recordArrival(work.rank(), now);
         // Pieces of one request are submitted one after another and should share a call.
         scheduleDispatch(work.service(), 0);
     }
 
-    /** Asks the retry budget once all pieces of the stage are submitted, for all or none. */
-    private void permitLater(PieceWork work) {
-        if (mUnpermitted.isEmpty()) {
-            mState.loop().execute(this::permitStages);
-        }
-        mUnpermitted
-                .computeIfAbsent(
-                        new StageOfRequest(work.id().request(), work.id().stage()),
-                        stage -> new ArrayList<>())
-                .add(work);
-    }
-
-    private void permitStages() {
-        List<List<PieceWork>> stages = new ArrayList<>(mUnpermitted.values());
-        mUnpermitted.clear();
-        stages.forEach(this::permitStage);
-    }
-
-    private void permitStage(List<PieceWork> pieces) {
-        List<PieceWork> open = pieces.stream().filter(this::isOpen).toList();
-        if (open.isEmpty()) {
-            return;
-        }
-        if (tryAcquireRetries(open.getFirst(), RetryReason.STAGE_AGAIN, open.size())) {
-            open.forEach(this::enqueue);
-        } else {
-            open.forEach(work -> fail(work, PieceFailure.ERROR));
-        }
-    }
-
     @Override
     public void cancel(String request, List<PieceWork> pieces) {
         pieces.forEach(work -> mReceivers.remove(work.id()));
@@ -273,8 +269,9 @@
         }
         String endpoint = call.endpoint().registration().name();
         for (PieceWork work : call.pieces()) {
-            if (!mRunning.hasTimelyCallWith(work) && mayRepeat(work, RetryReason.OVERDUE_PIECE)) {
-                repeat(endpoint, work, "OVERDUE", true);
+            if (!mRunning.hasTimelyCallWith(work)) {
+                tryReserveRepeat(work, RetryReason.OVERDUE_PIECE)
+                        .ifPresent(permit -> repeat(endpoint, work, permit, "OVERDUE", true));
             }
         }
         scheduleDispatch(service, 0);
@@ -331,27 +328,27 @@
             String endpoint, PieceWork work, PieceOutcome.Failed failed, boolean executed) {
         boolean retryable =
                 failed.reason() == PieceFailure.ERROR || failed.reason() == PieceFailure.NO_ROOM;
-        if (retryable
-                && mRunning.countWith(work) == 0
-                && mayRepeat(work, RetryReason.FAILED_PIECE)) {
-            repeat(endpoint, work, failed.reason().name(), executed);
-        } else {
-            failUnlessRunning(work, failed.reason());
-        }
-    }
-
-    private boolean mayRepeat(PieceWork work, RetryReason reason) {
-        return isOpen(work)
-                && !queue(work.service()).contains(work.id())
-                && work.deadlineMillis() > mState.nowMillis()
-                && tryAcquireRetries(work, reason, 1);
-    }
-
-    private boolean tryAcquireRetries(PieceWork work, RetryReason reason, int count) {
-        return mState.retryPermits().tryAcquire(work.service(), work.id().request(), reason, count);
-    }
-
-    private void repeat(String endpoint, PieceWork work, String reason, boolean executed) {
+        Optional<RetryPermit> permit =
+                retryable && mRunning.countWith(work) == 0
+                        ? tryReserveRepeat(work, RetryReason.FAILED_PIECE)
+                        : Optional.empty();
+        permit.ifPresentOrElse(
+                held -> repeat(endpoint, work, held, failed.reason().name(), executed),
+                () -> failUnlessRunning(work, failed.reason()));
+    }
+
+    private Optional<RetryPermit> tryReserveRepeat(PieceWork work, RetryReason reason) {
+        boolean needed =
+                isWaitedFor(work)
+                        && !queue(work.service()).contains(work.id())
+                        && work.deadlineMillis() > mState.nowMillis();
+        return needed
+                ? mState.retryPermits().tryReserve(work.service(), work.id().request(), reason)
+                : Optional.empty();
+    }
+
+    private void repeat(
+            String endpoint, PieceWork work, RetryPermit permit, String reason, boolean executed) {
         mState.log()
                 .request(
                         LogLine.of("piece-repeated")
@@ -361,7 +358,7 @@
                                 .with("failed_at", endpoint)
                                 .with("executed", executed)
                                 .with("reason", reason));
-        queue(work.service()).add(work.repeated(Repetition.PERMITTED), mState.nowMillis());
+        queue(work.service()).add(work.repeated(Repetition.PERMITTED), permit, mState.nowMillis());
     }
 
     /** Fails a piece, unless another call may still bring its result. */
@@ -377,13 +374,13 @@
     }
 
     /** Returns whether a result is waited for; not if its stage runs again with other inputs. */
-    private boolean isOpen(PieceWork work) {
+    private boolean isWaitedFor(PieceWork work) {
         Receiver receiver = mReceivers.get(work.id());
         return receiver != null && receiver.work().hasResultOf(work);
     }
 
     private void deliver(PieceWork work, PieceOutcome outcome) {
-        if (isOpen(work)) {
+        if (isWaitedFor(work)) {
             queue(work.service()).cancel(work.id());
             mReceivers.remove(work.id()).outcomes().accept(outcome);
         } else if (outcome instanceof PieceOutcome.Produced produced) {
@@ -405,29 +402,7 @@
     public int evictExpired() {
         List<String> services = new ArrayList<>(mQueues.keySet());
         services.forEach(this::dispatch);
-        logQueues();
+        mQueueLog.write(mQueues);
         return mResults.evictExpired();
     }
-
-    /** Logs the queues that are not empty, at a limited rate. */
-    private void logQueues() {
-        long now = mState.nowMillis();
-        if (now < mNextQueueLogMillis) {
-            return;
-        }
-        mNextQueueLogMillis = now + QUEUE_LOG_INTERVAL_MILLIS;
-        mQueues.forEach(
-                (service, queue) -> {
-                    if (queue.size() > 0) {
-                        mState.log()
-                                .process(
-                                        LogLine.of("stage-queue")
-                                                .with("service", service)
-                                                .with("waiting", queue.size())
-                                                .with("late", queue.lateSize())
-                                                .with("calls", queue.runningCalls())
-                                                .with("endpoints", mState.usable(service).size()));
-                    }
-                });
-    }
 }
