Take a piece's outcome only from the peer that it was last ordered from

What callers saw: a request failed with 503 though its piece was under way at the next sender, as the failure that the lost sender still told was taken for that of the later order.

Cause: resultsReceived looked a piece up by its id alone.

Evidence: LateOutcomeOfPeerTest answers 503 before, 200 now. A result that comes from an earlier sender is released, as one without an order always was. Outcomes of two orders of one piece at the same peer can't be told apart, as an order has no number.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStageExecutor.java
@@ -192,9 +192,11 @@
             if (outcome instanceof PieceOutcome.Produced produced) {
                 mProducers.put(produced.handle(), peer);
             }
-            RemotePiece piece = mRemotePieces.remove(PieceMessages.id(result));
-            ended(piece);
-            if (piece != null) {
+            PieceId id = PieceMessages.id(result);
+            RemotePiece piece = mRemotePieces.get(id);
+            // The outcome of an earlier order says nothing about one that another peer has now.
+            if (piece != null && piece.sender().equals(peer)) {
+                ended(mRemotePieces.remove(id));
                 piece.receiver().accept(outcome);
             } else if (outcome instanceof PieceOutcome.Produced produced) {
                 release(List.of(produced.handle()));
