Ask the retry budget for late pieces that have arrived before

What endpoints saw: a piece that they had called late came again as soon as a new configuration gave its request more time, without a question to the budget; it counted as a first one, so it even earned retries.

Cause: submitWithMoreTime orders the piece as it was ordered before, and could not tell a piece that an endpoint called late from one that was too late in the queue. A failure now says whether the piece may have arrived; only one that expired in the queue of this instance and was no repeat is ordered as a first one again. A peer's message doesn't tell, so its late pieces count as repeats.

--- a/core/src/main/java/org/wasabilug/internal/serving/PieceOutcome.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceOutcome.java
@@ -13,6 +13,16 @@
      * There is no result.
      *
      * @param reason cause of the failure
+     * @param mayHaveArrived false if it is certain that no endpoint has received the piece
      */
-    record Failed(PieceFailure reason) implements PieceOutcome {}
+    record Failed(PieceFailure reason, boolean mayHaveArrived) implements PieceOutcome {
+        /**
+         * Creates the outcome of a piece that an endpoint may have received.
+         *
+         * @param reason cause of the failure
+         */
+        public Failed(PieceFailure reason) {
+            this(reason, true);
+        }
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -290,7 +290,7 @@
         recordStageTime(work, outcome, mState.nowMillis() - orderedMillis);
         switch (outcome) {
             case PieceOutcome.Produced produced -> produced(work, produced.handle());
-            case PieceOutcome.Failed failed -> failed(work, failed.reason());
+            case PieceOutcome.Failed failed -> failed(work, failed);
         }
     }
 
@@ -323,7 +323,8 @@
                 .request(stageLine("stage-completed", stage).with("millis", millisInStage(stage)));
     }
 
-    private void failed(PieceWork work, PieceFailure reason) {
+    private void failed(PieceWork work, PieceOutcome.Failed failure) {
+        PieceFailure reason = failure.reason();
         mState.log()
                 .request(
                         LogLine.of("piece-failed")
@@ -333,20 +334,24 @@
                                 .with("piece", work.id().piece())
                                 .with("reason", reason.name()));
         if (reason == PieceFailure.INPUT_GONE && restart()
-                || reason == PieceFailure.LATE && submitWithMoreTime(work)) {
+                || reason == PieceFailure.LATE && submitWithMoreTime(work, failure)) {
             return;
         }
         failed(reason);
     }
 
-    /** Orders a late piece again if a new configuration has given its request enough time. */
-    private boolean submitWithMoreTime(PieceWork work) {
+    /**
+     * Orders a late piece again if a new configuration has given its request enough time. It is a
+     * repeat if the endpoint may have said that it is late.
+     */
+    private boolean submitWithMoreTime(PieceWork work, PieceOutcome.Failed failure) {
         long startBy = latestStartMillis(work.id().stage());
         long deadline = mRequest.deadline().millis();
         if (deadline <= work.deadlineMillis() || startBy <= mState.nowMillis()) {
             return false;
         }
-        submit(work.withTime(startBy, deadline));
+        PieceWork again = work.withTime(startBy, deadline);
+        submit(failure.mayHaveArrived() ? again.repeated(Repetition.UNPERMITTED) : again);
         return true;
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -196,7 +196,7 @@
         mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
         long now = mState.nowMillis();
-        queue.removeExpired(now).forEach(work -> failUnlessRunning(work, PieceFailure.LATE));
+        queue.removeExpired(now).forEach(this::expired);
         if (queue.size() == 0) {
             waits(service).recordWaiting(false, now);
             return;
@@ -361,11 +361,20 @@
         queue(work.service()).add(work.repeated(Repetition.PERMITTED), permit, mState.nowMillis());
     }
 
-    /** Fails a piece, unless another call may still bring its result. */
+    /** Fails a piece that has waited too long, and tells whether it was not sent before. */
+    private void expired(PieceWork work) {
+        failUnlessRunning(work, new PieceOutcome.Failed(PieceFailure.LATE, work.repeat()));
+    }
+
     private void failUnlessRunning(PieceWork work, PieceFailure reason) {
+        failUnlessRunning(work, new PieceOutcome.Failed(reason));
+    }
+
+    /** Fails a piece, unless another call may still bring its result. */
+    private void failUnlessRunning(PieceWork work, PieceOutcome.Failed outcome) {
         boolean waiting = queue(work.service()).contains(work.id());
         if (!waiting && mRunning.countWith(work) == 0) {
-            fail(work, reason);
+            deliver(work, outcome);
         }
     }
 
