Tell callers of a pause at once, and delay no other releases for it

Cause, found by a review: the caller whose request brought the pause was told to come back after 400 ms although the only endpoint had asked for more; a 429 counted as a request that was taken and ended the wait for the first answer; a paused endpoint delayed the releases of the others by up to 100 ms and dropped those of results that a peer had ordered; an endpoint whose first answer takes long got one request in 2 s.

Change: the Retry-After of a refusal is at least the rest of the pause that ends first; only what is not turned away counts as taken; releases are scheduled for the end of the pause by themselves; the wait for the first answer is half a second.

Measured: PausedEndpointTest and EndpointPauseTest with the two new checks pass; they were not run on the code before.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointPause.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointPause.java
@@ -10,7 +10,7 @@
     public static final long MAX_MILLIS = 60_000;
 
     /** How long the answer to the first request is waited for before another one may go. */
-    private static final long FIRST_ANSWER_MILLIS = 2_000;
+    private static final long FIRST_ANSWER_MILLIS = 500;
 
     private static final long NONE = Long.MIN_VALUE / 2;
 
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointPauseTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointPauseTest.java
@@ -33,7 +33,8 @@
         mPause.begin(1_000, 0);
         mPause.recordSent(1_000);
 
-        assertThat(mPause.maySend(3_000)).isTrue();
+        assertThat(mPause.maySend(1_499)).isFalse();
+        assertThat(mPause.maySend(1_500)).isTrue();
     }
 
     @Test
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/PauseMonitor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/PauseMonitor.java
@@ -27,7 +27,9 @@
     void recordResponse(EndpointState endpoint, HttpResponse head) {
         long now = mState.nowMillis();
         if (!head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            endpoint.pause().recordTaken(now);
+            if (!mState.notExecuted(head)) {
+                endpoint.pause().recordTaken(now);
+            }
             return;
         }
         String value = head.headers().get(HttpHeaderNames.RETRY_AFTER);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -232,7 +232,14 @@
         return mUnavailableReason;
     }
 
+    /** Returns when a retry may succeed; not while all endpoints have asked for a pause. */
     long retryAfterMillis() {
-        return mRetryAfterMillis;
+        long now = mState.nowMillis();
+        long pauseMillis =
+                usable().stream()
+                        .mapToLong(each -> each.pause().remainingMillis(now))
+                        .min()
+                        .orElse(0);
+        return Math.max(mRetryAfterMillis, pauseMillis);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegistry.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/ResultRegistry.java
@@ -19,7 +19,6 @@
 /** Results held by endpoints until a request releases them or they expire. */
 final class ResultRegistry {
     private static final long RELEASE_BATCH_MILLIS = 10;
-    private static final long PAUSE_CHECK_MILLIS = 100;
     private static final long RELEASE_TIMEOUT_MILLIS = 2_000;
     private static final long DEFAULT_RETENTION_MILLIS = 4_000;
 
@@ -58,13 +57,9 @@
                             address -> new ArrayList<>())
                     .add(handle);
         }
-        scheduleReleases(RELEASE_BATCH_MILLIS);
-    }
-
-    private void scheduleReleases(long delayMillis) {
         if (!mReleaseScheduled && !mToRelease.isEmpty()) {
             mReleaseScheduled = true;
-            mState.loop().schedule(this::sendReleases, delayMillis, TimeUnit.MILLISECONDS);
+            mState.loop().schedule(this::sendReleases, RELEASE_BATCH_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -91,20 +86,15 @@
                 (address, handles) ->
                         mState.directory()
                                 .findByAddress(address)
-                                .ifPresent(endpoint -> sendOrKeep(endpoint, address, handles)));
-        scheduleReleases(PAUSE_CHECK_MILLIS);
+                                .ifPresent(endpoint -> sendAfterPause(endpoint, handles)));
     }
 
-    /** A release waits for the end of the endpoint's pause; the results expire on their own. */
-    private void sendOrKeep(EndpointState endpoint, String address, List<String> handles) {
-        if (endpoint.pause().remainingMillis(mState.nowMillis()) == 0) {
+    private void sendAfterPause(EndpointState endpoint, List<String> handles) {
+        long pauseMillis = endpoint.pause().remainingMillis(mState.nowMillis());
+        if (pauseMillis == 0) {
             sendRelease(endpoint, handles);
-            return;
-        }
-        List<String> kept = new ArrayList<>(handles);
-        kept.retainAll(mResults.keySet());
-        if (!kept.isEmpty()) {
-            mToRelease.put(address, kept);
+        } else {
+            mState.loop().schedule(() -> release(handles), pauseMillis, TimeUnit.MILLISECONDS);
         }
     }
 
