Refuse a body that ends within the status line of another answer

What callers saw: a success with the seal of its endpoint's answer, whose body ended in a part of the status line of the endpoint's second answer.

Cause: content was searched for a whole status line only. Where the body ended within it the rest was in the decoder already, but nobody asked.

Why it works: the first bytes behind a response, received with its end, are kept with the call, and a status line that begins in the body and ends in them makes the answer GARBLED.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -7,6 +7,7 @@
     private final CallListener mListener;
     private final OutgoingRequest mRequest;
     private EndpointConnection mConnection;
+    private String mBytesBehind = "";
     private boolean mEnded;
 
     EndpointCall(OutgoingRequest request, CallListener listener) {
@@ -46,6 +47,18 @@
         return Optional.ofNullable(mConnection).map(EndpointConnection::trace);
     }
 
+    /**
+     * Returns the first bytes that were received behind the complete response together with its
+     * end, as text of one character a byte; empty if there were none.
+     */
+    public String bytesBehind() {
+        return mBytesBehind;
+    }
+
+    void bytesBehind(String bytes) {
+        mBytesBehind = bytes;
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -265,6 +265,7 @@
         mCall = null;
         boolean pending = !call.ended();
         call.markEnded();
+        call.bytesBehind(mDecoder.bytesBehind());
         mIdleSinceMillis = mOwner.nowMillis();
         if (mReusable && mWritten && !mDecoder.holdsBytes()) {
             // The call may have ended while its response was not read on.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointResponseDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointResponseDecoder.java
@@ -1,8 +1,10 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
 
 /**
@@ -12,6 +14,7 @@
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final int MAX_BYTES_BEHIND = 256;
 
     private final Predicate<HttpResponse> mToHead;
 
@@ -30,6 +33,13 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns the first of these bytes, as text of one character a byte. */
+    String bytesBehind() {
+        ByteBuf behind = internalBuffer();
+        int length = Math.min(behind.readableBytes(), MAX_BYTES_BEHIND);
+        return behind.toString(behind.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return super.isContentAlwaysEmpty(message) || mToHead.test((HttpResponse) message);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
@@ -18,6 +18,9 @@
             Pattern.compile(STATUS_LINE + "[^\\r\\n]{0,200}\\r\\n");
     private static final String LINE_END = "\r\n";
 
+    /** Of the status lines that are found. */
+    private static final int MAX_STATUS_LINE_BYTES = 214;
+
     private JoinedHeads() {}
 
     /**
@@ -69,6 +72,27 @@
         return false;
     }
 
+    /**
+     * Returns whether the status line of another response begins in a body and ends behind it.
+     *
+     * @param body the whole body
+     * @param behind the bytes behind it, as text of one character a byte
+     */
+    public static boolean atEnd(byte[] body, String behind) {
+        if (behind.isEmpty()) {
+            return false;
+        }
+        int length = Math.min(body.length, MAX_STATUS_LINE_BYTES);
+        String end = new String(body, body.length - length, length, StandardCharsets.ISO_8859_1);
+        Matcher statusLine = WHOLE_STATUS_LINE.matcher(end + behind);
+        for (int start = 0; statusLine.find(start); start = statusLine.start() + 1) {
+            if (statusLine.start() < length && statusLine.end() > length) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns where lines end that are headers; -1 at a header that is sought, or the text's end.
      */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -292,7 +292,8 @@
 
     private void finish(long millis) {
         mWholeBody = mBody.toByteArray();
-        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody))) {
+        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody))
+                || JoinedHeads.atEnd(mWholeBody, mCall.bytesBehind())) {
             mState.connections().closeIdle(mEndpoint.registration().name());
             failed(CallFailure.GARBLED);
             return;
