Close all connections of a gateway and of a peer transport

Cause: a loop that is told to end without a quiet period may end between its look whether it has to close its connections and its look whether it may end. The same call stood in the entry daemon's PeerTransport. The programs themselves end their process instead, so only those that embed the classes were concerned.

Change: the loop is told to end by a task of its own, with a quiet period, so that it goes on at least once.

--- a/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerTransport.java
+++ b/entry/src/main/java/org/wasabilug/entry/internal/peer/PeerTransport.java
@@ -44,7 +44,8 @@
      */
     private static final int IDLE_REMOVAL_CONNECTIONS = 1_024;
 
-    private static final long CLOSE_TIMEOUT_SECONDS = 2;
+    private static final long CLOSE_QUIET_MILLIS = 20;
+    private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
     private final InstanceName mName;
     private final long mIncarnation;
@@ -221,8 +222,16 @@
     /** Closes the listener and all connections. Messages in transit may be lost. */
     @Override
     public void close() {
-        mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                .awaitUninterruptibly(2 * CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (!mGroup.isShuttingDown()) {
+            mLoop.execute(this::endLoop);
+        }
+        mGroup.terminationFuture()
+                .awaitUninterruptibly(2 * CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A loop without a quiet period may end before it has closed its connections. */
+    private void endLoop() {
+        mGroup.shutdownGracefully(CLOSE_QUIET_MILLIS, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Builds a {@link PeerTransport}. */
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -53,6 +53,7 @@
     private static final long INSTANCE_WAIT_MILLIS = 15_000;
     private static final long INSTANCE_PAUSE_MILLIS = 200;
     private static final int MAX_TRACKED_PRODUCERS = 5_000;
+    private static final long CLOSE_QUIET_MILLIS = 20;
     private static final long CLOSE_MILLIS = 1_000;
 
     private final GatewaySettings mSettings;
@@ -265,7 +266,15 @@
      */
     @Override
     public void close() {
-        mLoops.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        if (!mLoops.isShuttingDown()) {
+            mState.loop().execute(this::endLoops);
+        }
+        mLoops.terminationFuture().awaitUninterruptibly();
+    }
+
+    /** A loop without a quiet period may end before it has closed its connections. */
+    private void endLoops() {
+        mLoops.shutdownGracefully(CLOSE_QUIET_MILLIS, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void startStop() {
