End a program that can't listen at one of its addresses

Cause: the exception of a failed bind ended the main thread only; the event loop, which is no daemon, kept the process. It didn't say which address could not be had.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -21,14 +21,7 @@
 
 # A rehearsal records the classes that a start and the first requests load. Without the archive the
 # program starts more slowly and is otherwise the same. The options are those of deploy/system.toml:
-# an archive made with others is used only in part.
-cat > target/gateway/rehearsal.json <<'SETTINGS'
-{"node_name": "rehearsal", "zone": "zone", "ip": "127.0.0.1", "port_range": [27740, 27741],
- "listen": {"front": "127.0.0.1:27742", "ready": "127.0.0.1:27743"},
- "bounds": {"grace_s": 4, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 50,
-            "cold_over": 1.5, "cold_slack": 5},
- "platform": {"address": "127.0.0.1:27744"}}
-SETTINGS
+# an archive made with others is used only in part. It chooses its own ports and writes its settings.
 WASABILUG_SETTINGS=target/gateway/rehearsal.json \
     "$PROGRAM" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
     --sun-misc-unsafe-memory-access=allow \
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -5,9 +5,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.ListenReporter;
 import org.wasabilug.gateway.internal.caller.CallerListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
@@ -148,6 +151,8 @@
     /**
      * Starts to serve.
      *
+     * @throws org.wasabilug.error.WasabilugException if an address can't be bound; the gateway is
+     *     to be closed then
      * @throws InterruptedException if interrupted while binding
      */
     public void start() throws InterruptedException {
@@ -158,10 +163,10 @@
                                 .with("domain", mSettings.failureDomain())
                                 .with("callers", mSettings.callers().toString())
                                 .with("store", mSettings.store().toString()));
-        mCallers.listen(mSettings.callers());
-        mReadiness.listen(mLoops, mSettings.readiness());
-        mNetwork.start();
-        mRelays.listen(mSettings.relays());
+        listen("callers", mSettings.callers(), mCallers::listen);
+        listen("readiness", mSettings.readiness(), address -> mReadiness.listen(mLoops, address));
+        listen("peers", mSettings.peers(), address -> mNetwork.start());
+        listen("relays", mSettings.relays(), mRelays::listen);
         mState.loop().execute(this::follow);
         mState.loop()
                 .scheduleAtFixedRate(
@@ -171,6 +176,20 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Something that listens at an address. */
+    private interface Listening {
+        void at(InetSocketAddress address) throws IOException, InterruptedException;
+    }
+
+    private static void listen(String use, InetSocketAddress address, Listening listening)
+            throws InterruptedException {
+        try {
+            listening.at(address);
+        } catch (IOException failure) {
+            throw ListenReporter.cannotListen(use, address, failure);
+        }
+    }
+
     private void follow() {
         StoreProtocol store = mState.protocol().store();
         mConfigurationFollower.start();
