Refuse content in which an interim response begins

Cause: a status line in content counted only if a request id follows in its head, so that a quoted head is no fault. An interim response has no id.

Change: a status line of an interim response counts whatever follows. Content that quotes such a line is refused from now on.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
@@ -17,6 +17,10 @@
     private static final Pattern WHOLE_STATUS_LINE =
             Pattern.compile(STATUS_LINE + "[^\\r\\n]{0,200}\\r\\n");
     private static final String LINE_END = "\r\n";
+    private static final int STATUS_CODE_OFFSET = "HTTP/1.1 ".length();
+
+    /** First digit of the status of a response that another one follows. */
+    private static final char INTERIM = '1';
 
     /** Of the status lines that are found. */
     private static final int MAX_STATUS_LINE_BYTES = 214;
@@ -44,9 +48,10 @@
     }
 
     /**
-     * Returns whether the head of a response to a request begins within the content of a response.
-     * A head that the content quotes has no request id; one at the end, where the content could end
-     * before the id, counts from its whole status line on.
+     * Returns whether the head of another response begins within the content of a response. A head
+     * that the content quotes has no request id; one at the end, where the content could end before
+     * the id, counts from its whole status line on, and so does that of an interim response
+     * anywhere, which has no id.
      *
      * @param content content as received; not changed
      * @param requestIdHeader header that each response to a request has
@@ -62,6 +67,9 @@
             statusLine.region(start, text.length());
             int end = start + 1;
             if (statusLine.lookingAt()) {
+                if (text.charAt(start + STATUS_CODE_OFFSET) == INTERIM) {
+                    return true;
+                }
                 end = endOfHeaders(text, statusLine.end(), requestIdHeader + ":");
                 if (end < 0) {
                     return true;
