Refuse a body behind which something else than a response begins

Cause: the end was refused only if the whole line was there. What is behind a sound body is the beginning of a response, or nothing.

Change: bytes behind a body that can't be the beginning of a response, line ends aside, tell that the body has taken a part of one. Nothing is known while there is nothing behind.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
@@ -16,6 +16,7 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
     private static final Pattern WHOLE_STATUS_LINE =
             Pattern.compile(STATUS_LINE + "[^\\r\\n]{0,200}\\r\\n");
+    private static final Pattern LINE_ENDS = Pattern.compile("\\A[\\r\\n]*");
     private static final String LINE_END = "\r\n";
     private static final int STATUS_CODE_OFFSET = "HTTP/1.1 ".length();
 
@@ -81,15 +82,21 @@
     }
 
     /**
-     * Returns whether the status line of another response begins in a body and ends behind it.
+     * Returns whether a body may have taken the beginning of another response: a status line begins
+     * in it and ends behind it, or what is behind it can't be the beginning of a response. Line
+     * ends behind it are passed over.
      *
      * @param body the whole body
      * @param behind the bytes behind it, as text of one character a byte
      */
     public static boolean atEnd(byte[] body, String behind) {
-        if (behind.isEmpty()) {
+        if (behind.isEmpty() || body.length == 0) {
             return false;
         }
+        String next = LINE_ENDS.matcher(behind).replaceFirst("");
+        if (!next.startsWith(PROTOCOL) && !PROTOCOL.startsWith(next)) {
+            return true;
+        }
         int length = Math.min(body.length, MAX_STATUS_LINE_BYTES);
         String end = new String(body, body.length - length, length, StandardCharsets.ISO_8859_1);
         Matcher statusLine = WHOLE_STATUS_LINE.matcher(end + behind);
