Refuse a body that ends with its connection within a status line

Change: where the connection is the end, the beginning of a status line, from "HTTP/" on, counts as well.

A cut after one to four bytes can't be told from a body that ends so.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/JoinedHeads.java
@@ -81,6 +81,26 @@
         return false;
     }
 
+    /**
+     * Returns whether a body ends within the status line of another response.
+     *
+     * @param body the whole body, which ends with its connection
+     */
+    public static boolean isCutIn(byte[] body) {
+        String end = end(body);
+        int start = end.lastIndexOf(PROTOCOL);
+        if (start < 0) {
+            return false;
+        }
+        Matcher statusLine = WHOLE_STATUS_LINE.matcher(end.substring(start));
+        return !statusLine.lookingAt() && statusLine.hitEnd();
+    }
+
+    private static String end(byte[] body) {
+        int length = Math.min(body.length, MAX_STATUS_LINE_BYTES);
+        return new String(body, body.length - length, length, StandardCharsets.ISO_8859_1);
+    }
+
     /**
      * Returns whether a body may have taken the beginning of another response: a status line begins
      * in it and ends behind it, or what is behind it can't be the beginning of a response. Line
@@ -97,8 +117,8 @@
         if (!next.startsWith(PROTOCOL) && !PROTOCOL.startsWith(next)) {
             return true;
         }
-        int length = Math.min(body.length, MAX_STATUS_LINE_BYTES);
-        String end = new String(body, body.length - length, length, StandardCharsets.ISO_8859_1);
+        String end = end(body);
+        int length = end.length();
         Matcher statusLine = WHOLE_STATUS_LINE.matcher(end + behind);
         for (int start = 0; statusLine.find(start); start = statusLine.start() + 1) {
             if (statusLine.start() < length && statusLine.end() > length) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -292,8 +292,7 @@
 
     private void finish(long millis) {
         mWholeBody = mBody.toByteArray();
-        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody))
-                || JoinedHeads.atEnd(mWholeBody, mCall.bytesBehind())) {
+        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody)) || endsInAnother()) {
             mState.connections().closeIdle(mEndpoint.registration().name());
             failed(CallFailure.GARBLED);
             return;
@@ -310,6 +309,12 @@
         mOwner.completed(this);
     }
 
+    private boolean endsInAnother() {
+        return ResponseFraming.of(mHead) == ResponseFraming.CLOSE
+                ? JoinedHeads.isCutIn(mWholeBody)
+                : JoinedHeads.atEnd(mWholeBody, mCall.bytesBehind());
+    }
+
     /** An endpoint has survived the beginning of an answer that goes on after it. */
     private void answerWentOn() {
         if (!mAnswerWentOn && !mNotExecuted && mHead.status().code() < SERVER_ERROR) {
