--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -42,7 +42,6 @@
     private final Optional<Relay> mRelay;
     private final String mRequestIdHeader;
     private final EndpointResponseDecoder mDecoder = new EndpointResponseDecoder(this::isToHead);
-
     private final Deque<String> mCarriedIds = new ArrayDeque<>();
 
     /** Those of them that are ids of HEAD requests. */
