Read the settings of roll-outs, fair admission, hedging and the machine's limits

The parts of this work are switched on by what a deployment's settings hold. They are read in one place and grouped in FeatureSettings, so that each part adds no parameter of its own to the gateway's settings.

--- a/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param processorShare processor time available to the process, in cores
  * @param firstStart true only when the whole fleet starts for the first time
  * @param stopMillis time in milliseconds between the stop signal and the forced end of the process
+ * @param features settings of features that the deployment turns on or limits
  */
 public record GatewaySettings(
         String name,
@@ -33,4 +34,5 @@
         ColdLimits coldLimits,
         double processorShare,
         boolean firstStart,
-        long stopMillis) {}
+        long stopMillis,
+        FeatureSettings features) {}
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/DisconnectedState.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/DisconnectedState.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import org.wasabilug.gateway.FeatureSettings;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.log.DecisionLog;
@@ -31,7 +32,8 @@
                             new ColdLimits(1.5, 5),
                             1,
                             true,
-                            8_000),
+                            8_000,
+                            FeatureSettings.DEFAULT),
                     null,
                     mLoops.next(),
                     new EndpointConnections(mLoops, "Id", GatewayState::clockMillis, "gateway-1"),
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.wasabilug.gateway.FeatureSettings;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
@@ -61,7 +62,8 @@
                 new ColdLimits(1.5, 5),
                 1,
                 true,
-                STOP_MILLIS);
+                STOP_MILLIS,
+                FeatureSettings.DEFAULT);
     }
 
     private static InetSocketAddress freeAddress(String host) throws IOException {
