Count a response without a valid status code as garbled

Cause: the codec parses any number as a status, also a signed one. An endpoint's response with 000, 0, 99, 099, 1000, 600, 999 or +200 was passed on as an answer, with the endpoint's seal; of resumed streams and calls with pieces only +200 was taken as a success. Change: the decoder of endpoint connections accepts three digits from 100 to 599; everything else fails the attempt as garbled, so a repeatable request goes to another endpoint and others get 502. Result: InvalidStatusTest had 12 of 16 failures before (direct, relayed, resumed, pieces), none after. EarlyResetTest (an early answer without length, reset while the upload is written; direct and relayed) passes before and after. Conclusion: fixed for invalid statuses; early answers that are reset were right before.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointResponseDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses on one connection to an endpoint, which may be more than there are calls.
@@ -16,6 +17,9 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int MAX_BYTES_BEHIND = 256;
 
+    /** Three digits in one of the five classes; the codec takes any number, also a signed one. */
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private final Predicate<HttpResponse> mToHead;
 
     /**
@@ -40,6 +44,14 @@
         return behind.toString(behind.readerIndex(), length, StandardCharsets.ISO_8859_1);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException("No status: '" + statusLine[1] + "'");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return super.isContentAlwaysEmpty(message) || mToHead.test((HttpResponse) message);
