--- a/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RetryBudget.java
@@ -19,6 +19,9 @@
      */
     private static final double SAFETY_FACTOR = 0.8;
 
+    /** Share of the limit that retries may use which no failure calls for. */
+    private static final double SPARE_SHARE = 0.5;
+
     private final RetryLimits mLimits;
     private final Map<String, RetryCounts> mServices = new HashMap<>();
     private long mReserveFromMillis = Long.MAX_VALUE;
@@ -62,10 +65,27 @@
      * @return the permits, which the caller ends
      */
     public BudgetDecision tryReserve(String service, int count, int instances, long nowMillis) {
+        return tryReserve(service, count, instances, 1, nowMillis);
+    }
+
+    /**
+     * Reserves a retry that no failure calls for, if half of the budget stays free for failures.
+     *
+     * @param service service to which it would be sent
+     * @param instances number of instances that may share the limit
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the permit, which the caller ends; the limit of the decision is half the usual one
+     */
+    public BudgetDecision tryReserveSpare(String service, int instances, long nowMillis) {
+        return tryReserve(service, 1, instances, SPARE_SHARE, nowMillis);
+    }
+
+    private BudgetDecision tryReserve(
+            String service, int count, int instances, double share, long nowMillis) {
         RetryCounts counts = counts(service);
         int reserved = counts.reserved();
         int used = counts.repeats(nowMillis);
-        double limit = limit(counts, instances, nowMillis);
+        double limit = share * limit(counts, instances, nowMillis);
         List<RetryPermit> permits = new ArrayList<>();
         while (reserved + used + count <= limit && permits.size() < count) {
             permits.add(new RetryPermit(counts));
