Hedge requests within a share that operators set

Cause: Requests that may be repeated wait for a slow endpoint until the rescue of silent attempts, though another endpoint would have answered.

Change: RequestHedge watches the first send of a request and sends a hedge when HedgeControl says so. The first response wins and the other send is cancelled. Hedges have the retry reason HEDGE, count toward max_attempts and use at most half of the retry budget. Heartbeats carry LatencyReport. Log lines hedged, hedge-won, hedge-lost, latencies-unreadable; counters count.hedge-denied-*. With share 0 nothing is scheduled, counted or reported. The rescue is unchanged.

Result: HedgedRequestTest passes (5 tests over loopback): the slow endpoint is cancelled within 500 ms and the caller gets one whole response; a request that may run once and a stream that has begun are not hedged; an instance hedges by the times that its peer observed.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -12,6 +12,7 @@
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.protocol.WireProtocol;
+import org.wasabilug.internal.hedge.HedgeControl;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
 import org.wasabilug.internal.serving.EndpointState;
@@ -44,6 +45,7 @@
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final PauseMonitor mPauseMonitor = new PauseMonitor(this);
     private final EndpointSelector mSelector;
+    private final HedgeControl mHedging;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private Supplier<Set<String>> mInstances;
     private Optional<ShutdownSchedule> mStop = Optional.empty();
@@ -75,6 +77,7 @@
         mReachability = new ReachabilityMonitor(this, mDirectory, connections);
         connections.router(mReachability);
         mRetryPermits = new RetryPermits(this, settings.retryLimits());
+        mHedging = new HedgeControl(settings.features().hedging());
         mSelector =
                 new EndpointSelector(
                         settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
@@ -144,6 +147,11 @@
         return mRetryPermits;
     }
 
+    /** Returns what decides which requests are hedged. */
+    public HedgeControl hedging() {
+        return mHedging;
+    }
+
     /**
      * Returns the endpoints of a service that may receive requests and are reachable, if need be
      * through other instances.
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryPermits.java
@@ -73,13 +73,36 @@
             String service, String request, RetryReason reason, int count) {
         BudgetDecision decision =
                 mBudget.tryReserve(service, count, mState.instances(), mState.nowMillis());
+        logDecision(service, request, reason, count, decision);
+        return decision.permits();
+    }
+
+    /**
+     * Reserves a hedge if half of the budget stays free for failures.
+     *
+     * @param service service to which it would be sent
+     * @param request ID of the request
+     * @return the permit, which the caller ends; empty if it may not be sent
+     */
+    public Optional<RetryPermit> tryReserveHedge(String service, String request) {
+        BudgetDecision decision =
+                mBudget.tryReserveSpare(service, mState.instances(), mState.nowMillis());
+        logDecision(service, request, RetryReason.HEDGE, 1, decision);
+        return decision.permits().stream().findFirst();
+    }
+
+    private void logDecision(
+            String service,
+            String request,
+            RetryReason reason,
+            int count,
+            BudgetDecision decision) {
         if (decision.granted()) {
             log("retry-granted", service, request, reason, count, decision);
         } else if (!request.equals(mLastDenied.put(service, request))) {
             // Retries of overdue pieces are asked for several times a second.
             log("retry-denied", service, request, reason, count, decision);
         }
-        return decision.permits();
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RetryReason.java
@@ -6,6 +6,8 @@
     FAILED_ATTEMPT,
     /** An attempt takes too long, and goes on. */
     OVERDUE_ATTEMPT,
+    /** An attempt takes longer than most, and goes on. */
+    HEDGE,
     /** A call with the piece has failed. */
     FAILED_PIECE,
     /** A call with the piece takes too long, and goes on. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
@@ -12,6 +12,7 @@
 final class HeartbeatWriter {
     private final GatewayState mState;
     private final SharedLoads mSharedLoads;
+    private final SharedResponseTimes mSharedTimes;
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mStoreUnreachable;
     private final Supplier<Map<String, List<QueueWaits.Wait>>> mStageWaits;
@@ -33,6 +34,7 @@
             Supplier<Map<String, List<QueueWaits.Wait>>> stageWaits) {
         mState = state;
         mSharedLoads = sharedLoads;
+        mSharedTimes = new SharedResponseTimes(state);
         mStopping = stopping;
         mStoreUnreachable = storeUnreachable;
         mStageWaits = stageWaits;
@@ -48,6 +50,7 @@
         GatewayHeartbeat.Builder heartbeat = state();
         mSharedLoads.addPrompts(heartbeat);
         mSharedLoads.addStageWaits(heartbeat, mStageWaits.get());
+        mSharedTimes.addLatencies(heartbeat);
         return heartbeat.build();
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -23,12 +23,14 @@
  */
 final class SharedLoads {
     private final GatewayState mState;
+    private final SharedResponseTimes mResponseTimes;
 
     /** Endpoints to which a peer has sent load, by the name of the peer. */
     private final Map<String, Set<String>> mLoadedEndpoints = new HashMap<>();
 
     SharedLoads(GatewayState state) {
         mState = state;
+        mResponseTimes = new SharedResponseTimes(state);
     }
 
     /** Adds the load that this instance puts on endpoints. */
@@ -95,6 +97,7 @@
         applyLoads(sender, heartbeat);
         heartbeat.getStageWaitsList().forEach(this::applyStageWait);
         heartbeat.getPromptsList().forEach(this::applyPrompt);
+        mResponseTimes.apply(sender, heartbeat);
         for (BrittleService brittle : heartbeat.getBrittleServicesList()) {
             mState.rejectionMonitor()
                     .recordPeerReport(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/BufferedFlow.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 
 /** Serves a request whose response is buffered completely before it is sent to the caller. */
 final class BufferedFlow extends RequestFlow {
@@ -46,6 +47,28 @@
         }
     }
 
+    @Override
+    boolean hedgeable() {
+        return true;
+    }
+
+    @Override
+    boolean awaitsBeginning(Attempt attempt) {
+        return isOnlyPending(attempt) && attempt.head() == null;
+    }
+
+    @Override
+    Sender.InputLocation inputLocation() {
+        return here();
+    }
+
+    @Override
+    Optional<Attempt> sendHedge(RetryReason reason) {
+        Optional<Attempt> hedge = sender().sendHedge(here(), headers -> {}, reason);
+        hedge.ifPresent(this::sent);
+        return hedge;
+    }
+
     private Sender.InputLocation here() {
         return new Sender.InputLocation(state().settings().failureDomain(), false);
     }
@@ -78,7 +101,8 @@
     }
 
     private void hedge(Attempt overdue) {
-        Optional<Attempt> hedge = sender().sendHedge(here(), headers -> {});
+        Optional<Attempt> hedge =
+                sender().sendHedge(here(), headers -> {}, RetryReason.OVERDUE_ATTEMPT);
         if (hedge.isPresent()) {
             overdue.recordOverdue();
             sent(hedge.get());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -3,9 +3,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.caller.CallerExchange;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.log.LogLine;
@@ -29,6 +31,7 @@
     private final List<Attempt> mPending = new ArrayList<>();
 
     private ScheduledFuture<?> mTimeout;
+    private Optional<RequestHedge> mHedge = Optional.empty();
 
     /**
      * Creates a flow that has not started.
@@ -53,6 +56,7 @@
     /** Starts to serve the request. */
     final void start() {
         scheduleTimeout(remainingMillis());
+        mHedge = RequestHedge.of(this);
         mExchange.onClose(this::callerDisconnected);
         mExchange.onStop(() -> giveUp("this instance ended"));
         begin();
@@ -97,6 +101,23 @@
     /** Releases everything held for an attempt whose response is no longer waited for. */
     abstract void releaseResources(Attempt attempt);
 
+    /** Returns whether the request may be hedged at all, if its route allows it. */
+    abstract boolean hedgeable();
+
+    /** Returns whether an attempt is the only one and has brought nothing of the response yet. */
+    abstract boolean awaitsBeginning(Attempt attempt);
+
+    /** Returns where the inputs of the request are. */
+    abstract Sender.InputLocation inputLocation();
+
+    /**
+     * Sends the request to another endpoint while an earlier send goes on.
+     *
+     * @param reason why
+     * @return the attempt, or empty if it may not be sent now
+     */
+    abstract Optional<Attempt> sendHedge(RetryReason reason);
+
     final GatewayState state() {
         return mState;
     }
@@ -139,11 +160,17 @@
      * does.
      */
     final boolean started(Attempt attempt) {
-        return !attempt.ended() && mPending.add(attempt);
+        if (attempt.ended()) {
+            return false;
+        }
+        mPending.add(attempt);
+        mHedge.ifPresent(hedge -> hedge.started(attempt));
+        return true;
     }
 
     /** Goes on with one attempt alone and cancels the others. */
     final void goOnWith(Attempt attempt) {
+        mHedge.ifPresent(hedge -> hedge.answered(attempt));
         for (Attempt other : pending()) {
             if (other != attempt) {
                 drop(other);
@@ -156,6 +183,7 @@
     /** Stops waiting for the response of one attempt. */
     final void drop(Attempt attempt) {
         mPending.remove(attempt);
+        mHedge.ifPresent(hedge -> hedge.dropped(attempt));
         releaseResources(attempt);
     }
 
@@ -272,6 +300,7 @@
     final void end() {
         mTimeout.cancel(false);
         mSender.end();
+        mHedge.ifPresent(RequestHedge::ended);
         releaseResources();
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -8,8 +8,11 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryPermits;
 import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.hedge.HedgeCandidate;
+import org.wasabilug.internal.hedge.HedgeControl;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.Selection;
@@ -125,6 +128,7 @@
         mPermit.use(now);
         if (mSends == 0) {
             mState.retryPermits().recordFirstAttempt(mRequest.service().name(), now);
+            mState.hedging().recordFirstSend(mRequest.service().name());
         }
         mSends++;
         mPossibleRuns++;
@@ -156,6 +160,11 @@
         return attempt;
     }
 
+    /** Returns how often the request was sent. */
+    int sends() {
+        return mSends;
+    }
+
     /** Records that one of the sends certainly did not run. */
     void sendNotExecuted() {
         mPossibleRuns--;
@@ -192,8 +201,12 @@
     }
 
     private boolean tryReserve(RetryReason reason) {
+        RetryPermits permits = mState.retryPermits();
+        String service = mRequest.service().name();
         Optional<RetryPermit> permit =
-                mState.retryPermits().tryReserve(mRequest.service().name(), mRequest.id(), reason);
+                reason == RetryReason.HEDGE
+                        ? permits.tryReserveHedge(service, mRequest.id())
+                        : permits.tryReserve(service, mRequest.id(), reason);
         permit.ifPresent(this::hold);
         return permit.isPresent();
     }
@@ -208,16 +221,27 @@
         return mayRetry() && preview(inputs).isPresent();
     }
 
+    /** Returns the endpoint that {@link #sendHedge} would send to now; empty if there is none. */
+    Optional<HedgeCandidate.Other> hedgeEndpoint(InputLocation inputs) {
+        if (mayRetry() && select(inputs, mState.nowMillis()) instanceof Selection.Chosen chosen) {
+            boolean full = HedgeControl.full(chosen.endpoint(), usable(), mRequest.service());
+            return Optional.of(new HedgeCandidate.Other(chosen.costMillis(), full));
+        }
+        return Optional.empty();
+    }
+
     /**
      * Sends the request to another endpoint while an earlier send goes on.
      *
+     * @param reason why, which decides how much of the budget may be used
      * @return the attempt, or empty if no endpoint may receive it now or the budget is used up
      */
-    Optional<Attempt> sendHedge(InputLocation inputs, Consumer<HttpHeaders> additions) {
+    Optional<Attempt> sendHedge(
+            InputLocation inputs, Consumer<HttpHeaders> additions, RetryReason reason) {
         long now = mState.nowMillis();
         if (mayRetry()
                 && selectToSend(inputs, now) instanceof Selection.Chosen chosen
-                && tryReserve(RetryReason.OVERDUE_ATTEMPT)) {
+                && tryReserve(reason)) {
             return Optional.of(send(chosen, additions, now));
         }
         return Optional.empty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
 import org.wasabilug.gateway.internal.log.LogLine;
@@ -103,7 +104,7 @@
         if (pending().isEmpty()) {
             send();
         } else {
-            sendHedge();
+            sendHedge(RetryReason.OVERDUE_ATTEMPT);
         }
     }
 
@@ -131,7 +132,24 @@
         }
     }
 
-    private Sender.InputLocation inputLocation() {
+    /** A stream that was begun before is not hedged, as its next event takes another time. */
+    @Override
+    boolean hedgeable() {
+        return !mSoftwareVersion.resumed();
+    }
+
+    /** A hedge needs the results of the stages, which are released once a response has begun. */
+    @Override
+    boolean awaitsBeginning(Attempt attempt) {
+        return isOnlyPending(attempt)
+                && mFirstEventMillis < 0
+                && !exchange().responseStarted()
+                && !mStages.inProgress()
+                && !mStages.resultsReleased();
+    }
+
+    @Override
+    Sender.InputLocation inputLocation() {
         return mInputs.locate(request().route(), mStages.inputs());
     }
 
@@ -205,13 +223,15 @@
         if (mStages.resultsReleased()) {
             return sender().canHedge(inputLocation()) && mStages.restartForHedge();
         }
-        return sendHedge();
+        return sendHedge(RetryReason.OVERDUE_ATTEMPT).isPresent();
     }
 
-    private boolean sendHedge() {
-        Optional<Attempt> hedge = sender().sendHedge(inputLocation(), this::addStreamHeaders);
+    @Override
+    Optional<Attempt> sendHedge(RetryReason reason) {
+        Optional<Attempt> hedge =
+                sender().sendHedge(inputLocation(), this::addStreamHeaders, reason);
         hedge.ifPresent(this::sent);
-        return hedge.isPresent();
+        return hedge;
     }
 
     private void logStall(Attempt attempt, long idleMillis) {
