Serve stages by workspace shares and defer late requests

Cause: under overload the queue of a stage serves whoever asks most, and refuses requests that miss their latency objective although their deadline is seconds away. DeferredAdmission decides on each arriving piece from the backlog: in time, deferred until its deadline, or refused at once. Heartbeats report the waits of deferred work under two pseudo ranks, from which Retry-After follows, spread by request. The earlier order moves unchanged to UrgencyOrder and stays in force without the setting.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -0,0 +1,299 @@
+package org.wasabilug.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Serves pieces by rank, then by fair shares of workspaces, then by latest start.
+ *
+ * <p>Pieces of deferred requests, which miss their latency objective, follow all pieces that can
+ * still start in time, until their deadline. Among them, rank does not count, so that no rank
+ * starves while more urgent ones are late as well.
+ */
+public final class FairOrder implements WaitingPieces {
+    /**
+     * Pieces of more urgent ranks after which a waiting rank gets one. At twice the capacity, a
+     * rank that asks for half of it is then still served a quarter as often as all requests.
+     */
+    private static final int MAX_PASSED_OVER = 7;
+
+    /** Least share of the capacity that a waiting rank gets. */
+    static final double LEAST_RANK_SHARE = 1.0 / (MAX_PASSED_OVER + 1);
+
+    /** Share of the result capacity of an endpoint that requests in time find free of others. */
+    private static final double RESERVED_SHARE = 0.5;
+
+    private static final Comparator<WaitingPiece> BEGUN_FIRST =
+            Comparator.comparing((WaitingPiece waiting) -> !waiting.work().begun());
+
+    private static final Comparator<WaitingPiece> LATEST_START_ORDER =
+            Comparator.comparingLong((WaitingPiece waiting) -> waiting.work().startByMillis())
+                    .thenComparingLong(WaitingPiece::order);
+
+    private static final Comparator<WaitingPiece> DEADLINE_ORDER =
+            Comparator.comparingLong((WaitingPiece waiting) -> waiting.work().deadlineMillis())
+                    .thenComparingLong(WaitingPiece::order);
+
+    private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
+    private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
+
+    /** Pieces of deferred requests that would be in time if they were sent now. */
+    private final WorkspaceShares mDoubtful =
+            new WorkspaceShares(BEGUN_FIRST.thenComparing(LATEST_START_ORDER));
+
+    /** Pieces past their latest start. */
+    private final WorkspaceShares mLate =
+            new WorkspaceShares(BEGUN_FIRST.thenComparing(DEADLINE_ORDER));
+
+    private final Map<String, Integer> mDeferredRequests = new HashMap<>();
+    private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
+    private final Map<String, Integer> mSent = new TreeMap<>();
+    private double mCallMillis;
+
+    /** The pieces of one rank that can still start in time. */
+    private static final class Rank {
+        private final WorkspaceShares mPieces =
+                new WorkspaceShares(BEGUN_FIRST.thenComparing(LATEST_START_ORDER));
+
+        /** Pieces of more urgent ranks that were sent since the last one of this rank. */
+        private int mPassedOver;
+    }
+
+    /**
+     * Work that is served before a piece.
+     *
+     * @param moreUrgentPieces pieces of more urgent ranks that can start in time
+     * @param sameRankPieces pieces of its own rank that can start in time
+     * @param allTimelyPieces pieces of all ranks that can start in time
+     * @param deferredPieces pieces of deferred requests, if it is deferred
+     */
+    public record Ahead(
+            int moreUrgentPieces, int sameRankPieces, int allTimelyPieces, int deferredPieces) {}
+
+    /**
+     * Estimates which pieces are served before one that arrives now.
+     *
+     * @param work the piece
+     */
+    public Ahead ahead(PieceWork work) {
+        Rank own = mRanks.get(work.rank());
+        int sameRank = own == null ? 0 : own.mPieces.ahead(work.workspace());
+        return new Ahead(
+                moreUrgent(work.rank()),
+                sameRank,
+                timelySize(),
+                mDoubtful.ahead(work.workspace()) + mLate.ahead(work.workspace()));
+    }
+
+    /**
+     * Estimates the same for a piece in a workspace with an average number of waiting pieces.
+     *
+     * @param rank priority class; 0 is the most urgent
+     */
+    public Ahead typicalAhead(int rank) {
+        Rank own = mRanks.get(rank);
+        int sameRank = own == null ? 0 : own.mPieces.typicalAhead();
+        int deferred = mDoubtful.typicalAhead() + mLate.typicalAhead();
+        return new Ahead(moreUrgent(rank), sameRank, timelySize(), deferred);
+    }
+
+    private int moreUrgent(int rank) {
+        return mRanks.headMap(rank).values().stream().mapToInt(each -> each.mPieces.size()).sum();
+    }
+
+    /** Returns the number of pieces that can start in time. */
+    public int timelySize() {
+        return mRanks.values().stream().mapToInt(each -> each.mPieces.size()).sum();
+    }
+
+    /**
+     * Returns whether pieces of a deferred request wait.
+     *
+     * @param request ID of the request
+     */
+    public boolean isDeferred(String request) {
+        return mDeferredRequests.containsKey(request);
+    }
+
+    /**
+     * Defers a piece that has been added, and with it all waiting pieces of its request: a request
+     * of which one piece is late is late.
+     *
+     * @param request ID of the request
+     */
+    public void defer(String request) {
+        List<WaitingPiece> pieces = new ArrayList<>();
+        for (WaitingPiece waiting : mByLatestStart) {
+            if (waiting.work().id().request().equals(request)) {
+                pieces.add(waiting);
+            }
+        }
+        for (WaitingPiece waiting : pieces) {
+            if (rank(waiting).remove(waiting)) {
+                mDoubtful.add(waiting);
+                countDeferred(waiting);
+            }
+        }
+    }
+
+    private WorkspaceShares rank(WaitingPiece waiting) {
+        return mRanks.computeIfAbsent(waiting.work().rank(), each -> new Rank()).mPieces;
+    }
+
+    @Override
+    public void add(WaitingPiece waiting) {
+        mByLatestStart.add(waiting);
+        if (isDeferred(waiting.work().id().request())) {
+            mDoubtful.add(waiting);
+            countDeferred(waiting);
+        } else {
+            rank(waiting).add(waiting);
+        }
+    }
+
+    private void countDeferred(WaitingPiece waiting) {
+        String request = waiting.work().id().request();
+        if (mDeferredRequests.merge(request, 1, Integer::sum) == 1) {
+            mNewlyDeferred.add(waiting.work());
+        }
+    }
+
+    @Override
+    public void remove(WaitingPiece waiting) {
+        mByLatestStart.remove(waiting);
+        if (mDoubtful.remove(waiting) || mLate.remove(waiting)) {
+            mDeferredRequests.computeIfPresent(
+                    waiting.work().id().request(),
+                    (request, count) -> count > 1 ? count - 1 : null);
+        } else {
+            rank(waiting).remove(waiting);
+        }
+    }
+
+    @Override
+    public void moveLate(long nowMillis) {
+        while (!mByLatestStart.isEmpty()
+                && mByLatestStart.first().work().startByMillis() < nowMillis) {
+            WaitingPiece late = mByLatestStart.removeFirst();
+            if (rank(late).remove(late)) {
+                countDeferred(late);
+            } else {
+                mDoubtful.remove(late);
+            }
+            mLate.add(late);
+        }
+    }
+
+    /** Late pieces wait until a call can't bring their results before their deadline any more. */
+    @Override
+    public boolean isTimedOut(WaitingPiece waiting, long nowMillis) {
+        return nowMillis + mCallMillis > waiting.work().deadlineMillis();
+    }
+
+    /**
+     * Sets how long a call takes at least.
+     *
+     * @param millis duration of a call with one piece, in milliseconds
+     */
+    public void setCallMillis(double millis) {
+        mCallMillis = millis;
+    }
+
+    @Override
+    public int lateSize() {
+        return mDoubtful.size() + mLate.size();
+    }
+
+    @Override
+    public Map<Integer, Integer> waitingByRank() {
+        Map<Integer, Integer> counts = new HashMap<>();
+        mRanks.forEach((rank, each) -> counts.put(rank, each.mPieces.size()));
+        return counts;
+    }
+
+    @Override
+    public void offer(Call call) {
+        Map<Integer, Integer> sent = new HashMap<>();
+        Set<WaitingPiece> taken = new HashSet<>();
+        mRanks.forEach(
+                (rank, each) -> {
+                    if (each.mPassedOver >= MAX_PASSED_OVER) {
+                        int first = Math.min(1, call.room());
+                        sent.put(rank, offer(each.mPieces, call, taken, first));
+                    }
+                });
+        mRanks.forEach(
+                (rank, each) -> {
+                    int more = offer(each.mPieces, call, taken, call.room());
+                    sent.merge(rank, more, Integer::sum);
+                });
+        countPassedOver(sent);
+        mDoubtful.offer(waiting -> takeDeferred(call, waiting), call.room());
+        mLate.offer(waiting -> takeDeferred(call, waiting), call.room());
+    }
+
+    /** Offers pieces of a rank that the call does not hold yet. */
+    private int offer(WorkspaceShares pieces, Call call, Set<WaitingPiece> taken, int maximum) {
+        return pieces.offer(
+                waiting ->
+                        !taken.contains(waiting)
+                                && counted(waiting, call.take(waiting, 0))
+                                && taken.add(waiting),
+                maximum);
+    }
+
+    /**
+     * Results of deferred requests must not fill the capacity that others need; those of a request
+     * past its first stage are soon read, and release what it holds at the stage before.
+     */
+    private boolean takeDeferred(Call call, WaitingPiece waiting) {
+        return counted(waiting, call.take(waiting, waiting.work().begun() ? 0 : RESERVED_SHARE));
+    }
+
+    private boolean counted(WaitingPiece waiting, boolean taken) {
+        if (taken) {
+            mSent.merge(waiting.work().workspace(), 1, Integer::sum);
+        }
+        return taken;
+    }
+
+    private void countPassedOver(Map<Integer, Integer> sent) {
+        int moreUrgent = 0;
+        for (Map.Entry<Integer, Rank> entry : mRanks.entrySet()) {
+            Rank rank = entry.getValue();
+            int own = sent.getOrDefault(entry.getKey(), 0);
+            boolean waits = rank.mPieces.size() > own;
+            rank.mPassedOver = own > 0 || !waits ? 0 : rank.mPassedOver + moreUrgent;
+            moreUrgent += own;
+        }
+    }
+
+    /**
+     * Returns the number of pieces sent for each workspace since the last call of this method, also
+     * for those that wait and got nothing.
+     */
+    public Map<String, Integer> takeSent() {
+        Map<String, Integer> sent = new TreeMap<>(mSent);
+        mSent.clear();
+        mDoubtful.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
+        mLate.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
+        for (Rank rank : mRanks.values()) {
+            rank.mPieces.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
+        }
+        return sent;
+    }
+
+    /** Returns one piece of each request that was deferred since the last call of this method. */
+    public List<PieceWork> takeDeferred() {
+        List<PieceWork> deferred = List.copyOf(mNewlyDeferred);
+        mNewlyDeferred.clear();
+        return deferred;
+    }
+}
--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -18,6 +18,7 @@
  *     is no preference
  * @param localityWaitMillis how long the piece waits for an endpoint in the preferred domain
  * @param repetition whether it is sent once more
+ * @param workspace workspace of the request; empty if it has none or the sender does not state it
  */
 public record PieceWork(
         PieceId id,
@@ -30,7 +31,8 @@
         double resultBytes,
         String preferredDomain,
         long localityWaitMillis,
-        Repetition repetition) {
+        Repetition repetition,
+        String workspace) {
     /** Copies the inputs. */
     public PieceWork {
         inputs = List.copyOf(inputs);
@@ -46,6 +48,11 @@
         return id.equals(other.id) && inputs.equals(other.inputs);
     }
 
+    /** Returns whether work was done for the request before: it has completed a stage. */
+    public boolean begun() {
+        return id.stage() > 0 || !inputs.isEmpty();
+    }
+
     /** Returns whether it may have been sent before. */
     public boolean repeat() {
         return repetition != Repetition.NONE;
@@ -82,6 +89,7 @@
                 resultBytes,
                 preferredDomain,
                 localityWaitMillis,
-                again);
+                again,
+                workspace);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
@@ -28,6 +28,34 @@
     /** Longer waits are of no interest, as every request would miss its deadline. */
     private static final double MAX_WAIT_MILLIS = 10_000;
 
+    /**
+     * Pseudo rank under which the predicted time of a piece of a deferred request is reported, in a
+     * workspace with an average number of waiting pieces. Receivers that do not know it ignore it.
+     */
+    public static final int DEFERRED_RANK = 1_000_000;
+
+    /** Pseudo rank under which the time is reported until all waiting pieces have been served. */
+    public static final int BACKLOG_RANK = DEFERRED_RANK + 1;
+
+    /**
+     * Window of the demand that is expected to go on; longer than that of the throughput, so that
+     * the first second of a burst does not refuse what can wait for its end.
+     */
+    private static final long DEMAND_WINDOW_MILLIS = 5_000;
+
+    /**
+     * Least share of the throughput that is expected to be left for pieces that others precede;
+     * without it, a wait would count as infinite at the moment when the last spare capacity goes.
+     */
+    private static final double MIN_SPARE_SHARE = 0.125;
+
+    /**
+     * Least share of the nominal throughput that is expected of endpoints that accept work: calls
+     * that end without results for a second must not have everything refused.
+     */
+    private static final double MIN_THROUGHPUT_SHARE = 0.25;
+
+    private final SlidingWindow mTimelyArrivals = new SlidingWindow(DEMAND_WINDOW_MILLIS);
     private final Map<Integer, SlidingWindow> mArrivals = new TreeMap<>();
     private final SlidingWindow mResults = new SlidingWindow(WINDOW_MILLIS);
     private long mWaitingSinceMillis = Long.MAX_VALUE;
@@ -108,6 +136,75 @@
         return waits;
     }
 
+    /**
+     * Predicts the time of a piece of each rank, and of pieces of deferred requests, where
+     * workspaces get fair shares.
+     *
+     * @param order the waiting pieces
+     * @param capacity capacity of each endpoint
+     * @param endpoints number of endpoints that accept work
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the predictions; empty if no pieces have arrived lately
+     */
+    public List<Wait> predict(
+            FairOrder order, StageCapacity capacity, int endpoints, long nowMillis) {
+        if (nowMillis - mLastArrivalMillis > SENDER_MILLIS) {
+            return List.of();
+        }
+        double callMillis = fullCallMillis(capacity);
+        List<Wait> waits = new ArrayList<>();
+        for (int rank : mArrivals.keySet()) {
+            double wait =
+                    admission(rank, capacity, endpoints, nowMillis)
+                            .timelyWaitMillis(order.typicalAhead(rank));
+            waits.add(new Wait(rank, callMillis + Math.min(MAX_WAIT_MILLIS, wait)));
+        }
+        DeferredAdmission admission = admission(0, capacity, endpoints, nowMillis);
+        FairOrder.Ahead ahead = order.typicalAhead(0);
+        double deferred =
+                admission.deferredWaitMillis(ahead.allTimelyPieces(), ahead.deferredPieces());
+        double all = admission.deferredWaitMillis(ahead.allTimelyPieces(), order.lateSize());
+        waits.add(new Wait(DEFERRED_RANK, callMillis + Math.min(MAX_WAIT_MILLIS, deferred)));
+        waits.add(new Wait(BACKLOG_RANK, callMillis + Math.min(MAX_WAIT_MILLIS, all)));
+        return waits;
+    }
+
+    /**
+     * Records that an arriving piece was admitted as one that can start in time.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordTimely(long nowMillis) {
+        mTimelyArrivals.add(nowMillis);
+    }
+
+    /**
+     * Returns what decides on pieces of a rank, from the present throughput and demand.
+     *
+     * @param rank priority class; 0 is the most urgent
+     * @param capacity capacity of each endpoint
+     * @param endpoints number of endpoints that accept work
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public DeferredAdmission admission(
+            int rank, StageCapacity capacity, int endpoints, long nowMillis) {
+        double throughput =
+                Math.max(
+                        throughputPerSecond(capacity, endpoints, nowMillis),
+                        MIN_THROUGHPUT_SHARE * nominalPerSecond(capacity, endpoints));
+        int moreUrgent = 0;
+        for (Map.Entry<Integer, SlidingWindow> arrivals : mArrivals.entrySet()) {
+            moreUrgent += arrivals.getKey() < rank ? arrivals.getValue().count(nowMillis) : 0;
+        }
+        double timely = mTimelyArrivals.count(nowMillis);
+        double spare = throughput - timely * MILLIS_PER_SECOND / DEMAND_WINDOW_MILLIS;
+        return new DeferredAdmission(
+                throughput,
+                throughput - moreUrgent * MILLIS_PER_SECOND / WINDOW_MILLIS,
+                Math.max(spare, MIN_SPARE_SHARE * throughput),
+                fullCallMillis(capacity));
+    }
+
     private static double waitMillis(int ahead, double throughputPerSecond) {
         if (ahead == 0) {
             return 0;
--- a/core/src/main/java/org/wasabilug/internal/serving/ResultCapacity.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/ResultCapacity.java
@@ -32,6 +32,11 @@
         mReservations.add(new Reservation(endpoint, bytes, untilMillis));
     }
 
+    /** Returns the number of bytes for results at an endpoint without any. */
+    static double totalBytes(StageCapacity capacity) {
+        return capacity.resultMegabytes() * BYTES_PER_MEGABYTE;
+    }
+
     /** Returns the number of free bytes at an endpoint. */
     double freeBytes(String endpoint, StageCapacity capacity, long nowMillis) {
         mReservations.removeIf(each -> each.untilMillis() <= nowMillis);
@@ -40,8 +45,6 @@
                         .filter(each -> each.endpoint().equals(endpoint))
                         .mapToDouble(Reservation::bytes)
                         .sum();
-        return capacity.resultMegabytes() * BYTES_PER_MEGABYTE
-                - mReservedBytes.getOrDefault(endpoint, 0.0)
-                - temporary;
+        return totalBytes(capacity) - mReservedBytes.getOrDefault(endpoint, 0.0) - temporary;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -1,6 +1,7 @@
 package org.wasabilug.internal.serving;
 
 import java.util.List;
+import java.util.function.IntToDoubleFunction;
 import org.wasabilug.serving.RouteStage;
 import org.wasabilug.serving.StageCapacity;
 
@@ -16,6 +17,11 @@
 
     private static final long MIN_RETRY_MILLIS = 250;
 
+    /** Odd number near 2^32 divided by the golden ratio, which spreads similar hashes. */
+    private static final int HASH_MULTIPLIER = 0x9E3779B1;
+
+    private static final int HASH_BITS = Integer.SIZE - Byte.SIZE;
+
     private final StageTimes mTimes;
     private final StageTimes.RequestPlan mPlan;
     private final List<StageCapacity> mCapacities;
@@ -70,6 +76,98 @@
         return congested && late;
     }
 
+    /**
+     * Returns whether the request misses its objective and its deadline as well, judged from the
+     * reported backlog of deferred requests.
+     *
+     * @param deadlineMillis monotonic time, in milliseconds, at which the request ends
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public boolean cannotMeetDeadline(long deadlineMillis, long nowMillis) {
+        double deferred =
+                pathMillis(
+                        stage ->
+                                Math.max(
+                                        callMillis(stage),
+                                        expectedMillis(
+                                                stage, QueueWaits.DEFERRED_RANK, nowMillis)));
+        return isLate(nowMillis) && nowMillis + deferred > deadlineMillis;
+    }
+
+    private boolean isLate(long nowMillis) {
+        for (int stage = 0; stage < stages().size(); stage++) {
+            if (pieces(stage) > 0 && startByMillis(stage, nowMillis) < nowMillis) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns whether a result that arrives now is of a piece that was sent after its latest start,
+     * in a full call.
+     *
+     * @param stage index of the stage
+     * @param startByMillis latest start of the piece
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public boolean startedLate(int stage, long startByMillis, long nowMillis) {
+        StageCapacity capacity = mCapacities.get(stage);
+        double call = capacity.callMillis() + capacity.piecesPerCall() * capacity.pieceMillis();
+        return nowMillis - call > startByMillis;
+    }
+
+    /**
+     * Returns when the results of a stage must be there so that the request can be served before
+     * its deadline, if it waits nowhere afterwards.
+     *
+     * @param stage index of the stage
+     * @param deadlineMillis monotonic time, in milliseconds, at which the request ends
+     */
+    public long neededByMillis(int stage, long deadlineMillis) {
+        return deadlineMillis - (long) followingCallsMillis(stage);
+    }
+
+    private double followingCallsMillis(int stage) {
+        double longest = 0;
+        for (int next = stage + 1; next < stages().size(); next++) {
+            if (stages().get(next).after().contains(stage)) {
+                double call = pieces(next) > 0 ? callMillis(next) : 0;
+                longest = Math.max(longest, call + followingCallsMillis(next));
+            }
+        }
+        return longest;
+    }
+
+    /**
+     * Returns after how many milliseconds a refused request may return: when the reported backlog
+     * of its stages has been worked off, and up to half as long again, so that requests refused
+     * together do not return together.
+     *
+     * @param request ID of the request, which decides on its place in the spread
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public long retryAfterBacklogMillis(String request, long nowMillis) {
+        double backlog = MIN_RETRY_MILLIS;
+        for (int stage = 0; stage < stages().size(); stage++) {
+            if (pieces(stage) > 0) {
+                double expected = expectedMillis(stage, QueueWaits.BACKLOG_RANK, nowMillis);
+                backlog = Math.max(backlog, expected);
+            }
+        }
+        return (long) (backlog * (1 + spread(request) / 2));
+    }
+
+    /** Returns a number from 0 to 1 that is the same each time for one request. */
+    private static double spread(String request) {
+        int mixed = request.hashCode() * HASH_MULTIPLIER;
+        return (mixed >>> Byte.SIZE) / (double) (1 << HASH_BITS);
+    }
+
+    private double expectedMillis(int stage, int rank, long nowMillis) {
+        return mTimes.expectedMillis(stages().get(stage).service(), rank, nowMillis);
+    }
+
     private double expectedMillis(int stage, long nowMillis) {
         return mTimes.expectedMillis(stages().get(stage).service(), mPlan.rank(), nowMillis);
     }
@@ -89,6 +187,11 @@
 
     /** Returns the time to the first event if the request waits nowhere. */
     private double idleMillis() {
+        return pathMillis(this::callMillis);
+    }
+
+    /** Returns the longest path through the stages with pieces, and the default of the engine. */
+    private double pathMillis(IntToDoubleFunction stageMillis) {
         double longest = 0;
         double[] ends = new double[stages().size()];
         for (int stage = 0; stage < ends.length; stage++) {
@@ -96,7 +199,7 @@
             for (int before : stages().get(stage).after()) {
                 start = Math.max(start, ends[before]);
             }
-            ends[stage] = start + (pieces(stage) > 0 ? callMillis(stage) : 0);
+            ends[stage] = start + (pieces(stage) > 0 ? stageMillis.applyAsDouble(stage) : 0);
             longest = Math.max(longest, ends[stage]);
         }
         return longest + StageTimes.DEFAULT_STEP_MILLIS;
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.wasabilug.serving.StageCapacity;
@@ -29,37 +27,30 @@
      */
     private static final double SLOW_ENDPOINT_FACTOR = 2;
 
-    /**
-     * Time in the queue after which a piece without inputs is dropped once it is past its latest
-     * start time, so that other pieces can run.
-     */
-    private static final long LATE_TIMEOUT_MILLIS = 250;
-
-    /** The same for a piece with inputs, which occupy result capacity at the previous stage. */
-    private static final long LATE_TIMEOUT_WITH_INPUTS_MILLIS = 400;
-
-    private static final Comparator<WaitingPiece> URGENT_FIRST =
-            Comparator.comparingInt((WaitingPiece waiting) -> waiting.mWork.rank())
-                    .thenComparingLong(waiting -> waiting.mWork.startByMillis())
-                    .thenComparingLong(waiting -> waiting.mOrder);
-
-    private static final Comparator<WaitingPiece> LATEST_START_ORDER =
-            Comparator.comparingLong((WaitingPiece waiting) -> waiting.mWork.startByMillis())
-                    .thenComparingLong(waiting -> waiting.mOrder);
-
-    private static final Comparator<WaitingPiece> LEAST_OVERDUE_FIRST =
-            Comparator.comparingInt((WaitingPiece waiting) -> waiting.mWork.rank())
-                    .thenComparingLong(waiting -> -waiting.mWork.startByMillis())
-                    .thenComparingLong(waiting -> waiting.mOrder);
-
-    private final TreeSet<WaitingPiece> mWaiting = new TreeSet<>(URGENT_FIRST);
-    private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
-    private final TreeSet<WaitingPiece> mLate = new TreeSet<>(LEAST_OVERDUE_FIRST);
+    private final WaitingPieces mPieces;
     private final Map<PieceId, WaitingPiece> mById = new LinkedHashMap<>();
     private final Map<String, Integer> mRunningCalls = new HashMap<>();
     private final ResultCapacity mResultCapacity = new ResultCapacity();
     private long mNextOrder;
 
+    /** Creates an empty queue that serves pieces by rank and latest start. */
+    public StageQueue() {
+        this(new UrgencyOrder());
+    }
+
+    private StageQueue(WaitingPieces pieces) {
+        mPieces = pieces;
+    }
+
+    /**
+     * Creates an empty queue that serves pieces in the given order.
+     *
+     * @param order order of the pieces; it belongs to this queue only
+     */
+    public static StageQueue fair(FairOrder order) {
+        return new StageQueue(order);
+    }
+
     /**
      * Adds a piece unless it is already waiting.
      *
@@ -85,8 +76,7 @@
         }
         WaitingPiece waiting = new WaitingPiece(work, permit, nowMillis, mNextOrder++);
         mById.put(work.id(), waiting);
-        mWaiting.add(waiting);
-        mByLatestStart.add(waiting);
+        mPieces.add(waiting);
     }
 
     /**
@@ -95,7 +85,7 @@
      * @param request ID of the request
      */
     public void cancel(String request) {
-        removeIf(waiting -> waiting.mWork.id().request().equals(request));
+        removeIf(waiting -> waiting.work().id().request().equals(request));
     }
 
     /**
@@ -127,11 +117,11 @@
      * @return the removed pieces
      */
     public List<PieceWork> removeExpired(long nowMillis) {
-        moveLatePieces(nowMillis);
+        mPieces.moveLate(nowMillis);
         return removeIf(
                 waiting ->
-                        waiting.mWork.deadlineMillis() <= nowMillis
-                                || mLate.contains(waiting) && waiting.hasTimedOut(nowMillis));
+                        waiting.work().deadlineMillis() <= nowMillis
+                                || mPieces.isTimedOut(waiting, nowMillis));
     }
 
     /**
@@ -145,19 +135,17 @@
 
     /** Returns the number of waiting pieces. */
     public int size() {
-        return mWaiting.size() + mLate.size();
+        return mById.size();
     }
 
     /** Returns the number of waiting pieces of each rank that can still start in time. */
     public Map<Integer, Integer> waitingByRank() {
-        Map<Integer, Integer> counts = new HashMap<>();
-        mWaiting.forEach(waiting -> counts.merge(waiting.mWork.rank(), 1, Integer::sum));
-        return counts;
+        return mPieces.waitingByRank();
     }
 
     /** Returns the number of waiting pieces that are past their latest start time. */
     public int lateSize() {
-        return mLate.size();
+        return mPieces.lateSize();
     }
 
     /** Returns the number of calls in progress. */
@@ -165,16 +153,6 @@
         return mRunningCalls.values().stream().mapToInt(Integer::intValue).sum();
     }
 
-    /** Moves pieces that are past their latest start time to the queue that is served last. */
-    private void moveLatePieces(long nowMillis) {
-        while (!mByLatestStart.isEmpty()
-                && mByLatestStart.first().mWork.startByMillis() < nowMillis) {
-            WaitingPiece late = mByLatestStart.removeFirst();
-            mWaiting.remove(late);
-            mLate.add(late);
-        }
-    }
-
     /**
      * Forms the next calls.
      *
@@ -264,30 +242,26 @@
     private List<PieceWork> selectPieces(
             StageCapacity capacity, EndpointState endpoint, Set<String> domains, long nowMillis) {
         CallBuilder call = new CallBuilder(endpoint, domains, capacity, nowMillis);
-        int maximum = capacity.piecesPerCall();
-        call.fill(mWaiting, maximum);
-        call.fill(mLate, maximum);
-        call.mPieces.forEach(waiting -> waiting.mPermit.use(nowMillis));
-        return remove(call.mPieces);
+        mPieces.offer(call);
+        call.mTaken.forEach(waiting -> waiting.permit().use(nowMillis));
+        return remove(call.mTaken);
     }
 
     /** Removes pieces; permits that were not used are not needed any more. */
     private List<PieceWork> remove(List<WaitingPiece> pieces) {
         for (WaitingPiece waiting : pieces) {
-            mWaiting.remove(waiting);
-            mByLatestStart.remove(waiting);
-            mLate.remove(waiting);
-            mById.remove(waiting.mWork.id());
-            waiting.mPermit.giveBack();
+            mPieces.remove(waiting);
+            mById.remove(waiting.work().id());
+            waiting.permit().giveBack();
         }
-        return pieces.stream().map(waiting -> waiting.mWork).toList();
+        return pieces.stream().map(waiting -> waiting.work()).toList();
     }
 
     private static boolean waitsForPreferredDomain(
             WaitingPiece waiting, EndpointState endpoint, long nowMillis) {
-        PieceWork work = waiting.mWork;
+        PieceWork work = waiting.work();
         return !work.preferredDomain().equals(endpoint.registration().failureDomain())
-                && nowMillis - waiting.mSinceMillis < work.localityWaitMillis();
+                && nowMillis - waiting.sinceMillis() < work.localityWaitMillis();
     }
 
     private int runningCalls(String endpoint) {
@@ -299,12 +273,13 @@
     }
 
     /** Selects the pieces of one call. */
-    private final class CallBuilder {
+    private final class CallBuilder implements WaitingPieces.Call {
         private final EndpointState mEndpoint;
         private final String mName;
         private final Set<String> mDomains;
+        private final StageCapacity mCapacity;
         private final long mNowMillis;
-        private final List<WaitingPiece> mPieces = new ArrayList<>();
+        private final List<WaitingPiece> mTaken = new ArrayList<>();
         private double mFreeBytes;
 
         CallBuilder(
@@ -315,50 +290,40 @@
             mEndpoint = endpoint;
             mName = endpoint.registration().name();
             mDomains = domains;
+            mCapacity = capacity;
             mNowMillis = nowMillis;
             mFreeBytes = mResultCapacity.freeBytes(mName, capacity, nowMillis);
         }
 
-        /** Adds pieces in order, up to a maximum number of pieces in the call. */
-        void fill(Iterable<WaitingPiece> inOrder, int maximum) {
-            Iterator<WaitingPiece> iterator = inOrder.iterator();
-            while (mPieces.size() < maximum && iterator.hasNext()) {
-                WaitingPiece waiting = iterator.next();
-                if (fits(waiting)) {
-                    mPieces.add(waiting);
-                    mFreeBytes -= waiting.mWork.resultBytes();
-                    mResultCapacity.reserve(mName, waiting.mWork.resultBytes());
-                }
-            }
+        @Override
+        public int room() {
+            return mCapacity.piecesPerCall() - mTaken.size();
         }
 
-        private boolean fits(WaitingPiece waiting) {
-            boolean waitsForDomain =
-                    mDomains.contains(waiting.mWork.preferredDomain())
-                            && waitsForPreferredDomain(waiting, mEndpoint, mNowMillis);
-            return waiting.mWork.resultBytes() <= mFreeBytes && !waitsForDomain;
+        @Override
+        public boolean take(WaitingPiece waiting, double reservedShare) {
+            double bytes = waiting.work().resultBytes();
+            boolean fits =
+                    bytes <= mFreeBytes
+                            && leaves(reservedShare, mFreeBytes - bytes)
+                            && !waitsForDomain(waiting);
+            if (fits) {
+                mTaken.add(waiting);
+                mFreeBytes -= bytes;
+                mResultCapacity.reserve(mName, bytes);
+            }
+            return fits;
         }
-    }
 
-    /** A piece and the time at which it was added. */
-    private static final class WaitingPiece {
-        private final PieceWork mWork;
-        private final RetryPermit mPermit;
-        private final long mSinceMillis;
-        private final long mOrder;
-
-        WaitingPiece(PieceWork work, RetryPermit permit, long sinceMillis, long order) {
-            mWork = work;
-            mPermit = permit;
-            mSinceMillis = sinceMillis;
-            mOrder = order;
+        /** An endpoint without any results takes one of any size. */
+        private boolean leaves(double share, double freeBytes) {
+            double total = ResultCapacity.totalBytes(mCapacity);
+            return share == 0 || mFreeBytes >= total || freeBytes >= share * total;
         }
 
-        boolean hasTimedOut(long nowMillis) {
-            boolean occupiesCapacity = !mWork.inputs().isEmpty();
-            long timeoutMillis =
-                    occupiesCapacity ? LATE_TIMEOUT_WITH_INPUTS_MILLIS : LATE_TIMEOUT_MILLIS;
-            return nowMillis - mSinceMillis >= timeoutMillis;
+        private boolean waitsForDomain(WaitingPiece waiting) {
+            return mDomains.contains(waiting.work().preferredDomain())
+                    && waitsForPreferredDomain(waiting, mEndpoint, mNowMillis);
         }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/WaitingPieces.java
@@ -0,0 +1,42 @@
+package org.wasabilug.internal.serving;
+
+import java.util.Map;
+
+/** The waiting pieces of one service, in the order in which they are sent. */
+interface WaitingPieces {
+    /** A call to one endpoint that is being filled. */
+    interface Call {
+        /** Returns how many more pieces the call can hold. */
+        int room();
+
+        /**
+         * Adds a piece to the call if the endpoint can take it.
+         *
+         * @param waiting the piece
+         * @param reservedShare share of the endpoint's result capacity that must stay free
+         * @return whether it was added
+         */
+        boolean take(WaitingPiece waiting, double reservedShare);
+    }
+
+    /** Adds a piece. */
+    void add(WaitingPiece waiting);
+
+    /** Removes a piece. */
+    void remove(WaitingPiece waiting);
+
+    /** Moves pieces that are past their latest start time to those that are served last. */
+    void moveLate(long nowMillis);
+
+    /** Returns whether a piece has waited too long, and can't start in time any more. */
+    boolean isTimedOut(WaitingPiece waiting, long nowMillis);
+
+    /** Returns the number of pieces that are served last. */
+    int lateSize();
+
+    /** Returns the number of waiting pieces of each rank that can still start in time. */
+    Map<Integer, Integer> waitingByRank();
+
+    /** Offers the pieces to a call, in order, until it is full. They are removed afterwards. */
+    void offer(Call call);
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -0,0 +1,196 @@
+package org.wasabilug.internal.serving;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Waiting pieces of one class, served by fair queueing over workspaces with equal weights.
+ *
+ * <p>Each workspace has a virtual time that advances with each of its pieces, and the workspace
+ * with the lowest one is served next. One that begins to wait starts at the virtual time of the
+ * piece served last, so an idle share is lent at once and neither saved nor owed.
+ *
+ * <p>Equal shares alone would leave next to nothing of its demand to a workspace that asks for most
+ * of the capacity. Each third piece is therefore chosen regardless of its workspace, so that all
+ * workspaces are served at least a third as often as requests are on average.
+ */
+final class WorkspaceShares {
+    private static final int FAIR_PIECES_PER_ROUND = 2;
+    private static final double FAIR_PART =
+            FAIR_PIECES_PER_ROUND / (double) (FAIR_PIECES_PER_ROUND + 1);
+
+    private final Comparator<WaitingPiece> mOrder;
+    private final TreeSet<WaitingPiece> mAll;
+    private final Map<String, Flow> mFlows = new LinkedHashMap<>();
+    private double mVirtualTime;
+    private int mFairPieces;
+
+    /** The pieces of one workspace. */
+    private static final class Flow {
+        private final TreeSet<WaitingPiece> mPieces;
+        private double mVirtualTime;
+
+        Flow(Comparator<WaitingPiece> order) {
+            mPieces = new TreeSet<>(order);
+        }
+    }
+
+    /** Position in the pieces of one workspace. */
+    private static final class Cursor {
+        private final Flow mFlow;
+        private final Iterator<WaitingPiece> mPieces;
+        private WaitingPiece mHead;
+
+        Cursor(Flow flow) {
+            mFlow = flow;
+            mPieces = flow.mPieces.iterator();
+            mHead = mPieces.next();
+        }
+
+        boolean advance() {
+            mHead = mPieces.hasNext() ? mPieces.next() : null;
+            return mHead != null;
+        }
+    }
+
+    /**
+     * Creates an empty class.
+     *
+     * @param order order of the pieces of a workspace; it tells any two pieces apart
+     */
+    WorkspaceShares(Comparator<WaitingPiece> order) {
+        mOrder = order;
+        mAll = new TreeSet<>(order);
+    }
+
+    void add(WaitingPiece waiting) {
+        Flow flow =
+                mFlows.computeIfAbsent(waiting.work().workspace(), workspace -> new Flow(mOrder));
+        if (flow.mPieces.isEmpty()) {
+            flow.mVirtualTime = Math.max(flow.mVirtualTime, mVirtualTime);
+        }
+        flow.mPieces.add(waiting);
+        mAll.add(waiting);
+    }
+
+    boolean remove(WaitingPiece waiting) {
+        if (!mAll.remove(waiting)) {
+            return false;
+        }
+        mFlows.get(waiting.work().workspace()).mPieces.remove(waiting);
+        if (mAll.isEmpty()) {
+            mFlows.clear();
+            mVirtualTime = 0;
+        }
+        return true;
+    }
+
+    int size() {
+        return mAll.size();
+    }
+
+    /** Returns the workspaces with waiting pieces. */
+    List<String> waiting() {
+        return mFlows.entrySet().stream()
+                .filter(entry -> !entry.getValue().mPieces.isEmpty())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /**
+     * Estimates how many waiting pieces are served before another one of a workspace.
+     *
+     * @param workspace the workspace
+     */
+    int ahead(String workspace) {
+        Flow flow = mFlows.get(workspace);
+        return aheadOf(flow == null ? 0 : flow.mPieces.size());
+    }
+
+    /** Estimates the same for a workspace with an average number of waiting pieces. */
+    int typicalAhead() {
+        int workspaces = waiting().size();
+        return workspaces == 0 ? 0 : aheadOf(size() / workspaces);
+    }
+
+    /** While a workspace is served so many pieces, each other one is served as many at most. */
+    private int aheadOf(int ownPieces) {
+        int others =
+                mFlows.values().stream()
+                        .mapToInt(flow -> Math.min(flow.mPieces.size(), ownPieces + 1))
+                        .sum();
+        return Math.min(size(), (int) (others / FAIR_PART));
+    }
+
+    /**
+     * Offers pieces to a call, in order. Those that it takes must be removed afterwards.
+     *
+     * @param call takes a piece, or returns false
+     * @param maximum maximum number of pieces that are taken
+     * @return number of pieces that were taken
+     */
+    int offer(Predicate<WaitingPiece> call, int maximum) {
+        mFlows.values()
+                .removeIf(flow -> flow.mPieces.isEmpty() && flow.mVirtualTime <= mVirtualTime);
+        Set<WaitingPiece> taken = new HashSet<>();
+        PriorityQueue<Cursor> cursors = cursors();
+        Iterator<WaitingPiece> regardless = mAll.iterator();
+        while (taken.size() < maximum && !cursors.isEmpty()) {
+            if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
+                offerRegardless(regardless, call, taken);
+            } else {
+                offerNext(cursors, call, taken);
+            }
+        }
+        return taken.size();
+    }
+
+    /** Orders the workspaces; a request past its first stage precedes one that has not begun. */
+    private PriorityQueue<Cursor> cursors() {
+        PriorityQueue<Cursor> cursors =
+                new PriorityQueue<>(
+                        Comparator.comparing((Cursor cursor) -> !cursor.mHead.work().begun())
+                                .thenComparingDouble(cursor -> cursor.mFlow.mVirtualTime)
+                                .thenComparing(cursor -> cursor.mHead, mOrder));
+        for (Flow flow : mFlows.values()) {
+            if (!flow.mPieces.isEmpty()) {
+                cursors.add(new Cursor(flow));
+            }
+        }
+        return cursors;
+    }
+
+    private void offerRegardless(
+            Iterator<WaitingPiece> pieces, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
+        mFairPieces = 0;
+        while (pieces.hasNext()) {
+            WaitingPiece waiting = pieces.next();
+            if (!taken.contains(waiting) && call.test(waiting)) {
+                taken.add(waiting);
+                return;
+            }
+        }
+    }
+
+    private void offerNext(
+            PriorityQueue<Cursor> cursors, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
+        Cursor cursor = cursors.poll();
+        if (!taken.contains(cursor.mHead) && call.test(cursor.mHead)) {
+            taken.add(cursor.mHead);
+            mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
+            cursor.mFlow.mVirtualTime++;
+            mFairPieces++;
+        }
+        if (cursor.advance()) {
+            cursors.add(cursor);
+        }
+    }
+}
--- a/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/ServingFixtures.java
@@ -64,6 +64,7 @@
                 1_000,
                 "",
                 0,
-                Repetition.NONE);
+                Repetition.NONE,
+                "");
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/StagePlanTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StagePlanTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.wasabilug.serving.RequestKind;
 import org.wasabilug.serving.Route;
@@ -73,4 +74,28 @@
     void aRefusedRequestThatCannotBeInTimeReturnsAfterTheCongestion() {
         assertThat(mPlan.retryAfterMillis(OBJECTIVE_MILLIS - IDLE_MILLIS)).isEqualTo(1_500);
     }
+
+    @Test
+    void requestsRefusedTogetherReturnWhenTheBacklogIsServedAndNotTogether() {
+        mTimes.recordReport("second", QueueWaits.BACKLOG_RANK, 2_000, 0);
+        List<Long> delays =
+                IntStream.range(0, 100)
+                        .mapToObj(each -> mPlan.retryAfterBacklogMillis("request-" + each, 0))
+                        .toList();
+
+        assertThat(delays).allMatch(millis -> millis >= 2_000 && millis <= 3_000);
+        // Each tenth of the range gets some of 100 evenly spread values.
+        assertThat(delays.stream().map(millis -> Math.min(9, (millis - 2_000) / 100)).distinct())
+                .hasSize(10);
+    }
+
+    @Test
+    void aLateRequestIsRefusedOnlyIfTheBacklogReachesBeyondItsDeadline() {
+        mTimes.recordReport("second", QueueWaits.DEFERRED_RANK, 3_000, 0);
+
+        assertThat(mPlan.cannotMeetDeadline(9_000, OBJECTIVE_MILLIS)).isFalse();
+        assertThat(mPlan.cannotMeetDeadline(3_000, 0)).isFalse();
+        mTimes.recordReport("second", QueueWaits.DEFERRED_RANK, 3_000, OBJECTIVE_MILLIS);
+        assertThat(mPlan.cannotMeetDeadline(5_000, OBJECTIVE_MILLIS)).isTrue();
+    }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageQueueTest.java
@@ -101,7 +101,8 @@
                 800_000,
                 "",
                 0,
-                Repetition.NONE);
+                Repetition.NONE,
+                "");
     }
 
     @Test
@@ -139,7 +140,8 @@
                         1_000,
                         "rennes",
                         300,
-                        Repetition.NONE);
+                        Repetition.NONE,
+                        "");
         mQueue.add(work, 0);
         mQueue.add(ServingFixtures.piece("other", 0, 10_000, 0), 0);
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PieceMessages.java
@@ -28,6 +28,7 @@
                 .setDomainPatienceMilliseconds(work.localityWaitMillis())
                 .setRepeat(work.repeat())
                 .setRepeatPermitted(work.repetition() == Repetition.PERMITTED)
+                .setWorkspace(work.workspace())
                 .build();
     }
 
@@ -43,7 +44,8 @@
                 order.getResultBytes(),
                 order.getDomain(),
                 order.getDomainPatienceMilliseconds(),
-                repetition(order));
+                repetition(order),
+                order.getWorkspace());
     }
 
     /** An older sender of orders tells of no permit, so that the budget is asked once more. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -38,6 +38,7 @@
     private final InputLocator mInputs;
     private final StagePlan mPlan;
     private final boolean mNeeded;
+    private final boolean mFair;
     private final Map<PieceId, PieceWork> mOpen = new LinkedHashMap<>();
     private StageGraph mGraph;
     private final long[] mSubmittedMillis;
@@ -65,6 +66,7 @@
         mGraph = new StageGraph(request.route().stages(), request.pieces());
         mSubmittedMillis = new long[request.route().stages().size()];
         mPlan = plan(state, request);
+        mFair = state.settings().features().fairAdmission();
         mNeeded = !mGraph.isComplete();
     }
 
@@ -100,16 +102,29 @@
      */
     void start(String domain) {
         mDomain = domain;
-        if (mPlan.cannotMeetObjective(mState.nowMillis())) {
+        if (refusedOnArrival(mState.nowMillis())) {
             failed(PieceFailure.LATE);
         } else {
             submitReady();
         }
     }
 
+    /**
+     * Where callers compete, the queue defers a request that misses its objective; it is refused if
+     * it misses its deadline as well.
+     */
+    private boolean refusedOnArrival(long nowMillis) {
+        return mFair
+                ? mPlan.cannotMeetDeadline(mRequest.deadline().millis(), nowMillis)
+                : mPlan.cannotMeetObjective(nowMillis);
+    }
+
     /** Returns after how many milliseconds a request that was refused as late may return. */
     long retryAfterMillis() {
-        return mPlan.retryAfterMillis(mState.nowMillis());
+        long now = mState.nowMillis();
+        return mFair
+                ? mPlan.retryAfterBacklogMillis(mRequest.id(), now)
+                : mPlan.retryAfterMillis(now);
     }
 
     /**
@@ -224,14 +239,24 @@
                             inputs,
                             startBy,
                             mRequest.rank(),
-                            mRequest.deadline().millis(),
+                            pieceDeadlineMillis(stage),
                             specification.resultBytes(),
                             place.domain(),
                             place.localityWaitMillis(),
-                            repetition));
+                            repetition,
+                            mFair ? mRequest.workspace().orElse("") : ""));
         }
     }
 
+    /**
+     * Returns when the result of a piece is not needed any more. Late pieces that wait until their
+     * deadline would otherwise be sent although their request can't use the result.
+     */
+    private long pieceDeadlineMillis(int stage) {
+        long deadline = mRequest.deadline().millis();
+        return mFair ? mPlan.neededByMillis(stage, deadline) : deadline;
+    }
+
     /** Returns the latest start of a stage; after the first event the deadline decides. */
     private long latestStartMillis(int stage) {
         long startBy = mPlan.startByMillis(stage, mState.nowMillis());
@@ -294,11 +319,19 @@
         }
     }
 
-    /** A piece abandoned as late would have taken at least as long as it had waited. */
+    /**
+     * A piece abandoned as late would have taken at least as long as it had waited. Times of
+     * deferred pieces say nothing about those in time.
+     */
     private void recordStageTime(PieceWork work, PieceOutcome outcome, long millis) {
+        int stage = work.id().stage();
+        if (mFair && mPlan.startedLate(stage, work.startByMillis(), mState.nowMillis())) {
+            return;
+        }
         boolean late =
                 outcome instanceof PieceOutcome.Failed failed
-                        && failed.reason() == PieceFailure.LATE;
+                        && failed.reason() == PieceFailure.LATE
+                        && !mFair;
         if (late || outcome instanceof PieceOutcome.Produced) {
             long now = mState.nowMillis();
             mState.stageTimes().recordTime(work.service(), work.rank(), millis, now);
@@ -346,7 +379,7 @@
      */
     private boolean submitWithMoreTime(PieceWork work, PieceOutcome.Failed failure) {
         long startBy = latestStartMillis(work.id().stage());
-        long deadline = mRequest.deadline().millis();
+        long deadline = pieceDeadlineMillis(work.id().stage());
         if (deadline <= work.deadlineMillis() || startBy <= mState.nowMillis()) {
             return false;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -51,6 +51,7 @@
 
     private final RepeatedStages mRepeatedStages;
     private final StageQueueLog mQueueLog;
+    private final FairStages mFairStages;
     private final StageCallAttempt.Listener mCallListener = new CallListener();
 
     /** Passes on what becomes of the calls. */
@@ -98,6 +99,7 @@
         mEndpoints = new StageEndpoints(state, SENDERS_PER_SERVICE);
         mRepeatedStages = new RepeatedStages(state, new StageListener());
         mQueueLog = new StageQueueLog(state);
+        mFairStages = new FairStages(state);
         state.reachability().onSilent(this::abandonCalls);
     }
 
@@ -124,8 +126,13 @@
 
     private void enqueue(PieceWork work, RetryPermit permit) {
         long now = mState.nowMillis();
-        queue(work.service()).add(work, permit, now);
         waits(work.service()).recordArrival(work.rank(), now);
+        StageQueue queue = queue(work.service());
+        if (!mFairStages.add(work, permit, queue, waits(work.service()))) {
+            // The caller may not have submitted all pieces of the request yet.
+            mState.loop().execute(() -> expired(work));
+            return;
+        }
         // Pieces of one request are submitted one after another and should share a call.
         scheduleDispatch(work.service(), 0);
     }
@@ -166,7 +173,7 @@
     }
 
     private StageQueue queue(String service) {
-        return mQueues.computeIfAbsent(service, name -> new StageQueue());
+        return mQueues.computeIfAbsent(service, mFairStages::createQueue);
     }
 
     private QueueWaits waits(String service) {
@@ -184,11 +191,11 @@
                                         capacity ->
                                                 predictions.put(
                                                         service,
-                                                        waits.predict(
-                                                                queue(service).waitingByRank(),
-                                                                capacity,
-                                                                mState.usable(service).size(),
-                                                                mState.nowMillis()))));
+                                                        mFairStages.predict(
+                                                                service,
+                                                                queue(service),
+                                                                waits,
+                                                                capacity))));
         return predictions;
     }
 
@@ -197,6 +204,7 @@
         StageQueue queue = queue(service);
         long now = mState.nowMillis();
         queue.removeExpired(now).forEach(this::expired);
+        mFairStages.logDeferred(service);
         if (queue.size() == 0) {
             waits(service).recordWaiting(false, now);
             return;
@@ -412,6 +420,7 @@
         List<String> services = new ArrayList<>(mQueues.keySet());
         services.forEach(this::dispatch);
         mQueueLog.write(mQueues);
+        mFairStages.logShares();
         return mResults.evictExpired();
     }
 }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/peer/EarlierSendersTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/peer/EarlierSendersTest.java
@@ -121,7 +121,8 @@
                                 9.5,
                                 "rennes",
                                 11_000,
-                                repetition));
+                                repetition,
+                                ""));
     }
 
     @ParameterizedTest
