Bound the passes over a long queue of deferred pieces

Cause: deferred pieces wait for seconds, so a queue holds thousands of them; each dispatch tested all of them for their deadline, and a call to an endpoint without room for results was offered all of them. Services without stages told all refused callers the same 400 ms. Conclusion: the processor time of a long queue is not measured.

--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -1,6 +1,7 @@
 package org.wasabilug.internal.serving;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,6 +44,7 @@
 
     private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
     private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
+    private final TreeSet<WaitingPiece> mByDeadline = new TreeSet<>(DEADLINE_ORDER);
 
     /** Pieces of deferred requests that would be in time if they were sent now. */
     private final WorkspaceShares mDoubtful =
@@ -150,6 +152,7 @@
     @Override
     public void add(WaitingPiece waiting) {
         mByLatestStart.add(waiting);
+        mByDeadline.add(waiting);
         if (isDeferred(waiting.work().id().request())) {
             mDoubtful.add(waiting);
             countDeferred(waiting);
@@ -168,6 +171,7 @@
     @Override
     public void remove(WaitingPiece waiting) {
         mByLatestStart.remove(waiting);
+        mByDeadline.remove(waiting);
         if (mDoubtful.remove(waiting) || mLate.remove(waiting)) {
             mDeferredRequests.computeIfPresent(
                     waiting.work().id().request(),
@@ -193,8 +197,15 @@
 
     /** Late pieces wait until a call can't bring their results before their deadline any more. */
     @Override
-    public boolean isTimedOut(WaitingPiece waiting, long nowMillis) {
-        return nowMillis + mCallMillis > waiting.work().deadlineMillis();
+    public List<WaitingPiece> expired(Collection<WaitingPiece> all, long nowMillis) {
+        List<WaitingPiece> expired = new ArrayList<>();
+        for (WaitingPiece waiting : mByDeadline) {
+            if (nowMillis + mCallMillis < waiting.work().deadlineMillis()) {
+                break;
+            }
+            expired.add(waiting);
+        }
+        return expired;
     }
 
     /**
--- a/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -17,11 +17,6 @@
 
     private static final long MIN_RETRY_MILLIS = 250;
 
-    /** Odd number near 2^32 divided by the golden ratio, which spreads similar hashes. */
-    private static final int HASH_MULTIPLIER = 0x9E3779B1;
-
-    private static final int HASH_BITS = Integer.SIZE - Byte.SIZE;
-
     private final StageTimes mTimes;
     private final StageTimes.RequestPlan mPlan;
     private final List<StageCapacity> mCapacities;
@@ -141,10 +136,9 @@
 
     /**
      * Returns after how many milliseconds a refused request may return: when the reported backlog
-     * of its stages has been worked off, and up to half as long again, so that requests refused
-     * together do not return together.
+     * of its stages has been worked off, or a while later.
      *
-     * @param request ID of the request, which decides on its place in the spread
+     * @param request ID of the request, which decides how much later
      * @param nowMillis current monotonic time, in milliseconds
      */
     public long retryAfterBacklogMillis(String request, long nowMillis) {
@@ -155,13 +149,7 @@
                 backlog = Math.max(backlog, expected);
             }
         }
-        return (long) (backlog * (1 + spread(request) / 2));
-    }
-
-    /** Returns a number from 0 to 1 that is the same each time for one request. */
-    private static double spread(String request) {
-        int mixed = request.hashCode() * HASH_MULTIPLIER;
-        return (mixed >>> Byte.SIZE) / (double) (1 << HASH_BITS);
+        return RetrySpread.millis(request, backlog);
     }
 
     private double expectedMillis(int stage, int rank, long nowMillis) {
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -118,10 +118,7 @@
      */
     public List<PieceWork> removeExpired(long nowMillis) {
         mPieces.moveLate(nowMillis);
-        return removeIf(
-                waiting ->
-                        waiting.work().deadlineMillis() <= nowMillis
-                                || mPieces.isTimedOut(waiting, nowMillis));
+        return remove(mPieces.expired(mById.values(), nowMillis));
     }
 
     /**
--- a/core/src/main/java/org/wasabilug/internal/serving/UrgencyOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/UrgencyOrder.java
@@ -1,8 +1,10 @@
 package org.wasabilug.internal.serving;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 
@@ -58,8 +60,18 @@
         }
     }
 
+    /** Returns pieces past their deadline, and those that have waited too long and are late. */
     @Override
-    public boolean isTimedOut(WaitingPiece waiting, long nowMillis) {
+    public List<WaitingPiece> expired(Collection<WaitingPiece> all, long nowMillis) {
+        return all.stream()
+                .filter(
+                        waiting ->
+                                waiting.work().deadlineMillis() <= nowMillis
+                                        || isTimedOut(waiting, nowMillis))
+                .toList();
+    }
+
+    private boolean isTimedOut(WaitingPiece waiting, long nowMillis) {
         boolean occupiesCapacity = !waiting.work().inputs().isEmpty();
         long timeoutMillis =
                 occupiesCapacity ? LATE_TIMEOUT_WITH_INPUTS_MILLIS : LATE_TIMEOUT_MILLIS;
--- a/core/src/main/java/org/wasabilug/internal/serving/WaitingPieces.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WaitingPieces.java
@@ -1,5 +1,7 @@
 package org.wasabilug.internal.serving;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 
 /** The waiting pieces of one service, in the order in which they are sent. */
@@ -28,8 +30,13 @@
     /** Moves pieces that are past their latest start time to those that are served last. */
     void moveLate(long nowMillis);
 
-    /** Returns whether a piece has waited too long, and can't start in time any more. */
-    boolean isTimedOut(WaitingPiece waiting, long nowMillis);
+    /**
+     * Returns the pieces that are not sent any more because they are too late.
+     *
+     * @param all all waiting pieces, in the order in which they were added
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    List<WaitingPiece> expired(Collection<WaitingPiece> all, long nowMillis);
 
     /** Returns the number of pieces that are served last. */
     int lateSize();
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -27,11 +27,18 @@
     private static final double FAIR_PART =
             FAIR_PIECES_PER_ROUND / (double) (FAIR_PIECES_PER_ROUND + 1);
 
+    /**
+     * Pieces that are offered to a call in vain before the rest of the class is passed over, as an
+     * endpoint without room for them would otherwise cost a pass over the whole queue.
+     */
+    private static final int MAX_OFFERS_IN_VAIN = 256;
+
     private final Comparator<WaitingPiece> mOrder;
     private final TreeSet<WaitingPiece> mAll;
     private final Map<String, Flow> mFlows = new LinkedHashMap<>();
     private double mVirtualTime;
     private int mFairPieces;
+    private int mOffersInVain;
 
     /** The pieces of one workspace. */
     private static final class Flow {
@@ -143,7 +150,8 @@
         Set<WaitingPiece> taken = new HashSet<>();
         PriorityQueue<Cursor> cursors = cursors();
         Iterator<WaitingPiece> regardless = mAll.iterator();
-        while (taken.size() < maximum && !cursors.isEmpty()) {
+        mOffersInVain = 0;
+        while (taken.size() < maximum && mOffersInVain < MAX_OFFERS_IN_VAIN && !cursors.isEmpty()) {
             if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
                 offerRegardless(regardless, call, taken);
             } else {
@@ -171,9 +179,9 @@
     private void offerRegardless(
             Iterator<WaitingPiece> pieces, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
         mFairPieces = 0;
-        while (pieces.hasNext()) {
+        while (pieces.hasNext() && mOffersInVain < MAX_OFFERS_IN_VAIN) {
             WaitingPiece waiting = pieces.next();
-            if (!taken.contains(waiting) && call.test(waiting)) {
+            if (!taken.contains(waiting) && takes(call, waiting)) {
                 taken.add(waiting);
                 return;
             }
@@ -183,7 +191,7 @@
     private void offerNext(
             PriorityQueue<Cursor> cursors, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
         Cursor cursor = cursors.poll();
-        if (!taken.contains(cursor.mHead) && call.test(cursor.mHead)) {
+        if (!taken.contains(cursor.mHead) && takes(call, cursor.mHead)) {
             taken.add(cursor.mHead);
             mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
             cursor.mFlow.mVirtualTime++;
@@ -193,4 +201,10 @@
             cursors.add(cursor);
         }
     }
+
+    private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting) {
+        boolean takes = call.test(waiting);
+        mOffersInVain += takes ? 0 : 1;
+        return takes;
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -9,6 +9,7 @@
 import org.wasabilug.gateway.internal.caller.CallerExchange;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.RetrySpread;
 
 /**
  * Serves one request with a series of attempts until the caller has one final response.
@@ -212,7 +213,10 @@
      * failed.
      */
     final void respondNotRunOrFailed(String reason) {
-        respondNotRunOrFailed(reason, Math.max(mBusyRetryMillis, mSender.retryAfterMillis()));
+        long retryAfter = Math.max(mBusyRetryMillis, mSender.retryAfterMillis());
+        boolean spread = mState.settings().features().fairAdmission();
+        respondNotRunOrFailed(
+                reason, spread ? RetrySpread.millis(mRequest.id(), retryAfter) : retryAfter);
     }
 
     final void respondNotRunOrFailed(String reason, long retryAfterMillis) {
