--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -14,9 +14,9 @@
 /**
  * Serves pieces by rank, then by fair shares of workspaces, then by latest start.
  *
- * <p>Pieces of deferred requests, which miss their latency objective, follow all pieces that can
- * still start in time, until their deadline. Among them, rank does not count, so that no rank
- * starves while more urgent ones are late as well.
+ * <p>Pieces of deferred requests, which are expected to miss their latency objective, follow until
+ * their deadline; those past their latest start come last. Among them, rank does not count, so that
+ * no rank starves while more urgent ones are late as well.
  */
 public final class FairOrder implements WaitingPieces {
     /**
@@ -28,7 +28,7 @@
     /** Least share of the capacity that a waiting rank gets. */
     static final double LEAST_RANK_SHARE = 1.0 / (MAX_PASSED_OVER + 1);
 
-    /** Share of the result capacity of an endpoint that requests in time find free of others. */
+    /** Share of the result capacity of an endpoint that deferred requests leave free. */
     private static final double RESERVED_SHARE = 0.5;
 
     private static final Comparator<WaitingPiece> BEGUN_FIRST =
@@ -43,6 +43,7 @@
                     .thenComparingLong(WaitingPiece::order);
 
     private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
+    /** All pieces that are not past their latest start. */
     private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
     private final TreeSet<WaitingPiece> mByDeadline = new TreeSet<>(DEADLINE_ORDER);
 
