Move a service's traffic to another software version in judged steps

Cause: nothing moves a service from one version to another. Change: core decides on exposure, verdict and end of a rollout; the gateway follows the order rows, restricts where requests go, exchanges counts in heartbeats and writes the status.

--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -0,0 +1,443 @@
+package org.wasabilug.internal.rollout;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.wasabilug.internal.rollout.RolloutStatus.State;
+import org.wasabilug.internal.rollout.VersionAnalysis.Finding;
+import org.wasabilug.internal.serving.RolloutLimits;
+
+/**
+ * One order as seen by one instance: which versions its requests may go to, and which status is to
+ * be written.
+ *
+ * <p>Until a version is judged good it gets a share of this instance's own requests. Once it is
+ * good, new requests go there only, and those that are bound to the old version may follow them to
+ * it for a while. After that the instance does not use the old version again unless the new one
+ * turns bad.
+ */
+public final class Rollout {
+    /**
+     * Time before the deadline at which the final state is due, so that the next writers still have
+     * time after a failed one.
+     */
+    private static final long CLOSING_MILLIS = 4_000;
+
+    private static final double MAX_CLOSING_PART = 0.1;
+
+    /** Part of the time left at the verdict for requests that are bound to the old version. */
+    private static final double BOUND_PART = 0.25;
+
+    /** Part of the time left at the verdict for which the version is watched with all traffic. */
+    private static final double WATCHED_PART = 0.5;
+
+    /** Time in which an instance that hears no peers surely reads the status. */
+    private static final long STATUS_READ_MILLIS = 5_000;
+
+    /** Time for which a verdict is still reported after a rollback, to peers that miss it. */
+    private static final long REPORT_AFTER_END_MILLIS = 10_000;
+
+    private final RolloutOrder mOrder;
+    private final OwnTraffic mTraffic;
+    private final PeerReports mPeers = new PeerReports();
+    private final VerdictTracker mTracker = new VerdictTracker();
+    private final VerdictTracker mOwnTracker = new VerdictTracker();
+    private final Set<String> mRegistered = new HashSet<>();
+    private final Set<String> mOldVersions = new HashSet<>();
+    private final long mStartMillis;
+    private long mDeadlineMillis;
+    private RolloutTiming mTiming = new RolloutTiming(0, 0);
+    private Optional<RolloutStatus> mStatus = Optional.empty();
+    private boolean mStatusRead;
+    private boolean mPeersHeard;
+    private boolean mEndedAtPeer;
+    private boolean mPaused;
+    private int mBaselineRunning;
+    private RolloutVerdict mVerdict = RolloutVerdict.UNDECIDED;
+    private Finding mFinding = Finding.FINE;
+    private boolean mOwnBad;
+    private long mGoodMillis;
+    private long mMovingMillis;
+    private long mEndMillis;
+
+    /** Versions to choose an endpoint from. */
+    public enum Group {
+        /** The version that is to get the traffic. */
+        CANDIDATE,
+        /** All other versions. */
+        BASELINE
+    }
+
+    /**
+     * Creates the state of a new order.
+     *
+     * @param order the order
+     * @param limits limits for all instances together
+     * @param presentAtOrder whether this instance ran when the order was given
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public Rollout(
+            RolloutOrder order, RolloutLimits limits, boolean presentAtOrder, long nowMillis) {
+        mOrder = order;
+        mTraffic = new OwnTraffic(order, limits, presentAtOrder, nowMillis);
+        mStartMillis = nowMillis;
+        mDeadlineMillis = nowMillis + order.durationMillis();
+    }
+
+    /** Returns the order. */
+    public RolloutOrder order() {
+        return mOrder;
+    }
+
+    /** Returns the requests of this instance. */
+    public OwnTraffic traffic() {
+        return mTraffic;
+    }
+
+    /** Returns the verdict. */
+    public RolloutVerdict verdict() {
+        return mVerdict;
+    }
+
+    /** Returns the deadline by the monotonic clock, in milliseconds. */
+    public long deadlineMillis() {
+        return mDeadlineMillis;
+    }
+
+    /** Returns the final state; empty while the rollout is running. */
+    public Optional<State> end() {
+        return mStatus.map(RolloutStatus::state).filter(State::isFinal);
+    }
+
+    /** Returns whether the rollout has ended with all traffic at the new version. */
+    public boolean done() {
+        return end().equals(Optional.of(State.DONE));
+    }
+
+    /**
+     * Sets what is known of the service; to be called before each judgement.
+     *
+     * @param versions versions of its registered endpoints that accept requests
+     * @param baselineRunning requests of this instance, also those from before the order, that run
+     *     at endpoints of other versions
+     * @param timing its times
+     */
+    public void service(Collection<String> versions, int baselineRunning, RolloutTiming timing) {
+        mRegistered.clear();
+        mRegistered.addAll(versions);
+        mBaselineRunning = baselineRunning;
+        mTiming = timing;
+        if (end().isEmpty()) {
+            addOldVersions();
+        }
+    }
+
+    /** Versions that are first registered after the end are no part of the rollout. */
+    private void addOldVersions() {
+        mRegistered.stream()
+                .filter(each -> !each.equals(mOrder.softwareVersion()))
+                .forEach(mOldVersions::add);
+    }
+
+    /**
+     * Returns whether a version belongs to a group.
+     *
+     * @param group the group
+     * @param softwareVersion the version
+     */
+    public boolean contains(Group group, String softwareVersion) {
+        boolean candidate =
+                done()
+                        ? !mOldVersions.contains(softwareVersion)
+                        : softwareVersion.equals(mOrder.softwareVersion());
+        return candidate == (group == Group.CANDIDATE);
+    }
+
+    /**
+     * Returns the groups that a request may go to, in order of preference.
+     *
+     * @param kind kind of the send
+     * @param instances number of instances that share the slack
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public List<Group> groups(SendKind kind, int instances, long nowMillis) {
+        if (done()) {
+            return List.of(Group.CANDIDATE);
+        }
+        if (moved()) {
+            return nowMillis < boundUntilMillis()
+                    ? List.of(Group.CANDIDATE, Group.BASELINE)
+                    : List.of(Group.CANDIDATE);
+        }
+        if (remainingExposure(kind, instances, nowMillis) < 1) {
+            return List.of(Group.BASELINE);
+        }
+        return kind == SendKind.FIRST
+                ? List.of(Group.CANDIDATE, Group.BASELINE)
+                : List.of(Group.BASELINE, Group.CANDIDATE);
+    }
+
+    /** Returns whether the version is judged good and all traffic goes there. */
+    public boolean moved() {
+        return mVerdict == RolloutVerdict.GOOD && !end().equals(Optional.of(State.ROLLED_BACK));
+    }
+
+    /**
+     * Returns how many requests may go to the new version before it is judged.
+     *
+     * @param kind kind of the sends
+     * @param instances number of instances that share the slack
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public double remainingExposure(SendKind kind, int instances, long nowMillis) {
+        boolean exposed =
+                statusKnown(nowMillis)
+                        && end().isEmpty()
+                        && mVerdict == RolloutVerdict.UNDECIDED
+                        && !mOwnBad
+                        && !mPaused
+                        && nowMillis < mDeadlineMillis;
+        return exposed ? mTraffic.remaining(kind, instances) : 0;
+    }
+
+    /** Peers are followed if the store does not answer. */
+    private boolean statusKnown(long nowMillis) {
+        return mStatusRead || mPeersHeard && nowMillis - mStartMillis >= STATUS_READ_MILLIS;
+    }
+
+    private long boundUntilMillis() {
+        double part = BOUND_PART * Math.max(0, mDeadlineMillis - mGoodMillis);
+        return mGoodMillis + (long) Math.min(part, mTiming.longestRequestMillis());
+    }
+
+    /**
+     * Returns what this instance tells its peers; empty once the rollout has ended.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public Optional<InstanceReport> report(long nowMillis) {
+        boolean over =
+                mPaused
+                        || end().isPresent()
+                                && (done() || nowMillis - mEndMillis > REPORT_AFTER_END_MILLIS);
+        return over ? Optional.empty() : Optional.of(ownReport(nowMillis));
+    }
+
+    private InstanceReport ownReport(long nowMillis) {
+        OutcomeCounts counted = mTraffic.baseline();
+        int running = Math.max(counted.running(), mBaselineRunning);
+        OutcomeCounts baseline =
+                new OutcomeCounts(
+                        counted.sent(),
+                        mayUseBaseline(nowMillis) ? running + 1 : running,
+                        counted.cells());
+        return new InstanceReport(mTraffic.requests(), mTraffic.candidate(), baseline, mVerdict);
+    }
+
+    /** Results that endpoints of the old version hold are in use until they expire. */
+    private boolean mayUseBaseline(long nowMillis) {
+        return !moved()
+                || nowMillis < boundUntilMillis()
+                || nowMillis < mTraffic.baselineUsedMillis() + mTiming.resultMillis();
+    }
+
+    /**
+     * Applies what a peer reports about this order.
+     *
+     * @param peer name of the peer
+     * @param report its report
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void reportReceived(String peer, InstanceReport report, long nowMillis) {
+        mPeers.received(peer, report, nowMillis);
+        mPeersHeard = true;
+        apply(report.verdict(), nowMillis);
+    }
+
+    /**
+     * Records that a peer reports nothing about this order. If it did before, the rollout has ended
+     * there.
+     *
+     * @param peer name of the peer
+     */
+    public void reportMissing(String peer) {
+        mEndedAtPeer |= mPeers.remove(peer);
+    }
+
+    private void apply(RolloutVerdict verdict, long nowMillis) {
+        if (mPaused || end().isPresent() || mVerdict == RolloutVerdict.BAD) {
+            return;
+        }
+        if (verdict == RolloutVerdict.BAD) {
+            mVerdict = verdict;
+        } else if (verdict == RolloutVerdict.GOOD && mVerdict == RolloutVerdict.UNDECIDED) {
+            mVerdict = verdict;
+            mGoodMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Derives the verdict from the counts of all instances; to be called several times a second.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void judge(long nowMillis) {
+        if (mPaused || end().isPresent() || mVerdict == RolloutVerdict.BAD) {
+            return;
+        }
+        OutcomeCounts candidate = mTraffic.candidate();
+        OutcomeCounts baseline = mTraffic.baseline();
+        mOwnBad = mOwnTracker.compare(candidate.copy(), baseline.copy(), nowMillis) == Finding.BAD;
+        mPeers.addTo(candidate, baseline);
+        mFinding = mTracker.compare(candidate, baseline, nowMillis);
+        boolean present = mRegistered.contains(mOrder.softwareVersion());
+        if (mFinding == Finding.BAD || moved() && !present) {
+            apply(RolloutVerdict.BAD, nowMillis);
+        } else if (present && mayBecomeGood(candidate, baseline, nowMillis)) {
+            apply(RolloutVerdict.GOOD, nowMillis);
+        }
+    }
+
+    /**
+     * Counts behind the verdict, of all instances.
+     *
+     * @param responses responses and failures of the new version
+     * @param failures failures of the new version
+     * @param baselineResponses responses and failures of the old version
+     * @param baselineFailures failures of the old version
+     */
+    public record Figures(
+            long responses, long failures, long baselineResponses, long baselineFailures) {}
+
+    /** Returns the counts behind the verdict. */
+    public Figures figures() {
+        OutcomeCounts candidate = mTraffic.candidate();
+        OutcomeCounts baseline = mTraffic.baseline();
+        mPeers.addTo(candidate, baseline);
+        return new Figures(
+                candidate.ended(), candidate.failed(), baseline.ended(), baseline.failed());
+    }
+
+    private boolean mayBecomeGood(OutcomeCounts candidate, OutcomeCounts baseline, long nowMillis) {
+        return statusKnown(nowMillis)
+                && mFinding == Finding.FINE
+                && nowMillis < closingMillis()
+                && VerdictTracker.suffice(
+                        candidate, baseline, nowMillis - mStartMillis, mOrder.durationMillis());
+    }
+
+    private long closingMillis() {
+        double part = MAX_CLOSING_PART * mOrder.durationMillis();
+        return mDeadlineMillis - (long) Math.min(CLOSING_MILLIS, part);
+    }
+
+    /**
+     * Applies the status that the store holds.
+     *
+     * @param status the status of this order; empty if there is none
+     * @param storeMillis time of the store's clock, in milliseconds
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void statusRead(Optional<RolloutStatus> status, long storeMillis, long nowMillis) {
+        mStatusRead = true;
+        mEndedAtPeer = false;
+        if (mPaused || status.isEmpty() || end().isPresent()) {
+            return;
+        }
+        RolloutStatus read = status.get();
+        if (read.deadlineMillis() > 0) {
+            long remaining = read.deadlineMillis() - storeMillis;
+            mDeadlineMillis = Math.min(mDeadlineMillis, nowMillis + remaining);
+        }
+        if (read.moving()) {
+            if (mMovingMillis == 0) {
+                mMovingMillis = nowMillis;
+            }
+            apply(RolloutVerdict.GOOD, nowMillis);
+        }
+        mStatus = status;
+        if (read.state().isFinal()) {
+            mEndMillis = nowMillis;
+            mVerdict = read.state() == State.DONE ? RolloutVerdict.GOOD : RolloutVerdict.BAD;
+            addOldVersions();
+        }
+    }
+
+    /** Returns whether the status must be read before this instance sends to the new version. */
+    public boolean statusUnknown() {
+        return !mStatusRead;
+    }
+
+    /** Keeps the version from getting requests, as its order was removed before it was judged. */
+    public void pause() {
+        mPaused = true;
+    }
+
+    /** Returns whether the order was removed before the version was judged good. */
+    public boolean paused() {
+        return mPaused;
+    }
+
+    /** Returns whether the rollout has ended at a peer, so that the status has news. */
+    public boolean endedAtPeer() {
+        return mEndedAtPeer && end().isEmpty();
+    }
+
+    /**
+     * Returns the status that is to be written now.
+     *
+     * @param fleet the other instances
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return state and whether the traffic moves; empty if what was read last is right
+     */
+    public Optional<RolloutStatus> wanted(RolloutFleet fleet, long nowMillis) {
+        if (mPaused || end().isPresent()) {
+            return Optional.empty();
+        }
+        Optional<State> end = wantedEnd(fleet, nowMillis);
+        boolean moving = moved();
+        if (end.isEmpty() && mStatus.isPresent() && (mStatus.get().moving() || !moving)) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new RolloutStatus(end.orElse(State.RUNNING), mOrder.softwareVersion(), moving, 0));
+    }
+
+    private Optional<State> wantedEnd(RolloutFleet fleet, long nowMillis) {
+        if (mVerdict == RolloutVerdict.BAD) {
+            return Optional.of(State.ROLLED_BACK);
+        }
+        boolean closing = nowMillis >= closingMillis();
+        boolean drained = drained(fleet, nowMillis);
+        long watchedMillis =
+                mGoodMillis + (long) (WATCHED_PART * Math.max(0, closingMillis() - mGoodMillis));
+        boolean watched = nowMillis >= watchedMillis && mFinding == Finding.FINE;
+        if (drained && (watched || closing)) {
+            return Optional.of(State.DONE);
+        }
+        return closing ? Optional.of(State.ROLLED_BACK) : Optional.empty();
+    }
+
+    /**
+     * Returns whether no instance uses the old version any more. Those that are not heard learn
+     * from the store that the traffic moves.
+     */
+    private boolean drained(RolloutFleet fleet, long nowMillis) {
+        if (!moved() || !ownReport(nowMillis).drained()) {
+            return false;
+        }
+        long unheardMillis =
+                STATUS_READ_MILLIS
+                        + boundUntilMillis()
+                        - mGoodMillis
+                        + mTiming.longestRequestMillis()
+                        + mTiming.resultMillis();
+        boolean unheardDrained =
+                fleet.othersReadStatus()
+                        && mMovingMillis > 0
+                        && nowMillis - mMovingMillis >= unheardMillis;
+        return mPeers.drained(fleet.others(), unheardDrained, nowMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabilug/internal/rollout/VerdictTracker.java
@@ -0,0 +1,100 @@
+package org.wasabilug.internal.rollout;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.wasabilug.internal.rollout.VersionAnalysis.Finding;
+
+/** Derives the verdict on a version from the counts since the order and those of late. */
+final class VerdictTracker {
+    /**
+     * Many good responses hide a version that turns bad, so the latest ones are judged apart from
+     * the sum. The window is long enough for a few responses of each route.
+     */
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private static final long SNAPSHOT_MILLIS = 1_000;
+
+    /** Responses of the old version in the window from which it is compared with that window. */
+    private static final long MIN_WINDOW_RESPONSES = 50;
+
+    private static final double SLOW_RATIO = 2;
+
+    /**
+     * Without responses of the old version in the same period, a higher load may be the reason for
+     * longer times.
+     */
+    private static final double SLOW_RATIO_OF_OTHER_PERIODS = 3;
+
+    private static final long USUAL_RESPONSES = 100;
+    private static final long MIN_RESPONSES = 10;
+    private static final long MIN_ROUTE_RESPONSES = 5;
+    private static final long BUSY_ROUTE_RESPONSES = 50;
+    private static final long MAX_TRIAL_MILLIS = 10_000;
+    private static final double USUAL_PART = 0.15;
+    private static final double FEW_RESPONSES_PART = 0.4;
+    private static final double LAST_PART = 0.5;
+
+    private final Deque<Snapshot> mSnapshots = new ArrayDeque<>();
+
+    private record Snapshot(long millis, OutcomeCounts candidate, OutcomeCounts baseline) {}
+
+    /** Compares the versions by all counts, and by the latest ones. */
+    Finding compare(OutcomeCounts candidate, OutcomeCounts baseline, long nowMillis) {
+        Finding whole = VersionAnalysis.compare(candidate, baseline, SLOW_RATIO);
+        Snapshot start = windowStart(candidate, baseline, nowMillis);
+        OutcomeCounts recent = candidate.since(start.candidate());
+        OutcomeCounts reference = baseline.since(start.baseline());
+        boolean samePeriod = reference.ended() >= MIN_WINDOW_RESPONSES;
+        Finding late =
+                VersionAnalysis.compare(
+                        recent,
+                        samePeriod ? reference : baseline,
+                        samePeriod ? SLOW_RATIO : SLOW_RATIO_OF_OTHER_PERIODS);
+        return whole.worse(late);
+    }
+
+    private Snapshot windowStart(OutcomeCounts candidate, OutcomeCounts baseline, long nowMillis) {
+        if (mSnapshots.isEmpty() || nowMillis - mSnapshots.getLast().millis() >= SNAPSHOT_MILLIS) {
+            mSnapshots.addLast(new Snapshot(nowMillis, candidate.copy(), baseline.copy()));
+        }
+        while (mSnapshots.size() > 1
+                && nowMillis - mSnapshots.getFirst().millis() > WINDOW_MILLIS) {
+            mSnapshots.removeFirst();
+        }
+        return mSnapshots.getFirst();
+    }
+
+    /**
+     * Returns whether there are enough responses to call a version good that is not suspect. The
+     * later it is, the fewer suffice, so that a quiet service is judged before the deadline too.
+     *
+     * @param elapsedMillis time since the order
+     * @param durationMillis time from the order to the deadline
+     */
+    static boolean suffice(
+            OutcomeCounts candidate,
+            OutcomeCounts baseline,
+            long elapsedMillis,
+            long durationMillis) {
+        double part = (double) elapsedMillis / durationMillis;
+        long responses = candidate.ended();
+        if (part >= LAST_PART) {
+            return responses > 0;
+        }
+        if (part >= FEW_RESPONSES_PART) {
+            return responses >= MIN_RESPONSES;
+        }
+        boolean tried = elapsedMillis >= MAX_TRIAL_MILLIS || part >= USUAL_PART;
+        return tried && responses >= USUAL_RESPONSES && coversRoutes(candidate, baseline);
+    }
+
+    private static boolean coversRoutes(OutcomeCounts candidate, OutcomeCounts baseline) {
+        for (int route = 0; route < OutcomeCounts.MAX_ROUTES; route++) {
+            if (baseline.ended(route) >= BUSY_ROUTE_RESPONSES
+                    && candidate.ended(route) < MIN_ROUTE_RESPONSES) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.wasabilug.gateway.internal.fleet.EndpointWatch;
 import org.wasabilug.gateway.internal.fleet.InstanceRegistry;
 import org.wasabilug.gateway.internal.fleet.MissedConfiguration;
+import org.wasabilug.gateway.internal.fleet.RolloutWatch;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionRecorder;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionTable;
@@ -80,6 +81,7 @@
     private final RelayListener mRelays;
     private final EndpointWatch mEndpoints;
     private final ConfigurationWatch mConfiguration;
+    private final RolloutWatch mRollouts;
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private long mHousekeepingDueMillis = Long.MAX_VALUE;
 
@@ -113,6 +115,7 @@
         mStore.era().addListener(this::storeCameBackOlder);
         mStoreRelay =
                 new StoreRelay(mState, mNetwork, mStore.era(), () -> !mEndpoints.storeReachable());
+        mRollouts = new RolloutWatch(mState, mConfiguration, mStore, mNetwork::live);
         mConfigurationFollower = configurationFollower(protocol.store().configurationTable());
         mMissedConfiguration = new MissedConfiguration(mState, mConfigurationFollower::readAnew);
         SoftwareVersionTable versions = new SoftwareVersionTable(mState, mStore);
@@ -218,7 +221,7 @@
                         table,
                         () -> StorePolling.waitMillis(mNetwork.instances()),
                         () -> CONFIGURATION_PAUSE_MILLIS),
-                mStoreRelay.relay(table, mConfiguration));
+                mStoreRelay.relay(table, mRollouts));
     }
 
     private void storeCameBackOlder(long before, long era) {
@@ -249,6 +252,7 @@
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
         mStreamOrigins.removeExpired();
         mSoftwareVersions.recordChanges();
+        mRollouts.advance();
         mCrashSuspects.removeExpired();
         mStoreRelay.relayChanges();
         mState.reachability().probe();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -44,6 +44,7 @@
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final PauseMonitor mPauseMonitor = new PauseMonitor(this);
     private final EndpointSelector mSelector;
+    private final Rollouts mRollouts = new Rollouts(this);
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private Supplier<Set<String>> mInstances;
     private Optional<ShutdownSchedule> mStop = Optional.empty();
@@ -187,6 +188,11 @@
         return mSoftwareVersions;
     }
 
+    /** Returns the rollouts of services' versions. */
+    public Rollouts rollouts() {
+        return mRollouts;
+    }
+
     /** Returns the observed times of stages and requests. */
     public StageTimes stageTimes() {
         return mStageTimes;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -23,12 +23,14 @@
  */
 final class SharedLoads {
     private final GatewayState mState;
+    private final SharedRollouts mRollouts;
 
     /** Endpoints to which a peer has sent load, by the name of the peer. */
     private final Map<String, Set<String>> mLoadedEndpoints = new HashMap<>();
 
     SharedLoads(GatewayState state) {
         mState = state;
+        mRollouts = new SharedRollouts(state);
     }
 
     /** Adds the load that this instance puts on endpoints. */
@@ -46,6 +48,11 @@
         }
     }
 
+    /** Adds what this instance has counted of rollouts. */
+    void addRollouts(GatewayHeartbeat.Builder heartbeat) {
+        mRollouts.add(heartbeat);
+    }
+
     /** Adds the services whose endpoints have recently announced that they are brittle. */
     void addBrittleServices(GatewayHeartbeat.Builder heartbeat) {
         mState.rejectionMonitor()
@@ -93,6 +100,7 @@
     /** Applies the observations of a peer. */
     void apply(String sender, GatewayHeartbeat heartbeat) {
         applyLoads(sender, heartbeat);
+        mRollouts.apply(sender, heartbeat);
         heartbeat.getStageWaitsList().forEach(this::applyStageWait);
         heartbeat.getPromptsList().forEach(this::applyPrompt);
         for (BrittleService brittle : heartbeat.getBrittleServicesList()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RolloutSend;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
@@ -44,6 +45,8 @@
     private boolean mAnswerBegun;
     private boolean mAnswerWentOn;
     private boolean mEnded;
+    private boolean mOverdue;
+    private RolloutSend mRollout = RolloutSend.NONE;
 
     Attempt(
             GatewayState state,
@@ -66,6 +69,7 @@
 
     void send(HttpHeaders headers) {
         mEndpoint.recordSent(mLoad, mSentMillis);
+        mRollout = mState.rollouts().sent(mEndpoint, mRequest.route().name());
         mLoadAtSend = mEndpoint.loadAndSlots(mRequest.service());
         OutgoingRequest outgoing =
                 new OutgoingRequest(
@@ -132,12 +136,28 @@
     void cancel() {
         if (!mEnded) {
             end();
+            recordCancelled();
             mCall.cancel();
         }
     }
 
+    /**
+     * A version whose responses come too late to be waited for is no better than one that fails.
+     */
+    private void recordCancelled() {
+        long now = mState.nowMillis();
+        if (mOverdue) {
+            mRollout.failed();
+        } else if (now >= mRequest.objectiveMillis()) {
+            mRollout.succeeded(now - mSentMillis);
+        } else {
+            mRollout.ended();
+        }
+    }
+
     /** Records a failure for the endpoint, as its response is overdue; the attempt goes on. */
     void recordOverdue() {
+        mOverdue = true;
         mEndpoint.health().recordFailure(mState.nowMillis());
     }
 
@@ -299,6 +319,18 @@
         }
         end();
         answerWentOn();
+        if (mNotExecuted) {
+            mRollout.ended();
+        } else if (mHead.status().code() >= SERVER_ERROR || !mDeliverable) {
+            mRollout.failed();
+        } else {
+            mRollout.succeeded(millis);
+        }
+        recordHealth(millis);
+        mOwner.completed(this);
+    }
+
+    private void recordHealth(long millis) {
         if (!mNotExecuted) {
             if (mHead.status().code() >= SERVER_ERROR) {
                 mEndpoint.health().recordFailure(mState.nowMillis());
@@ -306,7 +338,6 @@
                 mEndpoint.health().recordSuccess(millis);
             }
         }
-        mOwner.completed(this);
     }
 
     private boolean endsInAnother() {
@@ -337,6 +368,11 @@
     }
 
     private void recordFailure(CallFailure failure) {
+        if (failure.nothingSent()) {
+            mRollout.ended();
+        } else {
+            mRollout.failed();
+        }
         if (failure == CallFailure.NOT_RELAYED) {
             return;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -10,6 +10,7 @@
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.rollout.SendKind;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.Selection;
@@ -86,7 +87,20 @@
     }
 
     private Selection select(InputLocation inputs, long now) {
-        return mState.selector().choose(selectionRequest(inputs), usable(), now);
+        Selection selection = null;
+        for (List<EndpointState> endpoints :
+                mState.rollouts().preferences(mRequest.service().name(), registered(), kind())) {
+            selection = mState.selector().choose(selectionRequest(inputs), endpoints, now);
+            if (selection instanceof Selection.Chosen) {
+                return selection;
+            }
+        }
+        return selection;
+    }
+
+    /** A stream that is bound to a software version has been sent before. */
+    private SendKind kind() {
+        return mSends == 0 && mSoftwareVersion.isEmpty() ? SendKind.FIRST : SendKind.FURTHER;
     }
 
     private SelectionRequest selectionRequest(InputLocation inputs) {
@@ -101,6 +115,11 @@
     }
 
     private List<EndpointState> usable() {
+        String service = mRequest.service().name();
+        return mState.rollouts().permitted(service, registered(), kind());
+    }
+
+    private List<EndpointState> registered() {
         return mState.usable(mRequest.service().name());
     }
 
@@ -125,6 +144,7 @@
         mPermit.use(now);
         if (mSends == 0) {
             mState.retryPermits().recordFirstAttempt(mRequest.service().name(), now);
+            mState.rollouts().recordRequest(mRequest.service().name());
         }
         mSends++;
         mPossibleRuns++;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -11,6 +11,7 @@
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.RetryReason;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.rollout.SendKind;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.PieceFailure;
@@ -24,6 +25,7 @@
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.StageCapacity;
 
 /** Sends pieces to endpoints from this instance, several per call. */
 public final class LocalStageExecutor implements StageExecutor {
@@ -187,11 +189,16 @@
                                                         waits.predict(
                                                                 queue(service).waitingByRank(),
                                                                 capacity,
-                                                                mState.usable(service).size(),
+                                                                usableCount(service),
                                                                 mState.nowMillis()))));
         return predictions;
     }
 
+    private int usableCount(String service) {
+        List<EndpointState> usable = mState.usable(service);
+        return mState.rollouts().permitted(service, usable, SendKind.FIRST).size();
+    }
+
     private void dispatch(String service) {
         mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
@@ -207,8 +214,10 @@
             return;
         }
         List<EndpointState> usable = mRunning.withoutOverdueCall(mEndpoints.callable(service, now));
-        for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
-            send(specification, call);
+        StageCapacity capacity = specification.stage().get();
+        for (List<EndpointState> endpoints :
+                mState.rollouts().stagePreferences(service, usable, capacity.parallelCalls())) {
+            queue.formCalls(capacity, endpoints, now).forEach(call -> send(specification, call));
         }
         waits(service).recordWaiting(queue.size() > 0, now);
         if (queue.size() > 0) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.RolloutSend;
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
@@ -38,6 +39,12 @@
 
     private static final long OVERDUE_INTERVAL_MILLIS = 200;
 
+    /**
+     * Calls of different sizes are compared by the ratio of their time to the expected one; this is
+     * the time that a ratio of 1 stands for.
+     */
+    private static final double RATIO_SCALE_MILLIS = 100;
+
     private static final EndpointLoad CALL_LOAD = new EndpointLoad(1, 0, 0);
 
     private final GatewayState mState;
@@ -48,6 +55,7 @@
     private final ResponseBuffer mBody;
     private final long mSentMillis;
     private EndpointCall mExchange;
+    private RolloutSend mRollout = RolloutSend.NONE;
     private ScheduledFuture<?> mTimeout;
     private int mStatus;
     private boolean mNotExecuted;
@@ -85,6 +93,7 @@
             }
         }
         mCall.endpoint().recordSent(CALL_LOAD, mSentMillis);
+        recordRollout();
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set("Content-Type", "application/json");
         headers.set(
@@ -104,6 +113,13 @@
         mExchange = mState.connections().send(mCall.endpoint().registration(), request, this);
     }
 
+    private void recordRollout() {
+        if (mCall.pieces().stream().anyMatch(work -> !work.repeat())) {
+            mState.rollouts().recordRequest(mService.name());
+        }
+        mRollout = mState.rollouts().sent(mCall.endpoint(), "");
+    }
+
     private double expectedMillis() {
         StageCapacity capacity = mService.stage().orElseThrow();
         return capacity.callMillis() + mCall.pieces().size() * capacity.pieceMillis();
@@ -183,6 +199,7 @@
             mCall.endpoint()
                     .health()
                     .recordLatencyRatio(elapsedMillis / expectedMillis(), mState.nowMillis());
+            mRollout.succeeded(RATIO_SCALE_MILLIS * elapsedMillis / expectedMillis());
             finish(new StageCallResult(outcomes, true), "answered");
         } catch (UnreadableException unreadable) {
             failForeign(unreadable.getMessage());
@@ -206,7 +223,9 @@
     private void fail(String reason, boolean executed) {
         if (executed) {
             mCall.endpoint().health().recordFailure(mState.nowMillis());
+            mRollout.failed();
         }
+        mRollout.ended();
         finish(StageCallResult.failed(executed), reason);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/store/TableClient.java
@@ -51,9 +51,28 @@
                         response -> receiver.accept(pageOf(response))));
     }
 
+    /**
+     * Reads rows of the table up to the size of a page.
+     *
+     * @param fromKey first key
+     * @param receiver receives the rows, or empty if they could not be read
+     */
+    public void readFrom(String fromKey, Consumer<Optional<StorePage>> receiver) {
+        submit(
+                new Call(
+                        HttpMethod.GET,
+                        mStore.protocol().readTarget(mTable, fromKey),
+                        NO_BODY,
+                        response -> receiver.accept(anyPageOf(response))));
+    }
+
     private Optional<StorePage> pageOf(StoreResponse response) {
+        return anyPageOf(response).filter(page -> !page.more());
+    }
+
+    private Optional<StorePage> anyPageOf(StoreResponse response) {
         try {
-            return Optional.of(mStore.page(response)).filter(page -> !page.more());
+            return Optional.of(mStore.page(response));
         } catch (UnreadableException unreadable) {
             return Optional.empty();
         }
@@ -68,11 +87,22 @@
      *     changed or it is not known whether it was written
      */
     public void write(StoredRow row, Consumer<Boolean> receiver) {
+        write(mStore.protocol().conditionalWriteBody(mTable, row), receiver);
+    }
+
+    /**
+     * Writes under a condition.
+     *
+     * @param body encoded write
+     * @param receiver receives true once the store has confirmed the write, or false if the
+     *     condition does not hold or it is not known whether it was written
+     */
+    public void write(byte[] body, Consumer<Boolean> receiver) {
         submit(
                 new Call(
                         HttpMethod.POST,
                         mStore.protocol().writeTarget(),
-                        mStore.protocol().conditionalWriteBody(mTable, row),
+                        body,
                         response -> receiver.accept(response.successful())));
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/StoreProtocol.java
@@ -1,8 +1,11 @@
 package org.wasabilug.gateway.protocol;
 
 import java.util.Optional;
+import org.wasabilug.internal.rollout.RolloutOrder;
+import org.wasabilug.internal.rollout.RolloutStatus;
 import org.wasabilug.serving.EndpointRegistration;
 import org.wasabilug.serving.ServingConfiguration;
+import org.wasabilug.serving.StoreRevision;
 
 /** Calls of the store and the formats of its contents. */
 public interface StoreProtocol {
@@ -84,6 +87,51 @@
      */
     Optional<String> readOutOfServiceDomain(StoredRow row);
 
+    /** Returns the name of the table that holds the status of rollouts. */
+    String statusTable();
+
+    /**
+     * Returns the key of the rows with a service's order and status.
+     *
+     * @param service name of the service
+     */
+    String rolloutKey(String service);
+
+    /**
+     * Returns the service that a row of the configuration table orders a rollout of.
+     *
+     * @param row the row
+     * @return name of the service, or empty for another row
+     */
+    Optional<String> readRolloutService(StoredRow row);
+
+    /**
+     * Decodes the order of a rollout.
+     *
+     * @param row a row for which {@link #readRolloutService} returns a service
+     * @throws UnreadableException if the row is no usable order
+     */
+    RolloutOrder readRolloutOrder(StoredRow row);
+
+    /**
+     * Decodes the status of a rollout.
+     *
+     * @param row a row of the status table
+     * @throws UnreadableException if the row is no status
+     */
+    RolloutStatus readRolloutStatus(StoredRow row);
+
+    /**
+     * Encodes the body of a write of a status that the store refuses if the row of the order or
+     * that of the status has changed.
+     *
+     * @param order the order
+     * @param status the new status
+     * @param replaced revision of the status that is to be replaced; version 0 if there must be
+     *     none
+     */
+    byte[] rolloutStatusBody(RolloutOrder order, RolloutStatus status, StoreRevision replaced);
+
     /**
      * Decodes a registration.
      *
