--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -19,36 +19,15 @@
  * turns bad.
  */
 public final class Rollout {
-    /**
-     * Time before the deadline at which the final state is due, so that the next writers still have
-     * time after a failed one.
-     */
-    private static final long CLOSING_MILLIS = 4_000;
-
-    private static final double MAX_CLOSING_PART = 0.1;
-
-    /** Part of the time left at the verdict for requests that are bound to the old version. */
-    private static final double BOUND_PART = 0.25;
-
-    /** Part of the time left at the verdict for which the version is watched with all traffic. */
-    private static final double WATCHED_PART = 0.5;
-
-    /** Time in which an instance that hears no peers surely reads the status. */
-    private static final long STATUS_READ_MILLIS = 5_000;
-
     /** Time for which a verdict is still reported after a rollback, to peers that miss it. */
     private static final long REPORT_AFTER_END_MILLIS = 10_000;
 
-    private final RolloutOrder mOrder;
+    private RolloutOrder mOrder;
     private final OwnTraffic mTraffic;
-    private final PeerReports mPeers = new PeerReports();
-    private final VerdictTracker mTracker = new VerdictTracker();
-    private final VerdictTracker mOwnTracker = new VerdictTracker();
+    private final RolloutJudge mJudge;
+    private final RolloutClock mClock;
     private final Set<String> mRegistered = new HashSet<>();
     private final Set<String> mOldVersions = new HashSet<>();
-    private final long mStartMillis;
-    private long mDeadlineMillis;
-    private RolloutTiming mTiming = new RolloutTiming(0, 0);
     private Optional<RolloutStatus> mStatus = Optional.empty();
     private boolean mStatusRead;
     private boolean mPeersHeard;
@@ -56,10 +35,6 @@
     private boolean mPaused;
     private int mBaselineRunning;
     private RolloutVerdict mVerdict = RolloutVerdict.UNDECIDED;
-    private Finding mFinding = Finding.FINE;
-    private boolean mOwnBad;
-    private long mGoodMillis;
-    private long mMovingMillis;
     private long mEndMillis;
 
     /** Versions to choose an endpoint from. */
@@ -82,8 +57,8 @@
             RolloutOrder order, RolloutLimits limits, boolean presentAtOrder, long nowMillis) {
         mOrder = order;
         mTraffic = new OwnTraffic(order, limits, presentAtOrder, nowMillis);
-        mStartMillis = nowMillis;
-        mDeadlineMillis = nowMillis + order.durationMillis();
+        mJudge = new RolloutJudge(mTraffic);
+        mClock = new RolloutClock(nowMillis, order.durationMillis());
     }
 
     /** Returns the order. */
@@ -91,6 +66,31 @@
         return mOrder;
     }
 
+    /**
+     * Returns whether an order is this one, written again to a store that came back from an older
+     * copy.
+     *
+     * @param order a later order for the same service
+     */
+    public boolean isRewrittenAs(RolloutOrder order) {
+        return order.softwareVersion().equals(mOrder.softwareVersion())
+                && order.durationMillis() == mOrder.durationMillis()
+                && order.revision().era() > mOrder.revision().era();
+    }
+
+    /**
+     * Goes on with the same order under another revision. The verdict stays, and the status is
+     * written again if the store has lost it.
+     *
+     * @param order the order
+     */
+    public void rewritten(RolloutOrder order) {
+        mOrder = order;
+        mPaused = false;
+        mStatus = Optional.empty();
+        mClock.storeLost();
+    }
+
     /** Returns the requests of this instance. */
     public OwnTraffic traffic() {
         return mTraffic;
@@ -103,7 +103,7 @@
 
     /** Returns the deadline by the monotonic clock, in milliseconds. */
     public long deadlineMillis() {
-        return mDeadlineMillis;
+        return mClock.deadlineMillis();
     }
 
     /** Returns the final state; empty while the rollout is running. */
@@ -128,7 +128,7 @@
         mRegistered.clear();
         mRegistered.addAll(versions);
         mBaselineRunning = baselineRunning;
-        mTiming = timing;
+        mClock.timing(timing);
         if (end().isEmpty()) {
             addOldVersions();
         }
@@ -167,7 +167,7 @@
             return List.of(Group.CANDIDATE);
         }
         if (moved()) {
-            return nowMillis < boundUntilMillis()
+            return mClock.mayFollowToOld(nowMillis)
                     ? List.of(Group.CANDIDATE, Group.BASELINE)
                     : List.of(Group.CANDIDATE);
         }
@@ -179,6 +179,16 @@
                 : List.of(Group.BASELINE, Group.CANDIDATE);
     }
 
+    /**
+     * Returns whether a service without usable endpoints in these groups is served by all others:
+     * by versions that came after the end, and by the only version that is left while nothing
+     * speaks against it.
+     */
+    public boolean mayUseAny() {
+        boolean onlyCandidate = mRegistered.equals(Set.of(mOrder.softwareVersion()));
+        return done() || onlyCandidate && mVerdict == RolloutVerdict.UNDECIDED;
+    }
+
     /** Returns whether the version is judged good and all traffic goes there. */
     public boolean moved() {
         return mVerdict == RolloutVerdict.GOOD && !end().equals(Optional.of(State.ROLLED_BACK));
@@ -196,20 +206,17 @@
                 statusKnown(nowMillis)
                         && end().isEmpty()
                         && mVerdict == RolloutVerdict.UNDECIDED
-                        && !mOwnBad
+                        && !mJudge.ownBad()
                         && !mPaused
-                        && nowMillis < mDeadlineMillis;
+                        && nowMillis < mClock.deadlineMillis();
         return exposed ? mTraffic.remaining(kind, instances) : 0;
     }
 
     /** Peers are followed if the store does not answer. */
     private boolean statusKnown(long nowMillis) {
-        return mStatusRead || mPeersHeard && nowMillis - mStartMillis >= STATUS_READ_MILLIS;
-    }
-
-    private long boundUntilMillis() {
-        double part = BOUND_PART * Math.max(0, mDeadlineMillis - mGoodMillis);
-        return mGoodMillis + (long) Math.min(part, mTiming.longestRequestMillis());
+        return mStatusRead
+                || mPeersHeard
+                        && mClock.elapsedMillis(nowMillis) >= RolloutClock.STATUS_READ_MILLIS;
     }
 
     /**
@@ -239,8 +246,8 @@
     /** Results that endpoints of the old version hold are in use until they expire. */
     private boolean mayUseBaseline(long nowMillis) {
         return !moved()
-                || nowMillis < boundUntilMillis()
-                || nowMillis < mTraffic.baselineUsedMillis() + mTiming.resultMillis();
+                || mClock.mayFollowToOld(nowMillis)
+                || mClock.resultsInUse(mTraffic.baselineUsedMillis(), nowMillis);
     }
 
     /**
@@ -251,7 +258,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void reportReceived(String peer, InstanceReport report, long nowMillis) {
-        mPeers.received(peer, report, nowMillis);
+        mJudge.peers().received(peer, report, nowMillis);
         mPeersHeard = true;
         apply(report.verdict(), nowMillis);
     }
@@ -263,7 +270,7 @@
      * @param peer name of the peer
      */
     public void reportMissing(String peer) {
-        mEndedAtPeer |= mPeers.remove(peer);
+        mEndedAtPeer |= mJudge.peers().remove(peer);
     }
 
     private void apply(RolloutVerdict verdict, long nowMillis) {
@@ -274,7 +281,7 @@
             mVerdict = verdict;
         } else if (verdict == RolloutVerdict.GOOD && mVerdict == RolloutVerdict.UNDECIDED) {
             mVerdict = verdict;
-            mGoodMillis = nowMillis;
+            mClock.good(nowMillis);
         }
     }
 
@@ -287,19 +294,20 @@
         if (mPaused || end().isPresent() || mVerdict == RolloutVerdict.BAD) {
             return;
         }
-        OutcomeCounts candidate = mTraffic.candidate();
-        OutcomeCounts baseline = mTraffic.baseline();
-        mOwnBad = mOwnTracker.compare(candidate.copy(), baseline.copy(), nowMillis) == Finding.BAD;
-        mPeers.addTo(candidate, baseline);
-        mFinding = mTracker.compare(candidate, baseline, nowMillis);
+        RolloutVerdict verdict =
+                mJudge.judge(mClock.elapsedMillis(nowMillis), mOrder.durationMillis(), nowMillis);
         boolean present = mRegistered.contains(mOrder.softwareVersion());
-        if (mFinding == Finding.BAD || moved() && !present) {
+        if (moved() && !present) {
             apply(RolloutVerdict.BAD, nowMillis);
-        } else if (present && mayBecomeGood(candidate, baseline, nowMillis)) {
-            apply(RolloutVerdict.GOOD, nowMillis);
+        } else if (verdict != RolloutVerdict.GOOD || present && mayBecomeGood(nowMillis)) {
+            apply(verdict, nowMillis);
         }
     }
 
+    private boolean mayBecomeGood(long nowMillis) {
+        return statusKnown(nowMillis) && !mClock.closing(nowMillis);
+    }
+
     /**
      * Counts behind the verdict, of all instances.
      *
@@ -313,24 +321,7 @@
 
     /** Returns the counts behind the verdict. */
     public Figures figures() {
-        OutcomeCounts candidate = mTraffic.candidate();
-        OutcomeCounts baseline = mTraffic.baseline();
-        mPeers.addTo(candidate, baseline);
-        return new Figures(
-                candidate.ended(), candidate.failed(), baseline.ended(), baseline.failed());
-    }
-
-    private boolean mayBecomeGood(OutcomeCounts candidate, OutcomeCounts baseline, long nowMillis) {
-        return statusKnown(nowMillis)
-                && mFinding == Finding.FINE
-                && nowMillis < closingMillis()
-                && VerdictTracker.suffice(
-                        candidate, baseline, nowMillis - mStartMillis, mOrder.durationMillis());
-    }
-
-    private long closingMillis() {
-        double part = MAX_CLOSING_PART * mOrder.durationMillis();
-        return mDeadlineMillis - (long) Math.min(CLOSING_MILLIS, part);
+        return mJudge.figures();
     }
 
     /**
@@ -349,12 +340,10 @@
         RolloutStatus read = status.get();
         if (read.deadlineMillis() > 0) {
             long remaining = read.deadlineMillis() - storeMillis;
-            mDeadlineMillis = Math.min(mDeadlineMillis, nowMillis + remaining);
+            mClock.limitDeadline(nowMillis + remaining);
         }
         if (read.moving()) {
-            if (mMovingMillis == 0) {
-                mMovingMillis = nowMillis;
-            }
+            mClock.moving(nowMillis);
             apply(RolloutVerdict.GOOD, nowMillis);
         }
         mStatus = status;
@@ -409,11 +398,9 @@
         if (mVerdict == RolloutVerdict.BAD) {
             return Optional.of(State.ROLLED_BACK);
         }
-        boolean closing = nowMillis >= closingMillis();
+        boolean closing = mClock.closing(nowMillis);
         boolean drained = drained(fleet, nowMillis);
-        long watchedMillis =
-                mGoodMillis + (long) (WATCHED_PART * Math.max(0, closingMillis() - mGoodMillis));
-        boolean watched = nowMillis >= watchedMillis && mFinding == Finding.FINE;
+        boolean watched = mClock.watched(nowMillis) && mJudge.finding() == Finding.FINE;
         if (drained && (watched || closing)) {
             return Optional.of(State.DONE);
         }
@@ -428,16 +415,7 @@
         if (!moved() || !ownReport(nowMillis).drained()) {
             return false;
         }
-        long unheardMillis =
-                STATUS_READ_MILLIS
-                        + boundUntilMillis()
-                        - mGoodMillis
-                        + mTiming.longestRequestMillis()
-                        + mTiming.resultMillis();
-        boolean unheardDrained =
-                fleet.othersReadStatus()
-                        && mMovingMillis > 0
-                        && nowMillis - mMovingMillis >= unheardMillis;
-        return mPeers.drained(fleet.others(), unheardDrained, nowMillis);
+        boolean unheardDrained = fleet.othersReadStatus() && mClock.unheardDrained(nowMillis);
+        return mJudge.peers().drained(fleet.others(), unheardDrained, nowMillis);
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/rollout/VersionAnalysis.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/VersionAnalysis.java
@@ -18,7 +18,9 @@
     /** A response counts as slow from this number of buckets above the quantile. */
     private static final int SLOW_BUCKETS = 3;
 
-    private static final long MIN_TIMES = 15;
+    /** With fewer times one slow endpoint of several moves the mean by too much. */
+    private static final long MIN_TIMES = 30;
+
     private static final double SUSPECT_RATIO = 1.5;
 
     private VersionAnalysis() {}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/RolloutSend.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/RolloutSend.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal;
 
 import org.wasabilug.internal.rollout.Rollout;
+import org.wasabilug.internal.serving.EndpointState;
 
 /** One send to a service with a rollout; the first outcome counts. */
 public final class RolloutSend {
@@ -11,6 +12,10 @@
     private final Rollout mRollout;
     private final String mSoftwareVersion;
     private final int mRoute;
+
+    /** The times of cold endpoints tell nothing about the version. */
+    private final boolean mCold;
+
     private boolean mEnded;
 
     private RolloutSend() {
@@ -18,15 +23,17 @@
         mRollout = null;
         mSoftwareVersion = "";
         mRoute = 0;
+        mCold = false;
         mEnded = true;
     }
 
-    RolloutSend(GatewayState state, Rollout rollout, String softwareVersion, int route) {
+    RolloutSend(GatewayState state, Rollout rollout, EndpointState endpoint, int route) {
         mState = state;
         mRollout = rollout;
-        mSoftwareVersion = softwareVersion;
+        mSoftwareVersion = endpoint.registration().softwareVersion();
         mRoute = route;
-        rollout.traffic().recordSent(softwareVersion, state.nowMillis());
+        mCold = endpoint.isCold(state.nowMillis());
+        rollout.traffic().recordSent(mSoftwareVersion, state.nowMillis());
     }
 
     /**
@@ -35,7 +42,9 @@
      * @param millis its time in milliseconds
      */
     public void succeeded(double millis) {
-        if (!mEnded) {
+        if (mCold) {
+            ended();
+        } else if (!mEnded) {
             mEnded = true;
             mRollout.traffic().recordSuccess(mSoftwareVersion, mRoute, millis, mState.nowMillis());
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
@@ -141,15 +141,7 @@
             preferences.add(in(usable, each -> rollout.contains(group, version(each))));
         }
         boolean none = preferences.stream().allMatch(List::isEmpty);
-        return none && mayUseAny(rollout) ? List.of(usable) : preferences;
-    }
-
-    /**
-     * Returns whether a service without endpoints of the right version is served by others: after
-     * the end of a good rollout, and by an instance that does not know yet whether it has ended.
-     */
-    private boolean mayUseAny(Rollout rollout) {
-        return rollout.done() || rollout.statusUnknown() || rollout.paused();
+        return none && rollout.mayUseAny() ? List.of(usable) : preferences;
     }
 
     private static List<EndpointState> in(
@@ -223,7 +215,7 @@
         Rollout rollout = mByService.get(service);
         return rollout == null
                 ? RolloutSend.NONE
-                : new RolloutSend(mState, rollout, version(endpoint), position(service, route));
+                : new RolloutSend(mState, rollout, endpoint, position(service, route));
     }
 
     /** Returns the position of a route among those of a service, the same at all instances. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutWatch.java
@@ -98,11 +98,11 @@
         if (!news) {
             return;
         }
-        mState.rollouts().start(order, justWritten);
-        mRecorders.put(
-                order.service(),
-                new RolloutRecorder(
-                        mState, mState.rollouts().find(order.service()).orElseThrow(), mTable));
+        Optional<Rollout> rewritten = known.filter(each -> each.isRewrittenAs(order));
+        rewritten.ifPresentOrElse(
+                each -> each.rewritten(order), () -> mState.rollouts().start(order, justWritten));
+        Rollout rollout = mState.rollouts().find(order.service()).orElseThrow();
+        mRecorders.put(order.service(), new RolloutRecorder(mState, rollout, mTable));
         mState.log()
                 .process(
                         LogLine.of("rollout-ordered")
