Compare response times of two versions only within one period

Cause: the slack let the new version be seen alone at first, and after the move a machine's stall counted as slowness; a good version was rolled back once in the platform test. Change: a quarter of the requests may use the slack; slow responses count only beside responses of the old version in the same period; times below 15 ms are equal. Conclusion: after the move only failures and a mean time of three times the old one condemn.

--- a/core/src/main/java/org/wasabilug/internal/rollout/Exposure.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Exposure.java
@@ -12,6 +12,12 @@
     /** Part of the share for first attempts; the rest is kept for streams that resume there. */
     private static final double FIRST_ATTEMPT_PART = 0.8;
 
+    /**
+     * Part of the requests that may use the slack, so that both versions are seen in the same
+     * period from the beginning.
+     */
+    private static final double SLACK_PART = 0.25;
+
     private final RolloutLimits mLimits;
     private final boolean mPresentAtOrder;
     private long mRequests;
@@ -43,6 +49,7 @@
         double allowed = mLimits.exposureShare() * mRequests + slack;
         double usable =
                 kind == SendKind.FIRST ? Math.max(slack, FIRST_ATTEMPT_PART * allowed) : allowed;
-        return usable - exposed;
+        double mixed = kind == SendKind.FIRST ? 1 + SLACK_PART * mRequests : usable;
+        return Math.min(usable, mixed) - exposed;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/rollout/OutcomeCounts.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/OutcomeCounts.java
@@ -7,11 +7,13 @@
     /** Routes after these share the counts of the last one. */
     public static final int MAX_ROUTES = 12;
 
-    /** Number of buckets of response times, from 5 ms to 11 s. */
-    static final int BUCKETS = 20;
+    /** Number of buckets of response times, from 15 ms to 15 s. */
+    static final int BUCKETS = 18;
 
     static final double BUCKET_FACTOR = 1.5;
-    private static final double FIRST_BUCKET_MILLIS = 5;
+
+    /** Differences between shorter times come from the machine rather than from a version. */
+    private static final double FIRST_BUCKET_MILLIS = 15;
 
     /** Cells of a route: failures, then the buckets. */
     private static final int WIDTH = 1 + BUCKETS;
--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -295,7 +295,11 @@
             return;
         }
         RolloutVerdict verdict =
-                mJudge.judge(mClock.elapsedMillis(nowMillis), mOrder.durationMillis(), nowMillis);
+                mJudge.judge(
+                        moved(),
+                        mClock.elapsedMillis(nowMillis),
+                        mOrder.durationMillis(),
+                        nowMillis);
         boolean present = mRegistered.contains(mOrder.softwareVersion());
         if (moved() && !present) {
             apply(RolloutVerdict.BAD, nowMillis);
--- a/core/src/main/java/org/wasabilug/internal/rollout/RolloutJudge.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/RolloutJudge.java
@@ -32,16 +32,19 @@
     /**
      * Judges by the present counts.
      *
+     * @param moved whether the version gets all traffic
      * @param elapsedMillis time since the order
      * @param durationMillis time from the order to the deadline
      * @param nowMillis current monotonic time, in milliseconds
      */
-    RolloutVerdict judge(long elapsedMillis, long durationMillis, long nowMillis) {
+    RolloutVerdict judge(boolean moved, long elapsedMillis, long durationMillis, long nowMillis) {
         OutcomeCounts candidate = mTraffic.candidate();
         OutcomeCounts baseline = mTraffic.baseline();
-        mOwnBad = mOwnTracker.compare(candidate.copy(), baseline.copy(), nowMillis) == Finding.BAD;
+        mOwnBad =
+                mOwnTracker.compare(candidate.copy(), baseline.copy(), moved, nowMillis)
+                        == Finding.BAD;
         mPeers.addTo(candidate, baseline);
-        mFinding = mTracker.compare(candidate, baseline, nowMillis);
+        mFinding = mTracker.compare(candidate, baseline, moved, nowMillis);
         if (mFinding == Finding.BAD) {
             return RolloutVerdict.BAD;
         }
--- a/core/src/main/java/org/wasabilug/internal/rollout/VerdictTracker.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/VerdictTracker.java
@@ -17,14 +17,6 @@
     /** Responses of the old version in the window from which it is compared with that window. */
     private static final long MIN_WINDOW_RESPONSES = 50;
 
-    private static final double SLOW_RATIO = 2;
-
-    /**
-     * Without responses of the old version in the same period, a higher load may be the reason for
-     * longer times.
-     */
-    private static final double SLOW_RATIO_OF_OTHER_PERIODS = 3;
-
     private static final long USUAL_RESPONSES = 100;
     private static final long MIN_RESPONSES = 10;
     private static final long MIN_ROUTE_RESPONSES = 5;
@@ -38,18 +30,22 @@
 
     private record Snapshot(long millis, OutcomeCounts candidate, OutcomeCounts baseline) {}
 
-    /** Compares the versions by all counts, and by the latest ones. */
-    Finding compare(OutcomeCounts candidate, OutcomeCounts baseline, long nowMillis) {
-        Finding whole = VersionAnalysis.compare(candidate, baseline, SLOW_RATIO);
+    /**
+     * Compares the versions by all counts, and by the latest ones.
+     *
+     * @param moved whether the candidate gets all traffic, so that its latest responses are of
+     *     another period than those of the old version
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    Finding compare(
+            OutcomeCounts candidate, OutcomeCounts baseline, boolean moved, long nowMillis) {
+        Finding whole = VersionAnalysis.compare(candidate, baseline, !moved);
         Snapshot start = windowStart(candidate, baseline, nowMillis);
         OutcomeCounts recent = candidate.since(start.candidate());
         OutcomeCounts reference = baseline.since(start.baseline());
-        boolean samePeriod = reference.ended() >= MIN_WINDOW_RESPONSES;
+        boolean samePeriod = !moved && reference.ended() >= MIN_WINDOW_RESPONSES;
         Finding late =
-                VersionAnalysis.compare(
-                        recent,
-                        samePeriod ? reference : baseline,
-                        samePeriod ? SLOW_RATIO : SLOW_RATIO_OF_OTHER_PERIODS);
+                VersionAnalysis.compare(recent, samePeriod ? reference : baseline, samePeriod);
         return whole.worse(late);
     }
 
--- a/core/src/main/java/org/wasabilug/internal/rollout/VersionAnalysis.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/VersionAnalysis.java
@@ -21,6 +21,10 @@
     /** With fewer times one slow endpoint of several moves the mean by too much. */
     private static final long MIN_TIMES = 30;
 
+    /** Ratio of mean response times from which the candidate is bad. */
+    private static final double SLOW_RATIO = 2;
+
+    private static final double SLOW_RATIO_OF_OTHER_PERIOD = 3;
     private static final double SUSPECT_RATIO = 1.5;
 
     private VersionAnalysis() {}
@@ -41,22 +45,24 @@
      *
      * @param candidate outcomes of the candidate
      * @param baseline outcomes of the old version
-     * @param slowRatio ratio of mean response times from which the candidate is bad
+     * @param samePeriod whether both are of the same period; otherwise a higher load may be the
+     *     reason for longer times
      */
-    static Finding compare(OutcomeCounts candidate, OutcomeCounts baseline, double slowRatio) {
+    static Finding compare(OutcomeCounts candidate, OutcomeCounts baseline, boolean samePeriod) {
         Finding finding =
                 finding(candidate.failed(), candidate.ended(), baseline.failed(), baseline.ended());
         for (int route = 0; route < OutcomeCounts.MAX_ROUTES; route++) {
             if (candidate.ended(route) > 0) {
-                finding = finding.worse(compareRoute(candidate, baseline, route, slowRatio));
+                finding = finding.worse(compareRoute(candidate, baseline, route, samePeriod));
             }
         }
         return finding;
     }
 
     private static Finding compareRoute(
-            OutcomeCounts candidate, OutcomeCounts baseline, int route, double slowRatio) {
-        int slowFrom = slowFrom(baseline, route);
+            OutcomeCounts candidate, OutcomeCounts baseline, int route, boolean samePeriod) {
+        int slowFrom = samePeriod ? slowFrom(baseline, route) : OutcomeCounts.BUCKETS;
+        double slowRatio = samePeriod ? SLOW_RATIO : SLOW_RATIO_OF_OTHER_PERIOD;
         Finding responses =
                 finding(
                         candidate.failed(route) + slow(candidate, route, slowFrom),
