--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -172,21 +172,36 @@
                     : List.of(Group.CANDIDATE);
         }
         if (remainingExposure(kind, instances, nowMillis) < 1) {
-            return List.of(Group.BASELINE);
+            return endUnknown(nowMillis)
+                    ? List.of(Group.BASELINE, Group.CANDIDATE)
+                    : List.of(Group.BASELINE);
         }
         return kind == SendKind.FIRST
                 ? List.of(Group.CANDIDATE, Group.BASELINE)
                 : List.of(Group.BASELINE, Group.CANDIDATE);
     }
 
+    /**
+     * An instance that is cut off from all does not learn which version is left; it uses the new
+     * one if it can't use the old one, unless that looked bad here.
+     */
+    private boolean endUnknown(long nowMillis) {
+        return !mPaused
+                && end().isEmpty()
+                && mVerdict == RolloutVerdict.UNDECIDED
+                && !mJudge.ownBad()
+                && mClock.endedElsewhere(nowMillis);
+    }
+
     /**
      * Returns whether a service without usable endpoints in these groups is served by all others:
-     * by versions that came after the end, and by the only version that is left while nothing
-     * speaks against it.
+     * by versions that came after the end, and by the only version that is left unless it is about
+     * to be rolled back.
      */
     public boolean mayUseAny() {
         boolean onlyCandidate = mRegistered.equals(Set.of(mOrder.softwareVersion()));
-        return done() || onlyCandidate && mVerdict == RolloutVerdict.UNDECIDED;
+        return done()
+                || onlyCandidate && (end().isPresent() || mVerdict == RolloutVerdict.UNDECIDED);
     }
 
     /** Returns whether the version is judged good and all traffic goes there. */
--- a/core/src/main/java/org/wasabilug/internal/rollout/RolloutClock.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/RolloutClock.java
@@ -3,10 +3,10 @@
 /** Times of one rollout by the monotonic clock of this instance, in milliseconds. */
 final class RolloutClock {
     /**
-     * Time before the deadline at which the final state is due, so that the next writers still have
-     * time after a failed one.
+     * Time before the deadline at which the final state is due. The requirements count with a store
+     * that is unstable for 5 to 6 s, and the next writers need time after a failed one.
      */
-    private static final long CLOSING_MILLIS = 4_000;
+    private static final long CLOSING_MILLIS = 8_000;
 
     private static final double MAX_CLOSING_PART = 0.1;
 
@@ -19,6 +19,9 @@
     /** Time in which an instance that hears no peers surely reads the status. */
     static final long STATUS_READ_MILLIS = 5_000;
 
+    /** Time after the deadline by which an instance that hears anything knows the end. */
+    private static final long END_KNOWN_MILLIS = 10_000;
+
     private final long mStartMillis;
     private final long mDurationMillis;
     private long mDeadlineMillis;
@@ -64,6 +67,11 @@
         return nowMillis - mStartMillis;
     }
 
+    /** Returns whether the rollout has surely ended, whatever this instance has heard. */
+    boolean endedElsewhere(long nowMillis) {
+        return nowMillis >= mDeadlineMillis + END_KNOWN_MILLIS;
+    }
+
     boolean closing(long nowMillis) {
         return nowMillis >= closingMillis();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedRollouts.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedRollouts.java
@@ -28,7 +28,9 @@
         long now = mState.nowMillis();
         for (Rollout rollout : mState.rollouts().all()) {
             if (heartbeat.getRolloutsCount() < MAX_REPORTS) {
-                mState.rollouts().refresh(rollout);
+                if (rollout.end().isEmpty()) {
+                    mState.rollouts().refresh(rollout);
+                }
                 rollout.report(now)
                         .map(report -> message(rollout.order(), report))
                         .ifPresent(heartbeat::addRollouts);
