--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -43,8 +43,10 @@
                     .thenComparingLong(WaitingPiece::order);
 
     private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
+
     /** All pieces that are not past their latest start. */
     private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
+
     private final TreeSet<WaitingPiece> mByDeadline = new TreeSet<>(DEADLINE_ORDER);
 
     /** Pieces of deferred requests that would be in time if they were sent now. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -13,6 +13,7 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.hedge.HedgeCandidate;
 import org.wasabilug.internal.hedge.HedgeControl;
+import org.wasabilug.internal.rollout.SendKind;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RetryPermit;
 import org.wasabilug.internal.serving.Selection;
@@ -89,7 +90,20 @@
     }
 
     private Selection select(InputLocation inputs, long now) {
-        return mState.selector().choose(selectionRequest(inputs), usable(), now);
+        Selection selection = null;
+        for (List<EndpointState> endpoints :
+                mState.rollouts().preferences(mRequest.service().name(), registered(), kind())) {
+            selection = mState.selector().choose(selectionRequest(inputs), endpoints, now);
+            if (selection instanceof Selection.Chosen) {
+                return selection;
+            }
+        }
+        return selection;
+    }
+
+    /** A stream that is bound to a software version has been sent before. */
+    private SendKind kind() {
+        return mSends == 0 && mSoftwareVersion.isEmpty() ? SendKind.FIRST : SendKind.FURTHER;
     }
 
     private SelectionRequest selectionRequest(InputLocation inputs) {
@@ -104,6 +118,11 @@
     }
 
     private List<EndpointState> usable() {
+        String service = mRequest.service().name();
+        return mState.rollouts().permitted(service, registered(), kind());
+    }
+
+    private List<EndpointState> registered() {
         return mState.usable(mRequest.service().name());
     }
 
@@ -129,6 +148,7 @@
         if (mSends == 0) {
             mState.retryPermits().recordFirstAttempt(mRequest.service().name(), now);
             mState.hedging().recordFirstSend(mRequest.service().name());
+            mState.rollouts().recordRequest(mRequest.service().name());
         }
         mSends++;
         mPossibleRuns++;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.rollout.SendKind;
 import org.wasabilug.internal.serving.DeferredAdmission;
+import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.FairOrder;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.QueueWaits;
@@ -71,14 +73,19 @@
                         .flatMap(ServiceSpecification::stage)
                         .orElse(StageCapacity.NONE);
         order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
-        int endpoints = mState.usable(work.service()).size();
+        int endpoints = usableCount(work.service());
         return waits.admission(work.rank(), capacity, endpoints, nowMillis);
     }
 
+    private int usableCount(String service) {
+        List<EndpointState> usable = mState.usable(service);
+        return mState.rollouts().permitted(service, usable, SendKind.FIRST).size();
+    }
+
     /** Predicts the times of the pieces of a service. */
     List<QueueWaits.Wait> predict(
             String service, StageQueue queue, QueueWaits waits, StageCapacity capacity) {
-        int endpoints = mState.usable(service).size();
+        int endpoints = usableCount(service);
         long now = mState.nowMillis();
         FairOrder order = mOrders.get(service);
         return order == null
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -24,6 +24,7 @@
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.StageCapacity;
 
 /** Sends pieces to endpoints from this instance, several per call. */
 public final class LocalStageExecutor implements StageExecutor {
@@ -215,8 +216,10 @@
             return;
         }
         List<EndpointState> usable = mRunning.withoutOverdueCall(mEndpoints.callable(service, now));
-        for (StageCall call : queue.formCalls(specification.stage().get(), usable, now)) {
-            send(specification, call);
+        StageCapacity capacity = specification.stage().get();
+        for (List<EndpointState> endpoints :
+                mState.rollouts().stagePreferences(service, usable, capacity.parallelCalls())) {
+            queue.formCalls(capacity, endpoints, now).forEach(call -> send(specification, call));
         }
         waits(service).recordWaiting(queue.size() > 0, now);
         if (queue.size() > 0) {
