Share the load and speed that endpoints state between all instances

Cause: the load that endpoints state in their responses was read nowhere. Each instance learned an endpoint's speed alone, from a few responses, and took it as out of date after 4 s.

Statements and observed ratios of time are shared in heartbeats as EndpointObservation. For services that state the fourth figure, EndpointSelector, StageQueue, predicted waits of stages and the latest start of a request's stages use a lasting and a momentary factor. All other services use OwnSpeedView, which holds the values used so far.

The modules gateway and platform were tested only in parts so far.

Conclusion: spillover between failure domains is not begun. Constants are not measured.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -47,9 +47,10 @@
     private final ColdLimits mColdLimits;
     private final BrittleServices mBrittleServices;
     private final PrefixCacheEstimator mPrefixCaches;
+    private final ServiceSpeeds mSpeeds;
 
     /**
-     * Creates a selector.
+     * Creates a selector that knows no stated speeds.
      *
      * @param coldLimits rate limits for cold endpoints
      * @param brittleServices services whose endpoints tolerate few rejections
@@ -57,9 +58,26 @@
      */
     public EndpointSelector(
             ColdLimits coldLimits, BrittleServices brittleServices, PrefixCacheEstimator prefixes) {
+        this(coldLimits, brittleServices, prefixes, new ServiceSpeeds());
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param coldLimits rate limits for cold endpoints
+     * @param brittleServices services whose endpoints tolerate few rejections
+     * @param prefixes estimated contents of the engines' prefix caches
+     * @param speeds speeds of the endpoints
+     */
+    public EndpointSelector(
+            ColdLimits coldLimits,
+            BrittleServices brittleServices,
+            PrefixCacheEstimator prefixes,
+            ServiceSpeeds speeds) {
         mColdLimits = coldLimits;
         mBrittleServices = brittleServices;
         mPrefixCaches = prefixes;
+        mSpeeds = speeds;
     }
 
     /**
@@ -116,8 +134,9 @@
     private Selection cheapest(
             List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
         EndpointState preferred = affinityOwner(endpoints, request.prompt());
+        SpeedView speeds = mSpeeds.view(request.fleet().instance(), endpoints, nowMillis);
         ToDoubleFunction<EndpointState> cost =
-                endpoint -> cost(endpoint, endpoint == preferred, request, nowMillis);
+                endpoint -> cost(endpoint, endpoint == preferred, request, speeds, nowMillis);
         EndpointState best = null;
         double bestCost = Double.MAX_VALUE;
         for (EndpointState endpoint : endpoints) {
@@ -127,7 +146,29 @@
                 bestCost = each;
             }
         }
-        return new Selection.Chosen(best, bestCost);
+        double work = workMillis(best, request, speeds);
+        return new Selection.Chosen(best, speeds.predictedMillis(best, bestCost, work), work);
+    }
+
+    /** Returns the predicted time at an engine of usual speed; 0 if it can't be predicted. */
+    private double workMillis(EndpointState endpoint, SelectionRequest request, SpeedView speeds) {
+        if (request.service().engine().isEmpty()) {
+            return 0;
+        }
+        EngineCapacity capacity = request.service().engine().get();
+        EndpointLoad load = endpoint.load();
+        int running = load.running() + speeds.unseenRequests(endpoint);
+        double needed = load.tokens() + request.prompt().load().tokens();
+        if (running >= capacity.slots() || needed > USABLE_MEMORY_SHARE * capacity.tokens()) {
+            return 0;
+        }
+        double tokens = load.unreadTokens() + uncachedTokens(endpoint, request.prompt());
+        return tokens / PROMPT_TOKENS_PER_MILLISECOND + running * RUNNING_REQUEST_MILLIS;
+    }
+
+    private int uncachedTokens(EndpointState endpoint, PromptSize prompt) {
+        int cached = mPrefixCaches.cachedTokens(endpoint.registration().name(), prompt.parts());
+        return Math.max(0, prompt.promptTokens() - cached);
     }
 
     private boolean withinRate(EndpointState endpoint, SelectionRequest request, long nowMillis) {
@@ -164,11 +205,15 @@
     }
 
     private double cost(
-            EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
+            EndpointState endpoint,
+            boolean owner,
+            SelectionRequest request,
+            SpeedView speeds,
+            long nowMillis) {
         double work =
                 request.service().engine().isPresent()
-                        ? engineMillis(endpoint, owner, request, nowMillis)
-                        : callMillis(endpoint);
+                        ? engineMillis(endpoint, owner, request, speeds)
+                        : callMillis(endpoint, speeds);
         double penalty = endpoint.health().failureShare() * FAILURE_PENALTY_MILLIS;
         if (endpoint.isCold(nowMillis)) {
             penalty += COLD_PENALTY_MILLIS;
@@ -194,32 +239,36 @@
     }
 
     private double engineMillis(
-            EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
+            EndpointState endpoint, boolean owner, SelectionRequest request, SpeedView speeds) {
         EngineCapacity capacity = request.service().engine().orElseThrow();
         EndpointLoad load = endpoint.load();
         PromptSize prompt = request.prompt();
-        int cached = mPrefixCaches.cachedTokens(endpoint.registration().name(), prompt.parts());
-        int uncached = Math.max(0, prompt.promptTokens() - cached);
+        int running = load.running() + speeds.unseenRequests(endpoint);
+        int uncached = uncachedTokens(endpoint, prompt);
         double millis = (load.unreadTokens() + uncached) / PROMPT_TOKENS_PER_MILLISECOND;
-        millis += owner ? 0 : AFFINITY_MISS_PENALTY_MILLIS;
-        millis += load.running() * RUNNING_REQUEST_MILLIS;
+        if (!owner) {
+            millis += AFFINITY_MISS_PENALTY_MILLIS;
+            millis += speeds.unseenSend(endpoint) * uncached / PROMPT_TOKENS_PER_MILLISECOND;
+        }
+        millis += running * RUNNING_REQUEST_MILLIS;
         double usableTokens = USABLE_MEMORY_SHARE * capacity.tokens();
         double needed = load.tokens() + prompt.load().tokens();
         if (needed > usableTokens) {
             millis += FULL_ENGINE_PENALTY_MILLIS * (needed - usableTokens) / usableTokens;
         }
-        if (load.running() >= capacity.slots()) {
+        if (running >= capacity.slots()) {
             millis += FULL_ENGINE_PENALTY_MILLIS;
         }
-        return millis * endpoint.health().slowness(nowMillis);
+        return millis * speeds.engineFactor(endpoint);
     }
 
-    private static double callMillis(EndpointState endpoint) {
+    private static double callMillis(EndpointState endpoint, SpeedView speeds) {
         int slots = Math.max(1, endpoint.registration().slots());
-        int running = endpoint.load().running();
+        int running = endpoint.load().running() + speeds.unseenRequests(endpoint);
         double waiting = Math.max(0, running + 1 - slots) / (double) slots;
         double filling = running / (double) slots;
-        return endpoint.health().latencyMillis() * (1 + waiting) + filling;
+        double latency = endpoint.health().latencyMillis() * speeds.callFactor(endpoint);
+        return latency * (1 + waiting) + filling;
     }
 
     private static EndpointState affinityOwner(List<EndpointState> endpoints, PromptSize prompt) {
--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointState.java
@@ -15,6 +15,7 @@
     private final RejectionControl mRejectionControl;
     private final ColdSender mColdSender;
     private final EndpointPause mPause = new EndpointPause();
+    private final EndpointSpeed mSpeed;
     private final SlidingWindow mSends = new SlidingWindow(RATE_WINDOW_MILLIS);
     private final Map<String, EndpointLoad> mPeerLoads = new HashMap<>();
     private EndpointRegistration mRegistration;
@@ -32,6 +33,7 @@
     public EndpointState(EndpointRegistration registration, long nowMillis) {
         mRejectionControl = new RejectionControl(registration.name());
         mColdSender = new ColdSender(registration.name());
+        mSpeed = new EndpointSpeed(nowMillis);
         update(registration, nowMillis);
     }
 
@@ -80,6 +82,11 @@
         return mHealth;
     }
 
+    /** Returns the load and speed that the endpoint states, and what was observed of its speed. */
+    public EndpointSpeed speed() {
+        return mSpeed;
+    }
+
     /** Returns what limits the sends to the endpoint while it is brittle. */
     public RejectionControl rejectionControl() {
         return mRejectionControl;
--- a/core/src/main/java/org/wasabilug/internal/serving/Selection.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/Selection.java
@@ -8,8 +8,11 @@
      * @param endpoint the endpoint
      * @param costMillis predicted time to the first event or response, in milliseconds, including
      *     penalties
+     * @param workMillis predicted time at an engine of usual speed, without penalties; 0 for other
+     *     services, and if the engine is full so that the time can't be predicted
      */
-    record Chosen(EndpointState endpoint, double costMillis) implements Selection {}
+    record Chosen(EndpointState endpoint, double costMillis, double workMillis)
+            implements Selection {}
 
     /**
      * No endpoint can accept the request at the moment.
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -58,8 +58,23 @@
     private final Map<PieceId, WaitingPiece> mById = new LinkedHashMap<>();
     private final Map<String, Integer> mRunningCalls = new HashMap<>();
     private final ResultCapacity mResultCapacity = new ResultCapacity();
+    private final ServiceSpeeds mSpeeds;
     private long mNextOrder;
 
+    /** Creates an empty queue that knows no stated speeds. */
+    public StageQueue() {
+        this(new ServiceSpeeds());
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param speeds speeds of the endpoints
+     */
+    public StageQueue(ServiceSpeeds speeds) {
+        mSpeeds = speeds;
+    }
+
     /**
      * Adds a piece unless it is already waiting.
      *
@@ -190,10 +205,11 @@
                 endpoints.stream()
                         .map(endpoint -> endpoint.registration().failureDomain())
                         .collect(Collectors.toSet());
-        List<EndpointState> fastestFirst = fastestFirst(endpoints, nowMillis);
+        SpeedView speeds = mSpeeds.view("", endpoints, nowMillis);
+        List<EndpointState> fastestFirst = fastestFirst(endpoints, speeds, nowMillis);
         for (int index = 0; index < fastestFirst.size(); index++) {
             EndpointState endpoint = fastestFirst.get(index);
-            if (index > 0 && fasterEndpointsSuffice(capacity, endpoint, index, nowMillis)) {
+            if (index > 0 && fasterEndpointsSuffice(capacity, index, speeds.slowness(endpoint))) {
                 break;
             }
             String name = endpoint.registration().name();
@@ -239,21 +255,16 @@
         mResultCapacity.reserveUntil(endpoint, bytes, untilMillis);
     }
 
-    private static List<EndpointState> fastestFirst(List<EndpointState> endpoints, long nowMillis) {
+    private static List<EndpointState> fastestFirst(
+            List<EndpointState> endpoints, SpeedView speeds, long nowMillis) {
         List<EndpointState> healthy =
                 endpoints.stream().filter(each -> !each.health().isEjected(nowMillis)).toList();
         return (healthy.isEmpty() ? endpoints : healthy)
-                .stream()
-                        .sorted(
-                                Comparator.comparingDouble(
-                                        each -> each.health().slowness(nowMillis)))
-                        .toList();
+                .stream().sorted(Comparator.comparingDouble(speeds::slowness)).toList();
     }
 
     /** Returns whether faster endpoints can finish all waiting pieces before this one could. */
-    private boolean fasterEndpointsSuffice(
-            StageCapacity capacity, EndpointState endpoint, int faster, long nowMillis) {
-        double slowness = endpoint.health().slowness(nowMillis);
+    private boolean fasterEndpointsSuffice(StageCapacity capacity, int faster, double slowness) {
         if (slowness < SLOW_ENDPOINT_FACTOR) {
             return false;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -43,6 +43,7 @@
     private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final PauseMonitor mPauseMonitor = new PauseMonitor(this);
+    private final SpeedMonitor mSpeedMonitor = new SpeedMonitor(this);
     private final EndpointSelector mSelector;
     private final ResponseMemory mResponseMemory = new ResponseMemory();
     private Supplier<Set<String>> mInstances;
@@ -77,7 +78,10 @@
         mRetryPermits = new RetryPermits(this, settings.retryLimits());
         mSelector =
                 new EndpointSelector(
-                        settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
+                        settings.coldLimits(),
+                        mRejectionMonitor.services(),
+                        mPrefixCaches,
+                        mSpeedMonitor.speeds());
     }
 
     /** Returns the time of the monotonic clock in milliseconds. */
@@ -180,6 +184,12 @@
         mRejectionMonitor.recordResponse(endpoint, head);
         mLeaveMonitor.recordResponse(endpoint, head);
         mPauseMonitor.recordResponse(endpoint, head);
+        mSpeedMonitor.recordResponse(endpoint, head);
+    }
+
+    /** Returns the monitor of the load and speed that endpoints state. */
+    public SpeedMonitor speedMonitor() {
+        return mSpeedMonitor;
     }
 
     /** Returns the software versions of the services' endpoints. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
@@ -75,6 +75,7 @@
         mState.configurationVersion().ifPresent(heartbeat::setConfigurationVersion);
         mSharedLoads.addLoads(heartbeat);
         mSharedLoads.addBrittleServices(heartbeat);
+        EndpointObservations.add(mState, heartbeat);
         return heartbeat;
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -387,7 +387,7 @@
         Peer peer = mPeers.get(name);
         if (peer != null) {
             peer.heartbeat(heartbeat, writtenMillis);
-            mSharedLoads.apply(name, heartbeat);
+            mSharedLoads.apply(name, heartbeat, writtenMillis);
             updateState(peer, mState.nowMillis());
             if (heartbeat.hasConfigurationVersion()) {
                 mEvents.configurationActive(name, heartbeat.getConfigurationVersion());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedLoads.java
@@ -90,9 +90,10 @@
                         mState.nowMillis());
     }
 
-    /** Applies the observations of a peer. */
-    void apply(String sender, GatewayHeartbeat heartbeat) {
+    /** Applies the observations of a peer, which it wrote at a time of the monotonic clock. */
+    void apply(String sender, GatewayHeartbeat heartbeat, long writtenMillis) {
         applyLoads(sender, heartbeat);
+        EndpointObservations.apply(mState, sender, heartbeat, writtenMillis);
         heartbeat.getStageWaitsList().forEach(this::applyStageWait);
         heartbeat.getPromptsList().forEach(this::applyPrompt);
         for (BrittleService brittle : heartbeat.getBrittleServicesList()) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -18,6 +18,8 @@
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RejectionControl;
+import org.wasabilug.internal.serving.Selection;
+import org.wasabilug.internal.serving.ServiceSpeeds;
 
 /** One send of a request to one endpoint; maintains the load and health of that endpoint. */
 final class Attempt implements CallListener {
@@ -30,6 +32,7 @@
     private final EndpointState mEndpoint;
     private final String mSoftwareVersion;
     private final double mPredictedMillis;
+    private final ServiceSpeeds.Prediction mPrediction;
     private final AttemptOwner mOwner;
     private final ResponseBuffer mBody;
     private byte[] mWholeBody = {};
@@ -49,18 +52,19 @@
             GatewayState state,
             RequestContext request,
             CrashGuard guard,
-            EndpointState endpoint,
-            double predictedMillis,
+            Selection.Chosen chosen,
             AttemptOwner owner) {
         mState = state;
         mRequest = request;
         mGuard = guard;
-        mEndpoint = endpoint;
-        mSoftwareVersion = endpoint.registration().softwareVersion();
-        mPredictedMillis = predictedMillis;
+        mEndpoint = chosen.endpoint();
+        mSoftwareVersion = mEndpoint.registration().softwareVersion();
+        mPredictedMillis = chosen.costMillis();
         mOwner = owner;
         mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
+        mPrediction =
+                state.speedMonitor().speeds().predict(mEndpoint, chosen.workMillis(), mSentMillis);
         mLoad = request.prompt().load();
     }
 
@@ -248,6 +252,9 @@
             mEndpoint
                     .health()
                     .recordLatencyRatio((now - mSentMillis) / (mPredictedMillis + 40), now);
+            mState.speedMonitor()
+                    .speeds()
+                    .recordElapsed(mEndpoint, mPrediction, now - mSentMillis, now);
         }
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -72,9 +72,11 @@
 
     /** Returns the endpoint that the request would currently be sent to. */
     Optional<EndpointState> preview(InputLocation inputs) {
-        return select(inputs, mState.nowMillis()) instanceof Selection.Chosen chosen
-                ? Optional.of(chosen.endpoint())
-                : Optional.empty();
+        if (!(select(inputs, mState.nowMillis()) instanceof Selection.Chosen chosen)) {
+            return Optional.empty();
+        }
+        mState.speedMonitor().recordPreview(mRequest.service().name(), mRequest.rank(), chosen);
+        return Optional.of(chosen.endpoint());
     }
 
     /** Selects an endpoint, unless the request counts as a cause of crashes. */
@@ -141,8 +143,7 @@
                                 .with("unread", endpoint.load().unreadTokens())
                                 .with("send", mSends)
                                 .with("remaining", remaining));
-        Attempt attempt =
-                new Attempt(mState, mRequest, mGuard, endpoint, chosen.costMillis(), mOwner);
+        Attempt attempt = new Attempt(mState, mRequest, mGuard, chosen, mOwner);
         mAttempts.add(attempt);
         attempt.send(headers);
         mRequest.service()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -24,6 +24,7 @@
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.internal.serving.StageQueue;
 import org.wasabilug.serving.ServiceSpecification;
+import org.wasabilug.serving.StageCapacity;
 
 /** Sends pieces to endpoints from this instance, several per call. */
 public final class LocalStageExecutor implements StageExecutor {
@@ -166,7 +167,8 @@
     }
 
     private StageQueue queue(String service) {
-        return mQueues.computeIfAbsent(service, name -> new StageQueue());
+        return mQueues.computeIfAbsent(
+                service, name -> new StageQueue(mState.speedMonitor().speeds()));
     }
 
     private QueueWaits waits(String service) {
@@ -184,14 +186,18 @@
                                         capacity ->
                                                 predictions.put(
                                                         service,
-                                                        waits.predict(
-                                                                queue(service).waitingByRank(),
-                                                                capacity,
-                                                                mState.usable(service).size(),
-                                                                mState.nowMillis()))));
+                                                        predict(service, waits, capacity))));
         return predictions;
     }
 
+    private List<QueueWaits.Wait> predict(
+            String service, QueueWaits waits, StageCapacity configured) {
+        List<EndpointState> usable = mState.usable(service);
+        long now = mState.nowMillis();
+        StageCapacity capacity = mState.speedMonitor().speeds().atPresent(configured, usable, now);
+        return waits.predict(queue(service).waitingByRank(), capacity, usable.size(), now);
+    }
+
     private void dispatch(String service) {
         mState.log().count("stage-dispatch");
         StageQueue queue = queue(service);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -18,6 +18,7 @@
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.ProducedHandles;
+import org.wasabilug.internal.serving.ServiceSpeeds;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
@@ -47,6 +48,7 @@
     private final Listener mListener;
     private final ResponseBuffer mBody;
     private final long mSentMillis;
+    private final ServiceSpeeds.Prediction mPrediction;
     private EndpointCall mExchange;
     private ScheduledFuture<?> mTimeout;
     private int mStatus;
@@ -76,6 +78,10 @@
         mListener = listener;
         mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
+        mPrediction =
+                state.speedMonitor()
+                        .speeds()
+                        .predict(call.endpoint(), expectedMillis(), mSentMillis);
     }
 
     void start() {
@@ -183,6 +189,10 @@
             mCall.endpoint()
                     .health()
                     .recordLatencyRatio(elapsedMillis / expectedMillis(), mState.nowMillis());
+            mState.speedMonitor()
+                    .speeds()
+                    .recordElapsed(
+                            mCall.endpoint(), mPrediction, elapsedMillis, mState.nowMillis());
             finish(new StageCallResult(outcomes, true), "answered");
         } catch (UnreadableException unreadable) {
             failForeign(unreadable.getMessage());
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/HeaderNames.java
@@ -22,6 +22,7 @@
  * @param authorization key of the caller
  * @param brittle number of rejections within a second that an endpoint tolerates, set by it
  * @param leaving set to 1 by an endpoint that leaves
+ * @param serverLoad load and momentary speed of an endpoint, set by it
  * @param reserved headers that a caller may not set, in lower case
  */
 public record HeaderNames(
@@ -42,6 +43,7 @@
         String authorization,
         String brittle,
         String leaving,
+        String serverLoad,
         Set<String> reserved) {
     /** Copies the set of reserved headers. */
     public HeaderNames {
--- a/gateway/src/main/java/org/wasabilug/gateway/protocol/WireProtocol.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/protocol/WireProtocol.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.wasabilug.internal.serving.ServerLoad;
 import org.wasabilug.serving.PromptPart;
 
 /** Names and formats of one deployment. */
@@ -41,4 +42,12 @@
      * @return the counts in order
      */
     List<Integer> counts(String value);
+
+    /**
+     * Parses the load and speed that an endpoint states.
+     *
+     * @param value value of the header
+     * @return the load, or empty if the value has another form or a figure can't be right
+     */
+    Optional<ServerLoad> serverLoad(String value);
 }
