--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -14,7 +14,7 @@
     private static final long DEADLINE_MILLIS = 9_000;
 
     private final FairOrder mOrder = new FairOrder();
-    private final StageQueue mQueue = StageQueue.fair(mOrder);
+    private final StageQueue mQueue = StageQueue.fair(mOrder, new ServiceSpeeds());
     private int mPieces;
 
     private static PieceWork piece(
--- a/core/src/test/java/org/wasabilug/internal/serving/StageLoad.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageLoad.java
@@ -113,7 +113,9 @@
 
     private StageLoad(boolean fair, List<Request> requests) {
         mOrder = fair ? Optional.of(new FairOrder()) : Optional.empty();
-        mQueue = mOrder.map(StageQueue::fair).orElseGet(StageQueue::new);
+        mQueue =
+                mOrder.map(order -> StageQueue.fair(order, new ServiceSpeeds()))
+                        .orElseGet(StageQueue::new);
         mOrder.ifPresent(order -> order.setCallMillis(166));
         mRequests = requests;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -44,6 +44,7 @@
     private final RejectionMonitor mRejectionMonitor = new RejectionMonitor(this);
     private final LeaveMonitor mLeaveMonitor = new LeaveMonitor(this);
     private final PauseMonitor mPauseMonitor = new PauseMonitor(this);
+    private final SpeedMonitor mSpeedMonitor = new SpeedMonitor(this);
     private final EndpointSelector mSelector;
     private final HedgeControl mHedging;
     private final Rollouts mRollouts = new Rollouts(this);
@@ -81,7 +82,10 @@
         mHedging = new HedgeControl(settings.features().hedging());
         mSelector =
                 new EndpointSelector(
-                        settings.coldLimits(), mRejectionMonitor.services(), mPrefixCaches);
+                        settings.coldLimits(),
+                        mRejectionMonitor.services(),
+                        mPrefixCaches,
+                        mSpeedMonitor.speeds());
     }
 
     /** Returns the time of the monotonic clock in milliseconds. */
@@ -189,6 +193,12 @@
         mRejectionMonitor.recordResponse(endpoint, head);
         mLeaveMonitor.recordResponse(endpoint, head);
         mPauseMonitor.recordResponse(endpoint, head);
+        mSpeedMonitor.recordResponse(endpoint, head);
+    }
+
+    /** Returns the monitor of the load and speed that endpoints state. */
+    public SpeedMonitor speedMonitor() {
+        return mSpeedMonitor;
     }
 
     /** Returns the software versions of the services' endpoints. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/HeartbeatWriter.java
@@ -79,6 +79,7 @@
         mSharedLoads.addLoads(heartbeat);
         mSharedLoads.addBrittleServices(heartbeat);
         mSharedLoads.addRollouts(heartbeat);
+        EndpointObservations.add(mState, heartbeat);
         return heartbeat;
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
@@ -37,11 +37,11 @@
     /** Creates the queue of a service. */
     StageQueue createQueue(String service) {
         if (!mEnabled) {
-            return new StageQueue();
+            return new StageQueue(mState.speedMonitor().speeds());
         }
         FairOrder order = new FairOrder();
         mOrders.put(service, order);
-        return StageQueue.fair(order);
+        return StageQueue.fair(order, mState.speedMonitor().speeds());
     }
 
     /**
@@ -73,24 +73,31 @@
                         .flatMap(ServiceSpecification::stage)
                         .orElse(StageCapacity.NONE);
         order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
-        int endpoints = usableCount(work.service());
-        return waits.admission(work.rank(), capacity, endpoints, nowMillis);
+        List<EndpointState> usable = usable(work.service());
+        return waits.admission(
+                work.rank(), atPresent(capacity, usable, nowMillis), usable.size(), nowMillis);
     }
 
-    private int usableCount(String service) {
-        List<EndpointState> usable = mState.usable(service);
-        return mState.rollouts().permitted(service, usable, SendKind.FIRST).size();
+    private List<EndpointState> usable(String service) {
+        return mState.rollouts().permitted(service, mState.usable(service), SendKind.FIRST);
+    }
+
+    /** Returns the capacity at the speeds that the endpoints state. */
+    private StageCapacity atPresent(
+            StageCapacity configured, List<EndpointState> usable, long nowMillis) {
+        return mState.speedMonitor().speeds().atPresent(configured, usable, nowMillis);
     }
 
     /** Predicts the times of the pieces of a service. */
     List<QueueWaits.Wait> predict(
-            String service, StageQueue queue, QueueWaits waits, StageCapacity capacity) {
-        int endpoints = usableCount(service);
+            String service, StageQueue queue, QueueWaits waits, StageCapacity configured) {
+        List<EndpointState> usable = usable(service);
         long now = mState.nowMillis();
+        StageCapacity capacity = atPresent(configured, usable, now);
         FairOrder order = mOrders.get(service);
         return order == null
-                ? waits.predict(queue.waitingByRank(), capacity, endpoints, now)
-                : waits.predict(order, capacity, endpoints, now);
+                ? waits.predict(queue.waitingByRank(), capacity, usable.size(), now)
+                : waits.predict(order, capacity, usable.size(), now);
     }
 
     /** Logs the requests to a service that were deferred since the last call. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -19,6 +19,7 @@
 import org.wasabilug.internal.serving.EndpointLoad;
 import org.wasabilug.internal.serving.PieceWork;
 import org.wasabilug.internal.serving.ProducedHandles;
+import org.wasabilug.internal.serving.ServiceSpeeds;
 import org.wasabilug.internal.serving.StageCall;
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.StageCapacity;
@@ -54,6 +55,7 @@
     private final Listener mListener;
     private final ResponseBuffer mBody;
     private final long mSentMillis;
+    private final ServiceSpeeds.Prediction mPrediction;
     private EndpointCall mExchange;
     private RolloutSend mRollout = RolloutSend.NONE;
     private ScheduledFuture<?> mTimeout;
@@ -84,6 +86,10 @@
         mListener = listener;
         mBody = new ResponseBuffer(state.responseMemory());
         mSentMillis = state.nowMillis();
+        mPrediction =
+                state.speedMonitor()
+                        .speeds()
+                        .predict(call.endpoint(), expectedMillis(), mSentMillis);
     }
 
     void start() {
@@ -200,6 +206,10 @@
                     .health()
                     .recordLatencyRatio(elapsedMillis / expectedMillis(), mState.nowMillis());
             mRollout.succeeded(RATIO_SCALE_MILLIS * elapsedMillis / expectedMillis());
+            mState.speedMonitor()
+                    .speeds()
+                    .recordElapsed(
+                            mCall.endpoint(), mPrediction, elapsedMillis, mState.nowMillis());
             finish(new StageCallResult(outcomes, true), "answered");
         } catch (UnreadableException unreadable) {
             failForeign(unreadable.getMessage());
