Fill enumerations with fewer values in the test of earlier readers

Cause: the verdict of a rollout has three values, so EarlierReadersTest found no value 3 and ended with a NullPointerException in five cases since the fields were added. Change: the last value is taken where an enumeration has no value 3; all others are filled as before.

--- a/gateway/src/test/java/org/wasabilug/gateway/internal/peer/FilledMessages.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/peer/FilledMessages.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.Descriptors.Descriptor;
+import com.google.protobuf.Descriptors.EnumValueDescriptor;
 import com.google.protobuf.Descriptors.FieldDescriptor;
 import com.google.protobuf.Descriptors.FileDescriptor;
 import com.google.protobuf.DynamicMessage;
@@ -100,12 +101,21 @@
             case LONG -> field.getName().endsWith("milliseconds") ? 1_000L * number : number;
             case DOUBLE -> number + 0.5;
             case FLOAT -> number + 0.5f;
-            case ENUM -> field.getEnumType().findValueByNumber(ENUM_VALUE);
+            case ENUM -> enumValue(field);
             case BYTE_STRING -> bytes(field);
             case MESSAGE -> filled(builder.newBuilderForField(field));
         };
     }
 
+    /** The same value as in the recorded messages, or the last one of a shorter enumeration. */
+    private static EnumValueDescriptor enumValue(FieldDescriptor field) {
+        List<EnumValueDescriptor> values = field.getEnumType().getValues();
+        return values.stream()
+                .filter(value -> value.getNumber() == ENUM_VALUE)
+                .findFirst()
+                .orElse(values.getLast());
+    }
+
     private static ByteString bytes(FieldDescriptor field) {
         if (!field.getName().equals("heartbeat")) {
             return ByteString.copyFromUtf8("{}");
