--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointSpeedTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointSpeedTest.java
@@ -133,4 +133,19 @@
         assertThat(mFirst.speed().confidence(LATER))
                 .isCloseTo(mSecond.speed().confidence(LATER), within(1e-9));
     }
+
+    /** Guards against stages that send to a slow endpoint first, or promise its configured time. */
+    @Test
+    void stagesSendToTheFasterEndpointFirstAndExpectThePresentTimes() {
+        StageQueue queue = new StageQueue(mSpeeds);
+        queue.add(ServingFixtures.piece("request", 0, 50_000, 0), LATER);
+        state(mFirst, 300, LATER);
+        state(mSecond, 100, LATER);
+        List<EndpointState> endpoints = List.of(mFirst, mSecond);
+
+        assertThat(mSpeeds.atPresent(ServingFixtures.STAGE, endpoints, LATER).callMillis())
+                .isCloseTo(1.5 * ServingFixtures.STAGE.callMillis(), within(1.0));
+        assertThat(queue.formCalls(ServingFixtures.STAGE, endpoints, LATER).getFirst().endpoint())
+                .isSameAs(mSecond);
+    }
 }
