Send the pieces of a request together, drop those without inputs

Cause: turns of single pieces split requests between calls, so that more of them ended late or in part, the largest above all; and a deferred piece of a later stage may wait for longer than the results that it reads are kept, and its request would then start over. Change: a class sends all pieces of the request whose turn it is, and what remains of it precedes others of its class. A piece is of no use any more when its inputs have expired. Tests of queue, plan and waits pass.

--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,9 +15,9 @@
 /**
  * Serves pieces by rank, then by fair shares of workspaces, then by latest start.
  *
- * <p>Pieces of deferred requests, which miss their latency objective, follow all pieces that can
- * still start in time, until their deadline. Among them, rank does not count, so that no rank
- * starves while more urgent ones are late as well.
+ * <p>Pieces of deferred requests, which are expected to miss their latency objective, follow until
+ * their deadline; those past their latest start come last. Among them, rank does not count, so that
+ * no rank starves while more urgent ones are late as well.
  */
 public final class FairOrder implements WaitingPieces {
     /**
@@ -28,11 +29,11 @@
     /** Least share of the capacity that a waiting rank gets. */
     static final double LEAST_RANK_SHARE = 1.0 / (MAX_PASSED_OVER + 1);
 
-    /** Share of the result capacity of an endpoint that requests in time find free of others. */
+    /** Share of the result capacity of an endpoint that deferred requests leave free. */
     private static final double RESERVED_SHARE = 0.5;
 
     private static final Comparator<WaitingPiece> BEGUN_FIRST =
-            Comparator.comparing((WaitingPiece waiting) -> !waiting.work().begun());
+            Comparator.comparing((WaitingPiece waiting) -> !waiting.precedes());
 
     private static final Comparator<WaitingPiece> LATEST_START_ORDER =
             Comparator.comparingLong((WaitingPiece waiting) -> waiting.work().startByMillis())
@@ -43,7 +44,10 @@
                     .thenComparingLong(WaitingPiece::order);
 
     private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
+
+    /** All pieces that are not past their latest start. */
     private final TreeSet<WaitingPiece> mByLatestStart = new TreeSet<>(LATEST_START_ORDER);
+
     private final TreeSet<WaitingPiece> mByDeadline = new TreeSet<>(DEADLINE_ORDER);
 
     /** Pieces of deferred requests that would be in time if they were sent now. */
@@ -54,6 +58,11 @@
     private final WorkspaceShares mLate =
             new WorkspaceShares(BEGUN_FIRST.thenComparing(DEADLINE_ORDER));
 
+    private final Map<String, Set<WaitingPiece>> mByRequest = new HashMap<>();
+
+    /** Requests of which pieces were sent in the last call. */
+    private final Set<String> mBegun = new LinkedHashSet<>();
+
     private final Map<String, Integer> mDeferredRequests = new HashMap<>();
     private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
     private final Map<String, Integer> mSent = new TreeMap<>();
@@ -131,13 +140,7 @@
      * @param request ID of the request
      */
     public void defer(String request) {
-        List<WaitingPiece> pieces = new ArrayList<>();
-        for (WaitingPiece waiting : mByLatestStart) {
-            if (waiting.work().id().request().equals(request)) {
-                pieces.add(waiting);
-            }
-        }
-        for (WaitingPiece waiting : pieces) {
+        for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
             if (rank(waiting).remove(waiting)) {
                 mDoubtful.add(waiting);
                 countDeferred(waiting);
@@ -153,7 +156,8 @@
     public void add(WaitingPiece waiting) {
         mByLatestStart.add(waiting);
         mByDeadline.add(waiting);
-        if (isDeferred(waiting.work().id().request())) {
+        mByRequest.computeIfAbsent(waiting.request(), each -> new LinkedHashSet<>()).add(waiting);
+        if (isDeferred(waiting.request())) {
             mDoubtful.add(waiting);
             countDeferred(waiting);
         } else {
@@ -162,7 +166,7 @@
     }
 
     private void countDeferred(WaitingPiece waiting) {
-        String request = waiting.work().id().request();
+        String request = waiting.request();
         if (mDeferredRequests.merge(request, 1, Integer::sum) == 1) {
             mNewlyDeferred.add(waiting.work());
         }
@@ -172,10 +176,12 @@
     public void remove(WaitingPiece waiting) {
         mByLatestStart.remove(waiting);
         mByDeadline.remove(waiting);
+        mByRequest.computeIfPresent(
+                waiting.request(),
+                (request, pieces) -> pieces.remove(waiting) && pieces.isEmpty() ? null : pieces);
         if (mDoubtful.remove(waiting) || mLate.remove(waiting)) {
             mDeferredRequests.computeIfPresent(
-                    waiting.work().id().request(),
-                    (request, count) -> count > 1 ? count - 1 : null);
+                    waiting.request(), (request, count) -> count > 1 ? count - 1 : null);
         } else {
             rank(waiting).remove(waiting);
         }
@@ -231,6 +237,8 @@
 
     @Override
     public void offer(Call call) {
+        mBegun.forEach(this::moveToFront);
+        mBegun.clear();
         Map<Integer, Integer> sent = new HashMap<>();
         Set<WaitingPiece> taken = new HashSet<>();
         mRanks.forEach(
@@ -250,6 +258,27 @@
         mLate.offer(waiting -> takeDeferred(call, waiting), call.room());
     }
 
+    /** Lets the remaining pieces of a request precede others of their class. */
+    private void moveToFront(String request) {
+        for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
+            if (!waiting.precedes()) {
+                WorkspaceShares shares = sharesWith(waiting);
+                waiting.setPrecedes();
+                shares.add(waiting);
+            }
+        }
+    }
+
+    /** Removes a piece from its class, and returns the class. */
+    private WorkspaceShares sharesWith(WaitingPiece waiting) {
+        for (WorkspaceShares shares : List.of(rank(waiting), mDoubtful, mLate)) {
+            if (shares.remove(waiting)) {
+                return shares;
+            }
+        }
+        throw new IllegalStateException("A waiting piece is in no class.");
+    }
+
     /** Offers pieces of a rank that the call does not hold yet. */
     private int offer(WorkspaceShares pieces, Call call, Set<WaitingPiece> taken, int maximum) {
         return pieces.offer(
@@ -265,12 +294,13 @@
      * past its first stage are soon read, and release what it holds at the stage before.
      */
     private boolean takeDeferred(Call call, WaitingPiece waiting) {
-        return counted(waiting, call.take(waiting, waiting.work().begun() ? 0 : RESERVED_SHARE));
+        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : RESERVED_SHARE));
     }
 
     private boolean counted(WaitingPiece waiting, boolean taken) {
         if (taken) {
             mSent.merge(waiting.work().workspace(), 1, Integer::sum);
+            mBegun.add(waiting.request());
         }
         return taken;
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -113,14 +113,23 @@
     }
 
     /**
-     * Returns when the results of a stage must be there so that the request can be served before
-     * its deadline, if it waits nowhere afterwards.
+     * Returns when the results of a stage are of no use any more: when the request can't be served
+     * before its deadline even if it waits nowhere afterwards, or the results that its pieces read
+     * have expired.
      *
-     * @param stage index of the stage
+     * @param stage index of the stage, whose inputs are available
      * @param deadlineMillis monotonic time, in milliseconds, at which the request ends
+     * @param nowMillis current monotonic time, in milliseconds
      */
-    public long neededByMillis(int stage, long deadlineMillis) {
-        return deadlineMillis - (long) followingCallsMillis(stage);
+    public long neededByMillis(int stage, long deadlineMillis, long nowMillis) {
+        double neededBy = deadlineMillis - followingCallsMillis(stage);
+        for (int before : stages().get(stage).after()) {
+            double lifetime = mCapacities.get(before).resultLifetimeMillis();
+            if (pieces(before) > 0 && lifetime > 0) {
+                neededBy = Math.min(neededBy, nowMillis + lifetime);
+            }
+        }
+        return (long) neededBy;
     }
 
     private double followingCallsMillis(int stage) {
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -1,5 +1,7 @@
 package org.wasabilug.internal.serving;
 
+import com.google.common.collect.Iterators;
+import com.google.common.collect.PeekingIterator;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -19,8 +21,10 @@
  * piece served last, so an idle share is lent at once and neither saved nor owed.
  *
  * <p>Equal shares alone would leave next to nothing of its demand to a workspace that asks for most
- * of the capacity. Each third piece is therefore chosen regardless of its workspace, so that all
- * workspaces are served at least a third as often as requests are on average.
+ * of the capacity. A third of the pieces is therefore chosen regardless of the workspace, so that
+ * all workspaces are served at least a third as often as requests are on average.
+ *
+ * <p>The pieces of a request are sent together, as a request that is served in part is of no use.
  */
 final class WorkspaceShares {
     private static final int FAIR_PIECES_PER_ROUND = 2;
@@ -37,7 +41,10 @@
     private final TreeSet<WaitingPiece> mAll;
     private final Map<String, Flow> mFlows = new LinkedHashMap<>();
     private double mVirtualTime;
+
+    /** Pieces chosen in turn, less those that go with the pieces chosen regardless of workspace. */
     private int mFairPieces;
+
     private int mOffersInVain;
 
     /** The pieces of one workspace. */
@@ -149,23 +156,23 @@
                 .removeIf(flow -> flow.mPieces.isEmpty() && flow.mVirtualTime <= mVirtualTime);
         Set<WaitingPiece> taken = new HashSet<>();
         PriorityQueue<Cursor> cursors = cursors();
-        Iterator<WaitingPiece> regardless = mAll.iterator();
+        PeekingIterator<WaitingPiece> regardless = Iterators.peekingIterator(mAll.iterator());
         mOffersInVain = 0;
         while (taken.size() < maximum && mOffersInVain < MAX_OFFERS_IN_VAIN && !cursors.isEmpty()) {
             if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
-                offerRegardless(regardless, call, taken);
+                offerRegardless(regardless, call, taken, maximum);
             } else {
-                offerNext(cursors, call, taken);
+                offerNext(cursors, call, taken, maximum);
             }
         }
         return taken.size();
     }
 
-    /** Orders the workspaces; a request past its first stage precedes one that has not begun. */
+    /** Orders the workspaces; a request for which work was done precedes the others. */
     private PriorityQueue<Cursor> cursors() {
         PriorityQueue<Cursor> cursors =
                 new PriorityQueue<>(
-                        Comparator.comparing((Cursor cursor) -> !cursor.mHead.work().begun())
+                        Comparator.comparing((Cursor cursor) -> !cursor.mHead.precedes())
                                 .thenComparingDouble(cursor -> cursor.mFlow.mVirtualTime)
                                 .thenComparing(cursor -> cursor.mHead, mOrder));
         for (Flow flow : mFlows.values()) {
@@ -176,28 +183,48 @@
         return cursors;
     }
 
+    /** Takes a piece, and those of its request that follow. */
     private void offerRegardless(
-            Iterator<WaitingPiece> pieces, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
-        mFairPieces = 0;
-        while (pieces.hasNext() && mOffersInVain < MAX_OFFERS_IN_VAIN) {
+            PeekingIterator<WaitingPiece> pieces,
+            Predicate<WaitingPiece> call,
+            Set<WaitingPiece> taken,
+            int maximum) {
+        int before = taken.size();
+        String request = null;
+        while (pieces.hasNext()
+                && taken.size() < maximum
+                && mOffersInVain < MAX_OFFERS_IN_VAIN
+                && (request == null || request.equals(pieces.peek().request()))) {
             WaitingPiece waiting = pieces.next();
             if (!taken.contains(waiting) && takes(call, waiting)) {
                 taken.add(waiting);
-                return;
+                request = waiting.request();
             }
         }
+        int chosen = taken.size() - before;
+        mFairPieces = chosen == 0 ? 0 : mFairPieces - FAIR_PIECES_PER_ROUND * chosen;
     }
 
+    /** Takes a piece of the next workspace, and those of its request that follow. */
     private void offerNext(
-            PriorityQueue<Cursor> cursors, Predicate<WaitingPiece> call, Set<WaitingPiece> taken) {
+            PriorityQueue<Cursor> cursors,
+            Predicate<WaitingPiece> call,
+            Set<WaitingPiece> taken,
+            int maximum) {
         Cursor cursor = cursors.poll();
-        if (!taken.contains(cursor.mHead) && takes(call, cursor.mHead)) {
-            taken.add(cursor.mHead);
-            mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
-            cursor.mFlow.mVirtualTime++;
-            mFairPieces++;
+        String request = cursor.mHead.request();
+        boolean more = true;
+        while (more && taken.size() < maximum && request.equals(cursor.mHead.request())) {
+            boolean takes = !taken.contains(cursor.mHead) && takes(call, cursor.mHead);
+            if (takes) {
+                taken.add(cursor.mHead);
+                mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
+                cursor.mFlow.mVirtualTime++;
+                mFairPieces++;
+            }
+            more = cursor.advance() && takes;
         }
-        if (cursor.advance()) {
+        if (cursor.mHead != null) {
             cursors.add(cursor);
         }
     }
--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -119,6 +119,17 @@
         assertThat(send(2, 0)).containsExactly("in time", "late");
     }
 
+    @Test
+    void thePiecesOfARequestAreSentTogetherSoThatNoneIsServedInPart() {
+        for (String workspace : List.of("a", "b")) {
+            for (int piece = 0; piece < 3; piece++) {
+                mQueue.add(piece(workspace, new PieceId(workspace, 0, piece), 0, 5_000, 10), 0);
+            }
+        }
+
+        assertThat(send(6, 0)).containsExactly("a", "a", "a", "b", "b", "b");
+    }
+
     @Test
     void ofLateWorkARequestPastItsFirstStagePrecedesOneThatHasNotBegun() {
         add("new", 1, 0, 40);
--- a/core/src/test/java/org/wasabilug/internal/serving/StagePlanTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StagePlanTest.java
@@ -98,4 +98,11 @@
         mTimes.recordReport("second", QueueWaits.DEFERRED_RANK, 3_000, OBJECTIVE_MILLIS);
         assertThat(mPlan.cannotMeetDeadline(5_000, OBJECTIVE_MILLIS)).isTrue();
     }
+
+    @Test
+    void resultsAreOfNoUseOnceTheRequestOrItsInputsHaveExpired() {
+        assertThat(mPlan.neededByMillis(0, 6_000, 0)).isEqualTo(6_000 - 160);
+        assertThat(mPlan.neededByMillis(1, 6_000, 2_500)).isEqualTo(6_000);
+        assertThat(mPlan.neededByMillis(1, 6_000, 1_000)).isEqualTo(5_000);
+    }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StagePhase.java
@@ -254,7 +254,7 @@
      */
     private long pieceDeadlineMillis(int stage) {
         long deadline = mRequest.deadline().millis();
-        return mFair ? mPlan.neededByMillis(stage, deadline) : deadline;
+        return mFair ? mPlan.neededByMillis(stage, deadline, mState.nowMillis()) : deadline;
     }
 
     /** Returns the latest start of a stage; after the first event the deadline decides. */
