Decide once a millisecond on the pieces of a stage service

Cause: the admission of each piece listed the usable endpoints of its service, although all pieces of a request arrive together. Change: FairStages keeps what decided on the last piece of a service and uses it for pieces of the same rank in the same millisecond.

--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -290,8 +290,8 @@
     }
 
     /**
-     * Results of deferred requests must not fill the capacity that others need; those of a request
-     * past its first stage are soon read, and release what it holds at the stage before.
+     * Results of deferred requests must not fill the capacity that others need. A request for which
+     * work was done is exempt: its results are soon read, and release what it holds elsewhere.
      */
     private boolean takeDeferred(Call call, WaitingPiece waiting) {
         return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : RESERVED_SHARE));
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
@@ -25,8 +25,12 @@
     private final GatewayState mState;
     private final boolean mEnabled;
     private final Map<String, FairOrder> mOrders = new HashMap<>();
+    private final Map<String, Recent> mRecent = new HashMap<>();
     private long mNextSharesMillis = Long.MIN_VALUE;
 
+    /** What decided on the last piece of a service. */
+    private record Recent(int rank, long atMillis, DeferredAdmission admission) {}
+
     FairStages(GatewayState state) {
         mState = state;
         mEnabled = state.settings().features().fairAdmission();
@@ -64,15 +68,23 @@
         return decision != DeferredAdmission.Decision.REFUSED;
     }
 
+    /** The pieces of a request arrive within a millisecond, and are decided on alike. */
     private DeferredAdmission admission(
             PieceWork work, FairOrder order, QueueWaits waits, long nowMillis) {
-        StageCapacity capacity =
-                mState.service(work.service())
-                        .flatMap(ServiceSpecification::stage)
-                        .orElse(StageCapacity.NONE);
-        order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
-        int endpoints = mState.usable(work.service()).size();
-        return waits.admission(work.rank(), capacity, endpoints, nowMillis);
+        Recent recent = mRecent.get(work.service());
+        if (recent == null || recent.rank() != work.rank() || recent.atMillis() != nowMillis) {
+            StageCapacity capacity =
+                    mState.service(work.service())
+                            .flatMap(ServiceSpecification::stage)
+                            .orElse(StageCapacity.NONE);
+            order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
+            int endpoints = mState.usable(work.service()).size();
+            DeferredAdmission admission =
+                    waits.admission(work.rank(), capacity, endpoints, nowMillis);
+            recent = new Recent(work.rank(), nowMillis, admission);
+            mRecent.put(work.service(), recent);
+        }
+        return recent.admission();
     }
 
     /** Predicts the times of the pieces of a service. */
