--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,7 +33,7 @@
     private static final double RESERVED_SHARE = 0.5;
 
     private static final Comparator<WaitingPiece> BEGUN_FIRST =
-            Comparator.comparing((WaitingPiece waiting) -> !waiting.work().begun());
+            Comparator.comparing((WaitingPiece waiting) -> !waiting.precedes());
 
     private static final Comparator<WaitingPiece> LATEST_START_ORDER =
             Comparator.comparingLong((WaitingPiece waiting) -> waiting.work().startByMillis())
@@ -57,6 +58,11 @@
     private final WorkspaceShares mLate =
             new WorkspaceShares(BEGUN_FIRST.thenComparing(DEADLINE_ORDER));
 
+    private final Map<String, Set<WaitingPiece>> mByRequest = new HashMap<>();
+
+    /** Requests of which pieces were sent in the last call. */
+    private final Set<String> mBegun = new LinkedHashSet<>();
+
     private final Map<String, Integer> mDeferredRequests = new HashMap<>();
     private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
     private final Map<String, Integer> mSent = new TreeMap<>();
@@ -134,13 +140,7 @@
      * @param request ID of the request
      */
     public void defer(String request) {
-        List<WaitingPiece> pieces = new ArrayList<>();
-        for (WaitingPiece waiting : mByLatestStart) {
-            if (waiting.work().id().request().equals(request)) {
-                pieces.add(waiting);
-            }
-        }
-        for (WaitingPiece waiting : pieces) {
+        for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
             if (rank(waiting).remove(waiting)) {
                 mDoubtful.add(waiting);
                 countDeferred(waiting);
@@ -156,7 +156,8 @@
     public void add(WaitingPiece waiting) {
         mByLatestStart.add(waiting);
         mByDeadline.add(waiting);
-        if (isDeferred(waiting.work().id().request())) {
+        mByRequest.computeIfAbsent(waiting.request(), each -> new LinkedHashSet<>()).add(waiting);
+        if (isDeferred(waiting.request())) {
             mDoubtful.add(waiting);
             countDeferred(waiting);
         } else {
@@ -165,7 +166,7 @@
     }
 
     private void countDeferred(WaitingPiece waiting) {
-        String request = waiting.work().id().request();
+        String request = waiting.request();
         if (mDeferredRequests.merge(request, 1, Integer::sum) == 1) {
             mNewlyDeferred.add(waiting.work());
         }
@@ -175,10 +176,12 @@
     public void remove(WaitingPiece waiting) {
         mByLatestStart.remove(waiting);
         mByDeadline.remove(waiting);
+        mByRequest.computeIfPresent(
+                waiting.request(),
+                (request, pieces) -> pieces.remove(waiting) && pieces.isEmpty() ? null : pieces);
         if (mDoubtful.remove(waiting) || mLate.remove(waiting)) {
             mDeferredRequests.computeIfPresent(
-                    waiting.work().id().request(),
-                    (request, count) -> count > 1 ? count - 1 : null);
+                    waiting.request(), (request, count) -> count > 1 ? count - 1 : null);
         } else {
             rank(waiting).remove(waiting);
         }
@@ -234,6 +237,8 @@
 
     @Override
     public void offer(Call call) {
+        mBegun.forEach(this::moveToFront);
+        mBegun.clear();
         Map<Integer, Integer> sent = new HashMap<>();
         Set<WaitingPiece> taken = new HashSet<>();
         mRanks.forEach(
@@ -253,6 +258,27 @@
         mLate.offer(waiting -> takeDeferred(call, waiting), call.room());
     }
 
+    /** Lets the remaining pieces of a request precede others of their class. */
+    private void moveToFront(String request) {
+        for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
+            if (!waiting.precedes()) {
+                WorkspaceShares shares = sharesWith(waiting);
+                waiting.setPrecedes();
+                shares.add(waiting);
+            }
+        }
+    }
+
+    /** Removes a piece from its class, and returns the class. */
+    private WorkspaceShares sharesWith(WaitingPiece waiting) {
+        for (WorkspaceShares shares : List.of(rank(waiting), mDoubtful, mLate)) {
+            if (shares.remove(waiting)) {
+                return shares;
+            }
+        }
+        throw new IllegalStateException("A waiting piece is in no class.");
+    }
+
     /** Offers pieces of a rank that the call does not hold yet. */
     private int offer(WorkspaceShares pieces, Call call, Set<WaitingPiece> taken, int maximum) {
         return pieces.offer(
@@ -264,16 +290,17 @@
     }
 
     /**
-     * Results of deferred requests must not fill the capacity that others need; those of a request
-     * past its first stage are soon read, and release what it holds at the stage before.
+     * Results of deferred requests must not fill the capacity that others need. A request for which
+     * work was done is exempt: its results are soon read, and release what it holds elsewhere.
      */
     private boolean takeDeferred(Call call, WaitingPiece waiting) {
-        return counted(waiting, call.take(waiting, waiting.work().begun() ? 0 : RESERVED_SHARE));
+        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : RESERVED_SHARE));
     }
 
     private boolean counted(WaitingPiece waiting, boolean taken) {
         if (taken) {
             mSent.merge(waiting.work().workspace(), 1, Integer::sum);
+            mBegun.add(waiting.request());
         }
         return taken;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
@@ -27,8 +27,12 @@
     private final GatewayState mState;
     private final boolean mEnabled;
     private final Map<String, FairOrder> mOrders = new HashMap<>();
+    private final Map<String, Recent> mRecent = new HashMap<>();
     private long mNextSharesMillis = Long.MIN_VALUE;
 
+    /** What decided on the last piece of a service. */
+    private record Recent(int rank, long atMillis, DeferredAdmission admission) {}
+
     FairStages(GatewayState state) {
         mState = state;
         mEnabled = state.settings().features().fairAdmission();
@@ -66,16 +70,27 @@
         return decision != DeferredAdmission.Decision.REFUSED;
     }
 
+    /** The pieces of a request arrive within a millisecond, and are decided on alike. */
     private DeferredAdmission admission(
             PieceWork work, FairOrder order, QueueWaits waits, long nowMillis) {
-        StageCapacity capacity =
-                mState.service(work.service())
-                        .flatMap(ServiceSpecification::stage)
-                        .orElse(StageCapacity.NONE);
-        order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
-        List<EndpointState> usable = usable(work.service());
-        return waits.admission(
-                work.rank(), atPresent(capacity, usable, nowMillis), usable.size(), nowMillis);
+        Recent recent = mRecent.get(work.service());
+        if (recent == null || recent.rank() != work.rank() || recent.atMillis() != nowMillis) {
+            StageCapacity capacity =
+                    mState.service(work.service())
+                            .flatMap(ServiceSpecification::stage)
+                            .orElse(StageCapacity.NONE);
+            order.setCallMillis(capacity.callMillis() + capacity.pieceMillis());
+            List<EndpointState> usable = usable(work.service());
+            DeferredAdmission admission =
+                    waits.admission(
+                            work.rank(),
+                            atPresent(capacity, usable, nowMillis),
+                            usable.size(),
+                            nowMillis);
+            recent = new Recent(work.rank(), nowMillis, admission);
+            mRecent.put(work.service(), recent);
+        }
+        return recent.admission();
     }
 
     private List<EndpointState> usable(String service) {
