--- a/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
+++ b/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
@@ -119,6 +119,21 @@
         assertThat(mFleet.state()).contains(State.ROLLED_BACK);
     }
 
+    /** Guards against retries and resumed streams that are not bound. */
+    @Test
+    void furtherSendsDrawOnTheSameBound() {
+        Instance instance = mFleet.mInstances.getFirst();
+        instance.mRollout.statusRead(Optional.empty(), 0, 0);
+        instance.mRollout.traffic().recordRequest();
+        int sends = 0;
+        while (instance.mRollout.remainingExposure(SendKind.FURTHER, 50, 0) >= 1) {
+            instance.mRollout.traffic().recordSent("v2", 0);
+            sends++;
+        }
+        assertThat(sends).isEqualTo(1);
+        assertThat(groups(instance)).containsExactly(Group.BASELINE);
+    }
+
     /** Guards against slack that an earlier process of the instance may have used. */
     @Test
     void instanceThatStartsHalfwayHasNoShareBeforeItReadsStatusAndNoSlackAfterwards() {
