Explain where a request would go without sending it

Cause: Operators can see from the log where requests went, not where one would go now and why.

Change: GET /explain at the readiness address answers with JSON: route, services, each endpoint with its predicted time or the reason why it may not be chosen, the choice, and whether the request would be refused. SelectionExplainer uses the selector's own cost and rate rules. Limits on rejections of brittle endpoints are left out, as asking for them changes state.

Conclusion: The explanation covers the choice of an endpoint; keys, crash causes and stages are not covered.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -113,8 +113,7 @@
         return first.pause().remainingMillis(nowMillis) + MIN_PAUSE_RETRY_MILLIS + spread;
     }
 
-    private Selection cheapest(
-            List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
+    Selection cheapest(List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
         EndpointState preferred = affinityOwner(endpoints, request.prompt());
         ToDoubleFunction<EndpointState> cost =
                 endpoint -> cost(endpoint, endpoint == preferred, request, nowMillis);
@@ -130,7 +129,7 @@
         return new Selection.Chosen(best, bestCost);
     }
 
-    private boolean withinRate(EndpointState endpoint, SelectionRequest request, long nowMillis) {
+    boolean withinRate(EndpointState endpoint, SelectionRequest request, long nowMillis) {
         double rate = request.service().coldRequestsPerSecond();
         if (rate <= 0) {
             return true;
@@ -163,8 +162,7 @@
         return endpoint.rejectionControl().maySend(load, limit, request.fleet(), nowMillis);
     }
 
-    private double cost(
-            EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
+    double cost(EndpointState endpoint, boolean owner, SelectionRequest request, long nowMillis) {
         double work =
                 request.service().engine().isPresent()
                         ? engineMillis(endpoint, owner, request, nowMillis)
@@ -222,7 +220,7 @@
         return endpoint.health().latencyMillis() * (1 + waiting) + filling;
     }
 
-    private static EndpointState affinityOwner(List<EndpointState> endpoints, PromptSize prompt) {
+    static EndpointState affinityOwner(List<EndpointState> endpoints, PromptSize prompt) {
         if (prompt.affinityKey().isEmpty()) {
             return null;
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.wasabilug.gateway.internal.ListenReporter;
 import org.wasabilug.gateway.internal.caller.CallerListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
+import org.wasabilug.gateway.internal.explain.RequestExplainer;
 import org.wasabilug.gateway.internal.fleet.ConfigurationWatch;
 import org.wasabilug.gateway.internal.fleet.EndpointWatch;
 import org.wasabilug.gateway.internal.fleet.InstanceRegistry;
@@ -130,7 +131,12 @@
         mCallers =
                 new CallerListener(
                         mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
-        mReadiness = new ReadinessServer(protocol.readinessPath(), this::ready, this::metricsText);
+        mReadiness =
+                new ReadinessServer(
+                        protocol.readinessPath(),
+                        this::ready,
+                        this::metricsText,
+                        new RequestExplainer(mState)::explain);
     }
 
     private String metricsText() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
@@ -21,15 +21,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 /** HTTP server for metrics and for readiness checks, which it answers with 200 or 503. */
 public final class ReadinessServer {
     private static final int MAX_REQUEST_BYTES = 8_192;
     private static final String METRICS_PATH = "/metrics";
+    private static final String EXPLAIN_PREFIX = "/explain?";
 
     private final String mReadinessPath;
     private final BooleanSupplier mReady;
     private final Supplier<String> mMetrics;
+    private final UnaryOperator<String> mExplain;
     private Channel mServer;
 
     /**
@@ -38,11 +41,17 @@
      * @param readinessPath path of readiness checks
      * @param ready whether the instance accepts requests
      * @param metrics returns the metrics as text
+     * @param explain returns for a path with a query where a request would go, as JSON
      */
-    public ReadinessServer(String readinessPath, BooleanSupplier ready, Supplier<String> metrics) {
+    public ReadinessServer(
+            String readinessPath,
+            BooleanSupplier ready,
+            Supplier<String> metrics,
+            UnaryOperator<String> explain) {
         mReadinessPath = readinessPath;
         mReady = ready;
         mMetrics = metrics;
+        mExplain = explain;
     }
 
     /**
@@ -104,6 +113,12 @@
         if (target.equals(METRICS_PATH)) {
             return text(HttpResponseStatus.OK, mMetrics.get());
         }
+        if (target.startsWith(EXPLAIN_PREFIX)) {
+            DefaultFullHttpResponse explained =
+                    text(HttpResponseStatus.OK, mExplain.apply(target) + "\n");
+            explained.headers().set("Content-Type", "application/json");
+            return explained;
+        }
         if (!target.equals(mReadinessPath)) {
             return text(HttpResponseStatus.NOT_FOUND, "");
         }
