--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -131,10 +131,9 @@
         return first.pause().remainingMillis(nowMillis) + MIN_PAUSE_RETRY_MILLIS + spread;
     }
 
-    private Selection cheapest(
-            List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
+    Selection cheapest(List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
         EndpointState preferred = affinityOwner(endpoints, request.prompt());
-        SpeedView speeds = mSpeeds.view(request.fleet().instance(), endpoints, nowMillis);
+        SpeedView speeds = speeds(request, endpoints, nowMillis);
         ToDoubleFunction<EndpointState> cost =
                 endpoint -> cost(endpoint, endpoint == preferred, request, speeds, nowMillis);
         EndpointState best = null;
@@ -150,6 +149,11 @@
         return new Selection.Chosen(best, speeds.predictedMillis(best, bestCost, work), work);
     }
 
+    /** Returns what a choice between endpoints takes into account of their speeds. */
+    SpeedView speeds(SelectionRequest request, List<EndpointState> endpoints, long nowMillis) {
+        return mSpeeds.view(request.fleet().instance(), endpoints, nowMillis);
+    }
+
     /** Returns the predicted time at an engine of usual speed; 0 if it can't be predicted. */
     private double workMillis(EndpointState endpoint, SelectionRequest request, SpeedView speeds) {
         if (request.service().engine().isEmpty()) {
@@ -171,7 +175,7 @@
         return Math.max(0, prompt.promptTokens() - cached);
     }
 
-    private boolean withinRate(EndpointState endpoint, SelectionRequest request, long nowMillis) {
+    boolean withinRate(EndpointState endpoint, SelectionRequest request, long nowMillis) {
         double rate = request.service().coldRequestsPerSecond();
         if (rate <= 0) {
             return true;
@@ -204,7 +208,7 @@
         return endpoint.rejectionControl().maySend(load, limit, request.fleet(), nowMillis);
     }
 
-    private double cost(
+    double cost(
             EndpointState endpoint,
             boolean owner,
             SelectionRequest request,
@@ -271,7 +275,7 @@
         return latency * (1 + waiting) + filling;
     }
 
-    private static EndpointState affinityOwner(List<EndpointState> endpoints, PromptSize prompt) {
+    static EndpointState affinityOwner(List<EndpointState> endpoints, PromptSize prompt) {
         if (prompt.affinityKey().isEmpty()) {
             return null;
         }
