Bound the connections, memory and time that callers may take

Cause: nothing bounds the number of connections, the memory of requests over all connections, or the responses that callers don't read. A head of short fields costs fifty times its size as objects, 16 of them wait on each connection, and any byte of a body counts as activity. Change: descriptors are divided between the listeners; the least useful connection makes room for a new one. Heads, bodies and undecoded bytes count against a budget as what their objects cost; one request is decoded ahead and the bytes after it stay undecoded. Heads are timed from their first byte and bodies must keep a rate. Unread responses count against a budget of their own, the largest is closed first, and streams are read ahead within it. The readiness address closes connections that are unused or don't read. Settings in the table `callers`, log line and counters `caller-limited`.

--- a/gateway/src/main/java/org/wasabilug/gateway/FeatureSettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/FeatureSettings.java
@@ -10,13 +10,22 @@
  * @param fairAdmission whether workspaces that compete for capacity get fair shares
  * @param hedging limits on hedged requests
  * @param machine what the machine gives to the process
+ * @param callers limits on all callers together
  */
 public record FeatureSettings(
-        RolloutLimits rollouts, boolean fairAdmission, HedgeLimits hedging, MachineLimits machine) {
+        RolloutLimits rollouts,
+        boolean fairAdmission,
+        HedgeLimits hedging,
+        MachineLimits machine,
+        CallerSettings callers) {
     /** Settings of a deployment that states none. */
     public static final FeatureSettings DEFAULT =
             new FeatureSettings(
-                    RolloutLimits.DEFAULT, false, HedgeLimits.OFF, MachineLimits.UNKNOWN);
+                    RolloutLimits.DEFAULT,
+                    false,
+                    HedgeLimits.OFF,
+                    MachineLimits.UNKNOWN,
+                    CallerSettings.DEFAULT);
 
     /**
      * What the machine gives to the process.
--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -127,10 +127,31 @@
         mLeaves = new SharedLeaves(mState, mNetwork);
         RequestReceiver receiver =
                 new RequestReceiver(mState, mSharedStages, mStreamOrigins, mCrashSuspects);
-        mCallers =
-                new CallerListener(
-                        mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
-        mReadiness = new ReadinessServer(protocol.readinessPath(), this::ready, this::metricsText);
+        mCallers = callerListener(receiver);
+        mReadiness =
+                new ReadinessServer(
+                        protocol.readinessPath(),
+                        this::ready,
+                        this::metricsText,
+                        readinessLimits());
+    }
+
+    private CallerListener callerListener(RequestReceiver receiver) {
+        return new CallerListener(
+                mLoops,
+                mState::callerLimits,
+                GatewayState::clockMillis,
+                receiver,
+                mSettings.features().callers(),
+                mState.connectionShares().callers());
+    }
+
+    private ReadinessServer.Limits readinessLimits() {
+        return new ReadinessServer.Limits(
+                mState.connectionShares().readiness(),
+                () -> mState.callerLimits().idleMillis(),
+                GatewayState::clockMillis,
+                () -> mState.callerLimited("readiness"));
     }
 
     private String metricsText() {
@@ -244,6 +265,7 @@
         mEndpoints.removeExpired();
         mConfiguration.removeExpired();
         mCallers.enforceTimeouts();
+        mReadiness.closeUnused();
         mState.connections().closeExpired();
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -7,10 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.wasabilug.gateway.FeatureSettings;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.endpoint.ResponseMemory;
+import org.wasabilug.gateway.internal.limit.ConnectionShares;
 import org.wasabilug.gateway.internal.log.DecisionLog;
+import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.protocol.WireProtocol;
 import org.wasabilug.internal.serving.EndpointDirectory;
 import org.wasabilug.internal.serving.EndpointSelector;
@@ -109,6 +112,22 @@
         return mSettings;
     }
 
+    /** Returns how the descriptors of the machine are divided. */
+    public ConnectionShares connectionShares() {
+        FeatureSettings features = settings().features();
+        return ConnectionShares.of(features.machine(), features.callers());
+    }
+
+    /**
+     * Logs and counts that a limit on callers acted on a connection.
+     *
+     * @param limit name of the limit
+     */
+    public void callerLimited(String limit) {
+        mLog.request(LogLine.of("caller-limited").with("limit", limit));
+        mLog.count("caller-limited." + limit);
+    }
+
     /** Returns the names and formats of the deployment. */
     public WireProtocol protocol() {
         return mProtocol;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -1,7 +1,9 @@
 package org.wasabilug.gateway.internal.caller;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -16,37 +18,57 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.ArrayDeque;
+import org.wasabilug.gateway.internal.limit.LeastUseful;
+import org.wasabilug.gateway.internal.limit.MemoryBudget;
+import org.wasabilug.gateway.internal.limit.OutputBudget;
+import org.wasabilug.serving.CallerLimits;
 
 /**
  * One connection of a caller: receives complete requests and passes them on one at a time.
  *
  * <p>It keeps reading while a request is served, as only a read detects that the caller
- * disconnected.
+ * disconnected. While a further request waits, bytes are read a little ahead but not decoded.
  */
-final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final int MAX_PIPELINED_REQUESTS = 16;
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject>
+        implements LeastUseful.Candidate, MemoryBudget.Holder, OutputBudget.Holder {
+    private static final String RETRY_AFTER_SECONDS = "1";
 
     private final CallerListener mListener;
+    private final Channel mChannel;
+    private final MemoryBudget.Account mMemory;
+    private final OutputBudget.Account mOutput;
+    private final CallerInput mInput;
+    private final CallerTimes mTimes;
     private final ArrayDeque<CallerExchange> mComplete = new ArrayDeque<>();
-    private Channel mChannel;
     private CallerExchange mReceiving;
     private CallerExchange mServing;
     private HttpResponseStatus mRefusal;
     private boolean mClosing;
-    private long mLastActivityMillis;
+    private boolean mWritable = true;
 
-    CallerConnection(CallerListener listener) {
+    CallerConnection(CallerListener listener, Channel channel) {
         mListener = listener;
+        mChannel = channel;
+        mMemory = listener.memory().open(this);
+        mOutput = listener.output().open(this);
+        mInput = new CallerInput(listener.settings().maxFields(), mMemory);
+        mTimes = new CallerTimes(listener.settings().minBytesPerSecond(), listener.timerMillis());
     }
 
     Channel channel() {
         return mChannel;
     }
 
+    CallerInput input() {
+        return mInput;
+    }
+
+    MemoryBudget.Account memory() {
+        return mMemory;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        mChannel = context.channel();
-        mLastActivityMillis = mListener.nowMillis();
         mListener.opened(this);
     }
 
@@ -55,7 +77,10 @@
         if (mClosing || mRefusal != null) {
             return;
         }
-        mLastActivityMillis = mListener.nowMillis();
+        if (message.decoderResult().cause() instanceof CallerLimitException exceeded) {
+            refuse(exceeded.limit());
+            return;
+        }
         if (message.decoderResult().isFailure()) {
             refuse(statusOf(message.decoderResult()));
             return;
@@ -70,6 +95,8 @@
 
     private void headReceived(HttpRequest head) {
         mReceiving = new CallerExchange(this, head, mListener.nowMillis());
+        mReceiving.addMemory(mInput.takeHeadBytes());
+        mTimes.headReceived(mListener.timerMillis());
         int maximum = mListener.limits().bodyBytes();
         if (HttpUtil.isContentLengthSet(head) && HttpUtil.getContentLength(head, 0L) > maximum) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
@@ -80,18 +107,24 @@
     }
 
     private void contentReceived(HttpContent content) {
-        mReceiving.receive(content.content());
-        if (mReceiving.receivedBytes() > mListener.limits().bodyBytes()) {
+        int maximum = mListener.limits().bodyBytes();
+        int size = mReceiving.receivedBytes() + content.content().readableBytes();
+        if (size > maximum) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
+        long length = HttpUtil.getContentLength(mReceiving.head(), (long) maximum);
+        if (!mReceiving.receive(content.content(), (int) Math.min(length, maximum))) {
+            refuse(CallerLimit.MEMORY);
+            return;
+        }
+        mTimes.bodyReceived(size, mListener.timerMillis());
         if (content instanceof LastHttpContent) {
+            mReceiving.addMemory(mInput.takeHeadBytes());
             mReceiving.bodyComplete();
             mComplete.add(mReceiving);
             mReceiving = null;
-            if (mComplete.size() > MAX_PIPELINED_REQUESTS) {
-                mChannel.config().setAutoRead(false);
-            }
+            mInput.hold(true);
             // After the read, which may find that the caller has already left: this process may
             // have been starting or paused since the request was sent.
             mChannel.eventLoop().execute(this::serveNext);
@@ -99,30 +132,68 @@
     }
 
     private void serveNext() {
-        if (mServing != null || mClosing || !mChannel.isActive()) {
+        // What a caller has not read of the responses before counts as memory of this process.
+        boolean unread = !mChannel.isWritable() && !mComplete.isEmpty();
+        if (mServing != null || mClosing || unread || !mChannel.isActive()) {
             return;
         }
         if (!mComplete.isEmpty()) {
             mServing = mComplete.removeFirst();
-            mChannel.config().setAutoRead(true);
+            decodeNext();
             mListener.received(mServing);
         } else if (mRefusal != null) {
             sendRefusal();
         }
     }
 
+    /** Decodes one request ahead, so that it is known whether one waits. */
+    private void decodeNext() {
+        if (!mComplete.isEmpty()) {
+            return;
+        }
+        mInput.hold(false);
+        mChannel.config().setAutoRead(true);
+        mChannel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+    }
+
+    /** Writes a part of a response that is not the last. */
+    void writePart(Object message) {
+        mChannel.writeAndFlush(message);
+        written();
+    }
+
+    private void written() {
+        mOutput.update();
+        reportWritability();
+    }
+
+    boolean writable() {
+        return mChannel.isWritable() || mOutput.mayReadAhead();
+    }
+
+    private void reportWritability() {
+        if (mServing != null && writable() != mWritable) {
+            mWritable = !mWritable;
+            mServing.writabilityChanged();
+        }
+    }
+
     /** Writes the last part of a response. */
     void write(Object message, boolean keepOpen) {
-        mLastActivityMillis = mListener.nowMillis();
+        mTimes.active(mListener.timerMillis());
+        mServing.releaseMemory();
         mServing = null;
+        mWritable = true;
         if (keepOpen) {
             mChannel.writeAndFlush(message);
-            serveNext();
+            mChannel.eventLoop().execute(this::serveNext);
         } else {
             mClosing = true;
+            mInput.discard();
             reportUnanswered("the connection ends with the response before");
             CallerExchange.closeAfter(mChannel, message);
         }
+        written();
     }
 
     /**
@@ -137,12 +208,26 @@
     }
 
     /** Closes a connection that is idle for too long, or whose request does not arrive in time. */
-    void enforceTimeouts(long nowMillis, long maxIdleMillis, long headerTimeoutMillis) {
-        long inactiveMillis = nowMillis - mLastActivityMillis;
-        if (idle() && inactiveMillis > maxIdleMillis) {
+    void enforceTimeouts(long nowMillis, CallerLimits limits) {
+        boolean heading = mServing == null && mReceiving == null && mComplete.isEmpty();
+        mTimes.check(nowMillis, heading && mInput.partial(), unsentBytes());
+        reportWritability();
+        if (mRefusal == null && !mClosing && mServing == null) {
+            refuseLate(nowMillis, heading, limits.headerMillis());
+        }
+        if (mServing == null && mTimes.unread(nowMillis, limits.idleMillis())) {
+            mListener.limited(CallerLimit.OUTPUT);
             mChannel.close();
-        } else if (mReceiving != null && mServing == null && inactiveMillis > headerTimeoutMillis) {
-            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (idle() && mTimes.inactive(nowMillis, limits.idleMillis())) {
+            mChannel.close();
+        }
+    }
+
+    private void refuseLate(long nowMillis, boolean heading, long maxMillis) {
+        if (heading && mTimes.headLate(nowMillis, maxMillis)) {
+            refuse(CallerLimit.HEADER_TIME);
+        } else if (mReceiving != null && mTimes.bodyLate(nowMillis, maxMillis)) {
+            refuse(CallerLimit.BODY_RATE);
         }
     }
 
@@ -153,11 +238,21 @@
         }
     }
 
+    private void refuse(CallerLimit limit) {
+        mListener.limited(limit);
+        refuse(limit.status());
+    }
+
     /** Refuses a request that can't be received, once all before it have their responses. */
     private void refuse(HttpResponseStatus status) {
-        mReceiving = null;
+        mInput.discard();
+        if (mReceiving != null) {
+            mReceiving.releaseMemory();
+            mReceiving = null;
+        }
         mRefusal = status;
-        serveNext();
+        mChannel.config().setAutoRead(true);
+        mChannel.eventLoop().execute(this::serveNext);
     }
 
     private void sendRefusal() {
@@ -166,6 +261,9 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, mRefusal);
         response.headers().set(new DefaultHttpHeaders().set("Connection", "close"));
         response.headers().set("Content-Length", 0);
+        if (mRefusal.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set("Retry-After", RETRY_AFTER_SECONDS);
+        }
         CallerExchange.closeAfter(mChannel, response);
         mListener.refused(mRefusal);
     }
@@ -187,16 +285,65 @@
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
+    @Override
+    public LeastUseful.Use use() {
+        if (mServing != null || !mComplete.isEmpty()) {
+            return LeastUseful.Use.SERVING;
+        }
+        if (mReceiving != null) {
+            return LeastUseful.Use.RECEIVING;
+        }
+        return unsentBytes() > 0 ? LeastUseful.Use.UNREAD : LeastUseful.Use.WAITING;
+    }
+
+    @Override
+    public long sinceMillis() {
+        return mTimes.sinceMillis();
+    }
+
+    @Override
+    public long reclaimableBytes() {
+        return mMemory.bytes() - (mServing == null ? 0 : mServing.memoryBytes());
+    }
+
+    @Override
+    public long progressMillis() {
+        return mTimes.sinceMillis();
+    }
+
+    @Override
+    public void reclaim() {
+        mComplete.forEach(CallerExchange::releaseMemory);
+        mComplete.clear();
+        refuse(CallerLimit.MEMORY);
+    }
+
+    @Override
+    public long unsentBytes() {
+        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    @Override
+    public void closeUnread() {
+        mListener.limited(CallerLimit.OUTPUT);
+        mChannel.close();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (mServing != null) {
-            mServing.writabilityChanged();
+        mOutput.update();
+        reportWritability();
+        if (mChannel.isWritable() && mServing == null) {
+            mChannel.eventLoop().execute(this::serveNext);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mListener.closed(this);
+        mMemory.close();
+        mOutput.close();
         if (mServing != null) {
             mServing.callerDisconnected();
         }
@@ -204,6 +351,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof CallerLimitException exceeded) {
+            if (mRefusal == null && !mClosing) {
+                refuse(exceeded.limit());
+            }
+            return;
+        }
         reportUnanswered(String.valueOf(cause));
         context.close();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerEvents.java
@@ -25,4 +25,11 @@
      * @param status status of the refusal
      */
     void refused(HttpResponseStatus status);
+
+    /**
+     * Called when a limit on all callers together, or on their rate, acts on a connection.
+     *
+     * @param limit name of the limit
+     */
+    void limited(String limit);
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerExchange.java
@@ -1,7 +1,6 @@
 package org.wasabilug.gateway.internal.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -19,7 +18,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
 
 /** One request of a caller and its response. */
 public final class CallerExchange {
@@ -29,8 +27,9 @@
     private final CallerConnection mConnection;
     private final HttpRequest mHead;
     private final long mReceivedMillis;
-    private ByteArrayOutputStream mReceiving = new ByteArrayOutputStream(0);
+    private final BodyBuffer mReceiving = new BodyBuffer(this::takeMemory);
     private byte[] mBody = NO_BODY;
+    private long mMemoryBytes;
     private Runnable mOnClose = () -> {};
     private Runnable mOnStop = () -> {};
     private Runnable mOnWritabilityChange = () -> {};
@@ -159,7 +158,7 @@
             content.release();
             return;
         }
-        mConnection.channel().writeAndFlush(new DefaultHttpContent(content));
+        mConnection.writePart(new DefaultHttpContent(content));
     }
 
     /** Completes the body. */
@@ -194,13 +193,33 @@
         }
     }
 
-    /** Returns whether the caller reads fast enough; false while written parts accumulate. */
+    /** Returns whether the caller reads fast enough; false while too much is unsent. */
     public boolean writable() {
-        return mConnection.channel().isWritable();
+        return mConnection.writable();
     }
 
-    void receive(ByteBuf content) {
-        mReceiving.writeBytes(ByteBufUtil.getBytes(content));
+    /** Receives a part of the body; returns false if there is no memory for it. */
+    boolean receive(ByteBuf content, int maximum) {
+        return mReceiving.append(content, maximum);
+    }
+
+    private boolean takeMemory(long bytes) {
+        boolean taken = mConnection.memory().add(bytes);
+        mMemoryBytes += taken ? bytes : 0;
+        return taken;
+    }
+
+    /** Counts memory that the connection has taken for the head. */
+    void addMemory(long bytes) {
+        mMemoryBytes += bytes;
+    }
+
+    long memoryBytes() {
+        return mMemoryBytes;
+    }
+
+    void releaseMemory() {
+        takeMemory(-mMemoryBytes);
     }
 
     int receivedBytes() {
@@ -208,8 +227,7 @@
     }
 
     void bodyComplete() {
-        mBody = mReceiving.size() == 0 ? NO_BODY : mReceiving.toByteArray();
-        mReceiving = null;
+        mBody = mReceiving.complete();
     }
 
     void callerDisconnected() {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -15,10 +15,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.wasabilug.gateway.CallerSettings;
+import org.wasabilug.gateway.internal.limit.LeastUseful;
+import org.wasabilug.gateway.internal.limit.MemoryBudget;
+import org.wasabilug.gateway.internal.limit.OutputBudget;
 import org.wasabilug.serving.CallerLimits;
 
 /** Accepts connections of callers and limits what they may send. */
@@ -26,13 +31,22 @@
     private static final int BACKLOG = 1_024;
     private static final int MAX_READS_AT_ONCE = 16;
 
+    /** The process was paused if checks are further apart; callers are not to pay for that. */
+    private static final long MAX_CHECK_MILLIS = 1_000;
+
     private final EventLoopGroup mLoops;
     private final Supplier<CallerLimits> mLimits;
     private final LongSupplier mClockMillis;
     private final CallerEvents mEvents;
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private Channel mServer;
+    private final CallerSettings mSettings;
+    private final int mMaxConnections;
+    private final MemoryBudget mMemory;
+    private final OutputBudget mOutput;
     private boolean mStopping;
+    private long mPausedMillis;
+    private long mLastCheckMillis = Long.MAX_VALUE / 2;
 
     /**
      * Creates a listener that is not listening yet.
@@ -41,16 +55,25 @@
      * @param limits active limits
      * @param clockMillis monotonic clock in milliseconds
      * @param events receives the requests
+     * @param settings limits on all callers together
+     * @param maxConnections maximum number of connections
      */
     public CallerListener(
             EventLoopGroup loops,
             Supplier<CallerLimits> limits,
             LongSupplier clockMillis,
-            CallerEvents events) {
+            CallerEvents events,
+            CallerSettings settings,
+            int maxConnections) {
         mLoops = loops;
         mLimits = limits;
         mClockMillis = clockMillis;
         mEvents = events;
+        mSettings = settings;
+        mMaxConnections = maxConnections;
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        mMemory = new MemoryBudget(settings.memoryBytes(heapBytes), this::timerMillis);
+        mOutput = new OutputBudget(settings.outputBytes(heapBytes));
     }
 
     /**
@@ -94,18 +117,21 @@
 
     private void initPipeline(SocketChannel channel) {
         Queue<HttpMethod> methods = new ArrayDeque<>();
+        CallerConnection connection = new CallerConnection(this, channel);
         channel.pipeline()
-                .addLast(new CallerRequestDecoder(mLimits, methods))
+                .addLast(new CallerRequestDecoder(mLimits, methods, connection.input()))
                 .addLast(new CallerResponseEncoder(methods))
-                .addLast(new CallerConnection(this));
+                .addLast(connection);
     }
 
     /** Closes connections that are idle or send too slowly; to be called several times a second. */
     public void enforceTimeouts() {
         long now = nowMillis();
-        CallerLimits limits = limits();
+        mPausedMillis += Math.max(0, now - mLastCheckMillis - MAX_CHECK_MILLIS);
+        mLastCheckMillis = now;
+        mOutput.refresh();
         for (CallerConnection connection : new ArrayList<>(mConnections)) {
-            connection.enforceTimeouts(now, limits.idleMillis(), limits.headerMillis());
+            connection.enforceTimeouts(timerMillis(), limits());
         }
     }
 
@@ -148,11 +174,37 @@
         return mClockMillis.getAsLong();
     }
 
+    /** Returns the time for time limits, which stands still while the process is paused. */
+    long timerMillis() {
+        return nowMillis() - mPausedMillis;
+    }
+
+    CallerSettings settings() {
+        return mSettings;
+    }
+
+    MemoryBudget memory() {
+        return mMemory;
+    }
+
+    OutputBudget output() {
+        return mOutput;
+    }
+
     boolean stopping() {
         return mStopping;
     }
 
     void opened(CallerConnection connection) {
+        if (mConnections.size() >= mMaxConnections) {
+            limited(CallerLimit.CONNECTIONS);
+            Optional<CallerConnection> victim = LeastUseful.of(mConnections.stream());
+            closed(victim.orElse(connection));
+            victim.orElse(connection).channel().close();
+            if (victim.isEmpty()) {
+                return;
+            }
+        }
         mConnections.add(connection);
     }
 
@@ -168,6 +220,10 @@
         mEvents.unanswered(reason, requests);
     }
 
+    void limited(CallerLimit limit) {
+        mEvents.limited(limit.text());
+    }
+
     void refused(HttpResponseStatus status) {
         mEvents.refused(status);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -20,9 +21,13 @@
 final class CallerRequestDecoder extends HttpRequestDecoder {
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** Read ahead of a request that waits, so that the end of the connection is still seen. */
+    private static final int MAX_AHEAD_BYTES = 16_384;
+
     private final Supplier<CallerLimits> mLimits;
     private final Queue<HttpMethod> mMethods;
     private final int mHeaderBytes;
+    private final CallerInput mInput;
     private boolean mInsideRequest;
 
     /**
@@ -30,29 +35,62 @@
      *
      * @param limits active limits
      * @param methods receives the method of each request, for the encoder of the responses
+     * @param input counts what is received
      */
-    CallerRequestDecoder(Supplier<CallerLimits> limits, Queue<HttpMethod> methods) {
-        this(limits, methods, limits.get().headerBytes());
+    CallerRequestDecoder(
+            Supplier<CallerLimits> limits, Queue<HttpMethod> methods, CallerInput input) {
+        this(limits, methods, input, limits.get().headerBytes());
     }
 
     private CallerRequestDecoder(
-            Supplier<CallerLimits> limits, Queue<HttpMethod> methods, int headerBytes) {
+            Supplier<CallerLimits> limits,
+            Queue<HttpMethod> methods,
+            CallerInput input,
+            int headerBytes) {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(headerBytes)
                         .setMaxHeaderSize(headerBytes)
-                        .setMaxChunkSize(MAX_CHUNK_BYTES));
+                        .setMaxChunkSize(MAX_CHUNK_BYTES)
+                        .setHeadersFactory(
+                                new CountedHeaders.Factory(
+                                        input, DefaultHttpHeadersFactory.headersFactory()))
+                        .setTrailersFactory(
+                                new CountedHeaders.Factory(
+                                        input, DefaultHttpHeadersFactory.trailersFactory())));
+        mInput = input;
         mLimits = limits;
         mMethods = methods;
         mHeaderBytes = headerBytes;
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        super.channelRead(context, message);
+        ByteBuf buffer = internalBuffer();
+        mInput.partial(mInsideRequest || buffer.isReadable());
+        if (mInput.held() && buffer.readableBytes() > MAX_AHEAD_BYTES) {
+            context.channel().config().setAutoRead(false);
+        }
+        if (!mInput.buffered(buffer.isReadable() ? buffer.capacity() : 0)) {
+            context.fireExceptionCaught(new CallerLimitException(CallerLimit.MEMORY));
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
+        if (mInput.discarding()) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        if (mInput.held()) {
+            return;
+        }
         if (!mInsideRequest && mLimits.get().headerBytes() != mHeaderBytes) {
             // The bytes that are not decoded yet go to the replacement.
-            context.pipeline().replace(this, null, new CallerRequestDecoder(mLimits, mMethods));
+            context.pipeline()
+                    .replace(this, null, new CallerRequestDecoder(mLimits, mMethods, mInput));
             return;
         }
         int before = out.size();
@@ -72,6 +110,7 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
         mInsideRequest = true;
+        mInput.lineReceived(initialLine[1].length());
         return super.createMessage(initialLine);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerNetwork.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.limit.ConnectionBound;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.gossip.GossipTiming;
 import org.wasabilug.internal.serving.EndpointGroup;
@@ -80,7 +81,13 @@
         mHeartbeats =
                 new HeartbeatWriter(state, mSharedLoads, stopping, storeUnreachable, stageWaits);
         mGossip = new HeartbeatGossip(state, mHeartbeats, stopping);
-        mTransport = new PeerTransport(loops, this::received);
+        mTransport =
+                new PeerTransport(
+                        loops,
+                        this::received,
+                        new ConnectionBound(
+                                state.connectionShares().peers(),
+                                () -> state.callerLimited("peers")));
     }
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerTransport.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/PeerTransport.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import org.wasabilug.gateway.internal.limit.ConnectionBound;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 
 /** Transports messages over TCP; each instance sends on the connections that it opened. */
@@ -25,11 +26,20 @@
 
     private final EventLoopGroup mLoops;
     private final Consumer<GatewayEnvelope> mReceiver;
+    private final ConnectionBound mBound;
     private Channel mServer;
 
-    PeerTransport(EventLoopGroup loops, Consumer<GatewayEnvelope> receiver) {
+    /**
+     * Creates a transport that is not listening yet.
+     *
+     * @param loops event loop of all connections
+     * @param receiver receives the messages
+     * @param bound limits the connections of other instances to this one
+     */
+    PeerTransport(EventLoopGroup loops, Consumer<GatewayEnvelope> receiver, ConnectionBound bound) {
         mLoops = loops;
         mReceiver = receiver;
+        mBound = bound;
     }
 
     void listen(InetSocketAddress address) throws InterruptedException {
@@ -40,7 +50,7 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
-                        .childHandler(new CodecInitializer())
+                        .childHandler(new AcceptedInitializer())
                         .bind(address)
                         .sync()
                         .channel();
@@ -71,8 +81,17 @@
         }
     }
 
+    /** Installs the message codec on connections that other instances opened. */
+    private final class AcceptedInitializer extends CodecInitializer {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline().addLast(mBound);
+            super.initChannel(channel);
+        }
+    }
+
     /** Installs the message codec. */
-    private final class CodecInitializer extends ChannelInitializer<SocketChannel> {
+    private class CodecInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
@@ -19,7 +19,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /** HTTP server for metrics and for readiness checks, which it answers with 200 or 503. */
@@ -30,19 +32,36 @@
     private final String mReadinessPath;
     private final BooleanSupplier mReady;
     private final Supplier<String> mMetrics;
+    private final Limits mLimits;
+    private final LinkedHashSet<RequestHandler> mConnections = new LinkedHashSet<>();
     private Channel mServer;
 
+    /**
+     * Limits of the connections.
+     *
+     * @param connections maximum number of connections
+     * @param idleMillis time in milliseconds after which a connection without a complete request is
+     *     closed
+     * @param clockMillis monotonic clock in milliseconds
+     * @param limited called when a limit acts
+     */
+    public record Limits(
+            int connections, LongSupplier idleMillis, LongSupplier clockMillis, Runnable limited) {}
+
     /**
      * Creates a server that is not listening yet.
      *
      * @param readinessPath path of readiness checks
      * @param ready whether the instance accepts requests
      * @param metrics returns the metrics as text
+     * @param limits limits of the connections
      */
-    public ReadinessServer(String readinessPath, BooleanSupplier ready, Supplier<String> metrics) {
+    public ReadinessServer(
+            String readinessPath, BooleanSupplier ready, Supplier<String> metrics, Limits limits) {
         mReadinessPath = readinessPath;
         mReady = ready;
         mMetrics = metrics;
+        mLimits = limits;
     }
 
     /**
@@ -81,9 +100,57 @@
         }
     }
 
+    /** Closes connections without a complete request; to be called several times a second. */
+    public void closeUnused() {
+        long until = mLimits.clockMillis().getAsLong() - mLimits.idleMillis().getAsLong();
+        while (!mConnections.isEmpty() && mConnections.getFirst().mUsedMillis < until) {
+            mConnections.getFirst().end();
+        }
+    }
+
+    /** One connection; those that were used least recently are the first in the set. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Channel mChannel;
+        private long mUsedMillis;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            mChannel = context.channel();
+            if (mConnections.size() >= mLimits.connections()) {
+                mLimits.limited().run();
+                mConnections.getFirst().end();
+            }
+            used();
+        }
+
+        private void used() {
+            mUsedMillis = mLimits.clockMillis().getAsLong();
+            mConnections.remove(this);
+            mConnections.add(this);
+        }
+
+        private void end() {
+            mConnections.remove(this);
+            mChannel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mConnections.remove(this);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (!mChannel.isActive()) {
+                return;
+            }
+            if (!mChannel.isWritable()) {
+                // Responses that are not read would add up.
+                mLimits.limited().run();
+                end();
+                return;
+            }
+            used();
             DefaultFullHttpResponse response = response(request.uri());
             response.headers().set("Content-Length", response.content().readableBytes());
             boolean keep = HttpUtil.isKeepAlive(request);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.KeepAlive;
+import org.wasabilug.gateway.internal.limit.ConnectionBound;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.internal.serving.EndpointState;
@@ -21,12 +22,11 @@
 
 /** Relays connections of other instances to endpoints which those can't reach themselves. */
 public final class RelayListener {
-    /** Two descriptors each; most of a process's descriptors stay for its own callers. */
-    private static final int MAX_CONNECTIONS = 800;
-
     private final GatewayState mState;
     private final EventLoopGroup mLoops;
     private final Set<Channel> mRelayed = new HashSet<>();
+    private final int mMaxConnections;
+    private final ConnectionBound mBound;
     private final Requests mRequests = new Requests();
     private Channel mServer;
 
@@ -39,6 +39,8 @@
     public RelayListener(GatewayState state, EventLoopGroup loops) {
         mState = state;
         mLoops = loops;
+        mMaxConnections = state.connectionShares().relays();
+        mBound = new ConnectionBound(mMaxConnections, () -> state.callerLimited("relays"));
     }
 
     /**
@@ -58,6 +60,7 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline().addLast(mBound);
                                         RelayFraming.install(
                                                 channel.pipeline(),
                                                 RelayRequest.getDefaultInstance());
@@ -88,7 +91,7 @@
             Optional<EndpointState> endpoint = endpoint(request);
             if (endpoint.isEmpty()) {
                 refuse(asking, request, RelayReply.Status.NO_ENDPOINT);
-            } else if (mRelayed.size() >= MAX_CONNECTIONS || mState.stop().isPresent()) {
+            } else if (mRelayed.size() >= mMaxConnections || mState.stop().isPresent()) {
                 refuse(asking, request, RelayReply.Status.NO_CAPACITY);
             } else {
                 connect(asking, request, endpoint.get());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestReceiver.java
@@ -216,6 +216,11 @@
                                 .with("reason", reason));
     }
 
+    @Override
+    public void limited(String limit) {
+        mState.callerLimited(limit);
+    }
+
     @Override
     public void refused(HttpResponseStatus status) {
         mState.log().request(LogLine.of("request-refused").with("status", status.code()));
--- /dev/null
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -0,0 +1,204 @@
+package org.wasabilug.gateway.internal.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.CallerSettings;
+import org.wasabilug.serving.CallerLimits;
+
+/** Limits on callers over real connections, with a fake of what serves requests. */
+class CallerListenerTest {
+    private static final int MAX_CONNECTIONS = 3;
+    private static final int MAX_FIELDS = 50;
+    private static final int MEMORY_BYTES = 200_000;
+    private static final int TIMEOUT_MILLIS = 10_000;
+    private static final long CHECK_MILLIS = 50;
+    private static final CallerLimits LIMITS = new CallerLimits(16_384, 100_000, 300, 30_000);
+
+    private final EventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<String> mReceived = new CopyOnWriteArrayList<>();
+    private final List<String> mLimited = new CopyOnWriteArrayList<>();
+    private volatile Consumer<CallerExchange> mService = CallerListenerTest::respond;
+    private InetSocketAddress mAddress;
+
+    private final CallerListener mListener =
+            new CallerListener(
+                    mLoops,
+                    () -> LIMITS,
+                    () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                    new CallerEvents() {
+                        @Override
+                        public void received(CallerExchange exchange) {
+                            mReceived.add(exchange.head().uri());
+                            mService.accept(exchange);
+                        }
+
+                        @Override
+                        public void unanswered(String reason, int requests) {}
+
+                        @Override
+                        public void refused(HttpResponseStatus status) {}
+
+                        @Override
+                        public void limited(String limit) {
+                            mLimited.add(limit);
+                        }
+                    },
+                    new CallerSettings(0, 0, MEMORY_BYTES, 0, MAX_FIELDS, 1_000),
+                    MAX_CONNECTIONS);
+
+    @BeforeEach
+    void start() throws Exception {
+        mAddress = mListener.listen(new InetSocketAddress("127.0.0.1", 0));
+        mLoops.next()
+                .scheduleAtFixedRate(
+                        mListener::enforceTimeouts,
+                        CHECK_MILLIS,
+                        CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @AfterEach
+    void stop() {
+        mLoops.shutdownGracefully();
+    }
+
+    private static void respond(CallerExchange exchange) {
+        byte[] body = exchange.head().uri().getBytes(StandardCharsets.UTF_8);
+        exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), body);
+    }
+
+    private Socket send(String text) throws IOException {
+        Socket socket = new Socket(mAddress.getAddress(), mAddress.getPort());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static String readToEnd(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    private static String request(String path, String fields) {
+        return "GET " + path + " HTTP/1.1\r\n" + fields + "\r\n";
+    }
+
+    /** Guards against pipelined requests that are lost, repeated or answered out of order. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+        StringBuilder requests = new StringBuilder();
+        StringBuilder paths = new StringBuilder();
+        for (int number = 0; number < 2_000; number++) {
+            requests.append(request("/" + number, ""));
+            paths.append("/").append(number);
+        }
+        try (Socket socket = send(requests + request("/end", "Connection: close\r\n"))) {
+            assertThat(readToEnd(socket)).endsWith("/end");
+        }
+        assertThat(String.join("", mReceived)).isEqualTo(paths + "/end");
+    }
+
+    /** Guards against a disconnect that stays unseen as the next request waits. */
+    @Test
+    void aDisconnectIsSeenWhileARequestWaits() throws Exception {
+        List<String> cancelled = new CopyOnWriteArrayList<>();
+        mService = exchange -> exchange.onClose(() -> cancelled.add(exchange.head().uri()));
+        send(request("/1", "") + request("/2", "") + request("/3", "")).close();
+        send(request("/4", "") + request("/5", "") + request("/6", ""));
+        await(mReceived, "/4");
+        Socket leaving = send(request("/7", "") + request("/8", "") + request("/9", ""));
+        await(mReceived, "/7");
+        leaving.close();
+        await(cancelled, "/7");
+
+        assertThat(mReceived).doesNotContain("/2", "/5", "/8");
+    }
+
+    /** Guards against heads that are received for as long as a byte arrives now and then. */
+    @Test
+    void aHeadThatTakesTooLongIsRefused() throws Exception {
+        try (Socket socket = send("GET /1 HTTP/1.1\r\nSlow: ")) {
+            assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+        }
+        assertThat(mLimited).containsExactly("header-time");
+        assertThat(mReceived).isEmpty();
+    }
+
+    /** Guards against a body that never ends, and a refusal of a request that ran. */
+    @Test
+    void aBodyThatStopsIsRefused() throws Exception {
+        try (Socket socket = send(request("/1", "Content-Length: 10\r\n") + "123456789")) {
+            assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+        }
+        assertThat(mReceived).isEmpty();
+    }
+
+    @Test
+    void aHeadOfTooManyFieldsIsRefused() throws Exception {
+        try (Socket socket = send(request("/1", "a:\r\n".repeat(MAX_FIELDS + 1)))) {
+            assertThat(readToEnd(socket)).startsWith("HTTP/1.1 431");
+        }
+        try (Socket socket =
+                send(request("/2", "Connection: close\r\n" + "a:\r\n".repeat(MAX_FIELDS - 1)))) {
+            assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    /** Guards against bodies that never end and take the memory of all others. */
+    @Test
+    void memoryIsTakenFromABodyThatStopped() throws Exception {
+        String large = request("/large", "Content-Length: 90000\r\n") + "x".repeat(89_999);
+        try (Socket first = send(large);
+                Socket second = send(large);
+                Socket ordinary = send(request("/small", "Connection: close\r\n"))) {
+            assertThat(readToEnd(ordinary)).endsWith("/small");
+            assertThat(readToEnd(first)).startsWith("HTTP/1.1 4").contains("close");
+            assertThat(readToEnd(second)).startsWith("HTTP/1.1 4").contains("close");
+        }
+        assertThat(mReceived).containsExactly("/small");
+    }
+
+    /** Guards against callers that are refused because others keep connections for nothing. */
+    @Test
+    void aNewConnectionTakesThePlaceOfAnIdleOne() throws Exception {
+        mService = exchange -> mReceived.add("kept");
+        try (Socket serving = send(request("/serving", ""))) {
+            await(mReceived, "/serving");
+            mService = CallerListenerTest::respond;
+            try (Socket idle = send("");
+                    Socket other = send("");
+                    Socket next = send(request("/next", "Connection: close\r\n"))) {
+                assertThat(readToEnd(next)).endsWith("/next");
+                assertThat(readToEnd(idle)).isEmpty();
+                assertThat(other.isConnected()).isTrue();
+            }
+        }
+        assertThat(mLimited).containsExactly("connections");
+    }
+
+    private static void await(List<String> list, String entry) throws InterruptedException {
+        long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
+        while (!list.contains(entry)) {
+            assertThat(System.currentTimeMillis())
+                    .as("time to wait for %s", entry)
+                    .isLessThan(until);
+            Thread.sleep(5);
+        }
+    }
+}
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
@@ -17,10 +17,13 @@
 import java.util.Queue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.internal.limit.MemoryBudget;
 import org.wasabilug.serving.CallerLimits;
 
 /** Limits change while requests arrive on a connection. */
 class CallerRequestDecoderTest {
+    private static final int MAX_FIELDS = 100;
+    private static final MemoryBudget UNLIMITED = new MemoryBudget(Long.MAX_VALUE, () -> 0);
     private static final int SHORT_BYTES = 100;
     private static final int LONG_BYTES = 1_000;
     private static final String LONG_HEADER = "X-Long: " + "x".repeat(500) + "\r\n\r\n";
@@ -30,7 +33,9 @@
     private final EmbeddedChannel mChannel =
             new EmbeddedChannel(
                     new CallerRequestDecoder(
-                            () -> new CallerLimits(mHeaderBytes, 1_000, 1_000, 1_000), mMethods),
+                            () -> new CallerLimits(mHeaderBytes, 1_000, 1_000, 1_000),
+                            mMethods,
+                            new CallerInput(MAX_FIELDS, UNLIMITED.open(null))),
                     new CallerResponseEncoder(mMethods));
 
     @AfterEach
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/DepartedCallerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/DepartedCallerTest.java
@@ -16,10 +16,12 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.CallerSettings;
 import org.wasabilug.serving.CallerLimits;
 
 /** Requests that arrive while the event loop does not run, as during a start or a pause. */
 class DepartedCallerTest {
+    private static final int MAX_CONNECTIONS = 100;
     private static final String REQUEST = "GET /%s HTTP/1.1\r\nHost: a\r\n\r\n";
 
     private final EventLoopGroup mLoops =
@@ -44,7 +46,12 @@
 
                         @Override
                         public void refused(HttpResponseStatus status) {}
-                    });
+
+                        @Override
+                        public void limited(String limit) {}
+                    },
+                    CallerSettings.DEFAULT,
+                    MAX_CONNECTIONS);
 
     @AfterEach
     void stop() {
