Leave relays their connections where the machine states no descriptors

Cause: with 4,096 assumed descriptors relays had 487 connections, fewer than the 800 before, also in deployments whose settings state no limit. Change: 8,192 are assumed. Result: ConnectionLimitsTest (7) and RelayListenerTest (10) pass. Conclusion: deployments that state fewer descriptors have relays bounded by their share.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/limit/ConnectionShares.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/limit/ConnectionShares.java
@@ -13,8 +13,8 @@
  * @param relays relayed connections, each with two descriptors
  */
 public record ConnectionShares(int callers, int readiness, int peers, int relays) {
-    /** Assumed of a machine that states none. */
-    private static final int UNKNOWN_DESCRIPTORS = 4_096;
+    /** Assumed of a machine that states none; leaves relays the 800 connections they had before. */
+    private static final int UNKNOWN_DESCRIPTORS = 8_192;
 
     private static final int MIN_USABLE = 64;
     private static final int PARTS = 16;
