--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -131,15 +131,32 @@
         mLeaves = new SharedLeaves(mState, mNetwork);
         RequestReceiver receiver =
                 new RequestReceiver(mState, mSharedStages, mStreamOrigins, mCrashSuspects);
-        mCallers =
-                new CallerListener(
-                        mLoops, mState::callerLimits, GatewayState::clockMillis, receiver);
+        mCallers = callerListener(receiver);
         mReadiness =
                 new ReadinessServer(
                         protocol.readinessPath(),
                         this::ready,
                         this::metricsText,
-                        new RequestExplainer(mState)::explain);
+                        new RequestExplainer(mState)::explain,
+                        readinessLimits());
+    }
+
+    private CallerListener callerListener(RequestReceiver receiver) {
+        return new CallerListener(
+                mLoops,
+                mState::callerLimits,
+                GatewayState::clockMillis,
+                receiver,
+                mSettings.features().callers(),
+                mState.connectionShares().callers());
+    }
+
+    private ReadinessServer.Limits readinessLimits() {
+        return new ReadinessServer.Limits(
+                mState.connectionShares().readiness(),
+                () -> mState.callerLimits().idleMillis(),
+                GatewayState::clockMillis,
+                () -> mState.callerLimited("readiness"));
     }
 
     private String metricsText() {
@@ -253,6 +270,7 @@
         mEndpoints.removeExpired();
         mConfiguration.removeExpired();
         mCallers.enforceTimeouts();
+        mReadiness.closeUnused();
         mState.connections().closeExpired();
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/readiness/ReadinessServer.java
@@ -19,7 +19,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 
@@ -33,8 +35,22 @@
     private final BooleanSupplier mReady;
     private final Supplier<String> mMetrics;
     private final UnaryOperator<String> mExplain;
+    private final Limits mLimits;
+    private final LinkedHashSet<RequestHandler> mConnections = new LinkedHashSet<>();
     private Channel mServer;
 
+    /**
+     * Limits of the connections.
+     *
+     * @param connections maximum number of connections
+     * @param idleMillis time in milliseconds after which a connection without a complete request is
+     *     closed
+     * @param clockMillis monotonic clock in milliseconds
+     * @param limited called when a limit acts
+     */
+    public record Limits(
+            int connections, LongSupplier idleMillis, LongSupplier clockMillis, Runnable limited) {}
+
     /**
      * Creates a server that is not listening yet.
      *
@@ -42,16 +58,19 @@
      * @param ready whether the instance accepts requests
      * @param metrics returns the metrics as text
      * @param explain returns for a path with a query where a request would go, as JSON
+     * @param limits limits of the connections
      */
     public ReadinessServer(
             String readinessPath,
             BooleanSupplier ready,
             Supplier<String> metrics,
-            UnaryOperator<String> explain) {
+            UnaryOperator<String> explain,
+            Limits limits) {
         mReadinessPath = readinessPath;
         mReady = ready;
         mMetrics = metrics;
         mExplain = explain;
+        mLimits = limits;
     }
 
     /**
@@ -90,9 +109,57 @@
         }
     }
 
+    /** Closes connections without a complete request; to be called several times a second. */
+    public void closeUnused() {
+        long until = mLimits.clockMillis().getAsLong() - mLimits.idleMillis().getAsLong();
+        while (!mConnections.isEmpty() && mConnections.getFirst().mUsedMillis < until) {
+            mConnections.getFirst().end();
+        }
+    }
+
+    /** One connection; those that were used least recently are the first in the set. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Channel mChannel;
+        private long mUsedMillis;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            mChannel = context.channel();
+            if (mConnections.size() >= mLimits.connections()) {
+                mLimits.limited().run();
+                mConnections.getFirst().end();
+            }
+            used();
+        }
+
+        private void used() {
+            mUsedMillis = mLimits.clockMillis().getAsLong();
+            mConnections.remove(this);
+            mConnections.add(this);
+        }
+
+        private void end() {
+            mConnections.remove(this);
+            mChannel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mConnections.remove(this);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (!mChannel.isActive()) {
+                return;
+            }
+            if (!mChannel.isWritable()) {
+                // Responses that are not read would add up.
+                mLimits.limited().run();
+                end();
+                return;
+            }
+            used();
             DefaultFullHttpResponse response = response(request.uri());
             response.headers().set("Content-Length", response.content().readableBytes());
             boolean keep = HttpUtil.isKeepAlive(request);
