Take the usual speed of a service from all its usable endpoints

Cause: the usual ratio was formed once a second from the endpoints of whichever choice came first. If that was a retry with one slow engine left, the engine counted as usual for a second and was rushed. Change: the choice passes all usable endpoints of the service for the usual ratio. Result: EndpointSpeedTest has the case; the tests of choices without the figure are unchanged and pass.

--- a/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/EndpointSelector.java
@@ -110,7 +110,7 @@
         }
         List<EndpointState> healthy =
                 withRoom.stream().filter(each -> !each.health().isEjected(nowMillis)).toList();
-        return cheapest(healthy.isEmpty() ? withRoom : healthy, request, nowMillis);
+        return cheapest(usable, healthy.isEmpty() ? withRoom : healthy, request, nowMillis);
     }
 
     /**
@@ -131,9 +131,13 @@
         return first.pause().remainingMillis(nowMillis) + MIN_PAUSE_RETRY_MILLIS + spread;
     }
 
-    Selection cheapest(List<EndpointState> endpoints, SelectionRequest request, long nowMillis) {
+    Selection cheapest(
+            List<EndpointState> usable,
+            List<EndpointState> endpoints,
+            SelectionRequest request,
+            long nowMillis) {
         EndpointState preferred = affinityOwner(endpoints, request.prompt());
-        SpeedView speeds = speeds(request, endpoints, nowMillis);
+        SpeedView speeds = speeds(request, usable, endpoints, nowMillis);
         ToDoubleFunction<EndpointState> cost =
                 endpoint -> cost(endpoint, endpoint == preferred, request, speeds, nowMillis);
         EndpointState best = null;
@@ -150,8 +154,12 @@
     }
 
     /** Returns what a choice between endpoints takes into account of their speeds. */
-    SpeedView speeds(SelectionRequest request, List<EndpointState> endpoints, long nowMillis) {
-        return mSpeeds.view(request.fleet().instance(), endpoints, nowMillis);
+    SpeedView speeds(
+            SelectionRequest request,
+            List<EndpointState> usable,
+            List<EndpointState> endpoints,
+            long nowMillis) {
+        return mSpeeds.view(request.fleet().instance(), usable, endpoints, nowMillis);
     }
 
     /** Returns the predicted time at an engine of usual speed; 0 if it can't be predicted. */
--- a/core/src/main/java/org/wasabilug/internal/serving/SelectionExplainer.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SelectionExplainer.java
@@ -51,12 +51,12 @@
                 allowed.stream().filter(each -> !each.health().isEjected(nowMillis)).toList();
         List<EndpointState> candidates = healthy.isEmpty() ? allowed : healthy;
         EndpointState owner = EndpointSelector.affinityOwner(candidates, request.prompt());
-        EndpointState chosen = chosen(request, candidates, nowMillis);
+        EndpointState chosen = chosen(request, usable, candidates, nowMillis);
         List<Assessment> assessments = new ArrayList<>();
         if (usable.isEmpty()) {
             return assessments;
         }
-        SpeedView speeds = mSelector.speeds(request, usable, nowMillis);
+        SpeedView speeds = mSelector.speeds(request, usable, usable, nowMillis);
         for (EndpointState each : usable) {
             Optional<String> refusal = refusal(each, request, nowMillis);
             if (refusal.isEmpty() && !candidates.contains(each)) {
@@ -69,13 +69,15 @@
     }
 
     private EndpointState chosen(
-            SelectionRequest request, List<EndpointState> candidates, long nowMillis) {
+            SelectionRequest request,
+            List<EndpointState> usable,
+            List<EndpointState> candidates,
+            long nowMillis) {
         if (candidates.isEmpty()) {
             return null;
         }
-        return mSelector.cheapest(candidates, request, nowMillis) instanceof Selection.Chosen chosen
-                ? chosen.endpoint()
-                : null;
+        Selection selection = mSelector.cheapest(usable, candidates, request, nowMillis);
+        return selection instanceof Selection.Chosen chosen ? chosen.endpoint() : null;
     }
 
     private Optional<String> refusal(
--- a/core/src/main/java/org/wasabilug/internal/serving/ServiceSpeeds.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/ServiceSpeeds.java
@@ -177,6 +177,23 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     SpeedView view(String instance, List<EndpointState> endpoints, long nowMillis) {
+        return view(instance, endpoints, endpoints, nowMillis);
+    }
+
+    /**
+     * Returns what one choice between endpoints takes into account of their speeds.
+     *
+     * @param instance name of this instance
+     * @param usable usable endpoints of the service, which decide what speed is usual; those that
+     *     are left for a retry may all be slow
+     * @param endpoints those of them that may be chosen
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    SpeedView view(
+            String instance,
+            List<EndpointState> usable,
+            List<EndpointState> endpoints,
+            long nowMillis) {
         if (mServices.isEmpty() || endpoints.isEmpty()) {
             return new OwnSpeedView(nowMillis);
         }
@@ -185,7 +202,7 @@
             return new OwnSpeedView(nowMillis);
         }
         Service service = mServices.get(name);
-        updateUsual(service, endpoints, nowMillis);
+        updateUsual(service, usable, nowMillis);
         long seed = SharedSpeedView.seed(instance, nowMillis + mViews++);
         return new SharedSpeedView(service.mUsualLog, endpoints.size(), seed, nowMillis);
     }
--- a/core/src/test/java/org/wasabilug/internal/serving/EndpointSpeedTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/EndpointSpeedTest.java
@@ -48,6 +48,21 @@
         assertThat(slowness(mFirst, 299_500)).isCloseTo(1, within(0.05));
     }
 
+    /** Guards against a slow engine that counts as usual, as only it is left for a retry. */
+    @Test
+    void aChoiceAmongFewEndpointsDoesNotChangeWhatSpeedIsUsual() {
+        state(mFirst, 100, LATER);
+        observe(mFirst, 0.6, 100, LATER);
+        observe(mSecond, 1.6, 100, LATER);
+        double amongBoth = slowness(mSecond, LATER);
+
+        long later = LATER + 1_500;
+        List<EndpointState> usable = List.of(mFirst, mSecond);
+        double alone = mSpeeds.view("instance", usable, List.of(mSecond), later).slowness(mSecond);
+
+        assertThat(alone).isCloseTo(amongBoth, within(0.05));
+    }
+
     @Test
     void aLastingDifferenceIsLearnedFromManyResponsesAndHardlyFromOne() {
         state(mFirst, 100, LATER);
