Count an endpoint that a hedge overtook as slow, also in the analysis of a rollout

A hedge that won cancelled the first send before the rule for silent endpoints acted, so a slow or unreachable endpoint left no trace. The connection is now checked and the elapsed time counts as a lower bound.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -49,6 +49,10 @@
     private boolean mAnswerWentOn;
     private boolean mEnded;
     private boolean mOverdue;
+
+    /** Whether a hedge answered first. */
+    private boolean mOvertaken;
+
     private RolloutSend mRollout = RolloutSend.NONE;
 
     Attempt(
@@ -147,12 +151,14 @@
 
     /**
      * A version whose responses come too late to be waited for is no better than one that fails.
+     * The time until the end is a lower bound where the response was late or a hedge was sooner;
+     * without it, hedges would hide the slow responses of a version.
      */
     private void recordCancelled() {
         long now = mState.nowMillis();
         if (mOverdue) {
             mRollout.failed();
-        } else if (now >= mRequest.objectiveMillis()) {
+        } else if (mOvertaken || now >= mRequest.objectiveMillis()) {
             mRollout.succeeded(now - mSentMillis);
         } else {
             mRollout.ended();
@@ -174,6 +180,32 @@
         }
     }
 
+    /**
+     * Records that a hedge answered first. Content may never arrive here, so the time until now is
+     * recorded as a lower bound of the endpoint's time, unless that would make it look faster.
+     */
+    void recordOvertaken() {
+        mOvertaken = true;
+        suspectIfSilent();
+        if (mContentReceived || failedOrNotExecuted() || mPredictedMillis <= 1) {
+            return;
+        }
+        long now = mState.nowMillis();
+        double ratio = latencyRatio(now);
+        if (ratio > Math.max(1, mEndpoint.health().slowness(now))) {
+            mEndpoint.health().recordLatencyRatio(ratio, now);
+        }
+    }
+
+    private boolean failedOrNotExecuted() {
+        return mHead != null && (mNotExecuted || mHead.status().code() >= SERVER_ERROR);
+    }
+
+    /** Returns the time taken, compared with the prediction. */
+    private double latencyRatio(long now) {
+        return (now - mSentMillis) / (mPredictedMillis + 40);
+    }
+
     /** Cancels an attempt that timed out and records a failure for the endpoint. */
     void abandon() {
         if (!mEnded) {
@@ -267,11 +299,9 @@
         EndpointLoad promptLoad = new EndpointLoad(0, 0, mLoad.unreadTokens());
         mEndpoint.releaseLoad(promptLoad);
         mLoad = new EndpointLoad(mLoad.running(), mLoad.tokens(), 0);
-        if (!mNotExecuted && mHead.status().code() < SERVER_ERROR && mPredictedMillis > 1) {
+        if (!failedOrNotExecuted() && mPredictedMillis > 1) {
             long now = mState.nowMillis();
-            mEndpoint
-                    .health()
-                    .recordLatencyRatio((now - mSentMillis) / (mPredictedMillis + 40), now);
+            mEndpoint.health().recordLatencyRatio(latencyRatio(now), now);
             mState.speedMonitor()
                     .speeds()
                     .recordElapsed(mEndpoint, mPrediction, now - mSentMillis, now);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
@@ -119,6 +119,9 @@
         if (mHedge != null) {
             settle(winner == mHedge ? "WON" : "OVERTAKEN");
         }
+        if (winner == mHedge && mHedge != null && mFlow.pending().contains(mFirst)) {
+            mFirst.recordOvertaken();
+        }
         decided();
     }
 
