--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.RetryReason;
@@ -22,6 +23,7 @@
 final class RequestHedge {
     private final RequestFlow mFlow;
     private final GatewayState mState;
+    private ScheduledFuture<?> mCheck;
     private Attempt mFirst;
     private Attempt mHedge;
     private Optional<HedgeDenial> mDenial = Optional.empty();
@@ -58,7 +60,7 @@
     }
 
     private void checkAfter(long millis) {
-        mState.loop().schedule(this::check, millis, TimeUnit.MILLISECONDS);
+        mCheck = mState.loop().schedule(this::check, millis, TimeUnit.MILLISECONDS);
     }
 
     private void check() {
@@ -157,6 +159,10 @@
     private void decided() {
         if (!mDecided) {
             mDecided = true;
+            if (mCheck != null) {
+                // A task that stays scheduled would keep the ended request in memory.
+                mCheck.cancel(false);
+            }
             mDenial.ifPresent(this::countDenial);
         }
     }
