--- a/core/src/main/java/org/wasabilug/internal/hedge/FleetResponseTimes.java
+++ b/core/src/main/java/org/wasabilug/internal/hedge/FleetResponseTimes.java
@@ -18,6 +18,12 @@
     /** Maximum number of routes in a report. */
     public static final int MAX_REPORTED_ROUTES = 64;
 
+    /**
+     * Upper bound of a reported count. With the half-life of 30 s it takes more than 20,000
+     * responses a second of one route to exceed it.
+     */
+    private static final double MAX_COUNT = 1_000_000;
+
     /** Time within which a heartbeat reaches all instances of a large fleet. */
     private static final long REPORT_SLOT_MILLIS = 1_500;
 
@@ -85,7 +91,7 @@
      */
     public boolean recordReport(String peer, Report report, long nowMillis) {
         List<Double> counts = report.counts();
-        boolean valid = counts.stream().allMatch(each -> Double.isFinite(each) && each >= 0);
+        boolean valid = counts.stream().allMatch(each -> each >= 0 && each <= MAX_COUNT);
         if (!valid || counts.size() > TimeBuckets.COUNT) {
             return false;
         }
--- a/core/src/main/java/org/wasabilug/internal/serving/RouteTable.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RouteTable.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.wasabilug.serving.Route;
 import org.wasabilug.serving.ServiceSpecification;
 import org.wasabilug.serving.ServingConfiguration;
@@ -20,6 +22,7 @@
     private final Map<String, List<Route>> mRoutesByHost = new HashMap<>();
     private final Map<String, WorkspaceKeys> mWorkspacesByKey = new HashMap<>();
     private final Map<String, ServiceSpecification> mServices = new HashMap<>();
+    private final Set<String> mRouteNames = new HashSet<>();
 
     /**
      * Indexes a configuration.
@@ -30,6 +33,7 @@
         mConfiguration = configuration;
         for (Route route : configuration.routes()) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+            mRouteNames.add(route.name());
         }
         Comparator<Route> longestFirst =
                 Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
@@ -61,6 +65,15 @@
         return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
     }
 
+    /**
+     * Returns whether a route is configured.
+     *
+     * @param name name of the route
+     */
+    public boolean hasRoute(String name) {
+        return mRouteNames.contains(name);
+    }
+
     /**
      * Finds the workspace that owns a key.
      *
--- a/core/src/test/java/org/wasabilug/internal/hedge/FleetResponseTimesTest.java
+++ b/core/src/test/java/org/wasabilug/internal/hedge/FleetResponseTimesTest.java
@@ -26,6 +26,9 @@
     void reportsThatCannotBeRightAreIgnored() {
         assertThat(mTimes.recordReport("peer", report("route", -1.0), 0)).isFalse();
         assertThat(mTimes.recordReport("peer", report("route", Double.NaN), 0)).isFalse();
+        assertThat(mTimes.recordReport("peer", report("route", Double.NaN, 1.0), 0)).isFalse();
+        // Finite, but sums over peers overflow and determine every percentile.
+        assertThat(mTimes.recordReport("peer", report("route", 1e308), 0)).isFalse();
         List<Double> tooMany = Collections.nCopies(TimeBuckets.COUNT + 1, 1.0);
         assertThat(mTimes.recordReport("peer", new FleetResponseTimes.Report("route", tooMany), 0))
                 .isFalse();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedResponseTimes.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedResponseTimes.java
@@ -48,7 +48,16 @@
         }
     }
 
+    /**
+     * Applies a report of a configured route; returns false if it can't be right. A peer may have a
+     * configuration with other routes, so a report of an unknown one is no fault.
+     */
     private boolean apply(String sender, LatencyReport report) {
+        boolean known =
+                mState.routes().filter(each -> each.hasRoute(report.getRoute())).isPresent();
+        if (!known) {
+            return true;
+        }
         return mState.hedging()
                 .times()
                 .recordReport(
