--- a/core/src/main/java/org/wasabilug/internal/hedge/HedgeDenial.java
+++ b/core/src/main/java/org/wasabilug/internal/hedge/HedgeDenial.java
@@ -12,9 +12,8 @@
     ENDPOINTS_FULL,
     /** The first endpoint is expected to respond sooner than another one. */
     NOT_SOONER,
-    /**
-     * Half of the retry budget, which is kept for failures, is all that is left, or the request
-     * counts as a cause of crashes.
-     */
+    /** The request counts as a cause of crashes. */
+    CRASH_SUSPECT,
+    /** Half of the retry budget, which is kept for failures, is all that is left. */
     RETRY_BUDGET
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestHedge.java
@@ -95,7 +95,7 @@
     private void sendHedge(long now) {
         Optional<Attempt> hedge = mFlow.sendHedge(RetryReason.HEDGE);
         if (hedge.isEmpty()) {
-            mDenial = Optional.of(HedgeDenial.RETRY_BUDGET);
+            mDenial = Optional.of(mFlow.sender().hedgeDenial());
             return;
         }
         mDenial = Optional.empty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Sender.java
@@ -13,6 +13,7 @@
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.hedge.HedgeCandidate;
 import org.wasabilug.internal.hedge.HedgeControl;
+import org.wasabilug.internal.hedge.HedgeDenial;
 import org.wasabilug.internal.rollout.SendKind;
 import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RetryPermit;
@@ -44,6 +45,9 @@
     private long mRetryAfterMillis;
     private String mUnavailableReason = "";
 
+    /** Why {@link #sendHedge} sent nothing when it was last called. */
+    private HedgeDenial mHedgeDenial = HedgeDenial.NO_ENDPOINT;
+
     Sender(GatewayState state, RequestContext request, CrashGuard guard, AttemptOwner owner) {
         mState = state;
         mHeaders = new OutgoingHeaders(state);
@@ -260,14 +264,27 @@
     Optional<Attempt> sendHedge(
             InputLocation inputs, Consumer<HttpHeaders> additions, RetryReason reason) {
         long now = mState.nowMillis();
-        if (mayRetry()
-                && selectToSend(inputs, now) instanceof Selection.Chosen chosen
-                && tryReserve(reason)) {
-            return Optional.of(send(chosen, additions, now));
+        if (!mayRetry() || !(select(inputs, now) instanceof Selection.Chosen chosen)) {
+            return denyHedge(HedgeDenial.NO_ENDPOINT);
+        }
+        if (!mGuard.maySend()) {
+            return denyHedge(HedgeDenial.CRASH_SUSPECT);
         }
+        return tryReserve(reason)
+                ? Optional.of(send(chosen, additions, now))
+                : denyHedge(HedgeDenial.RETRY_BUDGET);
+    }
+
+    private Optional<Attempt> denyHedge(HedgeDenial denial) {
+        mHedgeDenial = denial;
         return Optional.empty();
     }
 
+    /** Returns why {@link #sendHedge} sent nothing when it was last called. */
+    HedgeDenial hedgeDenial() {
+        return mHedgeDenial;
+    }
+
     /** Returns whether to send again after a send that reached no endpoint. */
     boolean mayTryAnotherEndpoint() {
         return mSends < MAX_SENDS && mState.nowMillis() < mRequest.deadline().millis();
