Refuse on arrival by the wait of a workspace without waiting pieces

Heartbeats reported the wait of a deferred piece in a workspace with an average backlog, so the backlog of one workspace refused the callers of all others before the queue saw them.

--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -108,14 +108,17 @@
     }
 
     /**
-     * Estimates the same for a piece in a workspace with an average number of waiting pieces.
+     * Estimates the same for reports to other instances: of pieces that can start in time, for a
+     * workspace with an average number of waiting pieces; of deferred ones, for a workspace without
+     * any. The latter decides on refusals on arrival, where the backlog of one workspace must not
+     * refuse requests of another.
      *
      * @param rank priority class; 0 is the most urgent
      */
-    public Ahead typicalAhead(int rank) {
+    public Ahead reportedAhead(int rank) {
         Rank own = mRanks.get(rank);
         int sameRank = own == null ? 0 : own.mPieces.typicalAhead();
-        int deferred = mDoubtful.typicalAhead() + mLate.typicalAhead();
+        int deferred = mDoubtful.leastAhead() + mLate.leastAhead();
         return new Ahead(moreUrgent(rank), sameRank, timelySize(), deferred);
     }
 
--- a/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
@@ -30,7 +30,7 @@
 
     /**
      * Pseudo rank under which the predicted time of a piece of a deferred request is reported, in a
-     * workspace with an average number of waiting pieces. Receivers that do not know it ignore it.
+     * workspace without waiting pieces. Receivers that do not know it ignore it.
      */
     public static final int DEFERRED_RANK = 1_000_000;
 
@@ -156,11 +156,11 @@
         for (int rank : mArrivals.keySet()) {
             double wait =
                     admission(rank, capacity, endpoints, nowMillis)
-                            .timelyWaitMillis(order.typicalAhead(rank));
+                            .timelyWaitMillis(order.reportedAhead(rank));
             waits.add(new Wait(rank, callMillis + Math.min(MAX_WAIT_MILLIS, wait)));
         }
         DeferredAdmission admission = admission(0, capacity, endpoints, nowMillis);
-        FairOrder.Ahead ahead = order.typicalAhead(0);
+        FairOrder.Ahead ahead = order.reportedAhead(0);
         double deferred =
                 admission.deferredWaitMillis(ahead.allTimelyPieces(), ahead.deferredPieces());
         double all = admission.deferredWaitMillis(ahead.allTimelyPieces(), order.lateSize());
--- a/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StagePlan.java
@@ -72,8 +72,9 @@
     }
 
     /**
-     * Returns whether the request misses its objective and its deadline as well, judged from the
-     * reported backlog of deferred requests.
+     * Returns whether the request misses its objective and its deadline as well, even if its
+     * workspace has no waiting pieces: the reported wait of deferred pieces is that of such a
+     * workspace. The queue decides on the others.
      *
      * @param deadlineMillis monotonic time, in milliseconds, at which the request ends
      * @param nowMillis current monotonic time, in milliseconds
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -135,6 +135,11 @@
         return workspaces == 0 ? 0 : aheadOf(size() / workspaces);
     }
 
+    /** Estimates the same for a workspace without waiting pieces. */
+    int leastAhead() {
+        return aheadOf(0);
+    }
+
     /** While a workspace is served so many pieces, each other one is served as many at most. */
     private int aheadOf(int ownPieces) {
         int others =
--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -19,7 +19,7 @@
     private final StageQueue mQueue = StageQueue.fair(mOrder, new ServiceSpeeds());
     private int mPieces;
 
-    private static PieceWork piece(
+    static PieceWork piece(
             String workspace, PieceId id, int rank, long startByMillis, double bytes) {
         return new PieceWork(
                 id,
--- a/core/src/test/java/org/wasabilug/internal/serving/QueueWaitsTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/QueueWaitsTest.java
@@ -65,6 +65,32 @@
         assertThat(waits.getFirst().millis()).isCloseTo(CALL_MILLIS + 1_000, TOLERANCE);
     }
 
+    /**
+     * Callers of all workspaces are refused by the reported wait before their pieces are ordered.
+     */
+    @Test
+    void theBacklogOfOneWorkspaceDoesNotCountAsTheWaitOfAnIdleOne() {
+        FairOrder order = new FairOrder();
+        StageQueue queue = StageQueue.fair(order, new ServiceSpeeds());
+        mWaits.recordArrival(0, 0);
+        for (int piece = 0; piece < 400; piece++) {
+            PieceId id = new PieceId("request-" + piece, 0, 0);
+            queue.add(FairOrderTest.piece("large", id, 0, 5_000, 10), 0);
+            order.defer(id.request());
+        }
+
+        List<QueueWaits.Wait> waits = mWaits.predict(order, ServingFixtures.STAGE, ENDPOINTS, 0);
+
+        assertThat(waits)
+                .filteredOn(wait -> wait.rank() == QueueWaits.DEFERRED_RANK)
+                .singleElement()
+                .satisfies(wait -> assertThat(wait.millis()).isLessThan(2 * CALL_MILLIS));
+        assertThat(waits)
+                .filteredOn(wait -> wait.rank() == QueueWaits.BACKLOG_RANK)
+                .singleElement()
+                .satisfies(wait -> assertThat(wait.millis()).isGreaterThan(9_000));
+    }
+
     @Test
     void nothingIsPredictedWithoutRecentArrivals() {
         mWaits.recordArrival(0, 0);
