Offer pieces of other workspaces when those of one do not fit

A refused piece does not advance its workspace, so all offers of a call went to one workspace and the endpoint stayed idle although pieces of others fitted. After 16 refused pieces the other workspaces go first.

--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -37,6 +37,12 @@
      */
     private static final int MAX_OFFERS_IN_VAIN = 256;
 
+    /**
+     * Pieces of a workspace that are refused by a call before all other workspaces go first, so
+     * that its pieces do not hide those of others that fit.
+     */
+    private static final int MAX_REFUSED_OF_WORKSPACE = 16;
+
     private final Comparator<WaitingPiece> mOrder;
     private final TreeSet<WaitingPiece> mAll;
     private final Map<String, Flow> mFlows = new LinkedHashMap<>();
@@ -52,6 +58,9 @@
         private final TreeSet<WaitingPiece> mPieces;
         private double mVirtualTime;
 
+        /** Its pieces that the present call refused. */
+        private int mRefused;
+
         Flow(Comparator<WaitingPiece> order) {
             mPieces = new TreeSet<>(order);
         }
@@ -62,6 +71,7 @@
         private final Flow mFlow;
         private final Iterator<WaitingPiece> mPieces;
         private WaitingPiece mHead;
+        private int mRefused;
 
         Cursor(Flow flow) {
             mFlow = flow;
@@ -69,6 +79,11 @@
             mHead = mPieces.next();
         }
 
+        /** Returns how often its workspace has gone behind all others because of refused pieces. */
+        int timesPutBack() {
+            return mRefused / MAX_REFUSED_OF_WORKSPACE;
+        }
+
         boolean advance() {
             mHead = mPieces.hasNext() ? mPieces.next() : null;
             return mHead != null;
@@ -163,6 +178,7 @@
         PriorityQueue<Cursor> cursors = cursors();
         PeekingIterator<WaitingPiece> regardless = Iterators.peekingIterator(mAll.iterator());
         mOffersInVain = 0;
+        mFlows.values().forEach(flow -> flow.mRefused = 0);
         while (taken.size() < maximum && mOffersInVain < MAX_OFFERS_IN_VAIN && !cursors.isEmpty()) {
             if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
                 offerRegardless(regardless, call, taken, maximum);
@@ -177,7 +193,8 @@
     private PriorityQueue<Cursor> cursors() {
         PriorityQueue<Cursor> cursors =
                 new PriorityQueue<>(
-                        Comparator.comparing((Cursor cursor) -> !cursor.mHead.precedes())
+                        Comparator.comparingInt(Cursor::timesPutBack)
+                                .thenComparing(cursor -> !cursor.mHead.precedes())
                                 .thenComparingDouble(cursor -> cursor.mFlow.mVirtualTime)
                                 .thenComparing(cursor -> cursor.mHead, mOrder));
         for (Flow flow : mFlows.values()) {
@@ -201,7 +218,10 @@
                 && mOffersInVain < MAX_OFFERS_IN_VAIN
                 && (request == null || request.equals(pieces.peek().request()))) {
             WaitingPiece waiting = pieces.next();
-            if (!taken.contains(waiting) && takes(call, waiting)) {
+            Flow flow = mFlows.get(waiting.work().workspace());
+            if (flow.mRefused < MAX_REFUSED_OF_WORKSPACE
+                    && !taken.contains(waiting)
+                    && takes(call, waiting, flow)) {
                 taken.add(waiting);
                 request = waiting.request();
             }
@@ -220,7 +240,9 @@
         String request = cursor.mHead.request();
         boolean more = true;
         while (more && taken.size() < maximum && request.equals(cursor.mHead.request())) {
-            boolean takes = !taken.contains(cursor.mHead) && takes(call, cursor.mHead);
+            boolean sent = taken.contains(cursor.mHead);
+            boolean takes = !sent && takes(call, cursor.mHead, cursor.mFlow);
+            cursor.mRefused += sent || takes ? 0 : 1;
             if (takes) {
                 taken.add(cursor.mHead);
                 mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
@@ -234,9 +256,10 @@
         }
     }
 
-    private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting) {
+    private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting, Flow flow) {
         boolean takes = call.test(waiting);
         mOffersInVain += takes ? 0 : 1;
+        flow.mRefused += takes ? 0 : 1;
         return takes;
     }
 }
--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -178,6 +178,21 @@
                 .containsExactly("in time");
     }
 
+    /** An endpoint stays idle if refused pieces of one workspace hide those of another that fit. */
+    @Test
+    void piecesThatDoNotFitDoNotHideThoseOfOtherWorkspaces() {
+        for (int piece = 0; piece < 300; piece++) {
+            PieceId id = new PieceId("large-" + piece, 0, 0);
+            mQueue.add(piece("large", id, 0, 500, 2_000_000), 0);
+        }
+        add("small", 20, 0, 1_000);
+
+        StageCapacity capacity = new StageCapacity(1, 2, 8, 150, 10, 1, 4_000);
+        StageCall call = mQueue.formCalls(capacity, ENDPOINTS, 0).getFirst();
+
+        assertThat(call.pieces()).hasSize(8).extracting(PieceWork::workspace).containsOnly("small");
+    }
+
     @Test
     void aPieceIsRefusedOnlyIfItCannotBeServedBeforeItsDeadlineAndHasNotBegun() {
         DeferredAdmission admission = new DeferredAdmission(100, 100, 50, 280);
