Reserve result capacity only while timely pieces wait or arrive

Deferred requests left half of an endpoint's result capacity free at all times, and so waited beside idle endpoints.

--- a/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
@@ -44,6 +44,8 @@
         queue.add(work, permit, nowMillis);
         if (decision == Decision.DEFERRED) {
             order.defer(request);
+        } else {
+            order.recordTimely(nowMillis);
         }
         return decision;
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -33,6 +33,12 @@
     /** Share of the result capacity of an endpoint that deferred requests leave free. */
     private static final double RESERVED_SHARE = 0.5;
 
+    /**
+     * Time after the arrival of a piece that can start in time for which that share is kept free;
+     * without such arrivals, deferred pieces would wait beside idle endpoints.
+     */
+    private static final long RESERVE_MILLIS = 1_000;
+
     private static final Comparator<WaitingPiece> BEGUN_FIRST =
             Comparator.comparing((WaitingPiece waiting) -> !waiting.precedes());
 
@@ -68,6 +74,7 @@
     private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
     private final Map<String, Integer> mSent = new TreeMap<>();
     private double mCallMillis;
+    private long mLastTimelyMillis = Long.MIN_VALUE / 2;
 
     /** The pieces of one rank that can still start in time. */
     private static final class Rank {
@@ -230,6 +237,15 @@
         mCallMillis = millis;
     }
 
+    /**
+     * Records that an arriving piece was admitted as one that can start in time.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordTimely(long nowMillis) {
+        mLastTimelyMillis = nowMillis;
+    }
+
     @Override
     public int lateSize() {
         return mDoubtful.size() + mLate.size();
@@ -262,8 +278,10 @@
                     sent.merge(rank, more, Integer::sum);
                 });
         countPassedOver(sent, callSize);
-        mDoubtful.offer(waiting -> takeDeferred(call, waiting), call.room());
-        mLate.offer(waiting -> takeDeferred(call, waiting), call.room());
+        boolean reserve = timelySize() > 0 || call.nowMillis() - mLastTimelyMillis < RESERVE_MILLIS;
+        double reservedShare = reserve ? RESERVED_SHARE : 0;
+        mDoubtful.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
+        mLate.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
     }
 
     /** Lets the remaining pieces of a request precede others of their class. */
@@ -301,8 +319,8 @@
      * Results of deferred requests must not fill the capacity that others need. A request for which
      * work was done is exempt: its results are soon read, and release what it holds elsewhere.
      */
-    private boolean takeDeferred(Call call, WaitingPiece waiting) {
-        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : RESERVED_SHARE));
+    private boolean takeDeferred(Call call, WaitingPiece waiting, double reservedShare) {
+        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : reservedShare));
     }
 
     private boolean counted(WaitingPiece waiting, boolean taken) {
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -305,6 +305,11 @@
             return mCapacity.piecesPerCall() - mTaken.size();
         }
 
+        @Override
+        public long nowMillis() {
+            return mNowMillis;
+        }
+
         @Override
         public boolean take(WaitingPiece waiting, double reservedShare) {
             double bytes = waiting.work().resultBytes();
--- a/core/src/main/java/org/wasabilug/internal/serving/WaitingPieces.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WaitingPieces.java
@@ -11,6 +11,9 @@
         /** Returns how many more pieces the call can hold. */
         int room();
 
+        /** Returns the current monotonic time, in milliseconds. */
+        long nowMillis();
+
         /**
          * Adds a piece to the call if the endpoint can take it.
          *
