Judge waiting deferred pieces again once a second

Deferred pieces that could no longer be served were refused only near their deadline. Those that have not begun are now refused once they can't be served even if nothing more arrives. Judging them as on arrival made aBurstThatFitsBeforeTheDeadlinesIsServedAltogether fail: pieces that can be served after a burst were refused during it.

--- a/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
@@ -73,6 +73,20 @@
                 : Decision.REFUSED;
     }
 
+    /**
+     * Returns whether a waiting piece can be served before its deadline if no more pieces arrive.
+     * Expecting the present demand to go on, as on arrival, would remove in each burst pieces that
+     * can be served after it.
+     *
+     * @param work the piece
+     * @param piecesBefore waiting pieces that are sent before it
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    boolean servesWaiting(PieceWork work, int piecesBefore, long nowMillis) {
+        double wait = millis(piecesBefore, perSecond);
+        return wait + callMillis <= work.deadlineMillis() - nowMillis;
+    }
+
     /**
      * Predicts the wait of a piece that is not deferred: all pieces before it are served first, or
      * its rank gets no more than the least share.
--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -228,6 +228,35 @@
         return expired;
     }
 
+    /**
+     * Returns the deferred pieces that can't be served before their deadline even if no more pieces
+     * arrive. Requests for which work was done are exempt, as on arrival.
+     *
+     * @param admission the present throughput
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public List<PieceWork> unservable(DeferredAdmission admission, long nowMillis) {
+        List<WaitingPiece> deferred = new ArrayList<>(mDoubtful.inServingOrder());
+        deferred.addAll(mLate.inServingOrder());
+        Set<String> requests = new HashSet<>();
+        List<PieceWork> unservable = new ArrayList<>();
+        int ahead = timelySize();
+        for (WaitingPiece waiting : deferred) {
+            PieceWork work = waiting.work();
+            boolean exempt =
+                    waiting.precedes() || work.repeat() || mBegun.contains(waiting.request());
+            if (!exempt
+                    && (requests.contains(waiting.request())
+                            || !admission.servesWaiting(work, ahead, nowMillis))) {
+                requests.add(waiting.request());
+                unservable.add(work);
+            } else {
+                ahead++;
+            }
+        }
+        return unservable;
+    }
+
     /**
      * Sets how long a call takes at least.
      *
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.Iterators;
 import com.google.common.collect.PeekingIterator;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -189,6 +191,20 @@
         return taken.size();
     }
 
+    /** Returns all pieces in the order in which calls with room for any piece take them. */
+    List<WaitingPiece> inServingOrder() {
+        Map<Flow, Double> virtualTimes = new HashMap<>();
+        mFlows.values().forEach(flow -> virtualTimes.put(flow, flow.mVirtualTime));
+        double virtualTime = mVirtualTime;
+        int fairPieces = mFairPieces;
+        List<WaitingPiece> pieces = new ArrayList<>();
+        offer(pieces::add, size());
+        virtualTimes.forEach((flow, time) -> flow.mVirtualTime = time);
+        mVirtualTime = virtualTime;
+        mFairPieces = fairPieces;
+        return pieces;
+    }
+
     /** Orders the workspaces; a request for which work was done precedes the others. */
     private PriorityQueue<Cursor> cursors() {
         PriorityQueue<Cursor> cursors =
--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -220,6 +220,27 @@
         assertThat(call.pieces()).hasSize(8).extracting(PieceWork::workspace).containsOnly("small");
     }
 
+    /**
+     * Callers would otherwise wait until their deadline is near, although nothing can serve them.
+     */
+    @Test
+    void deferredPiecesThatNoLongerCanBeServedAreFoundLastFirstUnlessTheyHaveBegun() {
+        add("a", 150, 0, 50);
+        add("b", 50, 0, 50);
+        mQueue.add(piece("b", new PieceId("begun", 1, 0), 0, 50, 10), 0);
+        mQueue.removeExpired(100);
+
+        assertThat(mOrder.unservable(new DeferredAdmission(50, 50, 6, 280), 100)).isEmpty();
+        List<PieceWork> unservable = mOrder.unservable(new DeferredAdmission(10, 10, 2, 280), 100);
+
+        // Until their deadline, 8.62 s are left for the pieces ahead, at 10 per second.
+        assertThat(unservable).hasSize(201 - 87).noneMatch(PieceWork::begun);
+        unservable.forEach(work -> mQueue.cancel(work.id()));
+        List<String> before = send(1, 100);
+        assertThat(before).containsExactly("b");
+        assertThat(mOrder.unservable(new DeferredAdmission(10, 10, 2, 280), 100)).isEmpty();
+    }
+
     @Test
     void aPieceIsRefusedOnlyIfItCannotBeServedBeforeItsDeadlineAndHasNotBegun() {
         DeferredAdmission admission = new DeferredAdmission(100, 100, 50, 280);
--- a/core/src/test/java/org/wasabilug/internal/serving/StageLoad.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/StageLoad.java
@@ -164,6 +164,9 @@
         for (long pass = 0; pass < end; pass += 25) {
             at(pass, this::dispatch);
         }
+        for (long review = 0; review < end; review += 1_000) {
+            at(review, this::review);
+        }
         while (!mEvents.isEmpty()) {
             Event next = mEvents.poll();
             mNow = next.atMillis();
@@ -276,6 +279,12 @@
         }
     }
 
+    private void review() {
+        mOrder.map(order -> order.unservable(mWaits.admission(0, STAGE, ENDPOINTS, mNow), mNow))
+                .orElse(List.of())
+                .forEach(work -> refuse(work.id().request()));
+    }
+
     private void dispatch() {
         mQueue.removeExpired(mNow).forEach(work -> refuse(work.id().request()));
         for (StageCall call : mQueue.formCalls(STAGE, mEndpoints, mNow)) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/FairStages.java
@@ -19,15 +19,18 @@
 
 /**
  * Queues of stage services, and admission to them. Where callers compete for capacity, workspaces
- * get fair shares and late requests are deferred; elsewhere every piece is admitted.
+ * get fair shares and late requests are deferred; elsewhere every piece is admitted, and the queue
+ * serves by rank and latest start.
  */
 final class FairStages {
     private static final long SHARES_INTERVAL_MILLIS = 1_000;
+    private static final long REVIEW_INTERVAL_MILLIS = 1_000;
 
     private final GatewayState mState;
     private final boolean mEnabled;
     private final Map<String, FairOrder> mOrders = new HashMap<>();
     private final Map<String, Recent> mRecent = new HashMap<>();
+    private final Map<String, Long> mNextReviewMillis = new HashMap<>();
     private long mNextSharesMillis = Long.MIN_VALUE;
 
     /** What decided on the last piece of a service. */
@@ -70,6 +73,33 @@
         return decision != DeferredAdmission.Decision.REFUSED;
     }
 
+    /**
+     * Removes the deferred pieces of a service that can't be served before their deadline any more,
+     * once a second: more pieces in time may have arrived, or the throughput may have fallen.
+     *
+     * @return the removed pieces
+     */
+    List<PieceWork> removeUnservable(
+            String service, StageQueue queue, QueueWaits waits, StageCapacity configured) {
+        FairOrder order = mOrders.get(service);
+        long now = mState.nowMillis();
+        if (order == null
+                || order.lateSize() == 0
+                || now < mNextReviewMillis.getOrDefault(service, Long.MIN_VALUE)) {
+            return List.of();
+        }
+        mNextReviewMillis.put(service, now + REVIEW_INTERVAL_MILLIS);
+        List<EndpointState> usable = usable(service);
+        StageCapacity capacity = atPresent(configured, usable, now);
+        List<PieceWork> unservable =
+                order.unservable(waits.admission(0, capacity, usable.size(), now), now);
+        for (PieceWork work : unservable) {
+            queue.cancel(work.id());
+            mState.log().count("pieces-refused");
+        }
+        return unservable;
+    }
+
     /** The pieces of a request arrive within a millisecond, and are decided on alike. */
     private DeferredAdmission admission(
             PieceWork work, FairOrder order, QueueWaits waits, long nowMillis) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/LocalStageExecutor.java
@@ -215,8 +215,11 @@
             queue.removeAll().forEach(work -> failUnlessRunning(work, PieceFailure.NO_ENDPOINT));
             return;
         }
-        List<EndpointState> usable = mRunning.withoutOverdueCall(mEndpoints.callable(service, now));
         StageCapacity capacity = specification.stage().get();
+        mFairStages
+                .removeUnservable(service, queue, waits(service), capacity)
+                .forEach(this::expired);
+        List<EndpointState> usable = mRunning.withoutOverdueCall(mEndpoints.callable(service, now));
         for (List<EndpointState> endpoints :
                 mState.rollouts().stagePreferences(service, usable, capacity.parallelCalls())) {
             queue.formCalls(capacity, endpoints, now).forEach(call -> send(specification, call));
