--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -21,8 +21,9 @@
  */
 public final class FairOrder implements WaitingPieces {
     /**
-     * Pieces of more urgent ranks after which a waiting rank gets one. At twice the capacity, a
-     * rank that asks for half of it is then still served a quarter as often as all requests.
+     * Pieces of more urgent ranks for which a waiting rank gets one, also where a call holds many.
+     * At twice the capacity, a rank that asks for half of it is then still served a quarter as
+     * often as all requests.
      */
     private static final int MAX_PASSED_OVER = 7;
 
@@ -32,6 +33,12 @@
     /** Share of the result capacity of an endpoint that deferred requests leave free. */
     private static final double RESERVED_SHARE = 0.5;
 
+    /**
+     * Time after the arrival of a piece that can start in time for which that share is kept free;
+     * without such arrivals, deferred pieces would wait beside idle endpoints.
+     */
+    private static final long RESERVE_MILLIS = 1_000;
+
     private static final Comparator<WaitingPiece> BEGUN_FIRST =
             Comparator.comparing((WaitingPiece waiting) -> !waiting.precedes());
 
@@ -67,13 +74,17 @@
     private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
     private final Map<String, Integer> mSent = new TreeMap<>();
     private double mCallMillis;
+    private long mLastTimelyMillis = Long.MIN_VALUE / 2;
 
     /** The pieces of one rank that can still start in time. */
     private static final class Rank {
         private final WorkspaceShares mPieces =
                 new WorkspaceShares(BEGUN_FIRST.thenComparing(LATEST_START_ORDER));
 
-        /** Pieces of more urgent ranks that were sent since the last one of this rank. */
+        /**
+         * Pieces of more urgent ranks that were sent while this rank waited, less those for which
+         * it got one.
+         */
         private int mPassedOver;
     }
 
@@ -104,14 +115,17 @@
     }
 
     /**
-     * Estimates the same for a piece in a workspace with an average number of waiting pieces.
+     * Estimates the same for reports to other instances: of pieces that can start in time, for a
+     * workspace with an average number of waiting pieces; of deferred ones, for a workspace without
+     * any. The latter decides on refusals on arrival, where the backlog of one workspace must not
+     * refuse requests of another.
      *
      * @param rank priority class; 0 is the most urgent
      */
-    public Ahead typicalAhead(int rank) {
+    public Ahead reportedAhead(int rank) {
         Rank own = mRanks.get(rank);
         int sameRank = own == null ? 0 : own.mPieces.typicalAhead();
-        int deferred = mDoubtful.typicalAhead() + mLate.typicalAhead();
+        int deferred = mDoubtful.leastAhead() + mLate.leastAhead();
         return new Ahead(moreUrgent(rank), sameRank, timelySize(), deferred);
     }
 
@@ -214,6 +228,35 @@
         return expired;
     }
 
+    /**
+     * Returns the deferred pieces that can't be served before their deadline even if no more pieces
+     * arrive. Requests for which work was done are exempt, as on arrival.
+     *
+     * @param admission the present throughput
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public List<PieceWork> unservable(DeferredAdmission admission, long nowMillis) {
+        List<WaitingPiece> deferred = new ArrayList<>(mDoubtful.inServingOrder());
+        deferred.addAll(mLate.inServingOrder());
+        Set<String> requests = new HashSet<>();
+        List<PieceWork> unservable = new ArrayList<>();
+        int ahead = timelySize();
+        for (WaitingPiece waiting : deferred) {
+            PieceWork work = waiting.work();
+            boolean exempt =
+                    waiting.precedes() || work.repeat() || mBegun.contains(waiting.request());
+            if (!exempt
+                    && (requests.contains(waiting.request())
+                            || !admission.servesWaiting(work, ahead, nowMillis))) {
+                requests.add(waiting.request());
+                unservable.add(work);
+            } else {
+                ahead++;
+            }
+        }
+        return unservable;
+    }
+
     /**
      * Sets how long a call takes at least.
      *
@@ -223,6 +266,15 @@
         mCallMillis = millis;
     }
 
+    /**
+     * Records that an arriving piece was admitted as one that can start in time.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordTimely(long nowMillis) {
+        mLastTimelyMillis = nowMillis;
+    }
+
     @Override
     public int lateSize() {
         return mDoubtful.size() + mLate.size();
@@ -239,12 +291,13 @@
     public void offer(Call call) {
         mBegun.forEach(this::moveToFront);
         mBegun.clear();
+        int callSize = call.room();
         Map<Integer, Integer> sent = new HashMap<>();
         Set<WaitingPiece> taken = new HashSet<>();
         mRanks.forEach(
                 (rank, each) -> {
                     if (each.mPassedOver >= MAX_PASSED_OVER) {
-                        int first = Math.min(1, call.room());
+                        int first = Math.min(each.mPassedOver / MAX_PASSED_OVER, call.room());
                         sent.put(rank, offer(each.mPieces, call, taken, first));
                     }
                 });
@@ -253,9 +306,11 @@
                     int more = offer(each.mPieces, call, taken, call.room());
                     sent.merge(rank, more, Integer::sum);
                 });
-        countPassedOver(sent);
-        mDoubtful.offer(waiting -> takeDeferred(call, waiting), call.room());
-        mLate.offer(waiting -> takeDeferred(call, waiting), call.room());
+        countPassedOver(sent, callSize);
+        boolean reserve = timelySize() > 0 || call.nowMillis() - mLastTimelyMillis < RESERVE_MILLIS;
+        double reservedShare = reserve ? RESERVED_SHARE : 0;
+        mDoubtful.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
+        mLate.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
     }
 
     /** Lets the remaining pieces of a request precede others of their class. */
@@ -293,8 +348,8 @@
      * Results of deferred requests must not fill the capacity that others need. A request for which
      * work was done is exempt: its results are soon read, and release what it holds elsewhere.
      */
-    private boolean takeDeferred(Call call, WaitingPiece waiting) {
-        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : RESERVED_SHARE));
+    private boolean takeDeferred(Call call, WaitingPiece waiting, double reservedShare) {
+        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : reservedShare));
     }
 
     private boolean counted(WaitingPiece waiting, boolean taken) {
@@ -305,13 +360,15 @@
         return taken;
     }
 
-    private void countPassedOver(Map<Integer, Integer> sent) {
+    /** A rank is owed at most one call, as pieces that fit nowhere are passed over for long. */
+    private void countPassedOver(Map<Integer, Integer> sent, int callSize) {
         int moreUrgent = 0;
         for (Map.Entry<Integer, Rank> entry : mRanks.entrySet()) {
             Rank rank = entry.getValue();
             int own = sent.getOrDefault(entry.getKey(), 0);
             boolean waits = rank.mPieces.size() > own;
-            rank.mPassedOver = own > 0 || !waits ? 0 : rank.mPassedOver + moreUrgent;
+            int passedOver = rank.mPassedOver + moreUrgent - own * MAX_PASSED_OVER;
+            rank.mPassedOver = waits ? Math.clamp(passedOver, 0, callSize * MAX_PASSED_OVER) : 0;
             moreUrgent += own;
         }
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.Iterators;
 import com.google.common.collect.PeekingIterator;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -37,6 +39,12 @@
      */
     private static final int MAX_OFFERS_IN_VAIN = 256;
 
+    /**
+     * Pieces of a workspace that are refused by a call before all other workspaces go first, so
+     * that its pieces do not hide those of others that fit.
+     */
+    private static final int MAX_REFUSED_OF_WORKSPACE = 16;
+
     private final Comparator<WaitingPiece> mOrder;
     private final TreeSet<WaitingPiece> mAll;
     private final Map<String, Flow> mFlows = new LinkedHashMap<>();
@@ -52,6 +60,9 @@
         private final TreeSet<WaitingPiece> mPieces;
         private double mVirtualTime;
 
+        /** Its pieces that the present call refused. */
+        private int mRefused;
+
         Flow(Comparator<WaitingPiece> order) {
             mPieces = new TreeSet<>(order);
         }
@@ -62,6 +73,7 @@
         private final Flow mFlow;
         private final Iterator<WaitingPiece> mPieces;
         private WaitingPiece mHead;
+        private int mRefused;
 
         Cursor(Flow flow) {
             mFlow = flow;
@@ -69,6 +81,11 @@
             mHead = mPieces.next();
         }
 
+        /** Returns how often its workspace has gone behind all others because of refused pieces. */
+        int timesPutBack() {
+            return mRefused / MAX_REFUSED_OF_WORKSPACE;
+        }
+
         boolean advance() {
             mHead = mPieces.hasNext() ? mPieces.next() : null;
             return mHead != null;
@@ -135,6 +152,11 @@
         return workspaces == 0 ? 0 : aheadOf(size() / workspaces);
     }
 
+    /** Estimates the same for a workspace without waiting pieces. */
+    int leastAhead() {
+        return aheadOf(0);
+    }
+
     /** While a workspace is served so many pieces, each other one is served as many at most. */
     private int aheadOf(int ownPieces) {
         int others =
@@ -158,6 +180,7 @@
         PriorityQueue<Cursor> cursors = cursors();
         PeekingIterator<WaitingPiece> regardless = Iterators.peekingIterator(mAll.iterator());
         mOffersInVain = 0;
+        mFlows.values().forEach(flow -> flow.mRefused = 0);
         while (taken.size() < maximum && mOffersInVain < MAX_OFFERS_IN_VAIN && !cursors.isEmpty()) {
             if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
                 offerRegardless(regardless, call, taken, maximum);
@@ -168,11 +191,26 @@
         return taken.size();
     }
 
+    /** Returns all pieces in the order in which calls with room for any piece take them. */
+    List<WaitingPiece> inServingOrder() {
+        Map<Flow, Double> virtualTimes = new HashMap<>();
+        mFlows.values().forEach(flow -> virtualTimes.put(flow, flow.mVirtualTime));
+        double virtualTime = mVirtualTime;
+        int fairPieces = mFairPieces;
+        List<WaitingPiece> pieces = new ArrayList<>();
+        offer(pieces::add, size());
+        virtualTimes.forEach((flow, time) -> flow.mVirtualTime = time);
+        mVirtualTime = virtualTime;
+        mFairPieces = fairPieces;
+        return pieces;
+    }
+
     /** Orders the workspaces; a request for which work was done precedes the others. */
     private PriorityQueue<Cursor> cursors() {
         PriorityQueue<Cursor> cursors =
                 new PriorityQueue<>(
-                        Comparator.comparing((Cursor cursor) -> !cursor.mHead.precedes())
+                        Comparator.comparingInt(Cursor::timesPutBack)
+                                .thenComparing(cursor -> !cursor.mHead.precedes())
                                 .thenComparingDouble(cursor -> cursor.mFlow.mVirtualTime)
                                 .thenComparing(cursor -> cursor.mHead, mOrder));
         for (Flow flow : mFlows.values()) {
@@ -196,7 +234,10 @@
                 && mOffersInVain < MAX_OFFERS_IN_VAIN
                 && (request == null || request.equals(pieces.peek().request()))) {
             WaitingPiece waiting = pieces.next();
-            if (!taken.contains(waiting) && takes(call, waiting)) {
+            Flow flow = mFlows.get(waiting.work().workspace());
+            if (flow.mRefused < MAX_REFUSED_OF_WORKSPACE
+                    && !taken.contains(waiting)
+                    && takes(call, waiting, flow)) {
                 taken.add(waiting);
                 request = waiting.request();
             }
@@ -215,7 +256,9 @@
         String request = cursor.mHead.request();
         boolean more = true;
         while (more && taken.size() < maximum && request.equals(cursor.mHead.request())) {
-            boolean takes = !taken.contains(cursor.mHead) && takes(call, cursor.mHead);
+            boolean sent = taken.contains(cursor.mHead);
+            boolean takes = !sent && takes(call, cursor.mHead, cursor.mFlow);
+            cursor.mRefused += sent || takes ? 0 : 1;
             if (takes) {
                 taken.add(cursor.mHead);
                 mVirtualTime = Math.max(mVirtualTime, cursor.mFlow.mVirtualTime);
@@ -229,9 +272,10 @@
         }
     }
 
-    private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting) {
+    private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting, Flow flow) {
         boolean takes = call.test(waiting);
         mOffersInVain += takes ? 0 : 1;
+        flow.mRefused += takes ? 0 : 1;
         return takes;
     }
 }
