Keep the final status of a rollout, and judge its versions by registration

A final status is kept and written again when the store comes back older. After done, old endpoints are used only if no other is registered. A missing version is bad only if it was seen and other endpoints are known. A peer that is not heard counts as drained only after the time that unheard ones need, and the status to write is derived again from what was read just before the write.

--- a/core/src/main/java/org/wasabilug/internal/rollout/PeerReports.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/PeerReports.java
@@ -41,12 +41,9 @@
                 .allMatch(
                         name -> {
                             Received last = mReports.get(name);
-                            if (last != null && last.report().drained()) {
-                                return true;
-                            }
                             boolean heard =
                                     last != null && nowMillis - last.millis() <= HEARD_MILLIS;
-                            return !heard && unheardDrained;
+                            return heard ? last.report().drained() : unheardDrained;
                         });
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -1,10 +1,8 @@
 package org.wasabilug.internal.rollout;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.wasabilug.internal.rollout.RolloutStatus.State;
 import org.wasabilug.internal.rollout.VersionAnalysis.Finding;
 import org.wasabilug.internal.serving.RolloutLimits;
@@ -26,9 +24,9 @@
     private final OwnTraffic mTraffic;
     private final RolloutJudge mJudge;
     private final RolloutClock mClock;
-    private final Set<String> mRegistered = new HashSet<>();
-    private final Set<String> mOldVersions = new HashSet<>();
+    private final ServiceVersions mVersions;
     private Optional<RolloutStatus> mStatus = Optional.empty();
+    private boolean mStatusLost;
     private boolean mStatusRead;
     private boolean mPeersHeard;
     private boolean mEndedAtPeer;
@@ -59,6 +57,7 @@
         mTraffic = new OwnTraffic(order, limits, presentAtOrder, nowMillis);
         mJudge = new RolloutJudge(mTraffic);
         mClock = new RolloutClock(nowMillis, order.durationMillis());
+        mVersions = new ServiceVersions(order.softwareVersion());
     }
 
     /** Returns the order. */
@@ -79,15 +78,16 @@
     }
 
     /**
-     * Goes on with the same order under another revision. The verdict stays, and the status is
-     * written again if the store has lost it.
+     * Goes on with the same order under another revision. The verdict and a final state stay, and
+     * the status is written again if the store has lost it.
      *
      * @param order the order
      */
     public void rewritten(RolloutOrder order) {
         mOrder = order;
         mPaused = false;
-        mStatus = Optional.empty();
+        mStatusLost = end().isPresent();
+        mStatus = mStatus.filter(each -> each.state().isFinal());
         mClock.storeLost();
     }
 
@@ -111,6 +111,11 @@
         return mStatus.map(RolloutStatus::state).filter(State::isFinal);
     }
 
+    /** Returns whether the rollout has ended and the store is not known to have lost that. */
+    public boolean endRecorded() {
+        return end().isPresent() && !mStatusLost;
+    }
+
     /** Returns whether the rollout has ended with all traffic at the new version. */
     public boolean done() {
         return end().equals(Optional.of(State.DONE));
@@ -125,22 +130,14 @@
      * @param timing its times
      */
     public void service(Collection<String> versions, int baselineRunning, RolloutTiming timing) {
-        mRegistered.clear();
-        mRegistered.addAll(versions);
+        mVersions.registered(versions);
         mBaselineRunning = baselineRunning;
         mClock.timing(timing);
         if (end().isEmpty()) {
-            addOldVersions();
+            mVersions.addOld();
         }
     }
 
-    /** Versions that are first registered after the end are no part of the rollout. */
-    private void addOldVersions() {
-        mRegistered.stream()
-                .filter(each -> !each.equals(mOrder.softwareVersion()))
-                .forEach(mOldVersions::add);
-    }
-
     /**
      * Returns whether a version belongs to a group.
      *
@@ -150,7 +147,7 @@
     public boolean contains(Group group, String softwareVersion) {
         boolean candidate =
                 done()
-                        ? !mOldVersions.contains(softwareVersion)
+                        ? !mVersions.isOld(softwareVersion)
                         : softwareVersion.equals(mOrder.softwareVersion());
         return candidate == (group == Group.CANDIDATE);
     }
@@ -195,13 +192,13 @@
 
     /**
      * Returns whether a service without usable endpoints in these groups is served by all others:
-     * by versions that came after the end, and by the only version that is left unless it is about
-     * to be rolled back.
+     * by the old versions after the end if no other is registered, and by the new version if it is
+     * the only one that is left, unless it is about to be rolled back.
      */
     public boolean mayUseAny() {
-        boolean onlyCandidate = mRegistered.equals(Set.of(mOrder.softwareVersion()));
-        return done()
-                || onlyCandidate && (end().isPresent() || mVerdict == RolloutVerdict.UNDECIDED);
+        boolean candidateAllowed = end().isPresent() || mVerdict == RolloutVerdict.UNDECIDED;
+        return done() && mVersions.onlyOldRegistered()
+                || mVersions.onlyCandidateRegistered() && candidateAllowed;
     }
 
     /** Returns whether the version is judged good and all traffic goes there. */
@@ -315,16 +312,17 @@
                         mClock.elapsedMillis(nowMillis),
                         mOrder.durationMillis(),
                         nowMillis);
-        boolean present = mRegistered.contains(mOrder.softwareVersion());
-        if (moved() && !present) {
+        if (moved() && mVersions.candidateGone()) {
             apply(RolloutVerdict.BAD, nowMillis);
-        } else if (verdict != RolloutVerdict.GOOD || present && mayBecomeGood(nowMillis)) {
+        } else if (verdict != RolloutVerdict.GOOD || mayBecomeGood(nowMillis)) {
             apply(verdict, nowMillis);
         }
     }
 
     private boolean mayBecomeGood(long nowMillis) {
-        return statusKnown(nowMillis) && !mClock.closing(nowMillis);
+        return mVersions.candidateRegistered()
+                && statusKnown(nowMillis)
+                && !mClock.closing(nowMillis);
     }
 
     /**
@@ -353,6 +351,9 @@
     public void statusRead(Optional<RolloutStatus> status, long storeMillis, long nowMillis) {
         mStatusRead = true;
         mEndedAtPeer = false;
+        if (status.filter(each -> each.state().isFinal()).isPresent()) {
+            mStatusLost = false;
+        }
         if (mPaused || status.isEmpty() || end().isPresent()) {
             return;
         }
@@ -369,7 +370,7 @@
         if (read.state().isFinal()) {
             mEndMillis = nowMillis;
             mVerdict = read.state() == State.DONE ? RolloutVerdict.GOOD : RolloutVerdict.BAD;
-            addOldVersions();
+            mVersions.addOld();
         }
     }
 
@@ -402,7 +403,7 @@
      */
     public Optional<RolloutStatus> wanted(RolloutFleet fleet, long nowMillis) {
         if (mPaused || end().isPresent()) {
-            return Optional.empty();
+            return mStatus.filter(each -> mStatusLost && !mPaused);
         }
         Optional<State> end = wantedEnd(fleet, nowMillis);
         boolean moving = moved();
--- a/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
+++ b/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
@@ -218,13 +218,7 @@
         mFleet.mNewVersion = (route, now) -> -1;
         mFleet.run(30_000, 1);
         Instance instance = mFleet.mInstances.getFirst();
-        RolloutOrder order = RolloutInstances.order(1);
-        RolloutOrder again =
-                new RolloutOrder(
-                        order.service(),
-                        order.softwareVersion(),
-                        order.durationMillis(),
-                        new StoreRevision(2, 1));
+        RolloutOrder again = rewrittenOrder();
         assertThat(instance.mRollout.isRewrittenAs(RolloutInstances.order(2))).isFalse();
         assertThat(instance.mRollout.isRewrittenAs(again)).isTrue();
         instance.mRollout.rewritten(again);
@@ -234,6 +228,76 @@
                 .contains(State.ROLLED_BACK);
     }
 
+    private static RolloutOrder rewrittenOrder() {
+        RolloutOrder order = RolloutInstances.order(1);
+        return new RolloutOrder(
+                order.service(),
+                order.softwareVersion(),
+                order.durationMillis(),
+                new StoreRevision(2, 1));
+    }
+
+    /** Guards against a final state that is reversed as the store came back without it. */
+    @Test
+    void doneIsWrittenAgainAfterOlderCopy() {
+        Rollout rollout = doneInstance();
+        rollout.rewritten(rewrittenOrder());
+        rollout.statusRead(running(), 0, RolloutInstances.DURATION_MILLIS);
+        assertThat(rollout.done()).isTrue();
+        RolloutFleet fleet = new RolloutFleet(Set.of("peer"), 1);
+        Optional<RolloutStatus> wanted = rollout.wanted(fleet, RolloutInstances.DURATION_MILLIS);
+        assertThat(wanted).map(RolloutStatus::state).contains(State.DONE);
+        rollout.statusRead(wanted, 0, RolloutInstances.DURATION_MILLIS);
+        assertThat(rollout.wanted(fleet, RolloutInstances.DURATION_MILLIS)).isEmpty();
+    }
+
+    private Rollout doneInstance() {
+        Rollout rollout = mFleet.mInstances.getFirst().mRollout;
+        rollout.statusRead(Optional.of(new RolloutStatus(State.DONE, "v2", true, 0)), 0, 0);
+        return rollout;
+    }
+
+    /** Guards against requests to stopped endpoints while no new one is usable for a moment. */
+    @Test
+    void doneServiceUsesOldVersionOnlyIfNoOtherIsRegistered() {
+        Rollout rollout = doneInstance();
+        assertThat(rollout.mayUseAny()).isFalse();
+        rollout.service(Set.of("v1"), 0, new RolloutTiming(3_000, 0));
+        assertThat(rollout.mayUseAny()).isTrue();
+    }
+
+    /** Guards against a verdict from an endpoint directory that is empty or not yet complete. */
+    @Test
+    void missingVersionIsBadOnlyIfItWasSeenAndOthersAreKnown() {
+        RolloutTiming timing = new RolloutTiming(3_000, 0);
+        Rollout rollout = new Rollout(RolloutInstances.order(1), RolloutLimits.DEFAULT, true, 0);
+        rollout.statusRead(Optional.of(new RolloutStatus(State.RUNNING, "v2", true, 0)), 0, 0);
+        rollout.service(Set.of("v1"), 0, timing);
+        assertThat(verdict(rollout)).isEqualTo(RolloutVerdict.GOOD);
+        rollout.service(Set.of("v1", "v2"), 0, timing);
+        rollout.service(Set.of(), 0, timing);
+        assertThat(verdict(rollout)).isEqualTo(RolloutVerdict.GOOD);
+        rollout.service(Set.of("v1"), 0, timing);
+        assertThat(verdict(rollout)).isEqualTo(RolloutVerdict.BAD);
+    }
+
+    private static RolloutVerdict verdict(Rollout rollout) {
+        rollout.judge(1_000);
+        return rollout.verdict();
+    }
+
+    /**
+     * Guards against `done` while a silent peer, whose last report is old, uses the old version.
+     */
+    @Test
+    void peerThatIsNoLongerHeardIsNotDrainedByItsLastReport() {
+        PeerReports peers = new PeerReports();
+        OutcomeCounts none = new OutcomeCounts();
+        peers.received("peer", new InstanceReport(0, none, none, RolloutVerdict.GOOD), 0);
+        assertThat(peers.drained(Set.of("peer"), false, 5_000)).isTrue();
+        assertThat(peers.drained(Set.of("peer"), false, 5_001)).isFalse();
+    }
+
     private List<Group> groups(Instance instance) {
         return instance.mRollout.groups(SendKind.FIRST, mFleet.mInstances.size(), mFleet.mNow);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
@@ -34,6 +34,7 @@
     private RolloutVerdict mLoggedVerdict = RolloutVerdict.UNDECIDED;
     private Optional<RolloutStatus> mLoggedStatus = Optional.empty();
     private Optional<RolloutStatus> mWanted = Optional.empty();
+    private RolloutFleet mFleet;
     private long mWantedMillis;
     private long mNextReadMillis;
     private boolean mBusy;
@@ -46,17 +47,14 @@
 
     /** Judges the version, and reads or writes the status if that is due. */
     void advance(RolloutFleet fleet, Set<String> live) {
-        if (mRollout.end().isPresent()) {
+        if (mRollout.endRecorded()) {
             return;
         }
+        mFleet = fleet;
         long now = mState.nowMillis();
         mRollout.judge(now);
         logVerdict();
-        Optional<RolloutStatus> wanted = mRollout.wanted(fleet, now);
-        if (!wanted.equals(mWanted)) {
-            mWanted = wanted;
-            mWantedMillis = now;
-        }
+        updateWanted(now);
         if (!mBusy && now >= mNextReadMillis && (readDue(fleet, now) || writeDue(live, now))) {
             mBusy = true;
             mNextReadMillis = now + RETRY_MILLIS;
@@ -64,6 +62,14 @@
         }
     }
 
+    private void updateWanted(long now) {
+        Optional<RolloutStatus> wanted = mRollout.wanted(mFleet, now);
+        if (!wanted.equals(mWanted)) {
+            mWanted = wanted;
+            mWantedMillis = now;
+        }
+    }
+
     private boolean readDue(RolloutFleet fleet, long now) {
         boolean regularly = fleet.cutOff() || now >= mRollout.deadlineMillis();
         return mRollout.statusUnknown()
@@ -90,7 +96,8 @@
         }
         apply(contents.get());
         long now = mState.nowMillis();
-        if (mRollout.end().isPresent() || mRollout.paused() || !writeDue(live, now)) {
+        updateWanted(now);
+        if (mRollout.endRecorded() || mRollout.paused() || !writeDue(live, now)) {
             mTable.closeIdle();
             return;
         }
