Count an unreadable status row as a failed read

A row that is newer than the order may hold a final state, so nothing is written over it. The same holds for a status of a later era than the order that is known.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutStatusTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutStatusTable.java
@@ -23,6 +23,7 @@
     private final GatewayState mState;
     private final StoreEra mEra;
     private final TableClient mClient;
+    private StoreRevision mLoggedUnreadable = StoreRevision.NONE;
 
     RolloutStatusTable(GatewayState state, StoreAccess store) {
         mState = state;
@@ -43,15 +44,31 @@
     void read(RolloutOrder order, Consumer<Optional<Contents>> receiver) {
         String key = mState.protocol().store().rolloutKey(order.service());
         mClient.readFrom(
-                key, page -> receiver.accept(page.map(each -> contents(order, key, each))));
+                key, page -> receiver.accept(page.flatMap(each -> contents(order, key, each))));
     }
 
-    private Contents contents(RolloutOrder order, String key, StorePage page) {
+    /** Returns empty if the row can't be read, as it may hold a final status of the order. */
+    private Optional<Contents> contents(RolloutOrder order, String key, StorePage page) {
         Optional<StoredRow> row =
                 page.rows().stream().filter(each -> each.key().equals(key)).findFirst();
         StoreRevision revision =
                 row.map(StoredRow::revision).orElse(new StoreRevision(mEra.newest(), 0));
-        return new Contents(row.flatMap(each -> status(order, each)), revision, page.storeMillis());
+        try {
+            Optional<RolloutStatus> status =
+                    row.isPresent() ? status(order, row.get()) : Optional.empty();
+            return Optional.of(new Contents(status, revision, page.storeMillis()));
+        } catch (UnreadableException unreadable) {
+            logUnreadable(row.orElseThrow(), unreadable);
+            return Optional.empty();
+        }
+    }
+
+    /** Reads are repeated several times a second, so each row is logged once. */
+    private void logUnreadable(StoredRow row, UnreadableException unreadable) {
+        if (!row.revision().equals(mLoggedUnreadable)) {
+            mLoggedUnreadable = row.revision();
+            mState.log().fault(LogLine.of("rollout-unreadable").with("key", row.key()), unreadable);
+        }
     }
 
     /** A status that is older than the order, or about another version, is of an earlier order. */
@@ -59,13 +76,11 @@
         if (!row.revision().isAfter(order.revision())) {
             return Optional.empty();
         }
-        try {
-            return Optional.of(mState.protocol().store().readRolloutStatus(row))
-                    .filter(each -> each.softwareVersion().equals(order.softwareVersion()));
-        } catch (UnreadableException unreadable) {
-            mState.log().fault(LogLine.of("rollout-unreadable").with("key", row.key()), unreadable);
-            return Optional.empty();
+        if (row.revision().era() != order.revision().era()) {
+            throw new UnreadableException("status of a later era than its order");
         }
+        return Optional.of(mState.protocol().store().readRolloutStatus(row))
+                .filter(each -> each.softwareVersion().equals(order.softwareVersion()));
     }
 
     /**
