--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -256,6 +256,7 @@
                                 .with("endpoints", mState.directory().all().size()));
         mEndpoints.storeCameBackOlder();
         mConfiguration.storeCameBackOlder();
+        mRollouts.storeCameBackOlder();
         mSoftwareVersions.storeCameBackOlder();
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutWatch.java
@@ -22,12 +22,21 @@
  * to the watch of the configuration.
  */
 public final class RolloutWatch implements TableEvents {
+    /** Time in which operators write again what the store has lost. */
+    private static final long REWRITE_GRACE_MILLIS = 5_000;
+
     private final GatewayState mState;
     private final TableEvents mOther;
     private final RolloutStatusTable mTable;
     private final Supplier<Set<String>> mLiveInstances;
     private final Map<String, RolloutRecorder> mRecorders = new HashMap<>();
 
+    /** Services whose orders the store has lost, which stay in force for a while. */
+    private final Set<String> mMissing = new HashSet<>();
+
+    private long mGraceUntilMillis = Long.MIN_VALUE;
+    private boolean mFollowed;
+
     /**
      * Creates a watch without orders.
      *
@@ -53,17 +62,43 @@
         Set<String> ordered = new HashSet<>();
         rows.forEach(row -> service(row).ifPresent(ordered::add));
         for (Rollout rollout : mState.rollouts().all()) {
-            if (!ordered.contains(rollout.order().service())) {
-                removed(rollout.order().service());
+            String service = rollout.order().service();
+            if (!ordered.contains(service)) {
+                missing(service);
             }
         }
         rows.forEach(row -> apply(row, false));
+        mFollowed = true;
+    }
+
+    private void missing(String service) {
+        if (mState.nowMillis() < mGraceUntilMillis) {
+            mMissing.add(service);
+        } else {
+            removed(service);
+        }
+    }
+
+    /**
+     * Keeps orders for a while though their rows are missing, as the store came back from an older
+     * copy.
+     */
+    public void storeCameBackOlder() {
+        mGraceUntilMillis = mState.nowMillis() + REWRITE_GRACE_MILLIS;
+    }
+
+    /** Removes orders that were not written again. */
+    private void removeMissing() {
+        if (!mMissing.isEmpty() && mState.nowMillis() >= mGraceUntilMillis) {
+            List.copyOf(mMissing).forEach(this::removed);
+        }
     }
 
     @Override
     public void changed(List<StoredRow> rows) {
         mOther.changed(rows);
-        rows.forEach(row -> apply(row, true));
+        // Rows that peers relay before the table was read may be older than this process.
+        rows.forEach(row -> apply(row, mFollowed));
     }
 
     private Optional<String> service(StoredRow row) {
@@ -81,6 +116,7 @@
         if (service.isEmpty()) {
             return;
         }
+        mMissing.remove(service.get());
         if (row.removed()) {
             removed(service.get());
             return;
@@ -114,6 +150,7 @@
     }
 
     private void removed(String service) {
+        mMissing.remove(service);
         Optional<Rollout> known = mState.rollouts().find(service);
         if (known.isEmpty() || known.get().paused()) {
             return;
@@ -134,6 +171,7 @@
 
     /** Judges versions and reads and writes statuses; to be called several times a second. */
     public void advance() {
+        removeMissing();
         if (mState.rollouts().isEmpty()) {
             return;
         }
