--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallAttempt.java
@@ -205,12 +205,16 @@
             mCall.endpoint()
                     .health()
                     .recordLatencyRatio(elapsedMillis / expectedMillis(), mState.nowMillis());
+            StageCallResult result = new StageCallResult(outcomes, true);
+            if (result.anyError()) {
+                mRollout.failed();
+            }
             mRollout.succeeded(RATIO_SCALE_MILLIS * elapsedMillis / expectedMillis());
             mState.speedMonitor()
                     .speeds()
                     .recordElapsed(
                             mCall.endpoint(), mPrediction, elapsedMillis, mState.nowMillis());
-            finish(new StageCallResult(outcomes, true), "answered");
+            finish(result, "answered");
         } catch (UnreadableException unreadable) {
             failForeign(unreadable.getMessage());
         }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallResult.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/stage/StageCallResult.java
@@ -20,6 +20,11 @@
         return !executed || outcomes.contains(new PieceOutcome.Failed(PieceFailure.NO_ROOM));
     }
 
+    /** Returns whether the endpoint failed to work on one of the pieces. */
+    boolean anyError() {
+        return outcomes.contains(new PieceOutcome.Failed(PieceFailure.ERROR));
+    }
+
     PieceOutcome outcome(int index) {
         return outcomes.isEmpty()
                 ? new PieceOutcome.Failed(PieceFailure.ERROR)
