Use an unjudged version without news of the end only if no peer is heard

Stage calls then go to one version only. An instance that hears no other gives no GOOD verdict of its own. Names in the clock and the exposure say what they are.

--- a/core/src/main/java/org/wasabilug/internal/rollout/Exposure.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Exposure.java
@@ -16,7 +16,7 @@
      * Part of the requests that may use the slack, so that both versions are seen in the same
      * period from the beginning.
      */
-    private static final double SLACK_PART = 0.25;
+    private static final double SLACK_REQUEST_PART = 0.25;
 
     private final RolloutLimits mLimits;
     private final boolean mPresentAtOrder;
@@ -49,7 +49,7 @@
         double allowed = mLimits.exposureShare() * mRequests + slack;
         double usable =
                 kind == SendKind.FIRST ? Math.max(slack, FIRST_ATTEMPT_PART * allowed) : allowed;
-        double mixed = kind == SendKind.FIRST ? 1 + SLACK_PART * mRequests : usable;
+        double mixed = kind == SendKind.FIRST ? 1 + SLACK_REQUEST_PART * mRequests : usable;
         return Math.min(usable, mixed) - exposed;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/rollout/OwnTraffic.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/OwnTraffic.java
@@ -48,7 +48,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordSent(String softwareVersion, long nowMillis) {
-        used(softwareVersion, nowMillis).recordSent();
+        countsForUse(softwareVersion, nowMillis).recordSent();
     }
 
     /**
@@ -58,7 +58,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordEnd(String softwareVersion, long nowMillis) {
-        used(softwareVersion, nowMillis).recordEnd();
+        countsForUse(softwareVersion, nowMillis).recordEnd();
     }
 
     /**
@@ -69,7 +69,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordFailure(String softwareVersion, int route, long nowMillis) {
-        used(softwareVersion, nowMillis).recordFailure(route);
+        countsForUse(softwareVersion, nowMillis).recordFailure(route);
     }
 
     /**
@@ -81,10 +81,11 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordSuccess(String softwareVersion, int route, double millis, long nowMillis) {
-        used(softwareVersion, nowMillis).recordSuccess(route, millis);
+        countsForUse(softwareVersion, nowMillis).recordSuccess(route, millis);
     }
 
-    private OutcomeCounts used(String softwareVersion, long nowMillis) {
+    /** Returns the counts of a version that is in use now. */
+    private OutcomeCounts countsForUse(String softwareVersion, long nowMillis) {
         if (softwareVersion.equals(mOrder.softwareVersion())) {
             return mCandidate;
         }
--- a/core/src/main/java/org/wasabilug/internal/rollout/PeerReports.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/PeerReports.java
@@ -10,15 +10,34 @@
     private static final long HEARD_MILLIS = 5_000;
 
     private final Map<String, Received> mReports = new HashMap<>();
+    private long mHeardMillis = Long.MIN_VALUE / 2;
+    private boolean mReported;
 
     private record Received(InstanceReport report, long millis) {}
 
     void received(String peer, InstanceReport report, long nowMillis) {
         mReports.put(peer, new Received(report, nowMillis));
+        mHeardMillis = nowMillis;
+        mReported = true;
     }
 
-    /** Removes the report of a peer and returns whether there was one. */
-    boolean remove(String peer) {
+    /** Returns whether a peer has ever reported about the order. */
+    boolean anyReported() {
+        return mReported;
+    }
+
+    /** Returns whether any peer is heard, whether or not it reports about the order. */
+    boolean anyHeard(long nowMillis) {
+        return nowMillis - mHeardMillis <= HEARD_MILLIS;
+    }
+
+    /**
+     * Records that a peer is heard that reports nothing about the order.
+     *
+     * @return whether it reported about it before
+     */
+    boolean notReported(String peer, long nowMillis) {
+        mHeardMillis = nowMillis;
         return mReports.remove(peer) != null;
     }
 
--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -28,7 +28,6 @@
     private Optional<RolloutStatus> mStatus = Optional.empty();
     private boolean mStatusLost;
     private boolean mStatusRead;
-    private boolean mPeersHeard;
     private boolean mEndedAtPeer;
     private boolean mPaused;
     private int mBaselineRunning;
@@ -187,7 +186,8 @@
                 && end().isEmpty()
                 && mVerdict == RolloutVerdict.UNDECIDED
                 && !mJudge.ownBad()
-                && mClock.endedElsewhere(nowMillis);
+                && !mJudge.peers().anyHeard(nowMillis)
+                && mClock.surelyEnded(nowMillis);
     }
 
     /**
@@ -227,7 +227,7 @@
     /** Peers are followed if the store does not answer. */
     private boolean statusKnown(long nowMillis) {
         return mStatusRead
-                || mPeersHeard
+                || mJudge.peers().anyReported()
                         && mClock.elapsedMillis(nowMillis) >= RolloutClock.STATUS_READ_MILLIS;
     }
 
@@ -271,7 +271,6 @@
      */
     public void reportReceived(String peer, InstanceReport report, long nowMillis) {
         mJudge.peers().received(peer, report, nowMillis);
-        mPeersHeard = true;
         apply(report.verdict(), nowMillis);
     }
 
@@ -280,9 +279,10 @@
      * there.
      *
      * @param peer name of the peer
+     * @param nowMillis current monotonic time, in milliseconds
      */
-    public void reportMissing(String peer) {
-        mEndedAtPeer |= mJudge.peers().remove(peer);
+    public void reportMissing(String peer, long nowMillis) {
+        mEndedAtPeer |= mJudge.peers().notReported(peer, nowMillis);
     }
 
     private void apply(RolloutVerdict verdict, long nowMillis) {
@@ -300,9 +300,10 @@
     /**
      * Derives the verdict from the counts of all instances; to be called several times a second.
      *
+     * @param fleet the other instances
      * @param nowMillis current monotonic time, in milliseconds
      */
-    public void judge(long nowMillis) {
+    public void judge(RolloutFleet fleet, long nowMillis) {
         if (mPaused || end().isPresent() || mVerdict == RolloutVerdict.BAD) {
             return;
         }
@@ -314,15 +315,16 @@
                         nowMillis);
         if (moved() && mVersions.candidateGone()) {
             apply(RolloutVerdict.BAD, nowMillis);
-        } else if (verdict != RolloutVerdict.GOOD || mayBecomeGood(nowMillis)) {
+        } else if (verdict != RolloutVerdict.GOOD || mayBecomeGood(fleet, nowMillis)) {
             apply(verdict, nowMillis);
         }
     }
 
-    private boolean mayBecomeGood(long nowMillis) {
-        return mVersions.candidateRegistered()
+    private boolean mayBecomeGood(RolloutFleet fleet, long nowMillis) {
+        return !fleet.hearsNoOther()
+                && mVersions.candidateRegistered()
                 && statusKnown(nowMillis)
-                && !mClock.closing(nowMillis);
+                && !mClock.finalStateDue(nowMillis);
     }
 
     /**
@@ -418,13 +420,13 @@
         if (mVerdict == RolloutVerdict.BAD) {
             return Optional.of(State.ROLLED_BACK);
         }
-        boolean closing = mClock.closing(nowMillis);
+        boolean finalStateDue = mClock.finalStateDue(nowMillis);
         boolean drained = drained(fleet, nowMillis);
         boolean watched = mClock.watched(nowMillis) && mJudge.finding() == Finding.FINE;
-        if (drained && (watched || closing)) {
+        if (drained && (watched || finalStateDue)) {
             return Optional.of(State.DONE);
         }
-        return closing ? Optional.of(State.ROLLED_BACK) : Optional.empty();
+        return finalStateDue ? Optional.of(State.ROLLED_BACK) : Optional.empty();
     }
 
     /**
--- a/core/src/main/java/org/wasabilug/internal/rollout/RolloutClock.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/RolloutClock.java
@@ -6,9 +6,9 @@
      * Time before the deadline at which the final state is due. The requirements count with a store
      * that is unstable for 5 to 6 s, and the next writers need time after a failed one.
      */
-    private static final long CLOSING_MILLIS = 8_000;
+    private static final long FINAL_STATE_MARGIN_MILLIS = 8_000;
 
-    private static final double MAX_CLOSING_PART = 0.1;
+    private static final double MAX_FINAL_STATE_MARGIN_PART = 0.1;
 
     /** Part of the time left at the verdict for requests that are bound to the old version. */
     private static final double BOUND_PART = 0.25;
@@ -68,22 +68,23 @@
     }
 
     /** Returns whether the rollout has surely ended, whatever this instance has heard. */
-    boolean endedElsewhere(long nowMillis) {
+    boolean surelyEnded(long nowMillis) {
         return nowMillis >= mDeadlineMillis + END_KNOWN_MILLIS;
     }
 
-    boolean closing(long nowMillis) {
-        return nowMillis >= closingMillis();
+    /** Returns whether the final state is to be written now, whatever it is. */
+    boolean finalStateDue(long nowMillis) {
+        return nowMillis >= finalStateDueMillis();
     }
 
-    private long closingMillis() {
-        double part = MAX_CLOSING_PART * mDurationMillis;
-        return mDeadlineMillis - (long) Math.min(CLOSING_MILLIS, part);
+    private long finalStateDueMillis() {
+        double part = MAX_FINAL_STATE_MARGIN_PART * mDurationMillis;
+        return mDeadlineMillis - (long) Math.min(FINAL_STATE_MARGIN_MILLIS, part);
     }
 
     /** Returns whether the version has been watched for long enough with all traffic. */
     boolean watched(long nowMillis) {
-        double left = Math.max(0, closingMillis() - mGoodMillis);
+        double left = Math.max(0, finalStateDueMillis() - mGoodMillis);
         return nowMillis >= mGoodMillis + (long) (WATCHED_PART * left);
     }
 
--- a/core/src/main/java/org/wasabilug/internal/rollout/RolloutFleet.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/RolloutFleet.java
@@ -25,6 +25,11 @@
         return heard < SUFFICIENT_PART * known();
     }
 
+    /** Returns whether there are other instances of which none is heard. */
+    boolean hearsNoOther() {
+        return heard <= 1 && !others.isEmpty();
+    }
+
     /**
      * Returns whether instances that are not heard read the status regularly: there are too few of
      * them to hear sufficiently many.
--- a/core/src/main/java/org/wasabilug/internal/rollout/ServiceVersions.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/ServiceVersions.java
@@ -42,7 +42,7 @@
         return mRegistered.equals(Set.of(mCandidate));
     }
 
-    /** Returns whether all registered versions were replaced by the candidate. */
+    /** Returns whether no version is registered but those that the candidate replaces. */
     boolean onlyOldRegistered() {
         return mOld.containsAll(mRegistered);
     }
--- a/core/src/test/java/org/wasabilug/internal/rollout/RolloutInstances.java
+++ b/core/src/test/java/org/wasabilug/internal/rollout/RolloutInstances.java
@@ -66,7 +66,7 @@
         for (long until = mNow + millis; mNow < until; mNow += STEP_MILLIS) {
             mInstances.forEach(instance -> send(instance, requestsPerStep));
             mInstances.forEach(this::exchange);
-            mInstances.forEach(instance -> instance.mRollout.judge(mNow));
+            mInstances.forEach(instance -> instance.mRollout.judge(fleet(instance), mNow));
             mInstances.stream().filter(each -> each.mReachesStore).forEach(this::record);
         }
     }
@@ -121,7 +121,9 @@
                                                 report ->
                                                         each.mRollout.reportReceived(
                                                                 sender.mName, report, mNow),
-                                                () -> each.mRollout.reportMissing(sender.mName)));
+                                                () ->
+                                                        each.mRollout.reportMissing(
+                                                                sender.mName, mNow)));
     }
 
     /** Reads the row where that is due, and writes what is wanted; the first writer wins. */
--- a/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
+++ b/core/src/test/java/org/wasabilug/internal/rollout/RolloutTest.java
@@ -282,7 +282,7 @@
     }
 
     private static RolloutVerdict verdict(Rollout rollout) {
-        rollout.judge(1_000);
+        rollout.judge(new RolloutFleet(Set.of(), 1), 1_000);
         return rollout.verdict();
     }
 
@@ -298,6 +298,29 @@
         assertThat(peers.drained(Set.of("peer"), false, 5_001)).isFalse();
     }
 
+    /**
+     * Guards against a use of the new version by an instance that will learn the end from peers.
+     */
+    @Test
+    void newVersionIsUsedWithoutKnowledgeOfTheEndOnlyIfNoPeerIsHeard() {
+        Instance instance = mFleet.mInstances.getFirst();
+        mFleet.mNow = RolloutInstances.DURATION_MILLIS + 10_000;
+        instance.mRollout.reportMissing("peer", mFleet.mNow);
+        assertThat(groups(instance)).containsExactly(Group.BASELINE);
+        mFleet.mNow += 5_001;
+        assertThat(groups(instance)).containsExactly(Group.BASELINE, Group.CANDIDATE);
+    }
+
+    /** Guards against a move of all traffic of an instance that misses the failures of others. */
+    @Test
+    void instanceThatHearsNoOtherDoesNotJudgeVersionGood() {
+        Instance alone = mFleet.mInstances.getFirst();
+        mFleet.mInstances.forEach(each -> each.mHearsPeers = false);
+        alone.mRollout.statusRead(running(), 0, 0);
+        mFleet.run(45_000, 20);
+        assertThat(alone.mRollout.verdict()).isEqualTo(RolloutVerdict.UNDECIDED);
+    }
+
     private List<Group> groups(Instance instance) {
         return instance.mRollout.groups(SendKind.FIRST, mFleet.mInstances.size(), mFleet.mNow);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
@@ -186,6 +186,13 @@
         }
         double remaining =
                 rollout.remainingExposure(SendKind.FIRST, instances(), mState.nowMillis());
+        if (remaining < 1) {
+            return preferences.stream()
+                    .filter(each -> !each.isEmpty())
+                    .findFirst()
+                    .map(List::of)
+                    .orElse(List.of(List.of()));
+        }
         long count = (long) (remaining / Math.max(1, callsPerEndpoint));
         return List.of(candidates.stream().limit(count).toList(), preferences.getLast());
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
@@ -52,7 +52,7 @@
         }
         mFleet = fleet;
         long now = mState.nowMillis();
-        mRollout.judge(now);
+        mRollout.judge(fleet, now);
         logVerdict();
         updateWanted(now);
         if (!mBusy && now >= mNextReadMillis && (readDue(fleet, now) || writeDue(live, now))) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedRollouts.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedRollouts.java
@@ -73,7 +73,7 @@
                     .findFirst()
                     .ifPresentOrElse(
                             each -> rollout.reportReceived(sender, report(each), now),
-                            () -> rollout.reportMissing(sender));
+                            () -> rollout.reportMissing(sender, now));
         }
     }
 
