--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -1,10 +1,8 @@
 package org.wasabilug.internal.rollout;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.wasabilug.internal.rollout.RolloutStatus.State;
 import org.wasabilug.internal.rollout.VersionAnalysis.Finding;
 import org.wasabilug.internal.serving.RolloutLimits;
@@ -26,11 +24,10 @@
     private final OwnTraffic mTraffic;
     private final RolloutJudge mJudge;
     private final RolloutClock mClock;
-    private final Set<String> mRegistered = new HashSet<>();
-    private final Set<String> mOldVersions = new HashSet<>();
+    private final ServiceVersions mVersions;
     private Optional<RolloutStatus> mStatus = Optional.empty();
+    private boolean mStatusLost;
     private boolean mStatusRead;
-    private boolean mPeersHeard;
     private boolean mEndedAtPeer;
     private boolean mPaused;
     private int mBaselineRunning;
@@ -59,6 +56,7 @@
         mTraffic = new OwnTraffic(order, limits, presentAtOrder, nowMillis);
         mJudge = new RolloutJudge(mTraffic);
         mClock = new RolloutClock(nowMillis, order.durationMillis());
+        mVersions = new ServiceVersions(order.softwareVersion());
     }
 
     /** Returns the order. */
@@ -79,15 +77,16 @@
     }
 
     /**
-     * Goes on with the same order under another revision. The verdict stays, and the status is
-     * written again if the store has lost it.
+     * Goes on with the same order under another revision. The verdict and a final state stay, and
+     * the status is written again if the store has lost it.
      *
      * @param order the order
      */
     public void rewritten(RolloutOrder order) {
         mOrder = order;
         mPaused = false;
-        mStatus = Optional.empty();
+        mStatusLost = end().isPresent();
+        mStatus = mStatus.filter(each -> each.state().isFinal());
         mClock.storeLost();
     }
 
@@ -111,6 +110,11 @@
         return mStatus.map(RolloutStatus::state).filter(State::isFinal);
     }
 
+    /** Returns whether the rollout has ended and the store is not known to have lost that. */
+    public boolean endRecorded() {
+        return end().isPresent() && !mStatusLost;
+    }
+
     /** Returns whether the rollout has ended with all traffic at the new version. */
     public boolean done() {
         return end().equals(Optional.of(State.DONE));
@@ -125,22 +129,14 @@
      * @param timing its times
      */
     public void service(Collection<String> versions, int baselineRunning, RolloutTiming timing) {
-        mRegistered.clear();
-        mRegistered.addAll(versions);
+        mVersions.registered(versions);
         mBaselineRunning = baselineRunning;
         mClock.timing(timing);
         if (end().isEmpty()) {
-            addOldVersions();
+            mVersions.addOld();
         }
     }
 
-    /** Versions that are first registered after the end are no part of the rollout. */
-    private void addOldVersions() {
-        mRegistered.stream()
-                .filter(each -> !each.equals(mOrder.softwareVersion()))
-                .forEach(mOldVersions::add);
-    }
-
     /**
      * Returns whether a version belongs to a group.
      *
@@ -150,7 +146,7 @@
     public boolean contains(Group group, String softwareVersion) {
         boolean candidate =
                 done()
-                        ? !mOldVersions.contains(softwareVersion)
+                        ? !mVersions.isOld(softwareVersion)
                         : softwareVersion.equals(mOrder.softwareVersion());
         return candidate == (group == Group.CANDIDATE);
     }
@@ -190,18 +186,19 @@
                 && end().isEmpty()
                 && mVerdict == RolloutVerdict.UNDECIDED
                 && !mJudge.ownBad()
-                && mClock.endedElsewhere(nowMillis);
+                && !mJudge.peers().anyHeard(nowMillis)
+                && mClock.surelyEnded(nowMillis);
     }
 
     /**
      * Returns whether a service without usable endpoints in these groups is served by all others:
-     * by versions that came after the end, and by the only version that is left unless it is about
-     * to be rolled back.
+     * by the old versions after the end if no other is registered, and by the new version if it is
+     * the only one that is left, unless it is about to be rolled back.
      */
     public boolean mayUseAny() {
-        boolean onlyCandidate = mRegistered.equals(Set.of(mOrder.softwareVersion()));
-        return done()
-                || onlyCandidate && (end().isPresent() || mVerdict == RolloutVerdict.UNDECIDED);
+        boolean candidateAllowed = end().isPresent() || mVerdict == RolloutVerdict.UNDECIDED;
+        return done() && mVersions.onlyOldRegistered()
+                || mVersions.onlyCandidateRegistered() && candidateAllowed;
     }
 
     /** Returns whether the version is judged good and all traffic goes there. */
@@ -230,7 +227,7 @@
     /** Peers are followed if the store does not answer. */
     private boolean statusKnown(long nowMillis) {
         return mStatusRead
-                || mPeersHeard
+                || mJudge.peers().anyReported()
                         && mClock.elapsedMillis(nowMillis) >= RolloutClock.STATUS_READ_MILLIS;
     }
 
@@ -274,7 +271,6 @@
      */
     public void reportReceived(String peer, InstanceReport report, long nowMillis) {
         mJudge.peers().received(peer, report, nowMillis);
-        mPeersHeard = true;
         apply(report.verdict(), nowMillis);
     }
 
@@ -283,9 +279,10 @@
      * there.
      *
      * @param peer name of the peer
+     * @param nowMillis current monotonic time, in milliseconds
      */
-    public void reportMissing(String peer) {
-        mEndedAtPeer |= mJudge.peers().remove(peer);
+    public void reportMissing(String peer, long nowMillis) {
+        mEndedAtPeer |= mJudge.peers().notReported(peer, nowMillis);
     }
 
     private void apply(RolloutVerdict verdict, long nowMillis) {
@@ -303,9 +300,10 @@
     /**
      * Derives the verdict from the counts of all instances; to be called several times a second.
      *
+     * @param fleet the other instances
      * @param nowMillis current monotonic time, in milliseconds
      */
-    public void judge(long nowMillis) {
+    public void judge(RolloutFleet fleet, long nowMillis) {
         if (mPaused || end().isPresent() || mVerdict == RolloutVerdict.BAD) {
             return;
         }
@@ -315,16 +313,18 @@
                         mClock.elapsedMillis(nowMillis),
                         mOrder.durationMillis(),
                         nowMillis);
-        boolean present = mRegistered.contains(mOrder.softwareVersion());
-        if (moved() && !present) {
+        if (moved() && mVersions.candidateGone()) {
             apply(RolloutVerdict.BAD, nowMillis);
-        } else if (verdict != RolloutVerdict.GOOD || present && mayBecomeGood(nowMillis)) {
+        } else if (verdict != RolloutVerdict.GOOD || mayBecomeGood(fleet, nowMillis)) {
             apply(verdict, nowMillis);
         }
     }
 
-    private boolean mayBecomeGood(long nowMillis) {
-        return statusKnown(nowMillis) && !mClock.closing(nowMillis);
+    private boolean mayBecomeGood(RolloutFleet fleet, long nowMillis) {
+        return !fleet.hearsNoOther()
+                && mVersions.candidateRegistered()
+                && statusKnown(nowMillis)
+                && !mClock.finalStateDue(nowMillis);
     }
 
     /**
@@ -353,6 +353,9 @@
     public void statusRead(Optional<RolloutStatus> status, long storeMillis, long nowMillis) {
         mStatusRead = true;
         mEndedAtPeer = false;
+        if (status.filter(each -> each.state().isFinal()).isPresent()) {
+            mStatusLost = false;
+        }
         if (mPaused || status.isEmpty() || end().isPresent()) {
             return;
         }
@@ -369,7 +372,7 @@
         if (read.state().isFinal()) {
             mEndMillis = nowMillis;
             mVerdict = read.state() == State.DONE ? RolloutVerdict.GOOD : RolloutVerdict.BAD;
-            addOldVersions();
+            mVersions.addOld();
         }
     }
 
@@ -402,7 +405,7 @@
      */
     public Optional<RolloutStatus> wanted(RolloutFleet fleet, long nowMillis) {
         if (mPaused || end().isPresent()) {
-            return Optional.empty();
+            return mStatus.filter(each -> mStatusLost && !mPaused);
         }
         Optional<State> end = wantedEnd(fleet, nowMillis);
         boolean moving = moved();
@@ -417,13 +420,13 @@
         if (mVerdict == RolloutVerdict.BAD) {
             return Optional.of(State.ROLLED_BACK);
         }
-        boolean closing = mClock.closing(nowMillis);
+        boolean finalStateDue = mClock.finalStateDue(nowMillis);
         boolean drained = drained(fleet, nowMillis);
         boolean watched = mClock.watched(nowMillis) && mJudge.finding() == Finding.FINE;
-        if (drained && (watched || closing)) {
+        if (drained && (watched || finalStateDue)) {
             return Optional.of(State.DONE);
         }
-        return closing ? Optional.of(State.ROLLED_BACK) : Optional.empty();
+        return finalStateDue ? Optional.of(State.ROLLED_BACK) : Optional.empty();
     }
 
     /**
