Keep connections whose response is not sent yet in a graceful stop

closeIdle() closed a connection as soon as the last part of its response was written, which dropped what the socket had not taken yet, or a refusal that was still to be sent. Connections that never read end with the stop deadline.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -207,6 +207,11 @@
         return mServing == null && mComplete.isEmpty() && mReceiving == null;
     }
 
+    /** Returns whether a response or refusal is still to be sent. */
+    boolean answering() {
+        return unsentBytes() > 0 || mRefusal != null && !mClosing;
+    }
+
     /** Closes a connection that is idle for too long, or whose request does not arrive in time. */
     void enforceTimeouts(long nowMillis, CallerLimits limits) {
         boolean heading = mServing == null && mReceiving == null && mComplete.isEmpty();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -140,10 +140,10 @@
         mStopping = true;
     }
 
-    /** Closes the connections without a request in progress. */
+    /** Closes the connections without a request in progress or a response still to be sent. */
     public void closeIdle() {
         for (CallerConnection connection : new ArrayList<>(mConnections)) {
-            if (connection.idle()) {
+            if (connection.idle() && !connection.answering()) {
                 connection.channel().close();
             }
         }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -29,18 +29,24 @@
     private static final int TIMEOUT_MILLIS = 10_000;
     private static final long CHECK_MILLIS = 50;
     private static final CallerLimits LIMITS = new CallerLimits(16_384, 100_000, 300, 30_000);
+    private static final CallerLimits SLOW_HEADERS =
+            new CallerLimits(16_384, 100_000, 10_000, 30_000);
+    private static final CallerLimits SHORT_IDLE = new CallerLimits(16_384, 100_000, 300, 1_000);
+    private static final int LARGE_BYTES = 16 << 20;
+    private static final int MAX_AHEAD_BYTES = 150_000;
 
     private final EventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> mReceived = new CopyOnWriteArrayList<>();
     private final List<String> mLimited = new CopyOnWriteArrayList<>();
     private volatile Consumer<CallerExchange> mService = CallerListenerTest::respond;
+    private volatile CallerLimits mLimits = LIMITS;
     private InetSocketAddress mAddress;
 
     private final CallerListener mListener =
             new CallerListener(
                     mLoops,
-                    () -> LIMITS,
+                    () -> mLimits,
                     () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                     new CallerEvents() {
                         @Override
@@ -91,6 +97,11 @@
         return socket;
     }
 
+    private static void respondLarge(CallerExchange exchange) {
+        byte[] body = new byte[LARGE_BYTES];
+        exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), body);
+    }
+
     private static String readToEnd(Socket socket) throws IOException {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
@@ -191,6 +202,26 @@
         assertThat(mReceived).containsExactly("/small");
     }
 
+    /** Guards against a graceful stop that cuts a response which is not sent completely. */
+    @Test
+    void aStopDoesNotCutAResponseThatIsNotSentYet() throws Exception {
+        mService = CallerListenerTest::respondLarge;
+        try (Socket socket = send(request("/1", ""))) {
+            await(mReceived, "/1");
+            mLoops.next()
+                    .scheduleAtFixedRate(
+                            () -> {
+                                mListener.startStopping();
+                                mListener.closeIdle();
+                            },
+                            0,
+                            CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+            Thread.sleep(300);
+            assertThat(socket.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+        }
+    }
+
     /** Guards against callers that are refused because others keep connections for nothing. */
     @Test
     void aNewConnectionTakesThePlaceOfAnIdleOne() throws Exception {
