Keep the counts of a replaced request decoder

After a change of max_header_bytes the old decoder overwrote what its replacement had reported of a partial head, so that the head had no time limit and its buffer was not counted.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -76,6 +76,10 @@
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         mDecodedAtOnce = 0;
         super.channelRead(context, message);
+        if (context.isRemoved()) {
+            // The replacement has received the rest and reported it.
+            return;
+        }
         ByteBuf buffer = internalBuffer();
         mInput.partial(mInsideRequest || buffer.isReadable());
         if (mInput.held() && buffer.readableBytes() > MAX_AHEAD_BYTES) {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
@@ -30,12 +30,13 @@
 
     private final Queue<HttpMethod> mMethods = new ArrayDeque<>();
     private int mHeaderBytes = SHORT_BYTES;
+    private final CallerInput mInput = new CallerInput(MAX_FIELDS, UNLIMITED.open(null));
     private final EmbeddedChannel mChannel =
             new EmbeddedChannel(
                     new CallerRequestDecoder(
                             () -> new CallerLimits(mHeaderBytes, 1_000, 1_000, 1_000),
                             mMethods,
-                            new CallerInput(MAX_FIELDS, UNLIMITED.open(null))),
+                            mInput),
                     new CallerResponseEncoder(mMethods));
 
     @AfterEach
@@ -91,6 +92,16 @@
         assertThat(written()).doesNotContain("one").endsWith("two");
     }
 
+    /** Guards against half a head without a time limit, or whose buffer is not counted. */
+    @Test
+    void halfAHeadCountsAlthoughTheLimitChangedBeforeIt() {
+        mHeaderBytes = LONG_BYTES;
+        receive("GET /1");
+
+        assertThat(mInput.partial()).isTrue();
+        assertThat(mInput.pendingBytes()).isPositive();
+    }
+
     private void receive(String text) {
         mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
     }
