Bound what is read ahead of a waiting request

ByteToMessageDecoder.channelReadComplete() reads on when nothing was decoded and autoRead is off, so a caller that pipelined used up the memory budget.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -93,6 +93,20 @@
         }
     }
 
+    /**
+     * The superclass asks for another read here when nothing was decoded. While bytes are left
+     * undecoded on purpose, that would read on without a bound.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (mInput.held() && !context.channel().config().isAutoRead()) {
+            discardSomeReadBytes();
+            context.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(context);
+        }
+    }
+
     private static void decodeRest(Channel channel) {
         channel.config().setAutoRead(true);
         channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -222,6 +222,36 @@
         }
     }
 
+    /** Guards against a caller that pipelines without end while its first request is served. */
+    @Test
+    void littleIsReadBehindARequestThatWaits() throws Exception {
+        mService = exchange -> {};
+        try (Socket socket = send(request("/1", "") + request("/2", ""))) {
+            await(mReceived, "/1");
+            socket.getOutputStream().write(request("/3", "").getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(100);
+            byte[] requests = request("/n", "").repeat(3_000).getBytes(StandardCharsets.UTF_8);
+            Thread writer =
+                    Thread.ofVirtual()
+                            .start(
+                                    () -> {
+                                        try {
+                                            for (int write = 0; write < 200; write++) {
+                                                socket.getOutputStream().write(requests);
+                                            }
+                                        } catch (IOException closed) {
+                                            // The end of the test closes the connection.
+                                        }
+                                    });
+            Thread.sleep(1_000);
+            long bytes = mLoops.next().submit(() -> mListener.memory().totalBytes()).get();
+            assertThat(bytes).isPositive().isLessThan(MAX_AHEAD_BYTES);
+            assertThat(mLimited).isEmpty();
+            socket.close();
+            writer.join();
+        }
+    }
+
     /** Guards against callers that are refused because others keep connections for nothing. */
     @Test
     void aNewConnectionTakesThePlaceOfAnIdleOne() throws Exception {
