--- a/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/relay/RelayListener.java
@@ -22,6 +22,9 @@
 
 /** Relays connections of other instances to endpoints which those can't reach themselves. */
 public final class RelayListener {
+    /** Connections beyond the maximum that are open only until their refusal is sent. */
+    private static final int REFUSALS = 16;
+
     private final GatewayState mState;
     private final EventLoopGroup mLoops;
     private final Set<Channel> mRelayed = new HashSet<>();
@@ -40,7 +43,9 @@
         mState = state;
         mLoops = loops;
         mMaxConnections = state.connectionShares().relays();
-        mBound = new ConnectionBound(mMaxConnections, () -> state.callerLimited("relays"));
+        mBound =
+                new ConnectionBound(
+                        mMaxConnections + REFUSALS, () -> state.callerLimited("relays"));
     }
 
     /**
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayInstance.java
@@ -10,14 +10,18 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.wasabilug.gateway.CallerSettings;
 import org.wasabilug.gateway.FeatureSettings;
+import org.wasabilug.gateway.FeatureSettings.MachineLimits;
 import org.wasabilug.gateway.GatewaySettings;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.endpoint.ConnectionRouter.Relay;
 import org.wasabilug.gateway.internal.endpoint.EndpointConnections;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.internal.serving.ColdLimits;
+import org.wasabilug.internal.serving.HedgeLimits;
 import org.wasabilug.internal.serving.RetryLimits;
+import org.wasabilug.internal.serving.RolloutLimits;
 import org.wasabilug.internal.serving.ShutdownSchedule;
 import org.wasabilug.serving.EndpointRegistration;
 
@@ -36,11 +40,17 @@
 
     /** Starts an instance on a loopback host that no outgoing connection uses as its own. */
     RelayInstance(String name, String host) throws IOException, InterruptedException {
+        this(name, host, MachineLimits.UNKNOWN);
+    }
+
+    /** Starts an instance on a machine with the given limits. */
+    RelayInstance(String name, String host, MachineLimits machine)
+            throws IOException, InterruptedException {
         mName = name;
         mAddress = freeAddress(host);
         mState =
                 new GatewayState(
-                        settings(name, mAddress),
+                        settings(name, mAddress, machine),
                         null,
                         mLoops.next(),
                         new EndpointConnections(mLoops, "Id", GatewayState::clockMillis, name),
@@ -50,6 +60,11 @@
     }
 
     static GatewaySettings settings(String name, InetSocketAddress relays) {
+        return settings(name, relays, MachineLimits.UNKNOWN);
+    }
+
+    private static GatewaySettings settings(
+            String name, InetSocketAddress relays, MachineLimits machine) {
         return new GatewaySettings(
                 name,
                 "rennes",
@@ -63,7 +78,12 @@
                 1,
                 true,
                 STOP_MILLIS,
-                FeatureSettings.DEFAULT);
+                new FeatureSettings(
+                        RolloutLimits.DEFAULT,
+                        false,
+                        HedgeLimits.OFF,
+                        machine,
+                        CallerSettings.DEFAULT));
     }
 
     private static InetSocketAddress freeAddress(String host) throws IOException {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/relay/RelayListenerTest.java
@@ -9,16 +9,23 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.wasabilug.gateway.FeatureSettings.MachineLimits;
 import org.wasabilug.messages.gateway.RelayReply;
 import org.wasabilug.messages.gateway.RelayRequest;
 
 /** What a relay replies to bytes of another instance, sound or not. */
 class RelayListenerTest {
     private static final int TIMEOUT_MILLIS = 5_000;
+
+    /** Relayed connections of the machine with the fewest descriptors. */
+    private static final int RELAYS_OF_SMALLEST = 8;
+
     private static final int FLOOD_BLOCK_BYTES = 65_536;
     private static final int FLOOD_BLOCKS = 1_000;
     private static final byte[] LENGTH_OF_TWO_GIGABYTES = {
@@ -92,6 +99,33 @@
         assertRefused(RelayReply.Status.NO_CAPACITY);
     }
 
+    /** Guards against a full relay that closes connections, which looks like its failure. */
+    @Test
+    void aRelayThatIsFullSaysSo() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        try (RelayInstance small =
+                new RelayInstance("small", "127.0.0.4", new MachineLimits(0, 1))) {
+            small.register(mEndpoint.registration());
+            for (int number = 0; number < RELAYS_OF_SMALLEST; number++) {
+                assertThat(askNew(small, sockets)).isEqualTo(RelayReply.Status.OPENED);
+            }
+            assertThat(askNew(small, sockets)).isEqualTo(RelayReply.Status.NO_CAPACITY);
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private static RelayReply.Status askNew(RelayInstance relay, List<Socket> sockets)
+            throws IOException {
+        Socket socket = new Socket(relay.address().getAddress(), relay.address().getPort());
+        sockets.add(socket);
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        REQUEST.writeDelimitedTo(socket.getOutputStream());
+        return readStatus(socket);
+    }
+
     @Test
     void anEndpointThatRefusesConnectionsIsReportedAsRefused() throws Exception {
         mRelay.register(SocketEndpoint.registration("refusing", unusedPort(), false));
