--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -167,12 +167,17 @@
         reportWritability();
     }
 
+    /** Returns what was last reported, so that each change is reported exactly once. */
     boolean writable() {
+        return mWritable;
+    }
+
+    private boolean mayWrite() {
         return mChannel.isWritable() || mOutput.mayReadAhead();
     }
 
     private void reportWritability() {
-        if (mServing != null && writable() != mWritable) {
+        if (mServing != null && mayWrite() != mWritable) {
             mWritable = !mWritable;
             mServing.writabilityChanged();
         }
