--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -331,7 +331,8 @@
     @Override
     public long unsentBytes() {
         ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        // The total falls only when a whole part of a response is sent.
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
     }
 
     @Override
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -252,6 +252,26 @@
         }
     }
 
+    /** Guards against a close of a caller that reads one large response steadily but slowly. */
+    @Test
+    void aLargeResponseThatIsReadSlowlyIsSentWhole() throws Exception {
+        mLimits = SHORT_IDLE;
+        mService = CallerListenerTest::respondLarge;
+        try (Socket socket = send(request("/1", "Connection: close\r\n"))) {
+            byte[] buffer = new byte[1 << 19];
+            long total = 0;
+            int read = socket.getInputStream().read(buffer);
+            while (read >= 0) {
+                total += read;
+                Thread.sleep(60);
+                read = socket.getInputStream().readNBytes(buffer, 0, buffer.length);
+                read = read == 0 ? -1 : read;
+            }
+            assertThat(total).isGreaterThan(LARGE_BYTES);
+        }
+        assertThat(mLimited).isEmpty();
+    }
+
     /** Guards against callers that are refused because others keep connections for nothing. */
     @Test
     void aNewConnectionTakesThePlaceOfAnIdleOne() throws Exception {
