--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -191,15 +191,23 @@
     /** Guards against bodies that never end and take the memory of all others. */
     @Test
     void memoryIsTakenFromABodyThatStopped() throws Exception {
-        String large = request("/large", "Content-Length: 90000\r\n") + "x".repeat(89_999);
-        try (Socket first = send(large);
-                Socket second = send(large);
-                Socket ordinary = send(request("/small", "Connection: close\r\n"))) {
-            assertThat(readToEnd(ordinary)).endsWith("/small");
-            assertThat(readToEnd(first)).startsWith("HTTP/1.1 4").contains("close");
-            assertThat(readToEnd(second)).startsWith("HTTP/1.1 4").contains("close");
+        mLimits = SLOW_HEADERS;
+        String large = request("/large", "Content-Length: 90000\r\nConnection: close\r\n");
+        String stopped = large + "x".repeat(89_999);
+        try (Socket first = send(stopped);
+                Socket second = send(stopped)) {
+            Thread.sleep(1_100);
+            try (Socket whole = send(stopped + "x")) {
+                assertThat(readToEnd(whole)).startsWith("HTTP/1.1 200").endsWith("/large");
+            }
+            await(mLimited, "memory");
+            Socket refused = first.getInputStream().available() > 0 ? first : second;
+            assertThat(readToEnd(refused))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("Retry-After: 1");
         }
-        assertThat(mReceived).containsExactly("/small");
+        assertThat(mReceived).containsExactly("/large");
+        assertThat(mLimited).containsExactly("memory");
     }
 
     /** Guards against a graceful stop that cuts a response which is not sent completely. */
