Count pipelined requests as received when their bytes arrive

Heads behind a waiting request are decoded late, and their deadlines started only then. A request counts from the arrival of the last byte of its head, as it does without pipelining. The time of the oldest undecoded byte would be too early for a caller that always has bytes waiting.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -51,7 +51,7 @@
         mChannel = channel;
         mMemory = listener.memory().open(this);
         mOutput = listener.output().open(this);
-        mInput = new CallerInput(listener.settings().maxFields(), mMemory);
+        mInput = new CallerInput(listener.settings().maxFields(), mMemory, listener::nowMillis);
         mTimes = new CallerTimes(listener.settings().minBytesPerSecond(), listener.timerMillis());
     }
 
@@ -94,7 +94,7 @@
     }
 
     private void headReceived(HttpRequest head) {
-        mReceiving = new CallerExchange(this, head, mListener.nowMillis());
+        mReceiving = new CallerExchange(this, head, mInput.arrivals().decodedMillis());
         mReceiving.addMemory(mInput.takeHeadBytes());
         mTimes.headReceived(mListener.timerMillis());
         int maximum = mListener.limits().bodyBytes();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerInput.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerInput.java
@@ -1,5 +1,6 @@
 package org.wasabilug.gateway.internal.caller;
 
+import java.util.function.LongSupplier;
 import org.wasabilug.gateway.internal.limit.MemoryBudget;
 
 /** What one connection has received and not passed on, and what it may still receive. */
@@ -14,6 +15,7 @@
 
     private final int mMaxFields;
     private final MemoryBudget.Account mAccount;
+    private final ByteArrivals mArrivals;
     private int mFields;
     private long mHeadBytes;
     private long mBufferBytes;
@@ -21,8 +23,9 @@
     private boolean mHeld;
     private boolean mDiscarding;
 
-    CallerInput(int maxFields, MemoryBudget.Account account) {
+    CallerInput(int maxFields, MemoryBudget.Account account, LongSupplier clockMillis) {
         mMaxFields = maxFields;
+        mArrivals = new ByteArrivals(clockMillis);
         mAccount = account;
     }
 
@@ -98,6 +101,10 @@
         return mDiscarding;
     }
 
+    ByteArrivals arrivals() {
+        return mArrivals;
+    }
+
     long pendingBytes() {
         return mHeadBytes + mBufferBytes;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -75,12 +75,16 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         mDecodedAtOnce = 0;
+        if (message instanceof ByteBuf bytes) {
+            mInput.arrivals().arrived(internalBuffer().readableBytes() + bytes.readableBytes());
+        }
         super.channelRead(context, message);
         if (context.isRemoved()) {
             // The replacement has received the rest and reported it.
             return;
         }
         ByteBuf buffer = internalBuffer();
+        mInput.arrivals().decoded(buffer.readableBytes());
         mInput.partial(mInsideRequest || buffer.isReadable());
         if (mInput.held() && buffer.readableBytes() > MAX_AHEAD_BYTES) {
             context.channel().config().setAutoRead(false);
@@ -130,6 +134,7 @@
         }
         int before = out.size();
         super.decode(context, in, out);
+        mInput.arrivals().decoded(in.readableBytes());
         mDecodedAtOnce += out.size() - before;
         out.subList(before, out.size()).forEach(this::decoded);
     }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -260,6 +260,27 @@
         }
     }
 
+    /** Guards against deadlines that start only when a pipelined request is decoded. */
+    @Test
+    void aPipelinedRequestCountsAsReceivedWhenItsBytesArrived() throws Exception {
+        List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
+        mService = exchanges::add;
+        try (Socket socket = send(request("/1", "") + request("/2", "") + request("/3", ""))) {
+            await(mReceived, "/1");
+            Thread.sleep(400);
+            socket.getOutputStream().write(request("/4", "").getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(400);
+            for (int number = 0; number < 3; number++) {
+                CallerExchange exchange = exchanges.get(number);
+                mLoops.next().submit(() -> respond(exchange)).get();
+                await(mReceived, "/" + (number + 2));
+            }
+            long first = exchanges.get(0).receivedMillis();
+            assertThat(exchanges.get(2).receivedMillis() - first).isLessThan(200);
+            assertThat(exchanges.get(3).receivedMillis() - first).isBetween(350L, 600L);
+        }
+    }
+
     /** Guards against a close of a caller that reads one large response steadily but slowly. */
     @Test
     void aLargeResponseThatIsReadSlowlyIsSentWhole() throws Exception {
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoderTest.java
@@ -30,7 +30,7 @@
 
     private final Queue<HttpMethod> mMethods = new ArrayDeque<>();
     private int mHeaderBytes = SHORT_BYTES;
-    private final CallerInput mInput = new CallerInput(MAX_FIELDS, UNLIMITED.open(null));
+    private final CallerInput mInput = new CallerInput(MAX_FIELDS, UNLIMITED.open(null), () -> 0);
     private final EmbeddedChannel mChannel =
             new EmbeddedChannel(
                     new CallerRequestDecoder(
