Refuse new callers with 503 when all connections serve

A new caller saw a closed connection without an answer. Up to 16 connections beyond the maximum are now open until their first request is refused.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -45,6 +45,7 @@
     private HttpResponseStatus mRefusal;
     private boolean mClosing;
     private boolean mWritable = true;
+    private boolean mSurplus;
 
     CallerConnection(CallerListener listener, Channel channel) {
         mListener = listener;
@@ -67,6 +68,16 @@
         return mMemory;
     }
 
+    /** Marks a connection beyond the maximum, whose first request is refused. */
+    void markSurplus() {
+        mSurplus = true;
+    }
+
+    /** Returns whether the connection is beyond the maximum. */
+    boolean surplus() {
+        return mSurplus;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mListener.opened(this);
@@ -97,8 +108,12 @@
         mReceiving = new CallerExchange(this, head, mInput.arrivals().decodedMillis());
         mReceiving.addMemory(mInput.takeHeadBytes());
         mTimes.headReceived(mListener.timerMillis());
+        mSurplus = mSurplus && mListener.full();
         int maximum = mListener.limits().bodyBytes();
-        if (HttpUtil.isContentLengthSet(head) && HttpUtil.getContentLength(head, 0L) > maximum) {
+        if (mSurplus) {
+            refuse(CallerLimit.CONNECTIONS.status());
+        } else if (HttpUtil.isContentLengthSet(head)
+                && HttpUtil.getContentLength(head, 0L) > maximum) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(head) && mServing == null) {
             mChannel.writeAndFlush(
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerListener.java
@@ -29,6 +29,10 @@
 /** Accepts connections of callers and limits what they may send. */
 public final class CallerListener {
     private static final int BACKLOG = 1_024;
+
+    /** Connections beyond the maximum that are open only until their request is refused. */
+    static final int REFUSALS = 16;
+
     private static final int MAX_READS_AT_ONCE = 16;
 
     /** The process was paused if checks are further apart; callers are not to pay for that. */
@@ -198,16 +202,34 @@
     void opened(CallerConnection connection) {
         if (mConnections.size() >= mMaxConnections) {
             limited(CallerLimit.CONNECTIONS);
-            Optional<CallerConnection> victim = LeastUseful.of(mConnections.stream());
-            closed(victim.orElse(connection));
-            victim.orElse(connection).channel().close();
+            Optional<CallerConnection> victim =
+                    LeastUseful.of(mConnections.stream().filter(each -> !each.surplus()));
             if (victim.isEmpty()) {
-                return;
+                connection.markSurplus();
+                victim = surplusVictim();
             }
+            victim.ifPresent(this::closeFor);
         }
         mConnections.add(connection);
     }
 
+    /** Returns the connection to close so that few are open that wait for their refusal. */
+    private Optional<CallerConnection> surplusVictim() {
+        return mConnections.size() < mMaxConnections + REFUSALS
+                ? Optional.empty()
+                : LeastUseful.of(mConnections.stream().filter(CallerConnection::surplus));
+    }
+
+    private void closeFor(CallerConnection victim) {
+        closed(victim);
+        victim.channel().close();
+    }
+
+    /** Returns whether as many connections are open as may be served. */
+    boolean full() {
+        return mConnections.stream().filter(each -> !each.surplus()).count() >= mMaxConnections;
+    }
+
     void closed(CallerConnection connection) {
         mConnections.remove(connection);
     }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -319,6 +320,66 @@
         assertThat(mLimited).containsExactly("connections");
     }
 
+    /** Guards against callers that see a closed connection instead of a refusal. */
+    @Test
+    void aNewCallerIsRefusedWhenAllConnectionsServe() throws Exception {
+        mService = exchange -> {};
+        List<Socket> sockets = new ArrayList<>();
+        for (int number = 0; number < MAX_CONNECTIONS; number++) {
+            sockets.add(send(request("/" + number, "")));
+            await(mReceived, "/" + number);
+        }
+        Socket silent = send("");
+        sockets.add(silent);
+        for (int number = 0; number < CallerListener.REFUSALS * 2; number++) {
+            try (Socket refused = send(request("/refused", ""))) {
+                assertThat(readToEnd(refused))
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("Retry-After: 1");
+            }
+        }
+        mService = CallerListenerTest::respond;
+        sockets.removeFirst().close();
+        // The three that stay are two that serve and the silent one.
+        awaitConnections(MAX_CONNECTIONS);
+        silent.getOutputStream()
+                .write(request("/free", "Connection: close\r\n").getBytes(StandardCharsets.UTF_8));
+        assertThat(readToEnd(silent)).endsWith("/free");
+        assertThat(mReceived).containsExactly("/0", "/1", "/2", "/free");
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    /** Guards against an unbounded number of connections that wait for their refusal. */
+    @Test
+    void connectionsThatWaitForARefusalAreBounded() throws Exception {
+        mService = exchange -> {};
+        List<Socket> sockets = new ArrayList<>();
+        for (int number = 0; number < MAX_CONNECTIONS; number++) {
+            sockets.add(send(request("/" + number, "")));
+            await(mReceived, "/" + number);
+        }
+        for (int number = 0; number < CallerListener.REFUSALS * 2; number++) {
+            sockets.add(send(""));
+        }
+        await(mLimited, "connections");
+        assertThat(readToEnd(sockets.get(MAX_CONNECTIONS))).isEmpty();
+        assertThat(mLoops.next().submit(mListener::connections).get())
+                .isLessThanOrEqualTo(MAX_CONNECTIONS + CallerListener.REFUSALS);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void awaitConnections(int expected) throws Exception {
+        long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
+        while (mLoops.next().submit(mListener::connections).get() != expected) {
+            assertThat(System.currentTimeMillis()).as("time to wait").isLessThan(until);
+            Thread.sleep(5);
+        }
+    }
+
     private static void await(List<String> list, String entry) throws InterruptedException {
         long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
         while (!list.contains(entry)) {
