--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerConnection.java
@@ -45,13 +45,14 @@
     private HttpResponseStatus mRefusal;
     private boolean mClosing;
     private boolean mWritable = true;
+    private boolean mSurplus;
 
     CallerConnection(CallerListener listener, Channel channel) {
         mListener = listener;
         mChannel = channel;
         mMemory = listener.memory().open(this);
         mOutput = listener.output().open(this);
-        mInput = new CallerInput(listener.settings().maxFields(), mMemory);
+        mInput = new CallerInput(listener.settings().maxFields(), mMemory, listener::nowMillis);
         mTimes = new CallerTimes(listener.settings().minBytesPerSecond(), listener.timerMillis());
     }
 
@@ -67,6 +68,16 @@
         return mMemory;
     }
 
+    /** Marks a connection beyond the maximum, whose first request is refused. */
+    void markSurplus() {
+        mSurplus = true;
+    }
+
+    /** Returns whether the connection is beyond the maximum. */
+    boolean surplus() {
+        return mSurplus;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mListener.opened(this);
@@ -94,11 +105,15 @@
     }
 
     private void headReceived(HttpRequest head) {
-        mReceiving = new CallerExchange(this, head, mListener.nowMillis());
+        mReceiving = new CallerExchange(this, head, mInput.arrivals().decodedMillis());
         mReceiving.addMemory(mInput.takeHeadBytes());
         mTimes.headReceived(mListener.timerMillis());
+        mSurplus = mSurplus && mListener.full();
         int maximum = mListener.limits().bodyBytes();
-        if (HttpUtil.isContentLengthSet(head) && HttpUtil.getContentLength(head, 0L) > maximum) {
+        if (mSurplus) {
+            refuse(CallerLimit.CONNECTIONS.status());
+        } else if (HttpUtil.isContentLengthSet(head)
+                && HttpUtil.getContentLength(head, 0L) > maximum) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(head) && mServing == null) {
             mChannel.writeAndFlush(
@@ -167,12 +182,17 @@
         reportWritability();
     }
 
+    /** Returns what was last reported, so that each change is reported exactly once. */
     boolean writable() {
+        return mWritable;
+    }
+
+    private boolean mayWrite() {
         return mChannel.isWritable() || mOutput.mayReadAhead();
     }
 
     private void reportWritability() {
-        if (mServing != null && writable() != mWritable) {
+        if (mServing != null && mayWrite() != mWritable) {
             mWritable = !mWritable;
             mServing.writabilityChanged();
         }
@@ -207,6 +227,11 @@
         return mServing == null && mComplete.isEmpty() && mReceiving == null;
     }
 
+    /** Returns whether a response or refusal is still to be sent. */
+    boolean answering() {
+        return unsentBytes() > 0 || mRefusal != null && !mClosing;
+    }
+
     /** Closes a connection that is idle for too long, or whose request does not arrive in time. */
     void enforceTimeouts(long nowMillis, CallerLimits limits) {
         boolean heading = mServing == null && mReceiving == null && mComplete.isEmpty();
@@ -321,7 +346,8 @@
     @Override
     public long unsentBytes() {
         ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        // The total falls only when a whole part of a response is sent.
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
     }
 
     @Override
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/caller/CallerRequestDecoder.java
@@ -75,8 +75,16 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         mDecodedAtOnce = 0;
+        if (message instanceof ByteBuf bytes) {
+            mInput.arrivals().arrived(internalBuffer().readableBytes() + bytes.readableBytes());
+        }
         super.channelRead(context, message);
+        if (context.isRemoved()) {
+            // The replacement has received the rest and reported it.
+            return;
+        }
         ByteBuf buffer = internalBuffer();
+        mInput.arrivals().decoded(buffer.readableBytes());
         mInput.partial(mInsideRequest || buffer.isReadable());
         if (mInput.held() && buffer.readableBytes() > MAX_AHEAD_BYTES) {
             context.channel().config().setAutoRead(false);
@@ -89,6 +97,20 @@
         }
     }
 
+    /**
+     * The superclass asks for another read here when nothing was decoded. While bytes are left
+     * undecoded on purpose, that would read on without a bound.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (mInput.held() && !context.channel().config().isAutoRead()) {
+            discardSomeReadBytes();
+            context.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(context);
+        }
+    }
+
     private static void decodeRest(Channel channel) {
         channel.config().setAutoRead(true);
         channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
@@ -112,6 +134,7 @@
         }
         int before = out.size();
         super.decode(context, in, out);
+        mInput.arrivals().decoded(in.readableBytes());
         mDecodedAtOnce += out.size() - before;
         out.subList(before, out.size()).forEach(this::decoded);
     }
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -29,18 +30,24 @@
     private static final int TIMEOUT_MILLIS = 10_000;
     private static final long CHECK_MILLIS = 50;
     private static final CallerLimits LIMITS = new CallerLimits(16_384, 100_000, 300, 30_000);
+    private static final CallerLimits SLOW_HEADERS =
+            new CallerLimits(16_384, 100_000, 10_000, 30_000);
+    private static final CallerLimits SHORT_IDLE = new CallerLimits(16_384, 100_000, 300, 1_000);
+    private static final int LARGE_BYTES = 16 << 20;
+    private static final int MAX_AHEAD_BYTES = 150_000;
 
     private final EventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> mReceived = new CopyOnWriteArrayList<>();
     private final List<String> mLimited = new CopyOnWriteArrayList<>();
     private volatile Consumer<CallerExchange> mService = CallerListenerTest::respond;
+    private volatile CallerLimits mLimits = LIMITS;
     private InetSocketAddress mAddress;
 
     private final CallerListener mListener =
             new CallerListener(
                     mLoops,
-                    () -> LIMITS,
+                    () -> mLimits,
                     () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                     new CallerEvents() {
                         @Override
@@ -91,6 +98,11 @@
         return socket;
     }
 
+    private static void respondLarge(CallerExchange exchange) {
+        byte[] body = new byte[LARGE_BYTES];
+        exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), body);
+    }
+
     private static String readToEnd(Socket socket) throws IOException {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
@@ -180,15 +192,114 @@
     /** Guards against bodies that never end and take the memory of all others. */
     @Test
     void memoryIsTakenFromABodyThatStopped() throws Exception {
-        String large = request("/large", "Content-Length: 90000\r\n") + "x".repeat(89_999);
-        try (Socket first = send(large);
-                Socket second = send(large);
-                Socket ordinary = send(request("/small", "Connection: close\r\n"))) {
-            assertThat(readToEnd(ordinary)).endsWith("/small");
-            assertThat(readToEnd(first)).startsWith("HTTP/1.1 4").contains("close");
-            assertThat(readToEnd(second)).startsWith("HTTP/1.1 4").contains("close");
+        mLimits = SLOW_HEADERS;
+        String large = request("/large", "Content-Length: 90000\r\nConnection: close\r\n");
+        String stopped = large + "x".repeat(89_999);
+        try (Socket first = send(stopped);
+                Socket second = send(stopped)) {
+            Thread.sleep(1_100);
+            try (Socket whole = send(stopped + "x")) {
+                assertThat(readToEnd(whole)).startsWith("HTTP/1.1 200").endsWith("/large");
+            }
+            await(mLimited, "memory");
+            Socket refused = first.getInputStream().available() > 0 ? first : second;
+            assertThat(readToEnd(refused))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("Retry-After: 1");
+        }
+        assertThat(mReceived).containsExactly("/large");
+        assertThat(mLimited).containsExactly("memory");
+    }
+
+    /** Guards against a graceful stop that cuts a response which is not sent completely. */
+    @Test
+    void aStopDoesNotCutAResponseThatIsNotSentYet() throws Exception {
+        mService = CallerListenerTest::respondLarge;
+        try (Socket socket = send(request("/1", ""))) {
+            await(mReceived, "/1");
+            mLoops.next()
+                    .scheduleAtFixedRate(
+                            () -> {
+                                mListener.startStopping();
+                                mListener.closeIdle();
+                            },
+                            0,
+                            CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+            Thread.sleep(300);
+            assertThat(socket.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+        }
+    }
+
+    /** Guards against a caller that pipelines without end while its first request is served. */
+    @Test
+    void littleIsReadBehindARequestThatWaits() throws Exception {
+        mService = exchange -> {};
+        try (Socket socket = send(request("/1", "") + request("/2", ""))) {
+            await(mReceived, "/1");
+            socket.getOutputStream().write(request("/3", "").getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(100);
+            byte[] requests = request("/n", "").repeat(3_000).getBytes(StandardCharsets.UTF_8);
+            Thread writer =
+                    Thread.ofVirtual()
+                            .start(
+                                    () -> {
+                                        try {
+                                            for (int write = 0; write < 200; write++) {
+                                                socket.getOutputStream().write(requests);
+                                            }
+                                        } catch (IOException closed) {
+                                            // The end of the test closes the connection.
+                                        }
+                                    });
+            Thread.sleep(1_000);
+            long bytes = mLoops.next().submit(() -> mListener.memory().totalBytes()).get();
+            assertThat(bytes).isPositive().isLessThan(MAX_AHEAD_BYTES);
+            assertThat(mLimited).isEmpty();
+            socket.close();
+            writer.join();
+        }
+    }
+
+    /** Guards against deadlines that start only when a pipelined request is decoded. */
+    @Test
+    void aPipelinedRequestCountsAsReceivedWhenItsBytesArrived() throws Exception {
+        List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
+        mService = exchanges::add;
+        try (Socket socket = send(request("/1", "") + request("/2", "") + request("/3", ""))) {
+            await(mReceived, "/1");
+            Thread.sleep(400);
+            socket.getOutputStream().write(request("/4", "").getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(400);
+            for (int number = 0; number < 3; number++) {
+                CallerExchange exchange = exchanges.get(number);
+                mLoops.next().submit(() -> respond(exchange)).get();
+                await(mReceived, "/" + (number + 2));
+            }
+            long first = exchanges.get(0).receivedMillis();
+            assertThat(exchanges.get(2).receivedMillis() - first).isLessThan(200);
+            assertThat(exchanges.get(3).receivedMillis() - first).isBetween(350L, 600L);
+        }
+    }
+
+    /** Guards against a close of a caller that reads one large response steadily but slowly. */
+    @Test
+    void aLargeResponseThatIsReadSlowlyIsSentWhole() throws Exception {
+        mLimits = SHORT_IDLE;
+        mService = CallerListenerTest::respondLarge;
+        try (Socket socket = send(request("/1", "Connection: close\r\n"))) {
+            byte[] buffer = new byte[1 << 19];
+            long total = 0;
+            int read = socket.getInputStream().read(buffer);
+            while (read >= 0) {
+                total += read;
+                Thread.sleep(60);
+                read = socket.getInputStream().readNBytes(buffer, 0, buffer.length);
+                read = read == 0 ? -1 : read;
+            }
+            assertThat(total).isGreaterThan(LARGE_BYTES);
         }
-        assertThat(mReceived).containsExactly("/small");
+        assertThat(mLimited).isEmpty();
     }
 
     /** Guards against callers that are refused because others keep connections for nothing. */
@@ -209,6 +320,66 @@
         assertThat(mLimited).containsExactly("connections");
     }
 
+    /** Guards against callers that see a closed connection instead of a refusal. */
+    @Test
+    void aNewCallerIsRefusedWhenAllConnectionsServe() throws Exception {
+        mService = exchange -> {};
+        List<Socket> sockets = new ArrayList<>();
+        for (int number = 0; number < MAX_CONNECTIONS; number++) {
+            sockets.add(send(request("/" + number, "")));
+            await(mReceived, "/" + number);
+        }
+        Socket silent = send("");
+        sockets.add(silent);
+        for (int number = 0; number < CallerListener.REFUSALS * 2; number++) {
+            try (Socket refused = send(request("/refused", ""))) {
+                assertThat(readToEnd(refused))
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("Retry-After: 1");
+            }
+        }
+        mService = CallerListenerTest::respond;
+        sockets.removeFirst().close();
+        // The three that stay are two that serve and the silent one.
+        awaitConnections(MAX_CONNECTIONS);
+        silent.getOutputStream()
+                .write(request("/free", "Connection: close\r\n").getBytes(StandardCharsets.UTF_8));
+        assertThat(readToEnd(silent)).endsWith("/free");
+        assertThat(mReceived).containsExactly("/0", "/1", "/2", "/free");
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    /** Guards against an unbounded number of connections that wait for their refusal. */
+    @Test
+    void connectionsThatWaitForARefusalAreBounded() throws Exception {
+        mService = exchange -> {};
+        List<Socket> sockets = new ArrayList<>();
+        for (int number = 0; number < MAX_CONNECTIONS; number++) {
+            sockets.add(send(request("/" + number, "")));
+            await(mReceived, "/" + number);
+        }
+        for (int number = 0; number < CallerListener.REFUSALS * 2; number++) {
+            sockets.add(send(""));
+        }
+        await(mLimited, "connections");
+        assertThat(readToEnd(sockets.get(MAX_CONNECTIONS))).isEmpty();
+        assertThat(mLoops.next().submit(mListener::connections).get())
+                .isLessThanOrEqualTo(MAX_CONNECTIONS + CallerListener.REFUSALS);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void awaitConnections(int expected) throws Exception {
+        long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
+        while (mLoops.next().submit(mListener::connections).get() != expected) {
+            assertThat(System.currentTimeMillis()).as("time to wait").isLessThan(until);
+            Thread.sleep(5);
+        }
+    }
+
     private static void await(List<String> list, String entry) throws InterruptedException {
         long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
         while (!list.contains(entry)) {
