--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -50,7 +50,7 @@
     private boolean mEnded;
     private boolean mOverdue;
 
-    /** Whether a hedge answered first. */
+    /** Whether a hedge answered first, and this had not failed by then. */
     private boolean mOvertaken;
 
     private RolloutSend mRollout = RolloutSend.NONE;
@@ -185,9 +185,9 @@
      * recorded as a lower bound of the endpoint's time, unless that would make it look faster.
      */
     void recordOvertaken() {
-        mOvertaken = true;
+        mOvertaken = !failedOrNotExecuted();
         suspectIfSilent();
-        if (mContentReceived || failedOrNotExecuted() || mPredictedMillis <= 1) {
+        if (mContentReceived || !mOvertaken || mPredictedMillis <= 1) {
             return;
         }
         long now = mState.nowMillis();
