Name what pieces are ordered by in the fair queue

Terms of the queue differ where their meaning differs: a request past its first stage, one that is partly served, and one sent in the last call. The comment on the limit of reported waits holds for all deadlines.

--- a/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/DeferredAdmission.java
@@ -68,7 +68,7 @@
         }
         double wait = deferredWaitMillis(ahead.allTimelyPieces(), ahead.deferredPieces());
         // Work that was done for a request is lost if it is refused.
-        return work.begun() || wait + callMillis <= work.deadlineMillis() - nowMillis
+        return work.pastFirstStage() || wait + callMillis <= work.deadlineMillis() - nowMillis
                 ? Decision.DEFERRED
                 : Decision.REFUSED;
     }
--- a/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/FairOrder.java
@@ -39,8 +39,8 @@
      */
     private static final long RESERVE_MILLIS = 1_000;
 
-    private static final Comparator<WaitingPiece> BEGUN_FIRST =
-            Comparator.comparing((WaitingPiece waiting) -> !waiting.precedes());
+    private static final Comparator<WaitingPiece> PARTLY_SERVED_FIRST =
+            Comparator.comparing((WaitingPiece waiting) -> !waiting.partlyServed());
 
     private static final Comparator<WaitingPiece> LATEST_START_ORDER =
             Comparator.comparingLong((WaitingPiece waiting) -> waiting.work().startByMillis())
@@ -58,17 +58,17 @@
     private final TreeSet<WaitingPiece> mByDeadline = new TreeSet<>(DEADLINE_ORDER);
 
     /** Pieces of deferred requests that would be in time if they were sent now. */
-    private final WorkspaceShares mDoubtful =
-            new WorkspaceShares(BEGUN_FIRST.thenComparing(LATEST_START_ORDER));
+    private final WorkspaceShares mDeferred =
+            new WorkspaceShares(PARTLY_SERVED_FIRST.thenComparing(LATEST_START_ORDER));
 
     /** Pieces past their latest start. */
     private final WorkspaceShares mLate =
-            new WorkspaceShares(BEGUN_FIRST.thenComparing(DEADLINE_ORDER));
+            new WorkspaceShares(PARTLY_SERVED_FIRST.thenComparing(DEADLINE_ORDER));
 
     private final Map<String, Set<WaitingPiece>> mByRequest = new HashMap<>();
 
     /** Requests of which pieces were sent in the last call. */
-    private final Set<String> mBegun = new LinkedHashSet<>();
+    private final Set<String> mSentInLastCall = new LinkedHashSet<>();
 
     private final Map<String, Integer> mDeferredRequests = new HashMap<>();
     private final List<PieceWork> mNewlyDeferred = new ArrayList<>();
@@ -79,7 +79,7 @@
     /** The pieces of one rank that can still start in time. */
     private static final class Rank {
         private final WorkspaceShares mPieces =
-                new WorkspaceShares(BEGUN_FIRST.thenComparing(LATEST_START_ORDER));
+                new WorkspaceShares(PARTLY_SERVED_FIRST.thenComparing(LATEST_START_ORDER));
 
         /**
          * Pieces of more urgent ranks that were sent while this rank waited, less those for which
@@ -111,7 +111,7 @@
                 moreUrgent(work.rank()),
                 sameRank,
                 timelySize(),
-                mDoubtful.ahead(work.workspace()) + mLate.ahead(work.workspace()));
+                mDeferred.ahead(work.workspace()) + mLate.ahead(work.workspace()));
     }
 
     /**
@@ -125,7 +125,7 @@
     public Ahead reportedAhead(int rank) {
         Rank own = mRanks.get(rank);
         int sameRank = own == null ? 0 : own.mPieces.typicalAhead();
-        int deferred = mDoubtful.leastAhead() + mLate.leastAhead();
+        int deferred = mDeferred.leastAhead() + mLate.leastAhead();
         return new Ahead(moreUrgent(rank), sameRank, timelySize(), deferred);
     }
 
@@ -156,7 +156,7 @@
     public void defer(String request) {
         for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
             if (rank(waiting).remove(waiting)) {
-                mDoubtful.add(waiting);
+                mDeferred.add(waiting);
                 countDeferred(waiting);
             }
         }
@@ -172,7 +172,7 @@
         mByDeadline.add(waiting);
         mByRequest.computeIfAbsent(waiting.request(), each -> new LinkedHashSet<>()).add(waiting);
         if (isDeferred(waiting.request())) {
-            mDoubtful.add(waiting);
+            mDeferred.add(waiting);
             countDeferred(waiting);
         } else {
             rank(waiting).add(waiting);
@@ -193,7 +193,7 @@
         mByRequest.computeIfPresent(
                 waiting.request(),
                 (request, pieces) -> pieces.remove(waiting) && pieces.isEmpty() ? null : pieces);
-        if (mDoubtful.remove(waiting) || mLate.remove(waiting)) {
+        if (mDeferred.remove(waiting) || mLate.remove(waiting)) {
             mDeferredRequests.computeIfPresent(
                     waiting.request(), (request, count) -> count > 1 ? count - 1 : null);
         } else {
@@ -209,7 +209,7 @@
             if (rank(late).remove(late)) {
                 countDeferred(late);
             } else {
-                mDoubtful.remove(late);
+                mDeferred.remove(late);
             }
             mLate.add(late);
         }
@@ -236,7 +236,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public List<PieceWork> unservable(DeferredAdmission admission, long nowMillis) {
-        List<WaitingPiece> deferred = new ArrayList<>(mDoubtful.inServingOrder());
+        List<WaitingPiece> deferred = new ArrayList<>(mDeferred.inServingOrder());
         deferred.addAll(mLate.inServingOrder());
         Set<String> requests = new HashSet<>();
         List<PieceWork> unservable = new ArrayList<>();
@@ -244,7 +244,9 @@
         for (WaitingPiece waiting : deferred) {
             PieceWork work = waiting.work();
             boolean exempt =
-                    waiting.precedes() || work.repeat() || mBegun.contains(waiting.request());
+                    waiting.partlyServed()
+                            || work.repeat()
+                            || mSentInLastCall.contains(waiting.request());
             if (!exempt
                     && (requests.contains(waiting.request())
                             || !admission.servesWaiting(work, ahead, nowMillis))) {
@@ -277,7 +279,7 @@
 
     @Override
     public int lateSize() {
-        return mDoubtful.size() + mLate.size();
+        return mDeferred.size() + mLate.size();
     }
 
     @Override
@@ -289,8 +291,8 @@
 
     @Override
     public void offer(Call call) {
-        mBegun.forEach(this::moveToFront);
-        mBegun.clear();
+        mSentInLastCall.forEach(this::moveToFront);
+        mSentInLastCall.clear();
         int callSize = call.room();
         Map<Integer, Integer> sent = new HashMap<>();
         Set<WaitingPiece> taken = new HashSet<>();
@@ -309,16 +311,16 @@
         countPassedOver(sent, callSize);
         boolean reserve = timelySize() > 0 || call.nowMillis() - mLastTimelyMillis < RESERVE_MILLIS;
         double reservedShare = reserve ? RESERVED_SHARE : 0;
-        mDoubtful.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
+        mDeferred.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
         mLate.offer(waiting -> takeDeferred(call, waiting, reservedShare), call.room());
     }
 
     /** Lets the remaining pieces of a request precede others of their class. */
     private void moveToFront(String request) {
         for (WaitingPiece waiting : mByRequest.getOrDefault(request, Set.of())) {
-            if (!waiting.precedes()) {
+            if (!waiting.partlyServed()) {
                 WorkspaceShares shares = sharesWith(waiting);
-                waiting.setPrecedes();
+                waiting.setPartlyServed();
                 shares.add(waiting);
             }
         }
@@ -326,7 +328,7 @@
 
     /** Removes a piece from its class, and returns the class. */
     private WorkspaceShares sharesWith(WaitingPiece waiting) {
-        for (WorkspaceShares shares : List.of(rank(waiting), mDoubtful, mLate)) {
+        for (WorkspaceShares shares : List.of(rank(waiting), mDeferred, mLate)) {
             if (shares.remove(waiting)) {
                 return shares;
             }
@@ -349,13 +351,13 @@
      * work was done is exempt: its results are soon read, and release what it holds elsewhere.
      */
     private boolean takeDeferred(Call call, WaitingPiece waiting, double reservedShare) {
-        return counted(waiting, call.take(waiting, waiting.precedes() ? 0 : reservedShare));
+        return counted(waiting, call.take(waiting, waiting.partlyServed() ? 0 : reservedShare));
     }
 
     private boolean counted(WaitingPiece waiting, boolean taken) {
         if (taken) {
             mSent.merge(waiting.work().workspace(), 1, Integer::sum);
-            mBegun.add(waiting.request());
+            mSentInLastCall.add(waiting.request());
         }
         return taken;
     }
@@ -380,7 +382,7 @@
     public Map<String, Integer> takeSent() {
         Map<String, Integer> sent = new TreeMap<>(mSent);
         mSent.clear();
-        mDoubtful.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
+        mDeferred.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
         mLate.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
         for (Rank rank : mRanks.values()) {
             rank.mPieces.waiting().forEach(workspace -> sent.putIfAbsent(workspace, 0));
--- a/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/PieceWork.java
@@ -49,7 +49,7 @@
     }
 
     /** Returns whether work was done for the request before: it has completed a stage. */
-    public boolean begun() {
+    public boolean pastFirstStage() {
         return id.stage() > 0 || !inputs.isEmpty();
     }
 
--- a/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/QueueWaits.java
@@ -25,7 +25,7 @@
     /** Time without arrivals after which this instance no longer counts as the sender. */
     private static final long SENDER_MILLIS = 5_000;
 
-    /** Longer waits are of no interest, as every request would miss its deadline. */
+    /** Limit of the wait that is reported for a stage; the queue itself decides without a limit. */
     private static final double MAX_WAIT_MILLIS = 10_000;
 
     /**
--- a/core/src/main/java/org/wasabilug/internal/serving/WaitingPiece.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WaitingPiece.java
@@ -6,7 +6,7 @@
     private final RetryPermit mPermit;
     private final long mSinceMillis;
     private final long mOrder;
-    private boolean mPrecedes;
+    private boolean mPartlyServed;
 
     /**
      * Creates a waiting piece.
@@ -21,7 +21,7 @@
         mPermit = permit;
         mSinceMillis = sinceMillis;
         mOrder = order;
-        mPrecedes = work.begun();
+        mPartlyServed = work.pastFirstStage();
     }
 
     PieceWork work() {
@@ -48,12 +48,12 @@
      * Returns whether work was done for its request, so that it precedes others of its class where
      * workspaces get fair shares.
      */
-    boolean precedes() {
-        return mPrecedes;
+    boolean partlyServed() {
+        return mPartlyServed;
     }
 
     /** Records that work was done for its request; only while it is in no order. */
-    void setPrecedes() {
-        mPrecedes = true;
+    void setPartlyServed() {
+        mPartlyServed = true;
     }
 }
--- a/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/WorkspaceShares.java
@@ -34,10 +34,10 @@
             FAIR_PIECES_PER_ROUND / (double) (FAIR_PIECES_PER_ROUND + 1);
 
     /**
-     * Pieces that are offered to a call in vain before the rest of the class is passed over, as an
-     * endpoint without room for them would otherwise cost a pass over the whole queue.
+     * Pieces that a call refuses before the rest of the class is passed over, as an endpoint
+     * without room for them would otherwise cost a pass over the whole queue.
      */
-    private static final int MAX_OFFERS_IN_VAIN = 256;
+    private static final int MAX_REFUSED_OFFERS = 256;
 
     /**
      * Pieces of a workspace that are refused by a call before all other workspaces go first, so
@@ -50,10 +50,10 @@
     private final Map<String, Flow> mFlows = new LinkedHashMap<>();
     private double mVirtualTime;
 
-    /** Pieces chosen in turn, less those that go with the pieces chosen regardless of workspace. */
+    /** Pieces chosen in turn, less those that go with the pieces chosen in order of start. */
     private int mFairPieces;
 
-    private int mOffersInVain;
+    private int mRefusedOffers;
 
     /** The pieces of one workspace. */
     private static final class Flow {
@@ -178,12 +178,14 @@
                 .removeIf(flow -> flow.mPieces.isEmpty() && flow.mVirtualTime <= mVirtualTime);
         Set<WaitingPiece> taken = new HashSet<>();
         PriorityQueue<Cursor> cursors = cursors();
-        PeekingIterator<WaitingPiece> regardless = Iterators.peekingIterator(mAll.iterator());
-        mOffersInVain = 0;
+        PeekingIterator<WaitingPiece> inOrderOfStart = Iterators.peekingIterator(mAll.iterator());
+        mRefusedOffers = 0;
         mFlows.values().forEach(flow -> flow.mRefused = 0);
-        while (taken.size() < maximum && mOffersInVain < MAX_OFFERS_IN_VAIN && !cursors.isEmpty()) {
+        while (taken.size() < maximum
+                && mRefusedOffers < MAX_REFUSED_OFFERS
+                && !cursors.isEmpty()) {
             if (mFairPieces >= FAIR_PIECES_PER_ROUND) {
-                offerRegardless(regardless, call, taken, maximum);
+                offerInOrderOfStart(inOrderOfStart, call, taken, maximum);
             } else {
                 offerNext(cursors, call, taken, maximum);
             }
@@ -210,7 +212,7 @@
         PriorityQueue<Cursor> cursors =
                 new PriorityQueue<>(
                         Comparator.comparingInt(Cursor::timesPutBack)
-                                .thenComparing(cursor -> !cursor.mHead.precedes())
+                                .thenComparing(cursor -> !cursor.mHead.partlyServed())
                                 .thenComparingDouble(cursor -> cursor.mFlow.mVirtualTime)
                                 .thenComparing(cursor -> cursor.mHead, mOrder));
         for (Flow flow : mFlows.values()) {
@@ -221,8 +223,8 @@
         return cursors;
     }
 
-    /** Takes a piece, and those of its request that follow. */
-    private void offerRegardless(
+    /** Takes the next piece of any workspace, and those of its request that follow. */
+    private void offerInOrderOfStart(
             PeekingIterator<WaitingPiece> pieces,
             Predicate<WaitingPiece> call,
             Set<WaitingPiece> taken,
@@ -231,7 +233,7 @@
         String request = null;
         while (pieces.hasNext()
                 && taken.size() < maximum
-                && mOffersInVain < MAX_OFFERS_IN_VAIN
+                && mRefusedOffers < MAX_REFUSED_OFFERS
                 && (request == null || request.equals(pieces.peek().request()))) {
             WaitingPiece waiting = pieces.next();
             Flow flow = mFlows.get(waiting.work().workspace());
@@ -274,7 +276,7 @@
 
     private boolean takes(Predicate<WaitingPiece> call, WaitingPiece waiting, Flow flow) {
         boolean takes = call.test(waiting);
-        mOffersInVain += takes ? 0 : 1;
+        mRefusedOffers += takes ? 0 : 1;
         flow.mRefused += takes ? 0 : 1;
         return takes;
     }
--- a/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
+++ b/core/src/test/java/org/wasabilug/internal/serving/FairOrderTest.java
@@ -234,7 +234,7 @@
         List<PieceWork> unservable = mOrder.unservable(new DeferredAdmission(10, 10, 2, 280), 100);
 
         // Until their deadline, 8.62 s are left for the pieces ahead, at 10 per second.
-        assertThat(unservable).hasSize(201 - 87).noneMatch(PieceWork::begun);
+        assertThat(unservable).hasSize(201 - 87).noneMatch(PieceWork::pastFirstStage);
         unservable.forEach(work -> mQueue.cancel(work.id()));
         List<String> before = send(1, 100);
         assertThat(before).containsExactly("b");
