--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -211,6 +213,61 @@
         assertThat(mLimited).containsExactly("memory");
     }
 
+    /** Guards against large bodies just short of their end that keep small requests out. */
+    @Test
+    void aSmallRequestIsServedBesideStoppedBodies() throws Exception {
+        String large = request("/large", "Content-Length: 90000\r\n") + "x".repeat(89_999);
+        try (Socket first = send(large);
+                Socket second = send(large);
+                Socket ordinary = send(request("/small", "Connection: close\r\n"))) {
+            assertThat(readToEnd(ordinary)).endsWith("/small");
+            assertThat(readToEnd(first)).startsWith("HTTP/1.1 4").contains("close");
+            assertThat(readToEnd(second)).startsWith("HTTP/1.1 4").contains("close");
+        }
+        assertThat(mReceived).containsExactly("/small");
+    }
+
+    /** Guards against a stream that stays paused, as its writability changed unnoticed. */
+    @Test
+    void theWritabilityOfAStreamChangesOnlyWithANotification() throws Exception {
+        List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
+        mService = exchanges::add;
+        ByteBuf part = Unpooled.directBuffer(LARGE_BYTES).writerIndex(LARGE_BYTES);
+        try (Socket first = send(request("/1", ""));
+                Socket second = send(request("/2", ""))) {
+            await(mReceived, "/1");
+            await(mReceived, "/2");
+            List<Boolean> notified = new CopyOnWriteArrayList<>();
+            mLoops.next()
+                    .submit(
+                            () -> {
+                                CallerExchange stream = exchanges.get(0);
+                                stream.onWritabilityChange(() -> notified.add(stream.writable()));
+                                stream.startStream(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                                stream.write(part.retainedDuplicate());
+                                exchanges
+                                        .get(1)
+                                        .startStream(
+                                                HttpResponseStatus.OK, new DefaultHttpHeaders());
+                                boolean before = stream.writable();
+                                int seen = notified.size();
+                                long budget =
+                                        mListener
+                                                .settings()
+                                                .outputBytes(Runtime.getRuntime().maxMemory());
+                                while (mListener.output().totalBytes() < budget * 5 / 8) {
+                                    exchanges.get(1).write(part.retainedDuplicate());
+                                }
+                                assertThat(notified).hasSize(seen);
+                                assertThat(stream.writable()).isEqualTo(before);
+                            })
+                    .get();
+            await(notified, false);
+        } finally {
+            part.release();
+        }
+    }
+
     /** Guards against a graceful stop that cuts a response which is not sent completely. */
     @Test
     void aStopDoesNotCutAResponseThatIsNotSentYet() throws Exception {
@@ -380,7 +437,7 @@
         }
     }
 
-    private static void await(List<String> list, String entry) throws InterruptedException {
+    private static <E> void await(List<E> list, E entry) throws InterruptedException {
         long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
         while (!list.contains(entry)) {
             assertThat(System.currentTimeMillis())
