--- a/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/caller/CallerListenerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -107,6 +109,10 @@
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    private static String body(String path, int bytes) {
+        return request(path, "Connection: close\r\nContent-Length: " + bytes + "\r\n");
+    }
+
     private static String request(String path, String fields) {
         return "GET " + path + " HTTP/1.1\r\n" + fields + "\r\n";
     }
@@ -193,24 +199,76 @@
     @Test
     void memoryIsTakenFromABodyThatStopped() throws Exception {
         mLimits = SLOW_HEADERS;
-        String large = request("/large", "Content-Length: 90000\r\nConnection: close\r\n");
-        String stopped = large + "x".repeat(89_999);
-        try (Socket first = send(stopped);
-                Socket second = send(stopped)) {
-            Thread.sleep(1_100);
-            try (Socket whole = send(stopped + "x")) {
-                assertThat(readToEnd(whole)).startsWith("HTTP/1.1 200").endsWith("/large");
+        try (Socket stopped = send(body("/stopped", 70_000) + "x".repeat(69_999));
+                Socket moving = send(body("/moving", 80_000) + "x".repeat(79_900))) {
+            for (int part = 0; part < 11; part++) {
+                Thread.sleep(100);
+                moving.getOutputStream().write('x');
             }
-            await(mLimited, "memory");
-            Socket refused = first.getInputStream().available() > 0 ? first : second;
-            assertThat(readToEnd(refused))
-                    .startsWith("HTTP/1.1 503")
-                    .containsIgnoringCase("Retry-After: 1");
+            try (Socket whole = send(body("/whole", 90_000) + "x".repeat(90_000))) {
+                assertThat(readToEnd(whole)).startsWith("HTTP/1.1 200").endsWith("/whole");
+            }
+            assertThat(readToEnd(stopped)).startsWith("HTTP/1.1 503").contains("Retry-After: 1");
+            moving.getOutputStream().write(new byte[89]);
+            assertThat(readToEnd(moving)).startsWith("HTTP/1.1 200").endsWith("/moving");
         }
-        assertThat(mReceived).containsExactly("/large");
+        assertThat(mReceived).containsExactly("/whole", "/moving");
         assertThat(mLimited).containsExactly("memory");
     }
 
+    /** Guards against large bodies just short of their end that keep small requests out. */
+    @Test
+    void aSmallRequestIsServedBesideStoppedBodies() throws Exception {
+        String large = request("/large", "Content-Length: 90000\r\n") + "x".repeat(89_999);
+        try (Socket first = send(large);
+                Socket second = send(large);
+                Socket ordinary = send(request("/small", "Connection: close\r\n"))) {
+            assertThat(readToEnd(ordinary)).endsWith("/small");
+            assertThat(readToEnd(first)).startsWith("HTTP/1.1 4").contains("close");
+            assertThat(readToEnd(second)).startsWith("HTTP/1.1 4").contains("close");
+        }
+        assertThat(mReceived).containsExactly("/small");
+    }
+
+    /** Guards against a stream that stays paused, as its writability changed unnoticed. */
+    @Test
+    void theWritabilityOfAStreamChangesOnlyWithANotification() throws Exception {
+        List<CallerExchange> exchanges = new CopyOnWriteArrayList<>();
+        mService = exchanges::add;
+        ByteBuf part = Unpooled.directBuffer(LARGE_BYTES).writerIndex(LARGE_BYTES);
+        try (Socket first = send(request("/1", ""));
+                Socket second = send(request("/2", ""))) {
+            await(mReceived, "/1");
+            await(mReceived, "/2");
+            List<Boolean> notified = new CopyOnWriteArrayList<>();
+            mLoops.next()
+                    .submit(
+                            () -> {
+                                CallerExchange stream = exchanges.get(0);
+                                stream.onWritabilityChange(() -> notified.add(stream.writable()));
+                                stream.startStream(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                                stream.write(part.retainedDuplicate());
+                                exchanges
+                                        .get(1)
+                                        .startStream(
+                                                HttpResponseStatus.OK, new DefaultHttpHeaders());
+                                boolean before = stream.writable();
+                                int seen = notified.size();
+                                long heap = Runtime.getRuntime().maxMemory();
+                                long budget = mListener.settings().outputBytes(heap);
+                                while (mListener.output().totalBytes() < budget * 5 / 8) {
+                                    exchanges.get(1).write(part.retainedDuplicate());
+                                }
+                                assertThat(notified).hasSize(seen);
+                                assertThat(stream.writable()).isEqualTo(before);
+                            })
+                    .get();
+            await(notified, false);
+        } finally {
+            part.release();
+        }
+    }
+
     /** Guards against a graceful stop that cuts a response which is not sent completely. */
     @Test
     void aStopDoesNotCutAResponseThatIsNotSentYet() throws Exception {
@@ -340,10 +398,9 @@
         }
         mService = CallerListenerTest::respond;
         sockets.removeFirst().close();
-        // The three that stay are two that serve and the silent one.
         awaitConnections(MAX_CONNECTIONS);
-        silent.getOutputStream()
-                .write(request("/free", "Connection: close\r\n").getBytes(StandardCharsets.UTF_8));
+        byte[] free = request("/free", "Connection: close\r\n").getBytes(StandardCharsets.UTF_8);
+        silent.getOutputStream().write(free);
         assertThat(readToEnd(silent)).endsWith("/free");
         assertThat(mReceived).containsExactly("/0", "/1", "/2", "/free");
         for (Socket socket : sockets) {
@@ -380,7 +437,7 @@
         }
     }
 
-    private static void await(List<String> list, String entry) throws InterruptedException {
+    private static <E> void await(List<E> list, E entry) throws InterruptedException {
         long until = System.currentTimeMillis() + TIMEOUT_MILLIS;
         while (!list.contains(entry)) {
             assertThat(System.currentTimeMillis())
