--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedResponseTimes.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedResponseTimes.java
@@ -58,6 +58,7 @@
         if (!known) {
             return true;
         }
+        mState.log().count("latency-reports");
         return mState.hedging()
                 .times()
                 .recordReport(
