Mend comments and pages that a newcomer to the change stumbled on

A reader who had not seen the requirements found comments and rows that say other than the code: where requests go after a verdict, what counts as late, valid statuses, what /explain leaves out, when a status is read, and constants without a reason. Comments and pages only; no code.

--- a/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/Rollout.java
@@ -12,9 +12,9 @@
  * be written.
  *
  * <p>Until a version is judged good it gets a share of this instance's own requests. Once it is
- * good, new requests go there only, and those that are bound to the old version may follow them to
- * it for a while. After that the instance does not use the old version again unless the new one
- * turns bad.
+ * good, requests prefer it, and for a while the old version is the fallback, also for streams that
+ * can only be resumed there. After that the instance does not use the old version again unless the
+ * new one turns bad.
  */
 public final class Rollout {
     /** Time for which a verdict is still reported after a rollback, to peers that miss it. */
--- a/core/src/main/java/org/wasabilug/internal/rollout/VerdictTracker.java
+++ b/core/src/main/java/org/wasabilug/internal/rollout/VerdictTracker.java
@@ -17,13 +17,21 @@
     /** Responses of the old version in the window from which it is compared with that window. */
     private static final long MIN_WINDOW_RESPONSES = 50;
 
+    /** With fewer, a share of one bad response in a hundred can't be told from none. */
     private static final long USUAL_RESPONSES = 100;
+
     private static final long MIN_RESPONSES = 10;
     private static final long MIN_ROUTE_RESPONSES = 5;
     private static final long BUSY_ROUTE_RESPONSES = 50;
+
+    /** Shortest trial: this time or this part of the duration, whichever is shorter. */
     private static final long MAX_TRIAL_MILLIS = 10_000;
+
     private static final double USUAL_PART = 0.15;
+
+    /** Parts of the duration after which fewer responses have to do. */
     private static final double FEW_RESPONSES_PART = 0.4;
+
     private static final double LAST_PART = 0.5;
 
     private final Deque<Snapshot> mSnapshots = new ArrayDeque<>();
--- a/core/src/main/java/org/wasabilug/internal/serving/RolloutLimits.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/RolloutLimits.java
@@ -5,8 +5,8 @@
  *
  * @param exposureShare largest share of a service's requests that the version may get, from 0 to 1
  * @param exposureSlack requests that it may get in addition
- * @param rollbackMillis time in milliseconds after its last tolerated bad response until no request
- *     is sent to it any more
+ * @param rollbackMillis promised time in milliseconds from its last tolerated bad response until no
+ *     request is sent to it any more; tests check it, no decision uses it
  */
 public record RolloutLimits(double exposureShare, int exposureSlack, long rollbackMillis) {
     /** Limits of a deployment that states none. */
--- a/core/src/main/java/org/wasabilug/internal/serving/SelectionExplainer.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/SelectionExplainer.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 
 /**
- * Explains which endpoint an {@link EndpointSelector} would choose, without changing any state.
+ * Explains which endpoint an {@link EndpointSelector} would choose, without sending or reserving
+ * anything. Where shared speeds are in use, predictions hold a random part, so the chosen endpoint
+ * need not have the lowest one shown.
  *
  * <p>The limits on rejections of brittle endpoints are left out, as asking for them starts their
  * schedule of sends.
--- a/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
+++ b/core/src/main/java/org/wasabilug/internal/serving/StageQueue.java
@@ -152,7 +152,10 @@
         return mPieces.waitingByRank();
     }
 
-    /** Returns the number of waiting pieces that are past their latest start time. */
+    /**
+     * Returns the number of waiting pieces that are served last: those past their latest start
+     * time, and with fair admission those of deferred requests.
+     */
     public int lateSize() {
         return mPieces.lateSize();
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/FeatureSettings.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/FeatureSettings.java
@@ -30,7 +30,8 @@
     /**
      * What the machine gives to the process.
      *
-     * @param memoryBytes memory in bytes after which the process is killed; 0 if unknown
+     * @param memoryBytes memory in bytes after which the process is killed; 0 if unknown. The
+     *     budgets of callers are shares of the heap, so nothing depends on it yet
      * @param descriptors maximum number of open file descriptors; 0 if unknown
      */
     public record MachineLimits(long memoryBytes, int descriptors) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -127,7 +127,7 @@
     }
 
     /**
-     * Logs and counts that a limit on callers acted on a connection.
+     * Logs and counts that a limit on the connections of callers, peers or relays acted.
      *
      * @param limit name of the limit
      */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/Rollouts.java
@@ -165,7 +165,8 @@
 
     /**
      * Returns the endpoints of a stage that calls may be sent to. No call is bound to a version, so
-     * the old one gets none once the new one is judged good.
+     * once the new one is judged good, the old one gets calls only while no endpoint of the new one
+     * is usable.
      *
      * @param service name of the service
      * @param usable its usable endpoints
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/RolloutRecorder.java
@@ -15,7 +15,7 @@
  *
  * <p>A few instances, chosen by hash, write one after the other, so that the next one continues if
  * a writer ends halfway. All others read only when they start, when the rollout has ended at a
- * peer, and while they hear too few peers.
+ * peer, while they hear too few peers, and after the deadline.
  */
 final class RolloutRecorder {
     private static final int MAX_WRITERS = 4;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/limit/ConnectionShares.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/limit/ConnectionShares.java
@@ -19,7 +19,7 @@
     private static final int MIN_USABLE = 64;
     private static final int PARTS = 16;
 
-    /** The rest is for connections to endpoints, of which each caller may need one. */
+    /** The rest is for connections to endpoints, which are pooled and so fewer than callers. */
     private static final int CALLER_PARTS = 5;
 
     /**
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/limit/OutputBudget.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/limit/OutputBudget.java
@@ -10,9 +10,10 @@
  * with most of it is closed first.
  */
 public final class OutputBudget {
-    /** A stream is read ahead of its caller while so much of the budget is free. */
+    /** Streams are read ahead of their callers while less than half of the budget is in use. */
     private static final int READ_AHEAD_TOTAL_SHARES = 2;
 
+    /** Four slow callers can't use that half alone. */
     private static final int READ_AHEAD_SHARES = 8;
 
     private final long mMaxBytes;
