--- a/gateway/src/main/java/org/wasabilug/gateway/internal/limit/OutputBudget.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/limit/OutputBudget.java
@@ -16,7 +16,14 @@
     /** Four slow callers can't use that half alone. */
     private static final int READ_AHEAD_SHARES = 8;
 
+    /**
+     * A caller that is so far behind has stopped reading, however much memory there is; the
+     * endpoint is to notice that.
+     */
+    private static final long MAX_READ_AHEAD_BYTES = 4L << 20;
+
     private final long mMaxBytes;
+    private final long mMaxReadAheadBytes;
     private final Set<Account> mBehind = new LinkedHashSet<>();
     private long mTotalBytes;
 
@@ -27,6 +34,7 @@
      */
     public OutputBudget(long maxBytes) {
         mMaxBytes = maxBytes;
+        mMaxReadAheadBytes = Math.min(MAX_READ_AHEAD_BYTES, maxBytes / READ_AHEAD_SHARES);
     }
 
     /** A connection that is written to. */
@@ -99,8 +107,7 @@
 
         /** Returns whether more may be read for the caller although it has not read all before. */
         public boolean mayReadAhead() {
-            return mTotalBytes < mMaxBytes / READ_AHEAD_TOTAL_SHARES
-                    && mBytes < mMaxBytes / READ_AHEAD_SHARES;
+            return mTotalBytes < mMaxBytes / READ_AHEAD_TOTAL_SHARES && mBytes < mMaxReadAheadBytes;
         }
 
         /** Gives all memory back; the account is not used any more. */
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/limit/OutputBudgetTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/limit/OutputBudgetTest.java
@@ -73,4 +73,28 @@
         new Connection("large").write(400);
         assertThat(next.mAccount.mayReadAhead()).isFalse();
     }
+
+    /** Guards against a process with much memory that reads an endless stream for one caller. */
+    @Test
+    void aStreamIsReadAheadByAFewMegabytesHoweverLargeTheBudgetIs() {
+        OutputBudget large = new OutputBudget(1L << 30);
+        long[] unsent = {(4 << 20) - 1};
+        OutputBudget.Account account =
+                large.open(
+                        new OutputBudget.Holder() {
+                            @Override
+                            public long unsentBytes() {
+                                return unsent[0];
+                            }
+
+                            @Override
+                            public void closeUnread() {}
+                        });
+        account.update();
+        assertThat(account.mayReadAhead()).isTrue();
+
+        unsent[0]++;
+        account.update();
+        assertThat(account.mayReadAhead()).isFalse();
+    }
 }
