--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/RequestFlow.java
@@ -21,6 +21,9 @@
  * not run only if that holds for every attempt.
  */
 abstract sealed class RequestFlow implements AttemptOwner permits BufferedFlow, StreamFlow {
+    /** Times are rounded down, so that a timeout would otherwise end up to so much early. */
+    private static final long ROUNDING_MILLIS = 1;
+
     private final GatewayState mState;
     private final RequestContext mRequest;
     private final CallerExchange mExchange;
@@ -69,7 +72,11 @@
 
     private void scheduleTimeout(long remainingMillis) {
         mTimeout =
-                mState.loop().schedule(this::checkTimeout, remainingMillis, TimeUnit.MILLISECONDS);
+                mState.loop()
+                        .schedule(
+                                this::checkTimeout,
+                                remainingMillis + ROUNDING_MILLIS,
+                                TimeUnit.MILLISECONDS);
     }
 
     /** A new configuration may have raised the timeout since it was scheduled. */
