--- a/review/stand-2/standtwo/Caller.java
+++ b/review/stand-2/standtwo/Caller.java
@@ -50,6 +50,19 @@
     /** Sends a request and reads its answer; tells the number of events after each. */
     Answer call(String target, String id, int deadlineMillis, IntConsumer progress)
             throws IOException {
+        return call(target, id, deadlineMillis, "", progress);
+    }
+
+    /** Takes a stream up again that an earlier try began. */
+    Answer takeUp(String target, String id, int deadlineMillis, String began, long lastEvent)
+            throws IOException {
+        String headers = "Resumes: " + began + "\r\nLast-Event-Id: " + lastEvent + "\r\n";
+        return call(target, id, deadlineMillis, headers, event -> {});
+    }
+
+    private Answer call(
+            String target, String id, int deadlineMillis, String headers, IntConsumer progress)
+            throws IOException {
         boolean kept = mSocket != null;
         if (!kept) {
             mSocket = new Socket(InetAddress.getLoopbackAddress(), mPort);
@@ -68,7 +81,9 @@
                         + "\r\nX-Wasabilug-Model: m\r\nX-Wasabilug-Token-Counts: 100,50\r\n"
                         + "X-Wasabilug-Prefix-Hash: "
                         + id
-                        + ":100\r\nAuthorization: Token key-1\r\nContent-Length: "
+                        + ":100\r\nAuthorization: Token key-1\r\n"
+                        + headers
+                        + "Content-Length: "
                         + content.length()
                         + "\r\n\r\n"
                         + content;
--- a/review/stand-2/standtwo/Installation.java
+++ b/review/stand-2/standtwo/Installation.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,9 +21,28 @@
  * happens is written to the record; all processes end with it.
  */
 final class Installation implements AutoCloseable {
-    static final int HEARTBEAT_MILLIS = 1_200;
+    private static final int HEARTBEAT_MILLIS = 1_200;
     private static final int EXPIRY_MILLIS = 3 * HEARTBEAT_MILLIS;
 
+    /** Settings of a gateway, with the figures of the site frigoval-bzh. */
+    private static final String SETTINGS =
+            """
+            {"node_name":"%s","role":"gateway","machine_class":"front","serves":["front"],
+            "ip":"%s","zone":"%s","region":"breizh",
+            "zones":{"zone-rennes":"breizh","zone-brest":"breizh"},
+            "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
+            "port_range":[%d,%d],"seeds":[],"bootstrap":true,
+            "limits":{"cpu_share":0.75,"cores":1,"memory_mb":430,"max_fds":4100,
+            "link_mbps":1000.0,"disk_mb":0},
+            "discovery":"platform","entry":"vip","heartbeat_ms":1200,
+            "contracts":["base","drain","config","cost","retry","recover","engine","stream",
+            "tenants","places","platform","stages"],
+            "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"loss_slack_ms":200,
+            "config_ms":2000,"budget_ratio":0.2,"budget_window_s":10,"budget_extra":52,
+            "cold_over":1.5,"cold_slack":5,"evacuate_ms":5000,"recover_s":12},
+            "platform":{"address":"%s","form":"table"}}
+            """;
+
     private final Store mStore = new Store();
     private final Path mFolder = Files.createTempDirectory("review-2");
     private final PrintWriter mRecord;
@@ -32,17 +50,20 @@
     private final List<Process> mProcesses = new ArrayList<>();
     private final Map<String, Beat> mBeats = new ConcurrentHashMap<>();
     private volatile boolean mClosed;
+    private int mStarts;
 
     /** What an engine says of itself, and whether its process lives. */
     private static final class Beat {
         private final RunningEngine mEngine;
+        private final String mVersion;
         private final long mBorn = System.currentTimeMillis();
         private String mState = "ready";
         private int mNumber;
         private long mLastMillis;
 
-        Beat(RunningEngine engine) {
+        Beat(RunningEngine engine, String version) {
             mEngine = engine;
+            mVersion = version;
         }
     }
 
@@ -64,8 +85,8 @@
                         + route("lookup", "safe", 1_500, 2, false);
         return "{\"version\":7,\"routes\":["
                 + routes
-                + "],\"services\":[{\"name\":\"flotte\",\"health_path\":\"/health\",\"max_conns\":360,"
-                + "\"cold_start_s\":0.0,\"cold_per_s\":8.2,\"engine\":{\"slots\":64,"
+                + "],\"services\":[{\"name\":\"flotte\",\"health_path\":\"/health\","
+                + "\"max_conns\":360,\"cold_start_s\":0.0,\"cold_per_s\":8.2,\"engine\":{\"slots\":64,"
                 + "\"kv_capacity_tokens\":275266,\"models\":[{\"name\":\"m\"}]}}],"
                 + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
                 + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
@@ -125,7 +146,9 @@
                         + engine.address()
                         + "\",\"zone\":\""
                         + engine.zone()
-                        + "\",\"version\":\"v1\",\"slots\":64,\"state\":\""
+                        + "\",\"version\":\""
+                        + beat.mVersion
+                        + "\",\"slots\":64,\"state\":\""
                         + beat.mState
                         + "\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m\","
                         + "\"version\":1,\"adapters\":[]}],\"seq_no\":"
@@ -136,22 +159,7 @@
     }
 
     /** An engine process; its address is that of a link if there is one before it. */
-    record RunningEngine(
-            String id, String zone, String address, int port, Process process, Log log) {}
-
-    /** What a process has printed. */
-    static final class Log {
-        private final ConcurrentLinkedQueue<String> mLines = new ConcurrentLinkedQueue<>();
-
-        /** Returns whether a line begins with a text. */
-        boolean has(String beginning) {
-            return mLines.stream().anyMatch(line -> line.startsWith(beginning));
-        }
-
-        long count(String beginning) {
-            return mLines.stream().filter(line -> line.startsWith(beginning)).count();
-        }
-    }
+    record RunningEngine(String id, String zone, String address, int port, Process process) {}
 
     /** Starts an engine that is not registered yet. */
     RunningEngine startEngine(String id, String zone, int port) throws Exception {
@@ -175,39 +183,31 @@
             throw new IllegalStateException("engine " + id + " did not start: " + first);
         }
         int listening = Integer.parseInt(first.substring("port ".length()));
-        Log log = new Log();
         Thread.ofPlatform()
                 .daemon()
-                .start(
-                        () ->
-                                lines.lines()
-                                        .forEach(
-                                                line -> {
-                                                    log.mLines.add(line);
-                                                    record("engine " + id + ": " + line);
-                                                }));
+                .start(() -> lines.lines().forEach(line -> record("engine " + id + ": " + line)));
         record("engine " + id + " started at port " + listening + ", process " + process.pid());
-        return new RunningEngine(id, zone, "127.0.0.1:" + listening, listening, process, log);
+        return new RunningEngine(id, zone, "127.0.0.1:" + listening, listening, process);
     }
 
     /** Returns an engine that is reached over a link. */
     RunningEngine behind(RunningEngine engine, Link link) {
         record("engine " + engine.id() + " is reached at " + link.address());
         return new RunningEngine(
-                engine.id(),
-                engine.zone(),
-                link.address(),
-                engine.port(),
-                engine.process(),
-                engine.log());
+                engine.id(), engine.zone(), link.address(), engine.port(), engine.process());
     }
 
     /** Has an engine register itself, from now on with heartbeats. */
     void register(RunningEngine engine) {
-        Beat beat = new Beat(engine);
+        register(engine, "v1");
+    }
+
+    /** Has an engine of some software version register itself. */
+    void register(RunningEngine engine, String version) {
+        Beat beat = new Beat(engine, version);
         write(beat);
         mBeats.put(engine.id(), beat);
-        record("engine " + engine.id() + " registers");
+        record("engine " + engine.id() + " registers, version " + version);
     }
 
     /** Has an engine report that it drains. */
@@ -236,37 +236,45 @@
     }
 
     /** A gateway process. */
-    record Gateway(String name, int port, int readyPort, Process process, Path output) {}
+    record Gateway(
+            String name, int port, int readyPort, Process process, Path settings, Path output) {}
 
     /** Starts a gateway with the command of the deploy file. */
     Gateway startGateway(String name, String zone) throws Exception {
+        return startGateway(name, zone, "127.0.0.1", freePorts(2));
+    }
+
+    /**
+     * Starts one of several gateways, which share the ports for each other and have addresses of
+     * their own.
+     */
+    Gateway startGateway(String name, String zone, String address, int peers) throws Exception {
         int front = freePorts(1);
         int ready = freePorts(1);
-        int peers = freePorts(2);
-        String settings =
-                "{\"node_name\":\"%s\",\"role\":\"gateway\",\"machine_class\":\"front\",\"serves\":[\"front\"],"
-                        + "\"ip\":\"127.0.0.1\",\"zone\":\"%s\",\"region\":\"breizh\",\"zones\":{\"zone-rennes\":\"breizh\",\"zone-brest\":\"breizh\"},"
-                        + "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},\"port_range\":[%d,%d],\"seeds\":[],\"bootstrap\":true,"
-                        + "\"limits\":{\"cpu_share\":0.75,\"cores\":1,\"memory_mb\":430,\"max_fds\":4100,\"link_mbps\":1000.0,\"disk_mb\":0},"
-                        + "\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeat_ms\":1200,"
-                        + "\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"places\",\"platform\",\"stages\"],"
-                        + "\"bounds\":{\"contact_ms\":3000,\"drain_ms\":2000,\"grace_s\":8,\"loss_slack_ms\":200,\"config_ms\":2000,\"budget_ratio\":0.2,"
-                        + "\"budget_window_s\":10,\"budget_extra\":52,\"cold_over\":1.5,\"cold_slack\":5,\"evacuate_ms\":5000,\"recover_s\":12},"
-                        + "\"platform\":{\"address\":\"%s\",\"form\":\"table\"}}";
         Path file = mFolder.resolve(name + ".json");
         Files.writeString(
                 file,
-                settings.formatted(name, zone, front, ready, peers, peers + 1, mStore.address()));
-        Path output = mFolder.resolve(name + ".out");
+                SETTINGS.formatted(
+                        name, address, zone, front, ready, peers, peers + 1, mStore.address()));
+        return run(name, front, ready, file);
+    }
+
+    /** Starts a gateway again whose process has ended, with the same settings. */
+    Gateway startAgain(Gateway gateway) throws Exception {
+        return run(gateway.name(), gateway.port(), gateway.readyPort(), gateway.settings());
+    }
+
+    private Gateway run(String name, int front, int ready, Path settings) throws Exception {
+        Path output = mFolder.resolve(name + "-" + ++mStarts + ".out");
         ProcessBuilder builder =
                 new ProcessBuilder(command())
                         .redirectErrorStream(true)
                         .redirectOutput(output.toFile());
-        builder.environment().put("WASABILUG_SETTINGS", file.toString());
+        builder.environment().put("WASABILUG_SETTINGS", settings.toString());
         Process process = builder.start();
         add(process);
         record("gateway " + name + " started, process " + process.pid());
-        Gateway gateway = new Gateway(name, front, ready, process, output);
+        Gateway gateway = new Gateway(name, front, ready, process, settings, output);
         awaitReady(gateway);
         return gateway;
     }
