--- a/review/stand-2/standtwo/CrashBehindLoss.java
+++ b/review/stand-2/standtwo/CrashBehindLoss.java
@@ -1,5 +1,8 @@
 package standtwo;
 
+import standtwo.Installation.Gateway;
+import standtwo.Installation.RunningEngine;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -8,8 +11,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import standtwo.Installation.Gateway;
-import standtwo.Installation.RunningEngine;
 
 /**
  * Engines crash while they answer over a link that loses packets. TROUBLE=0 has neither crashes nor
@@ -124,8 +125,7 @@
     /** Kills an engine. The link refuses new channels from just before on, as the machine would. */
     private void crash(LinkedEngine engine) throws Exception {
         engine.link().close();
-        mInstallation.signal(
-                engine.engine().process(), "KILL", "engine " + engine.engine().id());
+        mInstallation.signal(engine.engine().process(), "KILL", "engine " + engine.engine().id());
     }
 
     private Request send(String id, String target, int parts, int deadlineMillis) {
@@ -133,7 +133,8 @@
         return new Request(
                 id,
                 parts,
-                CompletableFuture.supplyAsync(() -> call(port, target, id, deadlineMillis), mThreads));
+                CompletableFuture.supplyAsync(
+                        () -> call(port, target, id, deadlineMillis), mThreads));
     }
 
     private static Caller.Answer call(int port, String target, String id, int deadlineMillis) {
--- a/review/stand-2/standtwo/Engine.java
+++ b/review/stand-2/standtwo/Engine.java
@@ -136,7 +136,9 @@
                         + "."
                         + id
                         + "\r\nContent-Type: text/event-stream\r\n"
-                        + (inChunks ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
+                        + (inChunks
+                                ? "Transfer-Encoding: chunked\r\n\r\n"
+                                : "Connection: close\r\n\r\n"));
         for (int event = first; event <= events; event++) {
             String text = "id: " + event + "\r\ndata: " + text(event, events, path) + "\r\n\r\n";
             write(
--- a/review/stand-2/standtwo/FrozenGateway.java
+++ b/review/stand-2/standtwo/FrozenGateway.java
@@ -1,12 +1,13 @@
 package standtwo;
 
+import standtwo.Installation.Gateway;
+import standtwo.Installation.RunningEngine;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import standtwo.Installation.Gateway;
-import standtwo.Installation.RunningEngine;
 
 /**
  * A gateway freezes while an engine writes a stream through it. Meanwhile the engine crashes and
@@ -101,8 +102,7 @@
         long crashed = System.nanoTime();
         engine.process().waitFor();
         Installation.pause(TO_START_MILLIS);
-        RunningEngine next =
-                installation.startEngine("i-b" + round, engine.zone(), engine.port());
+        RunningEngine next = installation.startEngine("i-b" + round, engine.zone(), engine.port());
         installation.register(next);
         installation.record("the engine was down for " + millisSince(crashed) + " ms");
         Installation.pause(FREEZE_MILLIS - 50 - millisSince(frozen));
--- a/review/stand-2/standtwo/Link.java
+++ b/review/stand-2/standtwo/Link.java
@@ -18,8 +18,7 @@
 
     private static final int PACKET_BYTES = 1_400;
 
-    private final ServerSocket mServer =
-            new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+    private final ServerSocket mServer = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     private final int mEnginePort;
     private final double mLoss;
     private final Random mRandom;
--- a/review/stand-2/standtwo/QuotingStreams.java
+++ b/review/stand-2/standtwo/QuotingStreams.java
@@ -1,5 +1,8 @@
 package standtwo;
 
+import standtwo.Installation.Gateway;
+import standtwo.Installation.RunningEngine;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,8 +12,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import standtwo.Installation.Gateway;
-import standtwo.Installation.RunningEngine;
 
 /**
  * Sound engines write streams in chunks. In some of them the text of an event quotes an HTTP status
@@ -81,7 +82,11 @@
             for (int request = 1; request <= REQUESTS; request++) {
                 boolean quoting = mTrouble && request % QUOTING == 0;
                 String target =
-                        "/summary/" + EVENTS + "/" + EVENT_MILLIS + (quoting ? "/quoting" : "/plain");
+                        "/summary/"
+                                + EVENTS
+                                + "/"
+                                + EVENT_MILLIS
+                                + (quoting ? "/quoting" : "/plain");
                 String id = "stream-" + number + "-" + request;
                 Caller.Answer got = caller.call(target, id, DEADLINE_MILLIS);
                 boolean lost = got.kept() && !got.complete();
--- a/review/stand-2/standtwo/ReleasedEngines.java
+++ b/review/stand-2/standtwo/ReleasedEngines.java
@@ -1,5 +1,8 @@
 package standtwo;
 
+import standtwo.Installation.Gateway;
+import standtwo.Installation.RunningEngine;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,8 +12,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import standtwo.Installation.Gateway;
-import standtwo.Installation.RunningEngine;
 
 /**
  * The eight engines of a service are replaced one after the other: the new one starts, the old one
@@ -91,8 +92,7 @@
     }
 
     private void replace(RunningEngine old) throws Exception {
-        RunningEngine next =
-                mInstallation.startEngine(old.id() + "-next", "zone-rennes", 0);
+        RunningEngine next = mInstallation.startEngine(old.id() + "-next", "zone-rennes", 0);
         mInstallation.register(next);
         Installation.pause(500);
         mInstallation.drain(old);
--- a/review/stand-2/standtwo/Store.java
+++ b/review/stand-2/standtwo/Store.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
@@ -110,7 +111,9 @@
                 .filter(row -> row.table().equals(table) && row.version() > after)
                 .filter(row -> row.key().compareTo(from) >= 0)
                 .filter(row -> after >= 0 || !row.removed())
-                .sorted((one, other) -> after < 0 ? 0 : Long.compare(one.version(), other.version()))
+                .sorted(
+                        (one, other) ->
+                                after < 0 ? 0 : Long.compare(one.version(), other.version()))
                 .forEach(row -> rows.append(rows.isEmpty() ? "" : ",").append(text(row)));
         return "{\"rows\":["
                 + rows
@@ -156,7 +159,8 @@
         }
         for (Object each : Json.list(transaction.get("puts"))) {
             Map<String, Object> put = Json.object(each);
-            putBase64((String) put.get("table"), (String) put.get("key"), (String) put.get("value"));
+            putBase64(
+                    (String) put.get("table"), (String) put.get("key"), (String) put.get("value"));
         }
         return true;
     }
