--- a/review/stand-2/standtwo/Caller.java
+++ b/review/stand-2/standtwo/Caller.java
@@ -6,16 +6,25 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
 /** One channel of a consumer; sends requests one after another. */
 final class Caller implements AutoCloseable {
     private final int mPort;
+    private final Consumer<String> mRecord;
     private Socket mSocket;
     private InputStream mInput;
 
-    Caller(int port) {
+    /**
+     * Creates a channel that is not open yet.
+     *
+     * @param port port of the gateway
+     * @param record receives a line for each request that is sent
+     */
+    Caller(int port, Consumer<String> record) {
         mPort = port;
+        mRecord = record;
     }
 
     /**
@@ -91,6 +100,7 @@
         int status = 0;
         String seal = "";
         boolean complete = false;
+        mRecord.accept("sent " + id + " " + target + headers.replace("\r\n", " "));
         try {
             mSocket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             HttpHead head = HttpHead.read(mInput);
--- a/review/stand-2/standtwo/CrashBehindLoss.java
+++ b/review/stand-2/standtwo/CrashBehindLoss.java
@@ -137,8 +137,8 @@
                         () -> call(port, target, id, deadlineMillis), mThreads));
     }
 
-    private static Caller.Answer call(int port, String target, String id, int deadlineMillis) {
-        try (Caller caller = new Caller(port)) {
+    private Caller.Answer call(int port, String target, String id, int deadlineMillis) {
+        try (Caller caller = new Caller(port, mInstallation::record)) {
             return caller.call(target, id, deadlineMillis);
         } catch (IOException failure) {
             throw new IllegalStateException(failure);
--- a/review/stand-2/standtwo/FrozenGateway.java
+++ b/review/stand-2/standtwo/FrozenGateway.java
@@ -56,7 +56,7 @@
         CountDownLatch begun = new CountDownLatch(EVENTS_BEFORE);
         String id = "stream-" + round;
         CompletableFuture<Caller.Answer> answer =
-                CompletableFuture.supplyAsync(() -> call(gateway, id, begun));
+                CompletableFuture.supplyAsync(() -> call(installation, gateway, id, begun));
         if (!begun.await(10, TimeUnit.SECONDS)) {
             throw new IllegalStateException("the stream did not begin");
         }
@@ -80,8 +80,9 @@
         return broken;
     }
 
-    private static Caller.Answer call(Gateway gateway, String id, CountDownLatch begun) {
-        try (Caller caller = new Caller(gateway.port())) {
+    private static Caller.Answer call(
+            Installation installation, Gateway gateway, String id, CountDownLatch begun) {
+        try (Caller caller = new Caller(gateway.port(), installation::record)) {
             return caller.call(
                     "/chat/" + EVENTS + "/" + EVENT_MILLIS,
                     id,
--- a/review/stand-2/standtwo/QuotingStreams.java
+++ b/review/stand-2/standtwo/QuotingStreams.java
@@ -78,7 +78,7 @@
     }
 
     private Void callOnAndOn(Gateway gateway, int number) throws IOException {
-        try (Caller caller = new Caller(gateway.port())) {
+        try (Caller caller = new Caller(gateway.port(), mInstallation::record)) {
             for (int request = 1; request <= REQUESTS; request++) {
                 boolean quoting = mTrouble && request % QUOTING == 0;
                 String target =
--- a/review/stand-2/standtwo/ReleasedEngines.java
+++ b/review/stand-2/standtwo/ReleasedEngines.java
@@ -104,7 +104,7 @@
 
     private Void callOnAndOn(Gateway gateway, int number) throws IOException {
         Installation.pause((long) STAGGER_MILLIS * number);
-        try (Caller caller = new Caller(gateway.port())) {
+        try (Caller caller = new Caller(gateway.port(), mInstallation::record)) {
             boolean cut = false;
             for (int request = 1; !mEnded; request++) {
                 // A short request first on a new channel, so that the next one finds it kept.
--- a/review/stand-2/standtwo/TakenUpStreams.java
+++ b/review/stand-2/standtwo/TakenUpStreams.java
@@ -110,7 +110,7 @@
     private Begun begin(Gateway gateway) throws IOException {
         long started = System.currentTimeMillis();
         String id = nextId("stream");
-        Caller caller = new Caller(gateway.port());
+        Caller caller = new Caller(gateway.port(), mInstallation::record);
         if (!mTrouble) {
             mThreads.submit(
                     () -> {
@@ -162,7 +162,7 @@
     private boolean goesOn(Begun stream, Gateway gateway) throws IOException {
         int left = (int) (DEADLINE_MILLIS - (System.currentTimeMillis() - stream.startedMillis()));
         String id = nextId("again");
-        try (Caller caller = new Caller(gateway.port())) {
+        try (Caller caller = new Caller(gateway.port(), mInstallation::record)) {
             Caller.Answer got = caller.takeUp(TARGET, id, left, stream.id(), stream.events());
             mInstallation.record(
                     "request "
@@ -181,7 +181,7 @@
 
     private boolean begins(Gateway gateway) throws IOException {
         String id = nextId("new");
-        try (Caller caller = new Caller(gateway.port())) {
+        try (Caller caller = new Caller(gateway.port(), mInstallation::record)) {
             Caller.Answer got = caller.call("/chat/10/" + EVENT_MILLIS, id, DEADLINE_MILLIS);
             mInstallation.record("request " + id + " at " + gateway.name() + ": " + got);
             return got.status() == 200 && got.events() > 0;
