--- a/review/stand-2/standtwo/CrashBehindLoss.java
+++ b/review/stand-2/standtwo/CrashBehindLoss.java
@@ -5,7 +5,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -13,17 +15,18 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Engines crash while they answer over a link that loses packets. TROUBLE=0 has neither crashes nor
- * losses; LOSSLESS=1 has crashes only.
+ * Engines of a service crash, one at a time, while they answer over links that lose packets.
+ * TROUBLE=0 has neither crashes nor losses; LOSSLESS=1 has crashes only.
  */
 final class CrashBehindLoss {
     private static final double LOSS = 0.025;
     private static final int CRASHES = 12;
-    private static final int STREAMS = 8;
+    private static final int ENGINES = 4;
+    private static final int STREAMS = 32;
     private static final int STREAM_EVENTS = 50;
     private static final int STREAM_MILLIS = 60;
     private static final int STREAM_DEADLINE_MILLIS = 15_000;
-    private static final int ENTRIES = 4;
+    private static final int ENTRIES = 16;
     private static final int ENTRY_PARTS = 2;
     private static final int ENTRY_MILLIS = 1_000;
     private static final int ENTRY_DEADLINE_MILLIS = 1_500;
@@ -33,6 +36,8 @@
     /** The gateway knows the next engine by then. */
     private static final int TO_CRASH_MILLIS = 700;
 
+    private static final int AFTER_CRASH_MILLIS = 500;
+
     private final Installation mInstallation;
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final boolean mTrouble = !"0".equals(System.getenv("TROUBLE"));
@@ -66,8 +71,11 @@
     }
 
     private void run() throws Exception {
-        mInstallation.record("packets lost: " + mLoss + ", seed " + mSeed);
-        LinkedEngine engine = start(0);
+        mInstallation.record("packets lost around each crash: " + mLoss + ", seed " + mSeed);
+        Deque<LinkedEngine> engines = new ArrayDeque<>();
+        for (int number = 1; number <= ENGINES; number++) {
+            engines.add(start(-number));
+        }
         mGateway = mInstallation.startGateway("front-1", "zone-brest");
         for (int crash = 1; crash <= CRASHES; crash++) {
             List<Request> requests = new ArrayList<>();
@@ -89,13 +97,17 @@
                                 ENTRY_DEADLINE_MILLIS));
             }
             Installation.pause(TO_NEXT_MILLIS);
-            LinkedEngine next = start(crash);
+            engines.add(start(crash));
+            engines.forEach(each -> each.link().setLoss(mLoss));
+            LinkedEngine engine = engines.remove();
             Installation.pause(TO_CRASH_MILLIS);
             if (mTrouble) {
                 crash(engine);
             } else {
                 mInstallation.drain(engine.engine());
             }
+            Installation.pause(AFTER_CRASH_MILLIS);
+            engines.forEach(each -> each.link().setLoss(0));
             for (Request request : requests) {
                 check(request);
             }
@@ -103,7 +115,6 @@
                 mInstallation.leave(engine.engine());
                 engine.engine().process().destroy();
             }
-            engine = next;
         }
         mInstallation.recordLog(mGateway, "\"unmarked-end\"", "\"own-answer\"");
         mInstallation.record(
@@ -116,7 +127,7 @@
 
     private LinkedEngine start(int number) throws Exception {
         RunningEngine engine = mInstallation.startEngine("i-" + number, "zone-rennes", 0);
-        Link link = new Link(engine.port(), mLoss, mSeed + number);
+        Link link = new Link(engine.port(), mSeed + number);
         RunningEngine linked = mInstallation.behind(engine, link);
         mInstallation.register(linked);
         return new LinkedEngine(linked, link);
--- a/review/stand-2/standtwo/Link.java
+++ b/review/stand-2/standtwo/Link.java
@@ -20,22 +20,25 @@
 
     private final ServerSocket mServer = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     private final int mEnginePort;
-    private final double mLoss;
+    private volatile double mLoss;
     private final Random mRandom;
 
     /**
-     * Opens a link.
+     * Opens a link that loses nothing yet.
      *
      * @param enginePort port of the engine
-     * @param loss share of the packets that are lost
      */
-    Link(int enginePort, double loss, long seed) throws IOException {
+    Link(int enginePort, long seed) throws IOException {
         mEnginePort = enginePort;
-        mLoss = loss;
         mRandom = new Random(seed);
         Thread.ofVirtual().start(this::accept);
     }
 
+    /** Sets the share of the packets that are lost from now on. */
+    void setLoss(double loss) {
+        mLoss = loss;
+    }
+
     String address() {
         return "127.0.0.1:" + mServer.getLocalPort();
     }
