Count a head in content only if its request was sent on the connection

Cause: the search for a second answer asked whether content looks like a head, and not whether a response could follow there. Interim heads counted anywhere, final ones with any request id, a status line in a header whatever followed it.

Evidence: each cut stream has attempt-failed with GARBLED while its endpoint wrote every event; answers with a length fail in the same way, so it isn't the decoding of chunks.

Why this works: a response that follows on a connection belongs to a request that the connection carried, so a head counts by such an id, and an interim head by the final one behind it. Chunks that are well-formed to the last can hold another head only where it fits their sizes, which the search looks for. Where only what follows can tell, events are held back, and a body with a length waits 40 ms for the rest. Without a length a doubtful end stays cut.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -1,5 +1,6 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 
 /** A call in progress. */
@@ -8,6 +9,7 @@
     private final OutgoingRequest mRequest;
     private EndpointConnection mConnection;
     private String mBytesBehind = "";
+    private boolean mBytesFollowed;
     private boolean mEnded;
 
     EndpointCall(OutgoingRequest request, CallListener listener) {
@@ -59,6 +61,39 @@
         mBytesBehind = bytes;
     }
 
+    /**
+     * Keeps the connection of a complete response from other calls, so that bytes that arrive on it
+     * tell of that response.
+     *
+     * @return false if it is closed, so that nothing can arrive
+     */
+    public boolean holdConnection() {
+        return mConnection.hold();
+    }
+
+    /** Closes a connection that is kept from other calls. */
+    public void closeConnection() {
+        mConnection.close();
+    }
+
+    /** Returns whether bytes have arrived on the connection since the response was complete. */
+    public boolean bytesFollowed() {
+        return mBytesFollowed;
+    }
+
+    void markBytesFollowed() {
+        mBytesFollowed = true;
+    }
+
+    /**
+     * Returns a search for another response within the content of the one to this call.
+     *
+     * @param head head of the response
+     */
+    public JoinedContent joinedContent(HttpResponse head) {
+        return mConnection.joinedContent(ResponseFraming.of(head));
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -49,6 +49,10 @@
 
     private Channel mChannel;
     private EndpointCall mCall;
+
+    /** The call whose response was the last to be complete. */
+    private EndpointCall mAnsweredCall;
+
     private boolean mIgnoringResponse;
     private boolean mReusable = true;
     private boolean mWritten;
@@ -138,6 +142,16 @@
         return mCarriedIds.contains(id);
     }
 
+    JoinedContent joinedContent(ResponseFraming framing) {
+        return new JoinedContent(framing, mRequestIdHeader, this::carried);
+    }
+
+    /** Keeps an idle connection from other calls; returns false if it is closed. */
+    boolean hold() {
+        mOwner.takeOut(this);
+        return !mClosedHere && mChannel.isActive();
+    }
+
     private boolean isToHead(HttpResponse head) {
         return mHeadIds.contains(requestId(head));
     }
@@ -188,7 +202,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        boolean joined = message instanceof HttpResponse head && JoinedHeads.in(head);
+        boolean joined =
+                message instanceof HttpResponse head && JoinedHeads.in(head, mRequestIdHeader);
         if (message.decoderResult().isFailure() || joined) {
             failCall(CallFailure.GARBLED);
             close();
@@ -212,6 +227,9 @@
      */
     void bytesReceived(int bytes) {
         if (mCall == null) {
+            if (mAnsweredCall != null) {
+                mAnsweredCall.markBytesFollowed();
+            }
             close();
             return;
         }
@@ -262,6 +280,7 @@
 
     private void finish(EndpointCall call) {
         mCall = null;
+        mAnsweredCall = call;
         boolean pending = !call.ended();
         call.markEnded();
         call.bytesBehind(mDecoder.bytesBehind());
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -169,6 +169,11 @@
      */
     void closed(EndpointConnection connection, boolean byEndpoint) {
         mEnds.closed(connection, byEndpoint, nowMillis());
+        takeOut(connection);
+    }
+
+    /** Makes sure that a connection carries no further call. */
+    void takeOut(EndpointConnection connection) {
         ArrayDeque<EndpointConnection> idle = mIdle.get(connection.endpoint());
         if (idle != null) {
             idle.remove(connection);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -1,7 +1,6 @@
 package org.wasabilug.gateway.internal.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +9,6 @@
 import org.wasabilug.gateway.internal.endpoint.CallFailure;
 import org.wasabilug.gateway.internal.endpoint.CallListener;
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
-import org.wasabilug.gateway.internal.endpoint.JoinedHeads;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
 import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
@@ -42,6 +40,7 @@
     private RejectionControl.Load mLoadAtSend;
     private EndpointCall mCall;
     private HttpResponse mHead;
+    private JoinedResponseCheck mJoinedCheck;
     private boolean mNotExecuted;
     private boolean mDeliverable;
     private boolean mContentReceived;
@@ -233,9 +232,9 @@
         return mWholeBody;
     }
 
-    /** Returns whether another response begins within content of this one. */
-    boolean holdsAnother(ByteBuf content) {
-        return JoinedHeads.in(content, mState.protocol().headers().requestId());
+    /** Returns the check that the response goes on with no other one; null before its head. */
+    JoinedResponseCheck joinedCheck() {
+        return mJoinedCheck;
     }
 
     /** Gives up a response that can't be used and records a failure for the endpoint. */
@@ -275,6 +274,7 @@
     @Override
     public void headReceived(HttpResponse head) {
         mHead = head;
+        mJoinedCheck = new JoinedResponseCheck(mState, mCall, head);
         mState.recordResponse(mEndpoint, head);
         mNotExecuted = mState.notExecuted(head);
         if (!mNotExecuted) {
@@ -349,7 +349,14 @@
 
     private void finish(long millis) {
         mWholeBody = mBody.toByteArray();
-        if (holdsAnother(Unpooled.wrappedBuffer(mWholeBody)) || endsInAnother()) {
+        mJoinedCheck.checkEnd(mWholeBody, joined -> joinedChecked(joined, millis));
+    }
+
+    private void joinedChecked(boolean joined, long millis) {
+        if (mEnded) {
+            return;
+        }
+        if (joined) {
             mState.connections().closeIdle(mEndpoint.registration().name());
             failed(CallFailure.GARBLED);
             return;
@@ -377,12 +384,6 @@
         }
     }
 
-    private boolean endsInAnother() {
-        return ResponseFraming.of(mHead) == ResponseFraming.CLOSE
-                ? JoinedHeads.isCutIn(mWholeBody)
-                : JoinedHeads.atEnd(mWholeBody, mCall.bytesBehind());
-    }
-
     /** An endpoint has survived the beginning of an answer that goes on after it. */
     private void answerWentOn() {
         if (!mAnswerWentOn && !mNotExecuted && mHead.status().code() < SERVER_ERROR) {
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/EventReader.java
@@ -39,9 +39,13 @@
         return events;
     }
 
-    /** Returns whether the limit of memory allows to keep the incomplete event. */
-    boolean keepsPartial() {
-        return mMemory.resize(mEvents.allocatedBytes());
+    /**
+     * Returns whether the limit of memory allows to keep the incomplete event.
+     *
+     * @param heldBytes bytes that are kept of events before it
+     */
+    boolean keepsPartial(int heldBytes) {
+        return mMemory.resize(mEvents.allocatedBytes() + heldBytes);
     }
 
     /** Returns whether the ids of the events increase. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/StreamFlow.java
@@ -263,28 +263,34 @@
         // An endpoint that writes events has read its inputs.
         mStages.end();
         EventReader reader = mReaders.get(attempt);
-        ByteBuf events = reader.append(content, state().nowMillis());
-        if (attempt.holdsAnother(events)) {
-            events.release();
+        ByteBuf arrived = reader.append(content, state().nowMillis());
+        Optional<ByteBuf> events = attempt.joinedCheck().add(arrived);
+        if (events.isEmpty()) {
             attempt.reject(CallFailure.GARBLED);
             return;
         }
-        if (events.isReadable()) {
-            goOnWith(attempt);
-            logResumption(attempt, reader);
-            attempt.answerBegun();
-            mLastEventId = reader.lastEventId().isEmpty() ? mLastEventId : reader.lastEventId();
-            startResponse(attempt);
-            mSoftwareVersion.eventReceived(attempt);
-            exchange().write(events);
-        }
+        passOn(attempt, events.get());
         if (!reader.inOrder()) {
             attempt.reject(CallFailure.OUT_OF_ORDER);
-        } else if (!reader.keepsPartial()) {
+        } else if (!reader.keepsPartial(attempt.joinedCheck().heldBytes())) {
             attempt.reject(CallFailure.TOO_LARGE);
         }
     }
 
+    private void passOn(Attempt attempt, ByteBuf events) {
+        if (!events.isReadable()) {
+            return;
+        }
+        EventReader reader = mReaders.get(attempt);
+        goOnWith(attempt);
+        logResumption(attempt, reader);
+        attempt.answerBegun();
+        mLastEventId = reader.lastEventId().isEmpty() ? mLastEventId : reader.lastEventId();
+        startResponse(attempt);
+        mSoftwareVersion.eventReceived(attempt);
+        exchange().write(events);
+    }
+
     /** Logs where the stream goes on, before the first events of a later attempt. */
     private void logResumption(Attempt attempt, EventReader reader) {
         if (mWritingAttempt != attempt && !mLastEventId.isEmpty()) {
@@ -333,6 +339,7 @@
     }
 
     private void completeStream(Attempt attempt) {
+        passOn(attempt, attempt.joinedCheck().takeHeld());
         goOnWith(attempt);
         end();
         startResponse(attempt);
--- a/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventReaderTest.java
+++ b/gateway/src/test/java/org/wasabilug/gateway/internal/request/EventReaderTest.java
@@ -47,7 +47,7 @@
     private static boolean receive(EventReader reader, ByteBuf received) {
         for (int piece = 0; piece < PIECES_OF_AN_EVENT; piece++) {
             reader.append(received.duplicate(), 0);
-            if (!reader.keepsPartial()) {
+            if (!reader.keepsPartial(0)) {
                 return false;
             }
         }
