Count the last answer of an endpoint that leaves as whole

An answer to HEAD without a length was refused if its endpoint was gone by then.

Cause: UnmarkedEndCheck asked whether the endpoint outlived its answer, not whether it was meant to. One that leaves stops listening, finishes, and is gone; its port refuses like that of one that was killed.

Evidence: each cut stream has unmarked-end with REFUSED while its endpoint printed "done" and its caller has all events.

Why this works: a process that closes its port and writes on wasn't killed then; a killed one ends all its answers at once, and at any moment between two events. An answer counts as whole if its endpoint leaves, wrote 300 ms or more after a connection was refused, ended the answer with its last content, and ended no other in the same moment. Only endpoints that leave, with such answers in progress, are probed.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -281,6 +281,7 @@
         mCrashSuspects.removeExpired();
         mStoreRelay.relayChanges();
         mState.reachability().probe();
+        mState.listeningWatch().probe();
         mState.stop().ifPresent(this::continueStop);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -40,6 +40,7 @@
     private final DecisionLog mLog;
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final ReachabilityMonitor mReachability;
+    private final ListeningWatch mListeningWatch = new ListeningWatch(this);
     private final StageTimes mStageTimes = new StageTimes();
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
@@ -187,6 +188,11 @@
         return mDirectory.usable(service, mReachability::isReachable, mReachability::peerReaches);
     }
 
+    /** Returns the watch of the ports of endpoints that leave. */
+    public ListeningWatch listeningWatch() {
+        return mListeningWatch;
+    }
+
     /** Returns the monitor of the endpoints to which connections can be opened. */
     public ReachabilityMonitor reachability() {
         return mReachability;
--- /dev/null
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ListeningWatch.java
@@ -0,0 +1,111 @@
+package org.wasabilug.gateway.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.wasabilug.gateway.internal.log.LogLine;
+import org.wasabilug.internal.serving.ConnectionResult;
+import org.wasabilug.internal.serving.EndpointGroup;
+import org.wasabilug.internal.serving.EndpointState;
+import org.wasabilug.serving.EndpointRegistration;
+
+/**
+ * Watches whether endpoints that leave have stopped listening while they still respond, as one does
+ * that ends as planned. A process that is killed stops both at once.
+ *
+ * <p>Only endpoints whose responses in progress have no marked end are probed.
+ */
+public final class ListeningWatch {
+    /**
+     * What a process wrote before its port closed arrives within this, also if it is sent twice.
+     */
+    private static final long TRANSIT_MILLIS = 300;
+
+    private final Map<EndpointState, Watched> mWatched = new HashMap<>();
+    private final GatewayState mState;
+
+    private static final class Watched {
+        private int mResponses;
+        private boolean mProbing;
+        private Optional<Long> mRefusedMillis = Optional.empty();
+    }
+
+    ListeningWatch(GatewayState state) {
+        mState = state;
+    }
+
+    /**
+     * Records that a response without a marked end has begun.
+     *
+     * @param endpoint the endpoint that responds
+     */
+    public void begun(EndpointState endpoint) {
+        mWatched.computeIfAbsent(endpoint, each -> new Watched()).mResponses++;
+    }
+
+    /**
+     * Records that nothing more is to be expected of such a response.
+     *
+     * @param endpoint the endpoint that responded
+     */
+    public void ended(EndpointState endpoint) {
+        mWatched.computeIfPresent(
+                endpoint, (each, watched) -> --watched.mResponses == 0 ? null : watched);
+    }
+
+    /**
+     * Returns whether an endpoint wrote after it had stopped listening.
+     *
+     * @param endpoint an endpoint with a response in progress
+     * @param contentMillis when the last content of the response arrived
+     */
+    public boolean wroteAfterClosingPort(EndpointState endpoint, long contentMillis) {
+        return Optional.ofNullable(mWatched.get(endpoint))
+                .flatMap(watched -> watched.mRefusedMillis)
+                .filter(refused -> contentMillis >= refused + TRANSIT_MILLIS)
+                .isPresent();
+    }
+
+    /** Probes the endpoints that leave; to be called several times a second. */
+    public void probe() {
+        mWatched.forEach(
+                (endpoint, watched) -> {
+                    boolean told = watched.mProbing || watched.mRefusedMillis.isPresent();
+                    if (!told && leaves(endpoint)) {
+                        probe(endpoint.registration(), watched);
+                    }
+                });
+    }
+
+    /** An endpoint may leave without a report; then its row is gone. */
+    private boolean leaves(EndpointState endpoint) {
+        return endpoint.leaving()
+                || mState.directory()
+                        .find(endpoint.registration().name())
+                        .filter(known -> known == endpoint)
+                        .isEmpty();
+    }
+
+    private void probe(EndpointRegistration endpoint, Watched watched) {
+        watched.mProbing = true;
+        if (mState.reachability().reaches(EndpointGroup.of(endpoint))) {
+            mState.connections()
+                    .probe(endpoint, result -> probed(endpoint, watched, Optional.of(result)));
+        } else {
+            mState.connections().askWitness(endpoint, result -> probed(endpoint, watched, result));
+        }
+    }
+
+    private void probed(
+            EndpointRegistration endpoint, Watched watched, Optional<ConnectionResult> result) {
+        watched.mProbing = false;
+        if (result.filter(ConnectionResult.REFUSED::equals).isPresent()) {
+            watched.mRefusedMillis = Optional.of(mState.nowMillis());
+            mState.log()
+                    .request(
+                            LogLine.of("endpoint-stopped-listening")
+                                    .with("endpoint", endpoint.name())
+                                    .with("responses", watched.mResponses));
+        }
+    }
+}
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionEnds.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/ConnectionEnds.java
@@ -1,7 +1,9 @@
 package org.wasabilug.gateway.internal.endpoint;
 
 import io.netty.channel.Channel;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -17,6 +19,9 @@
     /** When the endpoint last closed a connection that owed a marked end, or was idle. */
     private final Map<String, Long> mClosedMillis = new HashMap<>();
 
+    /** When responses ended with their connections. */
+    private final Map<String, List<Long>> mResponsesEndedMillis = new HashMap<>();
+
     private record Opening(Channel channel, long millis) {
         /** Returns whether the connection would have been seen to end like an older one. */
         boolean tells(long endedMillis) {
@@ -71,8 +76,23 @@
         return together ? EndpointSurvival.ENDED : EndpointSurvival.UNKNOWN;
     }
 
+    /** Records that a response ended with its connection. */
+    void responseEnded(String endpoint, long nowMillis) {
+        mResponsesEndedMillis.computeIfAbsent(endpoint, name -> new ArrayList<>()).add(nowMillis);
+    }
+
+    /** Returns how many responses ended with their connections in the same moment. */
+    int responsesEnded(String endpoint, long endedMillis) {
+        return (int)
+                mResponsesEndedMillis.getOrDefault(endpoint, List.of()).stream()
+                        .filter(ended -> Math.abs(ended - endedMillis) <= AT_ONCE_MILLIS)
+                        .count();
+    }
+
     /** Forgets ends that can't matter any more. */
     void forgetBefore(long millis) {
         mClosedMillis.values().removeIf(closed -> closed < millis);
+        mResponsesEndedMillis.values().forEach(ends -> ends.removeIf(ended -> ended < millis));
+        mResponsesEndedMillis.values().removeIf(List::isEmpty);
     }
 }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointCall.java
@@ -1,6 +1,8 @@
 package org.wasabilug.gateway.internal.endpoint;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 
 /** A call in progress. */
@@ -44,6 +46,20 @@
         return mConnection != null && mConnection.relay().isEmpty();
     }
 
+    /**
+     * Returns whether only the end of the connection marks that of a response. One to a HEAD
+     * request, or with a status that has no content, ends with its head.
+     *
+     * @param head head of the response
+     */
+    public boolean endsWithConnection(HttpResponse head) {
+        boolean bodiless =
+                mRequest.method().equals(HttpMethod.HEAD)
+                        || head.status().equals(HttpResponseStatus.NO_CONTENT)
+                        || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        return !bodiless && ResponseFraming.of(head) == ResponseFraming.CLOSE;
+    }
+
     /** Returns the connection that carries the call; empty before there is one. */
     public Optional<CallTrace> trace() {
         return Optional.ofNullable(mConnection).map(EndpointConnection::trace);
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnection.java
@@ -284,6 +284,9 @@
         boolean pending = !call.ended();
         call.markEnded();
         call.bytesBehind(mDecoder.bytesBehind());
+        if (!mChannel.isActive()) {
+            mOwner.responseEnded(this);
+        }
         mIdleSinceMillis = mOwner.nowMillis();
         if (mReusable && mWritten && !mDecoder.holdsBytes()) {
             // The call may have ended while its response was not read on.
@@ -314,6 +317,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mOwner.closed(this, !mClosedHere);
+        if (mCall != null) {
+            mOwner.responseEnded(this);
+        }
         failCall(CallFailure.BROKEN);
     }
 
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/endpoint/EndpointConnections.java
@@ -172,6 +172,11 @@
         takeOut(connection);
     }
 
+    /** Called when a response has ended with its connection, properly or not. */
+    void responseEnded(EndpointConnection connection) {
+        mEnds.responseEnded(connection.endpoint(), nowMillis());
+    }
+
     /** Makes sure that a connection carries no further call. */
     void takeOut(EndpointConnection connection) {
         ArrayDeque<EndpointConnection> idle = mIdle.get(connection.endpoint());
@@ -310,6 +315,16 @@
         return mEnds.survival(endpoint, direct, endedMillis);
     }
 
+    /**
+     * Returns how many responses of an endpoint ended with their connections in the same moment.
+     *
+     * @param endpoint name of the endpoint
+     * @param endedMillis the moment
+     */
+    public int responsesEnded(String endpoint, long endedMillis) {
+        return mEnds.responsesEnded(endpoint, endedMillis);
+    }
+
     /**
      * Checks whether an endpoint accepts connections of this instance.
      *
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wasabilug.gateway.internal.GatewayState;
 import org.wasabilug.gateway.internal.RolloutSend;
@@ -11,7 +12,6 @@
 import org.wasabilug.gateway.internal.endpoint.EndpointCall;
 import org.wasabilug.gateway.internal.endpoint.OutgoingRequest;
 import org.wasabilug.gateway.internal.endpoint.ResponseBuffer;
-import org.wasabilug.gateway.internal.endpoint.ResponseFraming;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.EndpointGroup;
 import org.wasabilug.internal.serving.EndpointLoad;
@@ -41,6 +41,10 @@
     private EndpointCall mCall;
     private HttpResponse mHead;
     private JoinedResponseCheck mJoinedCheck;
+
+    /** Present while a response is in progress whose end isn't marked. */
+    private Optional<UnmarkedResponse> mUnmarked = Optional.empty();
+
     private boolean mNotExecuted;
     private boolean mDeliverable;
     private boolean mContentReceived;
@@ -281,10 +285,14 @@
             mState.rejectionMonitor().recordAccepted(mEndpoint, mLoadAtSend);
         }
         mDeliverable = ResponseCheck.deliverable(mState, head);
+        if (mCall.endsWithConnection(head) && !mNotExecuted) {
+            mUnmarked = Optional.of(new UnmarkedResponse(mState, mRequest.id(), mEndpoint, mCall));
+        }
     }
 
     @Override
     public void contentReceived(ByteBuf content) {
+        mUnmarked.ifPresent(UnmarkedResponse::contentReceived);
         if (!mContentReceived) {
             mContentReceived = true;
             firstContent();
@@ -318,29 +326,17 @@
             return;
         }
         long millis = mState.nowMillis() - mSentMillis;
-        if (ResponseFraming.of(mHead) == ResponseFraming.CLOSE && !mNotExecuted) {
-            checkEnd(millis);
-        } else {
-            finish(millis);
-        }
-    }
-
-    /** The connection of an endpoint whose process was killed may end in the same way. */
-    private void checkEnd(long millis) {
-        new UnmarkedEndCheck(
-                        mState,
-                        mRequest.id(),
-                        mEndpoint.registration(),
-                        mCall.direct(),
-                        survived -> endChecked(survived, millis))
-                .start();
+        // The connection of an endpoint whose process was killed may end in the same way.
+        mUnmarked.ifPresentOrElse(
+                unmarked -> unmarked.checkEnd(whole -> endChecked(whole, millis)),
+                () -> finish(millis));
     }
 
-    private void endChecked(boolean survived, long millis) {
+    private void endChecked(boolean whole, long millis) {
         if (mEnded) {
             return;
         }
-        if (survived) {
+        if (whole) {
             finish(millis);
         } else {
             failed(CallFailure.ENDED_WITH_ENDPOINT);
@@ -437,6 +433,8 @@
 
     private void end() {
         mEnded = true;
+        mUnmarked.ifPresent(UnmarkedResponse::release);
+        mUnmarked = Optional.empty();
         mBody.release();
         mEndpoint.releaseLoad(mLoad);
     }
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/UnmarkedEndCheck.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/UnmarkedEndCheck.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.endpoint.EndpointSurvival;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.internal.serving.ConnectionResult;
 import org.wasabilug.serving.EndpointRegistration;
@@ -11,7 +12,8 @@
  * Checks whether a response is whole whose end only the close of its connection marks.
  *
  * <p>The kernel closes the connections of a process that was killed in the same way, so such an end
- * counts only if the process outlived it. Where nothing can tell, the response counts as cut.
+ * counts only if the process outlived it, or ended as one does that leaves as planned. Where
+ * nothing can tell, the response counts as cut.
  */
 final class UnmarkedEndCheck {
     /** When a process ends, its other connections and its port close within this. */
@@ -21,12 +23,15 @@
     private final String mRequest;
     private final EndpointRegistration mEndpoint;
     private final boolean mDirect;
+    private final boolean mAsPlanned;
     private final long mEndedMillis;
     private final Consumer<Boolean> mReceiver;
 
     /** What tells whether the endpoint outlived its response; the names appear in the log. */
     private enum Evidence {
         OTHER_CONNECTION_OPEN(true),
+        /** It left as planned: its responses ended one after the other once it listened no more. */
+        STOPPED_LISTENING_BEFORE(true),
         CONNECTED(true),
         PEER_CONNECTED(true),
         OTHERS_CLOSED_AT_ONCE(false),
@@ -46,6 +51,7 @@
      * @param request id of the request, for the log
      * @param endpoint the endpoint that responded
      * @param direct whether no other instance relayed the connection
+     * @param asPlanned whether it ended as the last one of an endpoint does that leaves
      * @param receiver receives whether the endpoint outlived its response
      */
     UnmarkedEndCheck(
@@ -53,11 +59,13 @@
             String request,
             EndpointRegistration endpoint,
             boolean direct,
+            boolean asPlanned,
             Consumer<Boolean> receiver) {
         mState = state;
         mRequest = request;
         mEndpoint = endpoint;
         mDirect = direct;
+        mAsPlanned = asPlanned;
         mEndedMillis = state.nowMillis();
         mReceiver = receiver;
     }
@@ -67,13 +75,23 @@
     }
 
     private void check() {
-        switch (mState.connections().survival(mEndpoint.name(), mDirect, mEndedMillis)) {
-            case SURVIVED -> finish(Evidence.OTHER_CONNECTION_OPEN);
-            case ENDED -> finish(Evidence.OTHERS_CLOSED_AT_ONCE);
-            default -> connect();
+        EndpointSurvival survival =
+                mState.connections().survival(mEndpoint.name(), mDirect, mEndedMillis);
+        if (survival == EndpointSurvival.SURVIVED) {
+            finish(Evidence.OTHER_CONNECTION_OPEN);
+        } else if (mAsPlanned && endedAlone()) {
+            finish(Evidence.STOPPED_LISTENING_BEFORE);
+        } else if (survival == EndpointSurvival.ENDED) {
+            finish(Evidence.OTHERS_CLOSED_AT_ONCE);
+        } else {
+            connect();
         }
     }
 
+    private boolean endedAlone() {
+        return mState.connections().responsesEnded(mEndpoint.name(), mEndedMillis) <= 1;
+    }
+
     private void connect() {
         if (mDirect) {
             mState.connections().probe(mEndpoint, this::connected);
