Record in the store where streams began while versions serve side by side

What callers saw: all gateways were killed while two software versions served.

Cause: where a stream began was in the memory of six instances alone.

Evidence: stream-origin with the source "unknown" for each refused stream, not "without history"; with one version the same restart goes on.

Why this works: while a service with resumable streams has several versions, one instance for each of 32 groups of streams writes one row a second with the streams that began since, by 64-bit hash, and is among the five that are told. Who has a group reads the rows and answers for it. What no row tells is refused as before, so nothing mixes.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -22,6 +22,8 @@
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionRecorder;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionTable;
+import org.wasabilug.gateway.internal.fleet.StreamOriginRecorder;
+import org.wasabilug.gateway.internal.fleet.StreamOriginTable;
 import org.wasabilug.gateway.internal.log.DecisionLog;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.log.MetricsText;
@@ -70,6 +72,7 @@
     private final LocalStageExecutor mStages;
     private final SharedStageExecutor mSharedStages;
     private final PeerNetwork mNetwork;
+    private final StreamOriginRecorder mStreamOriginRecorder;
     private final SharedStreamOrigins mStreamOrigins;
     private final SoftwareVersionRecorder mSoftwareVersions;
     private final SharedCrashSuspects mCrashSuspects;
@@ -120,12 +123,14 @@
         mConfigurationFollower = configurationFollower(protocol.store().configurationTable());
         mMissedConfiguration = new MissedConfiguration(mState, mConfigurationFollower::readAnew);
         SoftwareVersionTable versions = new SoftwareVersionTable(mState, mStore);
+        mStreamOriginRecorder = streamOriginRecorder();
         mStreamOrigins =
                 new SharedStreamOrigins(
-                        mState, mNetwork, new SoftwareVersionHistory(mState, versions));
-        mSoftwareVersions =
-                new SoftwareVersionRecorder(
-                        mState, versions, mNetwork::live, mEndpoints::storeReachable);
+                        mState,
+                        mNetwork,
+                        new SoftwareVersionHistory(mState, versions),
+                        mStreamOriginRecorder);
+        mSoftwareVersions = softwareVersionRecorder(versions);
         mCrashSuspects = new SharedCrashSuspects(mState, mNetwork);
         mRejections = new SharedRejections(mState, mNetwork);
         mLeaves = new SharedLeaves(mState, mNetwork);
@@ -141,6 +146,19 @@
                         readinessLimits());
     }
 
+    private StreamOriginRecorder streamOriginRecorder() {
+        return new StreamOriginRecorder(
+                mState,
+                new StreamOriginTable(mState, mStore),
+                mNetwork::reachable,
+                mEndpoints::storeReachable);
+    }
+
+    private SoftwareVersionRecorder softwareVersionRecorder(SoftwareVersionTable versions) {
+        return new SoftwareVersionRecorder(
+                mState, versions, mNetwork::live, mEndpoints::storeReachable);
+    }
+
     private CallerListener callerListener(RequestReceiver receiver) {
         return new CallerListener(
                 mLoops,
@@ -276,6 +294,7 @@
         mStages.evictExpired();
         mSharedStages.evictProducers(MAX_TRACKED_PRODUCERS);
         mStreamOrigins.removeExpired();
+        mStreamOriginRecorder.recordStreams();
         mSoftwareVersions.recordChanges();
         mRollouts.advance();
         mCrashSuspects.removeExpired();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/SoftwareVersionRecorder.java
@@ -17,10 +17,7 @@
 import org.wasabilug.internal.serving.RendezvousHashing;
 import org.wasabilug.internal.serving.SoftwareVersionRecord;
 import org.wasabilug.serving.EndpointRegistration;
-import org.wasabilug.serving.RequestKind;
-import org.wasabilug.serving.Route;
 import org.wasabilug.serving.StoreRevision;
-import org.wasabilug.serving.WeightedService;
 
 /**
  * Records the software versions of services with resumable streams, for instances that start later.
@@ -41,6 +38,7 @@
     private static final long RETRY_MILLIS = 3_000;
 
     private final GatewayState mState;
+    private final RecentVersions mRecentVersions;
     private final SoftwareVersionTable mTable;
     private final Supplier<Set<String>> mLiveInstances;
     private final BooleanSupplier mStoreReachable;
@@ -64,6 +62,7 @@
             Supplier<Set<String>> liveInstances,
             BooleanSupplier storeReachable) {
         mState = state;
+        mRecentVersions = new RecentVersions(state);
         mTable = table;
         mLiveInstances = liveInstances;
         mStoreReachable = storeReachable;
@@ -99,7 +98,9 @@
 
     private Map<String, Set<String>> registeredVersions() {
         Map<String, Set<String>> versions = new TreeMap<>();
-        servicesWithResumableStreams().forEach(each -> versions.put(each, new TreeSet<>()));
+        mRecentVersions
+                .servicesWithResumableStreams()
+                .forEach(each -> versions.put(each, new TreeSet<>()));
         for (EndpointState endpoint : mState.directory().all()) {
             EndpointRegistration registration = endpoint.registration();
             Set<String> ofService = versions.get(registration.service());
@@ -110,23 +111,6 @@
         return versions;
     }
 
-    private Set<String> servicesWithResumableStreams() {
-        Set<String> services = new TreeSet<>();
-        mState.routes()
-                .ifPresent(
-                        routes ->
-                                routes.configuration().routes().stream()
-                                        .filter(SoftwareVersionRecorder::resumable)
-                                        .flatMap(route -> route.services().stream())
-                                        .map(WeightedService::service)
-                                        .forEach(services::add));
-        return services;
-    }
-
-    private static boolean resumable(Route route) {
-        return route.kind() == RequestKind.STREAM && route.resumable();
-    }
-
     private int positionAmongWriters() {
         return RendezvousHashing.choose(
                         SoftwareVersionTable.TABLE, mLiveInstances.get(), MAX_WRITERS)
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/peer/SharedStreamOrigins.java
@@ -11,24 +11,25 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wasabilug.gateway.internal.GatewayState;
+import org.wasabilug.gateway.internal.fleet.RecentVersions;
 import org.wasabilug.gateway.internal.fleet.SoftwareVersionHistory;
+import org.wasabilug.gateway.internal.fleet.StreamOriginRecorder;
 import org.wasabilug.gateway.internal.log.LogLine;
 import org.wasabilug.gateway.internal.request.StreamOriginRegistry;
-import org.wasabilug.internal.serving.EndpointState;
 import org.wasabilug.internal.serving.RendezvousHashing;
 import org.wasabilug.internal.serving.StreamOrigins;
 import org.wasabilug.messages.gateway.GatewayEnvelope;
 import org.wasabilug.messages.gateway.StreamOriginQuery;
 import org.wasabilug.messages.gateway.StreamOriginReply;
 import org.wasabilug.messages.gateway.StreamOriginReport;
-import org.wasabilug.serving.EndpointRegistration;
 
 /**
  * Exchanges the origins of streams with peers.
  *
  * <p>An instance tells a few peers where a stream began as soon as its first event is sent. The
- * hash of the attempt's id chooses them, so that any other instance knows whom to ask. If no one
- * knows the stream, it may go on only if its service has had a single software version lately.
+ * hash of the attempt's id chooses them, so that any other instance knows whom to ask; one of them
+ * records it in the store where versions serve side by side. If no one knows the stream, it may go
+ * on only if its service has had a single software version lately.
  */
 public final class SharedStreamOrigins implements StreamOriginRegistry {
     private static final int REPORTED_PEERS = 5;
@@ -41,6 +42,8 @@
     private final GatewayState mState;
     private final PeerNetwork mNetwork;
     private final SoftwareVersionHistory mHistory;
+    private final StreamOriginRecorder mRecorder;
+    private final RecentVersions mRecentVersions;
     private final StreamOrigins mOrigins = new StreamOrigins();
     private final Map<Stream, Search> mSearches = new HashMap<>();
 
@@ -55,12 +58,18 @@
      * @param state state of this process
      * @param network the other instances
      * @param history the recorded software versions
+     * @param recorder records streams for instances that start later
      */
     public SharedStreamOrigins(
-            GatewayState state, PeerNetwork network, SoftwareVersionHistory history) {
+            GatewayState state,
+            PeerNetwork network,
+            SoftwareVersionHistory history,
+            StreamOriginRecorder recorder) {
         mState = state;
         mNetwork = network;
         mHistory = history;
+        mRecorder = recorder;
+        mRecentVersions = new RecentVersions(state);
     }
 
     @Override
@@ -68,6 +77,7 @@
         if (!mOrigins.record(attempt, softwareVersion, untilMillis)) {
             return;
         }
+        mRecorder.began(attempt, softwareVersion, untilMillis);
         GatewayEnvelope report =
                 mNetwork.envelope()
                         .setStreamOriginReport(
@@ -81,7 +91,7 @@
 
     @Override
     public void find(String attempt, String service, Consumer<Optional<String>> receiver) {
-        Optional<String> known = mOrigins.find(attempt);
+        Optional<String> known = known(attempt);
         if (known.isPresent()) {
             logFound(attempt, known, "own");
             receiver.accept(known);
@@ -99,8 +109,19 @@
         }
     }
 
+    private Optional<String> known(String attempt) {
+        return mOrigins.find(attempt).or(() -> mRecorder.find(attempt));
+    }
+
+    /** Returns peers chosen by hash, and among them the one that records the stream. */
     private List<String> peersFor(String attempt, int count) {
-        return RendezvousHashing.choose(attempt, mNetwork.reachable(), count);
+        Set<String> reachable = mNetwork.reachable();
+        String writer = mRecorder.writer(attempt);
+        List<String> peers = new ArrayList<>(RendezvousHashing.choose(attempt, reachable, count));
+        if (reachable.contains(writer) && !peers.contains(writer)) {
+            peers.set(count - 1, writer);
+        }
+        return peers;
     }
 
     private void logFound(String attempt, Optional<String> softwareVersion, String source) {
@@ -118,10 +139,11 @@
      * @param report the origin
      */
     public void reportReceived(StreamOriginReport report) {
-        mOrigins.record(
-                report.getAttempt(),
-                report.getSoftwareVersion(),
-                mState.nowMillis() + report.getRemainingMilliseconds());
+        String attempt = report.getAttempt();
+        long until = mState.nowMillis() + report.getRemainingMilliseconds();
+        if (mOrigins.record(attempt, report.getSoftwareVersion(), until)) {
+            mRecorder.began(attempt, report.getSoftwareVersion(), until);
+        }
     }
 
     /**
@@ -134,23 +156,12 @@
         StreamOriginReply.Builder reply =
                 StreamOriginReply.newBuilder()
                         .setAttempt(query.getAttempt())
-                        .addAllRecentVersions(recentVersions(query.getService()))
+                        .addAllRecentVersions(mRecentVersions.of(query.getService()))
                         .setHistoryComplete(historyComplete());
-        mOrigins.find(query.getAttempt()).ifPresent(reply::setSoftwareVersion);
+        known(query.getAttempt()).ifPresent(reply::setSoftwareVersion);
         mNetwork.send(peer, mNetwork.envelope().setStreamOriginReply(reply).build());
     }
 
-    /** Returns the versions of a service that are registered, or were lately. */
-    private Set<String> recentVersions(String service) {
-        Set<String> versions = mState.softwareVersions().recent(service, mState.nowMillis());
-        mState.directory().all().stream()
-                .map(EndpointState::registration)
-                .filter(registration -> registration.service().equals(service))
-                .map(EndpointRegistration::softwareVersion)
-                .forEach(versions::add);
-        return versions;
-    }
-
     private boolean historyComplete() {
         return mState.softwareVersions().complete(mState.nowMillis());
     }
@@ -177,14 +188,14 @@
         private final Stream mStream;
         private final List<Consumer<Optional<String>>> mReceivers = new ArrayList<>();
         private final Set<String> mUnanswered = new HashSet<>();
-        private final Set<String> mRecentVersions;
+        private final Set<String> mVersions;
         private ScheduledFuture<?> mTimeout;
         private boolean mPeerHistoryComplete;
         private boolean mHistoryAwaited;
 
         private Search(Stream stream) {
             mStream = stream;
-            mRecentVersions = recentVersions(stream.service());
+            mVersions = mRecentVersions.of(stream.service());
         }
 
         private void start() {
@@ -213,7 +224,7 @@
         }
 
         private void replyReceived(String peer, StreamOriginReply reply) {
-            mRecentVersions.addAll(reply.getRecentVersionsList());
+            mVersions.addAll(reply.getRecentVersionsList());
             mPeerHistoryComplete |= reply.getHistoryComplete();
             if (reply.hasSoftwareVersion()) {
                 end(Optional.of(reply.getSoftwareVersion()), "peer " + peer);
@@ -239,10 +250,9 @@
             if (mSearches.get(mStream) != this) {
                 return;
             }
-            mRecentVersions.addAll(recentVersions(mStream.service()));
-            boolean single = historyComplete && mRecentVersions.size() == 1;
-            Optional<String> only =
-                    single ? mRecentVersions.stream().findFirst() : Optional.empty();
+            mVersions.addAll(mRecentVersions.of(mStream.service()));
+            boolean single = historyComplete && mVersions.size() == 1;
+            Optional<String> only = single ? mVersions.stream().findFirst() : Optional.empty();
             end(only, source(historyComplete, single));
         }
 
