Count an end that is read after a standstill as no proof of life

Cause: a connection that opens 40 ms after the end was read counted as proof that the process which wrote the answer had outlived it. After a standstill the end is old, and whoever accepts connections may have come since.

Why this works: a gap of a second or more in the regular tasks of the loop marks a standstill, before the next task and until what arrived meanwhile is read. Then only an older connection that is still open counts. An engine isn't back from a crash within a second.

--- a/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/Gateway.java
@@ -286,6 +286,7 @@
 
     private void runHousekeeping() {
         logLoopDelay();
+        mState.standstills().runs(mState.nowMillis());
         mEndpoints.removeExpired();
         mConfiguration.removeExpired();
         mCallers.enforceTimeouts();
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/GatewayState.java
@@ -41,6 +41,7 @@
     private final EndpointDirectory mDirectory = new EndpointDirectory();
     private final ReachabilityMonitor mReachability;
     private final ListeningWatch mListeningWatch = new ListeningWatch(this);
+    private final StandstillMonitor mStandstills = new StandstillMonitor(clockMillis());
     private final StageTimes mStageTimes = new StageTimes();
     private final SoftwareVersions mSoftwareVersions = new SoftwareVersions();
     private final PrefixCacheEstimator mPrefixCaches = new PrefixCacheEstimator();
@@ -188,6 +189,11 @@
         return mDirectory.usable(service, mReachability::isReachable, mReachability::peerReaches);
     }
 
+    /** Returns what notices that this process stood still. */
+    public StandstillMonitor standstills() {
+        return mStandstills;
+    }
+
     /** Returns the watch of the ports of endpoints that leave. */
     public ListeningWatch listeningWatch() {
         return mListeningWatch;
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/request/UnmarkedEndCheck.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/request/UnmarkedEndCheck.java
@@ -25,6 +25,7 @@
     private final boolean mDirect;
     private final boolean mAsPlanned;
     private final long mEndedMillis;
+    private final boolean mStoodStill;
     private final Consumer<Boolean> mReceiver;
 
     /** What tells whether the endpoint outlived its response; the names appear in the log. */
@@ -35,6 +36,8 @@
         CONNECTED(true),
         PEER_CONNECTED(true),
         OTHERS_CLOSED_AT_ONCE(false),
+        /** This process did; whoever accepts connections now may not be who responded. */
+        STOOD_STILL(false),
         REFUSED(false),
         PEER_NOT_CONNECTED(false);
 
@@ -67,6 +70,7 @@
         mDirect = direct;
         mAsPlanned = asPlanned;
         mEndedMillis = state.nowMillis();
+        mStoodStill = state.standstills().stoodStill(mEndedMillis);
         mReceiver = receiver;
     }
 
@@ -79,15 +83,21 @@
                 mState.connections().survival(mEndpoint.name(), mDirect, mEndedMillis);
         if (survival == EndpointSurvival.SURVIVED) {
             finish(Evidence.OTHER_CONNECTION_OPEN);
-        } else if (mAsPlanned && endedAlone()) {
+        } else if (mAsPlanned && !stoodStill() && endedAlone()) {
             finish(Evidence.STOPPED_LISTENING_BEFORE);
         } else if (survival == EndpointSurvival.ENDED) {
             finish(Evidence.OTHERS_CLOSED_AT_ONCE);
+        } else if (stoodStill()) {
+            finish(Evidence.STOOD_STILL);
         } else {
             connect();
         }
     }
 
+    private boolean stoodStill() {
+        return mStoodStill || mState.standstills().stoodStill(mState.nowMillis());
+    }
+
     private boolean endedAlone() {
         return mState.connections().responsesEnded(mEndpoint.name(), mEndedMillis) <= 1;
     }
@@ -102,7 +112,7 @@
 
     private void connected(ConnectionResult result) {
         switch (result) {
-            case OPENED -> finish(Evidence.CONNECTED);
+            case OPENED -> finish(stoodStill() ? Evidence.STOOD_STILL : Evidence.CONNECTED);
             case REFUSED -> finish(Evidence.REFUSED);
             default -> askPeer();
         }
