Probe leaving endpoints from a copy of the watch

A connection that fails at once can end responses and change the watch while it is iterated over; the exception would end the regular tasks of the loop. Found by reading, not seen. A page of recorded streams without rows that announces another page ends the read, for the same reason.

--- a/gateway/src/main/java/org/wasabilug/gateway/internal/ListeningWatch.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/ListeningWatch.java
@@ -1,6 +1,7 @@
 package org.wasabilug.gateway.internal;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.wasabilug.gateway.internal.log.LogLine;
@@ -68,13 +69,14 @@
 
     /** Probes the endpoints that leave; to be called several times a second. */
     public void probe() {
-        mWatched.forEach(
-                (endpoint, watched) -> {
-                    boolean told = watched.mProbing || watched.mRefusedMillis.isPresent();
-                    if (!told && leaves(endpoint)) {
-                        probe(endpoint.registration(), watched);
-                    }
-                });
+        // A connection that fails at once may end responses, and so their watch.
+        for (Map.Entry<EndpointState, Watched> each : List.copyOf(mWatched.entrySet())) {
+            Watched watched = each.getValue();
+            boolean told = watched.mProbing || watched.mRefusedMillis.isPresent();
+            if (!told && leaves(each.getKey())) {
+                probe(each.getKey().registration(), watched);
+            }
+        }
     }
 
     /** An endpoint may leave without a report; then its row is gone. */
--- a/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/StreamOriginTable.java
+++ b/gateway/src/main/java/org/wasabilug/gateway/internal/fleet/StreamOriginTable.java
@@ -58,14 +58,22 @@
                 key,
                 page -> {
                     page.ifPresent(each -> each.rows().forEach(row -> decode(row, rows)));
-                    if (page.map(StorePage::more).orElse(false)) {
-                        readFrom(page.get().rows().getLast().key() + "\0", rows, receiver);
+                    Optional<String> next = page.flatMap(StreamOriginTable::nextKey);
+                    if (next.isPresent()) {
+                        readFrom(next.get(), rows, receiver);
                     } else {
                         receiver.accept(page.map(last -> rows));
                     }
                 });
     }
 
+    /** Returns the first key of the next page; empty if there is none. */
+    private static Optional<String> nextKey(StorePage page) {
+        return page.more() && !page.rows().isEmpty()
+                ? Optional.of(page.rows().getLast().key() + "\0")
+                : Optional.empty();
+    }
+
     private void decode(StoredRow stored, List<Row> rows) {
         try {
             StreamOriginRow row = StreamOriginRow.parseFrom(stored.value());
