--- a/review/stand-3/standthree/Engine.java
+++ b/review/stand-3/standthree/Engine.java
@@ -116,6 +116,11 @@
         }
     }
 
+    /** Takes no new channels; those that are open go on. */
+    void stopListening() throws IOException {
+        mServer.stopListening();
+    }
+
     void record(String text) {
         mRecord.line(mId + ": " + text);
     }
--- a/review/stand-3/standthree/Http.java
+++ b/review/stand-3/standthree/Http.java
@@ -168,6 +168,10 @@
             }
         }
 
+        void stopListening() throws IOException {
+            mSocket.close();
+        }
+
         @Override
         public void close() throws IOException {
             mSocket.close();
