--- a/review/stand-3/standthree/ShortLast.java
+++ b/review/stand-3/standthree/ShortLast.java
@@ -88,13 +88,10 @@
             FINISHED.add(id);
         }
 
-        /** Leaves as planned; without the disruption it only reports so, and stays. */
+        /** Leaves as planned. */
         private void leave(Drill drill) throws IOException, InterruptedException {
             register("draining");
             Thread.sleep(SERVES_MILLIS);
-            if (!drill.trouble()) {
-                return;
-            }
             int running = mRunning.get();
             stopListening();
             long start = System.nanoTime();
@@ -130,7 +127,9 @@
             }
             Thread.sleep(WARM_MILLIS);
             for (int release = 0; release < RELEASES; release++) {
-                release(drill, servers, release);
+                if (drill.trouble()) {
+                    release(drill, servers, release);
+                }
                 Thread.sleep(BETWEEN_MILLIS);
             }
             stop.set(true);
@@ -150,9 +149,7 @@
             throws IOException, InterruptedException {
         for (int number = 0; number < REPLACED; number++) {
             Server old = servers.removeFirst();
-            if (drill.trouble()) {
-                servers.add(drill.with(new Server("i-new-" + release + "-" + number, drill)));
-            }
+            servers.add(drill.with(new Server("i-new-" + release + "-" + number, drill)));
             Thread.ofVirtual()
                     .start(
                             () -> {
