--- a/review/stand-3/standthree/ManyParts.java
+++ b/review/stand-3/standthree/ManyParts.java
@@ -8,17 +8,17 @@
 
 /** Clients whose prompts are listed in very many short parts; then ordinary requests. */
 final class ManyParts {
-    private static final int ORDINARY = 10;
     private static final int ENGINES = 13;
     private static final int CLIENTS = 8;
     private static final int PARTS = 1_300;
     private static final long SENDING_MILLIS = 70_000;
     private static final long WATCH_MILLIS = 2_000;
 
-    /** Watches in a row, of two seconds and ten unanswered requests of a second each. */
-    private static final int HUNG_WATCHES = 2;
+    /** Late requests after which the clients stop: eight seconds without an answer. */
+    private static final int STANDSTILL = 40;
 
-    private static final long JOIN_MILLIS = 1_000;
+    private static final long BEFORE_MILLIS = 1_000;
+    private static final long JOIN_MILLIS = 500;
     private static final int FIRST_PART = 0x10000000;
     private static final AtomicInteger PART = new AtomicInteger();
     private static final AtomicInteger ANSWERED = new AtomicInteger();
@@ -31,7 +31,7 @@
 
     private static int run(String recordFile, int requests) throws Exception {
         try (Drill drill = new Drill(recordFile)) {
-            drill.configure(7);
+            drill.store().put("op", "config", OrdinaryRequests.CONFIGURATION.formatted(7));
             for (int number = 0; number < ENGINES; number++) {
                 drill.engine("i-pool-" + number, "pool", 64);
             }
@@ -45,69 +45,54 @@
             }
             // The servers count as cold for cold_start_s after their start.
             Thread.sleep(5_000);
+            List<OrdinaryRequests> ordinary = new ArrayList<>();
             for (Gateway gateway : gateways) {
-                if (askAll(drill, gateway, "before") < ORDINARY) {
+                ordinary.add(new OrdinaryRequests(gateway, drill.record()).start());
+            }
+            Thread.sleep(BEFORE_MILLIS);
+            for (OrdinaryRequests each : ordinary) {
+                if (each.answered() == 0) {
                     return Drill.NOT_RUN;
                 }
             }
-            boolean hung = send(drill, gateways.getFirst(), requests);
-            drill.record().line("no ordinary request was served for over 10 s: " + hung);
-            boolean broken = hung;
-            for (Gateway gateway : gateways) {
-                int served = askAll(drill, gateway, "after");
-                boolean ended = !gateway.alive();
-                broken |= ended;
-                drill.record()
-                        .line(gateway.name() + " alive: " + !ended + ", exit value: "
-                                + gateway.exitValue() + ", served afterwards: " + served + " of "
-                                + ORDINARY + ", out of memory: "
-                                + gateway.logged("OutOfMemoryError"));
+            send(drill, gateways.getFirst(), requests, ordinary.getFirst());
+            boolean broken = false;
+            for (OrdinaryRequests each : ordinary.reversed()) {
+                each.close();
+                broken |= each.broken();
+                drill.record().line(each.result());
             }
+            drill.record()
+                    .line("out of memory: " + gateways.getFirst().logged("OutOfMemoryError"));
             return broken ? Drill.BROKEN : Drill.HELD;
         }
     }
 
-    private static int askAll(Drill drill, Gateway gateway, String name) {
-        int served = 0;
-        for (int number = 0; number < ORDINARY; number++) {
-            String id = name + number + "-" + System.nanoTime();
-            int status = drill.ask(gateway, Site.head("GET", "/lookup/1", id, 1_000, ""), 1_000);
-            served += status == 200 ? 1 : 0;
-        }
-        drill.record()
-                .line("ordinary requests " + name + " at " + gateway.name() + ": " + served + " of "
-                        + ORDINARY + " served; ready: " + gateway.ready(1_000) + ", alive: "
-                        + gateway.alive() + ", " + gateway.residentMegabytes() + " MB resident");
-        return served;
-    }
-
-    /** Returns whether the process came to a standstill meanwhile. */
-    private static boolean send(Drill drill, Gateway gateway, int requests)
+    /** Sends until all requests are answered, or the process has come to a standstill or ended. */
+    private static void send(
+            Drill drill, Gateway gateway, int requests, OrdinaryRequests ordinary)
             throws InterruptedException {
         int parts = drill.trouble() ? PARTS : 3;
         drill.record()
                 .line(requests + " requests from " + CLIENTS + " clients, each with a prompt of "
-                        + parts + " parts and a head of "
-                        + head(parts, "0").length() + " bytes");
+                        + parts + " parts and a head of " + head(parts, "0").length() + " bytes");
         List<Thread> clients = new ArrayList<>();
         AtomicInteger left = new AtomicInteger(requests);
         for (int client = 0; client < CLIENTS; client++) {
             clients.add(Thread.ofVirtual().start(() -> send(gateway, left, parts)));
         }
         long until = System.nanoTime() + SENDING_MILLIS * 1_000_000;
-        int unserved = 0;
         while (left.get() > 0 && gateway.alive() && System.nanoTime() < until
-                && unserved < HUNG_WATCHES) {
+                && ordinary.late() < STANDSTILL) {
             Thread.sleep(WATCH_MILLIS);
-            unserved = askAll(drill, gateway, "meanwhile") == 0 ? unserved + 1 : 0;
-            drill.record().line("answered with 200 so far: " + ANSWERED.get());
+            drill.record()
+                    .line("answered with 200 so far: " + ANSWERED.get() + "; "
+                            + ordinary.result());
         }
         left.set(0);
         for (Thread client : clients) {
             client.join(JOIN_MILLIS);
         }
-        drill.record().line("answered with 200: " + ANSWERED.get());
-        return unserved >= HUNG_WATCHES;
     }
 
     private static void send(Gateway gateway, AtomicInteger left, int parts) {
--- a/review/stand-3/standthree/ManyPieces.java
+++ b/review/stand-3/standthree/ManyPieces.java
@@ -5,9 +5,8 @@
 
 /** One request whose head asks for very many pieces of a stage; then ordinary requests. */
 final class ManyPieces {
-    private static final int ORDINARY = 10;
-    private static final int ROUNDS = 4;
-    private static final long PAUSE_MILLIS = 5_000;
+    private static final long BEFORE_MILLIS = 3_000;
+    private static final int SECONDS = 30;
 
     private ManyPieces() {}
 
@@ -17,7 +16,7 @@
 
     private static int run(String recordFile, String pieces) throws Exception {
         try (Drill drill = new Drill(recordFile)) {
-            drill.configure(7);
+            drill.store().put("op", "config", OrdinaryRequests.CONFIGURATION.formatted(7));
             drill.engine("i-pool", "pool", 64);
             drill.engine("i-desk", "desk", 6);
             drill.engine("i-meters", "meters", 1);
@@ -25,41 +24,23 @@
             if (!gateway.awaitReady()) {
                 return Drill.NOT_RUN;
             }
-            int before = askAll(drill, gateway, "before");
-            if (before < ORDINARY) {
-                drill.record().line("ordinary requests are not served before the disruption");
+            OrdinaryRequests ordinary = new OrdinaryRequests(gateway, drill.record()).start();
+            Thread.sleep(BEFORE_MILLIS);
+            if (ordinary.answered() == 0) {
                 return Drill.NOT_RUN;
             }
-            int asked = Integer.parseInt(pieces);
-            sendWithPieces(drill, gateway, drill.trouble() ? asked : 2);
-            int after = 0;
-            for (int round = 0; round < ROUNDS && after < ORDINARY && gateway.alive(); round++) {
-                Thread.sleep(PAUSE_MILLIS);
-                after = Math.max(after, askAll(drill, gateway, "after"));
+            drill.record().line("before: " + ordinary.result());
+            sendWithPieces(drill, gateway, drill.trouble() ? Integer.parseInt(pieces) : 2);
+            for (int second = 0; second < SECONDS && gateway.alive(); second++) {
+                Thread.sleep(1_000);
             }
-            boolean broken = !gateway.alive() || after == 0;
-            drill.record()
-                    .line("alive: " + gateway.alive() + ", exit value: " + gateway.exitValue()
-                            + ", served afterwards: " + after + " of " + ORDINARY
-                            + ", out of memory: " + gateway.logged("OutOfMemoryError"));
-            return broken ? Drill.BROKEN : Drill.HELD;
+            ordinary.close();
+            drill.record().line("out of memory: " + gateway.logged("OutOfMemoryError"));
+            drill.record().line(ordinary.result());
+            return ordinary.broken() ? Drill.BROKEN : Drill.HELD;
         }
     }
 
-    private static int askAll(Drill drill, Gateway gateway, String name) {
-        int served = 0;
-        for (int number = 0; number < ORDINARY; number++) {
-            String id = name + number + "-" + System.nanoTime();
-            int status = drill.ask(gateway, Site.head("GET", "/lookup/1", id, 1_500, ""), 1_500);
-            served += status == 200 ? 1 : 0;
-        }
-        drill.record()
-                .line("ordinary requests " + name + ": " + served + " of " + ORDINARY
-                        + " served; ready: " + gateway.ready(1_000) + ", alive: " + gateway.alive()
-                        + ", " + gateway.residentMegabytes() + " MB resident");
-        return served;
-    }
-
     private static void sendWithPieces(Drill drill, Gateway gateway, int pieces)
             throws IOException, InterruptedException {
         Socket socket = gateway.connect(8_000);
